--- /dev/null
+++ b/apps/chivecrank_admin/main.cc
@@ -0,0 +1,66 @@
+#include <Poco/UUIDGenerator.h>
+#include <glog/logging.h>
+
+#include <atomic>
+
+#include "admin_settings.h"
+#include "chivecrank/base/system_clock.h"
+#include "chivecrank/configuration/repository.h"
+#include "chivecrank/http/server.h"
+#include "chivecrank/operators/admin_api.h"
+#include "chivecrank/platform/http_store.h"
+#include "chivecrank/process/program.h"
+#include "chivecrank/process/status_server.h"
+#include "chivecrank/process/stop_signal.h"
+
+namespace chivecrank {
+namespace {
+
+std::string NewWriteId() {
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
+process::exit_code Run(const admin_settings& settings) {
+  base::system_clock clock;
+  platform::http_store store(settings.platform, settings.store_timeout);
+  configuration::repository accepted(store, clock, NewWriteId);
+  const operators::operator_directory directory(settings.operators);
+  operators::admin_api api(accepted, directory);
+  std::atomic<bool> stopping = false;
+
+  http::server server(settings.listen, {}, [&](const http::request& message) {
+    return api.Answer(message);
+  });
+  process::status_server status(
+      settings.status, std::make_shared<prometheus::Registry>(), [&] {
+        return process::readiness{!stopping, "stopping"};
+      });
+  for (const auto& started : {status.Start(), server.Start()}) {
+    if (!started.has_value()) {
+      LOG(ERROR) << "admin: " << base::Describe(started.error());
+      return process::exit_code::kFailed;
+    }
+  }
+  LOG(INFO) << "admin: listening on " << settings::ToString(settings.listen)
+            << ".";
+  process::WaitForStopSignal();
+  stopping = true;
+  server.Stop();
+  status.Stop();
+  LOG(INFO) << "admin: stopped.";
+  return process::exit_code::kOk;
+}
+
+}  // namespace
+}  // namespace chivecrank
+
+int main(int argc, char** argv) {
+  using namespace chivecrank;
+  process::Initialize("chivecrank_admin",
+                      "Serves the administration API of chivecrank.", argc,
+                      argv);
+  admin_settings settings;
+  return process::RunDaemon(
+      [&](settings::section& root) { settings = ReadAdminSettings(root); },
+      [&] { return Run(settings); });
+}
--- /dev/null
+++ b/apps/chivecrankctl/commands.h
@@ -0,0 +1,37 @@
+#ifndef CHIVECRANK_APPS_CHIVECRANKCTL_COMMANDS_H_
+#define CHIVECRANK_APPS_CHIVECRANKCTL_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+#include "admin_client.h"
+
+namespace chivecrank::ctl {
+
+/// Exit codes of chivecrankctl, for scripts.
+enum class exit_code : int {
+  kOk = 0,
+  kFailed = 1,
+  kBadUsage = 2,
+  kRefused = 3,
+  kConflict = 4,
+  kUnavailable = 5,
+};
+
+/// How results are printed.
+enum class output_format { kTable, kJson };
+
+/// What every command works with.
+struct command_context {
+  admin_client& admin;
+  output_format format = output_format::kTable;
+  std::string comment;
+};
+
+/// Runs the command that `arguments` name.
+exit_code RunCommand(command_context& context,
+                     const std::vector<std::string>& arguments);
+
+}  // namespace chivecrank::ctl
+
+#endif  // CHIVECRANK_APPS_CHIVECRANKCTL_COMMANDS_H_
--- /dev/null
+++ b/src/base/include/chivecrank/base/result.h
@@ -0,0 +1,25 @@
+#ifndef CHIVECRANK_BASE_RESULT_H_
+#define CHIVECRANK_BASE_RESULT_H_
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/success_failure.hpp>
+#include <boost/outcome/try.hpp>
+
+#include "chivecrank/base/error.h"
+
+namespace chivecrank::base {
+
+/// A value or a typed error. Reading the wrong side terminates the program.
+template <class T>
+using result = boost::outcome_v2::
+    basic_result<T, error, boost::outcome_v2::policy::terminate>;
+
+/// Success for result<void>.
+inline auto Success() {
+  return boost::outcome_v2::success();
+}
+
+}  // namespace chivecrank::base
+
+#endif  // CHIVECRANK_BASE_RESULT_H_
--- /dev/null
+++ b/src/base/include/chivecrank/base/system_clock.h
@@ -0,0 +1,18 @@
+#ifndef CHIVECRANK_BASE_SYSTEM_CLOCK_H_
+#define CHIVECRANK_BASE_SYSTEM_CLOCK_H_
+
+#include "chivecrank/base/clock.h"
+
+namespace chivecrank::base {
+
+/// The clock of the operating system.
+class system_clock final : public clock {
+ public:
+  time_point Now() const override;
+  wall_time WallNow() const override;
+  void SleepUntil(time_point wake) override;
+};
+
+}  // namespace chivecrank::base
+
+#endif  // CHIVECRANK_BASE_SYSTEM_CLOCK_H_
--- /dev/null
+++ b/src/http/tests/server_test.cc
@@ -0,0 +1,62 @@
+#include "chivecrank/http/server.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "chivecrank/http/client.h"
+
+namespace chivecrank::http {
+namespace {
+
+constexpr std::chrono::seconds kTimeout{5};
+const settings::endpoint kAddress{"127.0.77.1", 18080};
+
+response Echo(const request& message) {
+  return {200, {{"X-Method", message.method}}, message.body};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(server_suite)
+
+BOOST_AUTO_TEST_CASE(AnswersWithTheWholeBody) {
+  server echo(kAddress, {}, Echo);
+  BOOST_REQUIRE(echo.Start().has_value());
+  client caller(kAddress);
+  const std::string body(100'000, 'x');
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = caller.Call({"POST", "/a?b=c", {}, body}, kTimeout);
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST((answer.value().body == body));
+    BOOST_TEST(answer.value().Header("x-method") == "POST");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesLargeBodies) {
+  server_limits limits;
+  limits.body_bytes = 10;
+  server echo(kAddress, limits, Echo);
+  BOOST_REQUIRE(echo.Start().has_value());
+  client caller(kAddress);
+  const auto answer =
+      caller.Call({"POST", "/", {}, std::string(11, 'x')}, kTimeout);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer.value().code == static_cast<int>(status::kPayloadTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsCertainlyUnsent) {
+  client caller({"127.0.77.1", 18081});
+  const auto answer = caller.Call({"GET", "/", {}, ""}, kTimeout);
+  BOOST_REQUIRE(!answer.has_value());
+  BOOST_TEST((answer.error().kind == base::error_kind::kUnavailable));
+}
+
+BOOST_AUTO_TEST_CASE(DecodesTheQuery) {
+  const request message{"GET", "/a?b=c%20d&e=f", {}, ""};
+  BOOST_TEST(message.Path() == "/a");
+  BOOST_TEST(message.Query("b") == "c d");
+  BOOST_TEST(message.Query("missing") == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::http
--- /dev/null
+++ b/src/platform/include/chivecrank/platform/http_store.h
@@ -0,0 +1,39 @@
+#ifndef CHIVECRANK_PLATFORM_HTTP_STORE_H_
+#define CHIVECRANK_PLATFORM_HTTP_STORE_H_
+
+#include "chivecrank/http/client.h"
+#include "chivecrank/platform/store.h"
+
+namespace chivecrank::platform {
+
+/// The store behind the platform's HTTP/JSON interface.
+class http_store final : public store {
+ public:
+  /// `timeout` bounds each call but a watch, which may also wait.
+  http_store(settings::endpoint address, std::chrono::milliseconds timeout);
+
+  base::result<std::optional<store_entry>> Get(call_class purpose,
+                                               const std::string& key) override;
+  base::result<version> Put(call_class purpose,
+                            const put_request& write) override;
+  base::result<void> Delete(call_class purpose,
+                            const std::string& key,
+                            version expected) override;
+  base::result<store_listing> List(call_class purpose,
+                                   const std::string& prefix) override;
+  base::result<watch_answer> Watch(const watch_request& request) override;
+  base::result<lease_id> GrantLease(std::chrono::milliseconds term) override;
+  base::result<void> RenewLease(lease_id lease) override;
+  base::result<void> RevokeLease(lease_id lease) override;
+
+ private:
+  base::result<http::json_object> Call(const std::string& operation,
+                                       const http::json_object& body);
+
+  http::client client_;
+  std::chrono::milliseconds timeout_;
+};
+
+}  // namespace chivecrank::platform
+
+#endif  // CHIVECRANK_PLATFORM_HTTP_STORE_H_
--- /dev/null
+++ b/src/platform/include/chivecrank/platform/instance_list.h
@@ -0,0 +1,22 @@
+#ifndef CHIVECRANK_PLATFORM_INSTANCE_LIST_H_
+#define CHIVECRANK_PLATFORM_INSTANCE_LIST_H_
+
+#include <vector>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/platform/types.h"
+
+namespace chivecrank::platform {
+
+/// The platform's lagging list of live and leaving instances.
+class instance_list {
+ public:
+  virtual ~instance_list() = default;
+
+  /// The list as the platform has it now. kUnavailable during outages.
+  virtual base::result<std::vector<instance>> List() = 0;
+};
+
+}  // namespace chivecrank::platform
+
+#endif  // CHIVECRANK_PLATFORM_INSTANCE_LIST_H_
--- /dev/null
+++ b/src/platform/include/chivecrank/platform/memory_store.h
@@ -0,0 +1,56 @@
+#ifndef CHIVECRANK_PLATFORM_MEMORY_STORE_H_
+#define CHIVECRANK_PLATFORM_MEMORY_STORE_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <mutex>
+
+#include "chivecrank/base/clock.h"
+#include "chivecrank/platform/store.h"
+
+namespace chivecrank::platform {
+
+/// A store in the memory of this process: the core of the stand-in platform
+/// and the fake of unit tests. Watches never wait.
+class memory_store final : public store {
+ public:
+  explicit memory_store(base::clock& clock);
+
+  base::result<std::optional<store_entry>> Get(call_class purpose,
+                                               const std::string& key) override;
+  base::result<version> Put(call_class purpose,
+                            const put_request& write) override;
+  base::result<void> Delete(call_class purpose,
+                            const std::string& key,
+                            version expected) override;
+  base::result<store_listing> List(call_class purpose,
+                                   const std::string& prefix) override;
+  base::result<watch_answer> Watch(const watch_request& request) override;
+  base::result<lease_id> GrantLease(std::chrono::milliseconds term) override;
+  base::result<void> RenewLease(lease_id lease) override;
+  base::result<void> RevokeLease(lease_id lease) override;
+
+ private:
+  struct lease_state {
+    std::chrono::milliseconds term{0};
+    base::time_point ends;
+  };
+
+  void EndLapsedLeases();
+  void DropKeysOf(lease_id lease);
+  void Record(change_kind kind, const store_entry& entry);
+
+  base::clock& clock_;
+  std::mutex mutex_;
+  std::map<std::string, store_entry> entries_;
+  std::map<lease_id, lease_state> leases_;
+  std::deque<store_change> changes_;
+  revision revision_ = 0;
+  revision oldest_change_ = 0;
+  lease_id last_lease_ = 0;
+};
+
+}  // namespace chivecrank::platform
+
+#endif  // CHIVECRANK_PLATFORM_MEMORY_STORE_H_
--- /dev/null
+++ b/src/platform/include/chivecrank/platform/store_codec.h
@@ -0,0 +1,32 @@
+#ifndef CHIVECRANK_PLATFORM_STORE_CODEC_H_
+#define CHIVECRANK_PLATFORM_STORE_CODEC_H_
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/http/json.h"
+#include "chivecrank/platform/types.h"
+
+/// JSON forms of the platform's messages; see docs/WIRE.md.
+namespace chivecrank::platform {
+
+http::json_object EncodeEntry(const store_entry& entry);
+store_entry DecodeEntry(const http::json_object& encoded);
+
+http::json_object EncodePut(const put_request& write);
+put_request DecodePut(const http::json_object& encoded);
+
+http::json_object EncodeListing(const store_listing& listing);
+store_listing DecodeListing(const http::json_object& encoded);
+
+http::json_object EncodeWatchRequest(const watch_request& request);
+watch_request DecodeWatchRequest(const http::json_object& encoded);
+
+http::json_object EncodeWatchAnswer(const watch_answer& answer);
+watch_answer DecodeWatchAnswer(const http::json_object& encoded);
+
+http::json_object EncodeInstance(const instance& entry);
+/// kInvalidArgument for an instance without an id or with a bad endpoint.
+base::result<instance> DecodeInstance(const http::json_object& encoded);
+
+}  // namespace chivecrank::platform
+
+#endif  // CHIVECRANK_PLATFORM_STORE_CODEC_H_
--- /dev/null
+++ b/src/process/include/chivecrank/process/status_server.h
@@ -0,0 +1,43 @@
+#ifndef CHIVECRANK_PROCESS_STATUS_SERVER_H_
+#define CHIVECRANK_PROCESS_STATUS_SERVER_H_
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/http/server.h"
+#include "chivecrank/settings/types.h"
+
+namespace chivecrank::process {
+
+/// Whether the daemon takes work, and why not when it does not.
+struct readiness {
+  bool ready = false;
+  std::string reason;
+};
+
+/// Answers /healthz, /readyz and /metrics of a daemon.
+class status_server {
+ public:
+  status_server(settings::endpoint address,
+                std::shared_ptr<prometheus::Registry> metrics,
+                std::function<readiness()> ready);
+
+  /// kUnavailable when the address can't be bound.
+  base::result<void> Start();
+  void Stop();
+
+ private:
+  http::response Answer(const http::request& message) const;
+
+  std::shared_ptr<prometheus::Registry> metrics_;
+  std::function<readiness()> ready_;
+  http::server server_;
+};
+
+}  // namespace chivecrank::process
+
+#endif  // CHIVECRANK_PROCESS_STATUS_SERVER_H_
--- /dev/null
+++ b/src/security/include/chivecrank/security/token.h
@@ -0,0 +1,26 @@
+#ifndef CHIVECRANK_SECURITY_TOKEN_H_
+#define CHIVECRANK_SECURITY_TOKEN_H_
+
+#include <string>
+#include <string_view>
+
+/// Bearer tokens of callers and operators. Only their hashes are kept.
+namespace chivecrank::security {
+
+/// SHA-256 of a token as 64 lower-case hexadecimal digits.
+std::string HashToken(std::string_view token);
+
+/// Whether the text has the form that HashToken returns.
+bool IsTokenHash(std::string_view text);
+
+/// Whether two hashes are equal, in time that does not depend on where they
+/// differ.
+bool EqualHashes(std::string_view left, std::string_view right);
+
+/// The token of an "Authorization: Bearer TOKEN" header; empty if there is
+/// none.
+std::string_view BearerToken(std::string_view authorization);
+
+}  // namespace chivecrank::security
+
+#endif  // CHIVECRANK_SECURITY_TOKEN_H_
--- /dev/null
+++ b/tests/standin_platform/fault_settings.cc
@@ -0,0 +1,11 @@
+#include "fault_settings.h"
+
+namespace chivecrank::standin {
+
+fault_settings DecodeFaults(const http::json_object& encoded) {
+  return {http::BooleanOf(encoded, "down"),
+          std::chrono::milliseconds(http::IntegerOf(encoded, "delay_ms")),
+          http::NumberOf(encoded, "lost_answers")};
+}
+
+}  // namespace chivecrank::standin
--- /dev/null
+++ b/tests/standin_platform/fault_settings.h
@@ -0,0 +1,24 @@
+#ifndef CHIVECRANK_TESTS_STANDIN_PLATFORM_FAULT_SETTINGS_H_
+#define CHIVECRANK_TESTS_STANDIN_PLATFORM_FAULT_SETTINGS_H_
+
+#include <chrono>
+
+#include "chivecrank/http/json.h"
+
+namespace chivecrank::standin {
+
+/// Faults that the stand-in platform shows, set over /control/faults.
+struct fault_settings {
+  /// Every call fails before it has any effect.
+  bool down = false;
+  /// Every call takes this much longer.
+  std::chrono::milliseconds delay{0};
+  /// Share of writes whose answer is lost after they took effect.
+  double lost_answers = 0;
+};
+
+fault_settings DecodeFaults(const http::json_object& encoded);
+
+}  // namespace chivecrank::standin
+
+#endif  // CHIVECRANK_TESTS_STANDIN_PLATFORM_FAULT_SETTINGS_H_
--- /dev/null
+++ b/tests/standin_platform/platform_service.cc
@@ -0,0 +1,188 @@
+#include "platform_service.h"
+
+#include "chivecrank/platform/store_codec.h"
+
+namespace chivecrank::standin {
+namespace {
+
+using http::json_object;
+
+constexpr std::chrono::milliseconds kWatchPoll{10};
+constexpr std::string_view kControl = "/control/";
+constexpr std::string_view kInterface = "/v1/";
+
+json_object NewObject() {
+  return new Poco::JSON::Object;
+}
+
+platform::call_class AnyClass() {
+  return platform::call_class::kJournal;
+}
+
+platform::lease_id LeaseOf(const json_object& body) {
+  return static_cast<platform::lease_id>(http::IntegerOf(body, "lease"));
+}
+
+}  // namespace
+
+platform_service::platform_service(base::clock& clock, std::uint64_t seed)
+    : clock_(clock), store_(clock), random_(seed), instances_(NewObject()) {
+  instances_->set("instances", http::json_array(new Poco::JSON::Array));
+}
+
+http::response platform_service::Answer(const http::request& message) {
+  const auto parsed = http::ParseObject(message.body);
+  if (!parsed.has_value())
+    return http::ErrorResponse(parsed.error());
+  const std::string_view path = message.Path();
+  if (path.starts_with(kControl))
+    return Control(path.substr(kControl.size()), parsed.value());
+  if (!path.starts_with(kInterface)) {
+    return http::ErrorResponse({base::error_kind::kNotFound, "no such path",
+                                "call the paths under /v1"});
+  }
+  const std::string operation(path.substr(kInterface.size()));
+  Count(operation, parsed.value());
+  const fault_settings faults = Faults();
+  if (faults.delay.count() > 0)
+    clock_.SleepUntil(clock_.Now() + faults.delay);
+  if (faults.down) {
+    return http::ErrorResponse({base::error_kind::kUnavailable,
+                                "the store is down", "try again later"});
+  }
+  const answer result = Operate(operation, parsed.value());
+  if (LosesAnswer(operation)) {
+    return http::ErrorResponse({base::error_kind::kOutcomeUnknown,
+                                "the answer was lost",
+                                "read back, then decide"});
+  }
+  if (!result.has_value())
+    return http::ErrorResponse(result.error());
+  return http::JsonResponse(http::status::kOk, result.value());
+}
+
+http::response platform_service::Control(std::string_view path,
+                                         const json_object& body) {
+  std::lock_guard lock(mutex_);
+  if (path == "faults")
+    faults_ = DecodeFaults(body);
+  if (path == "instances")
+    instances_ = body;
+  json_object counts = NewObject();
+  for (const auto& [name, count] : calls_)
+    counts->set(name, count);
+  return http::JsonResponse(http::status::kOk, counts);
+}
+
+platform_service::answer platform_service::Operate(std::string_view operation,
+                                                   const json_object& body) {
+  if (operation == "get")
+    return Get(body);
+  if (operation == "put")
+    return Put(body);
+  if (operation == "delete")
+    return Delete(body);
+  if (operation == "list")
+    return List(body);
+  if (operation == "watch")
+    return Watch(body);
+  if (operation == "lease/grant")
+    return GrantLease(body);
+  if (operation == "lease/renew")
+    return RenewLease(body);
+  if (operation == "lease/revoke")
+    return RevokeLease(body);
+  if (operation == "instances")
+    return Instances();
+  return base::error{base::error_kind::kNotFound, "no such operation",
+                     "see docs/WIRE.md"};
+}
+
+platform_service::answer platform_service::Get(const json_object& body) {
+  const std::string key = http::StringOf(body, "key");
+  BOOST_OUTCOME_TRY(found, store_.Get(AnyClass(), key));
+  if (found)
+    return platform::EncodeEntry(*found);
+  return base::error{base::error_kind::kNotFound, "no key " + key,
+                     "create it first"};
+}
+
+platform_service::answer platform_service::Put(const json_object& body) {
+  BOOST_OUTCOME_TRY(version, store_.Put(AnyClass(), platform::DecodePut(body)));
+  json_object result = NewObject();
+  result->set("version", version);
+  return result;
+}
+
+platform_service::answer platform_service::Delete(const json_object& body) {
+  const auto expected =
+      static_cast<platform::version>(http::IntegerOf(body, "expected"));
+  BOOST_OUTCOME_TRY(
+      store_.Delete(AnyClass(), http::StringOf(body, "key"), expected));
+  return NewObject();
+}
+
+platform_service::answer platform_service::List(const json_object& body) {
+  BOOST_OUTCOME_TRY(listing,
+                    store_.List(AnyClass(), http::StringOf(body, "prefix")));
+  return platform::EncodeListing(listing);
+}
+
+platform_service::answer platform_service::Watch(const json_object& body) {
+  const platform::watch_request request = platform::DecodeWatchRequest(body);
+  const base::time_point deadline = clock_.Now() + request.wait;
+  while (true) {
+    BOOST_OUTCOME_TRY(seen, store_.Watch(request));
+    const bool finished = !seen.changes.empty() || seen.gap ||
+                          clock_.Now() >= deadline || Faults().down;
+    if (finished)
+      return platform::EncodeWatchAnswer(seen);
+    clock_.SleepUntil(clock_.Now() + kWatchPoll);
+  }
+}
+
+platform_service::answer platform_service::GrantLease(const json_object& body) {
+  const std::chrono::milliseconds term(http::IntegerOf(body, "term_ms"));
+  BOOST_OUTCOME_TRY(lease, store_.GrantLease(term));
+  json_object result = NewObject();
+  result->set("lease", lease);
+  return result;
+}
+
+platform_service::answer platform_service::RenewLease(const json_object& body) {
+  BOOST_OUTCOME_TRY(store_.RenewLease(LeaseOf(body)));
+  return NewObject();
+}
+
+platform_service::answer platform_service::RevokeLease(
+    const json_object& body) {
+  BOOST_OUTCOME_TRY(store_.RevokeLease(LeaseOf(body)));
+  return NewObject();
+}
+
+platform_service::answer platform_service::Instances() {
+  std::lock_guard lock(mutex_);
+  return instances_;
+}
+
+fault_settings platform_service::Faults() {
+  std::lock_guard lock(mutex_);
+  return faults_;
+}
+
+void platform_service::Count(const std::string& operation,
+                             const json_object& body) {
+  const std::string purpose = http::StringOf(body, "class");
+  std::lock_guard lock(mutex_);
+  ++calls_[purpose.empty() ? operation : operation + "/" + purpose];
+}
+
+bool platform_service::LosesAnswer(std::string_view operation) {
+  if (operation != "put" && operation != "delete")
+    return false;
+  std::lock_guard lock(mutex_);
+  std::uniform_real_distribution<double> share(0, 1);
+  return share(random_) < faults_.lost_answers;
+}
+
+}  // namespace chivecrank::standin
