--- /dev/null
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -0,0 +1,36 @@
+#ifndef CHIVECRANK_APPS_CHIVECRANK_ENTRY_ENTRY_SETTINGS_H_
+#define CHIVECRANK_APPS_CHIVECRANK_ENTRY_ENTRY_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+
+#include "chivecrank/http/types.h"
+#include "chivecrank/routing/types.h"
+#include "chivecrank/settings/section.h"
+
+namespace chivecrank {
+
+/// Settings of chivecrank_entry.
+struct entry_settings {
+  std::string instance;
+  std::string failure_domain;
+  settings::endpoint listen;
+  settings::endpoint status;
+  settings::endpoint platform;
+  /// The scheduler of the same instance.
+  settings::endpoint scheduler;
+  std::chrono::milliseconds store_timeout{1000};
+  std::chrono::milliseconds scheduler_timeout{5000};
+  std::chrono::milliseconds refresh{1000};
+  /// Time between "not ready" and the end of listening on a planned stop.
+  std::chrono::milliseconds drain{1000};
+  routing::entry_share share;
+  http::server_limits limits;
+};
+
+/// Reads all settings; faults are recorded in the document.
+entry_settings ReadEntrySettings(settings::section& root);
+
+}  // namespace chivecrank
+
+#endif  // CHIVECRANK_APPS_CHIVECRANK_ENTRY_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/apps/chivecrank_entry/main.cc
@@ -0,0 +1,90 @@
+#include <glog/logging.h>
+
+#include <atomic>
+
+#include "chivecrank/base/system_clock.h"
+#include "chivecrank/callers/caller_api.h"
+#include "chivecrank/configuration/follower.h"
+#include "chivecrank/http/server.h"
+#include "chivecrank/instances/scheduler_client.h"
+#include "chivecrank/platform/http_instance_list.h"
+#include "chivecrank/platform/http_store.h"
+#include "chivecrank/process/program.h"
+#include "chivecrank/process/status_server.h"
+#include "chivecrank/process/stop_signal.h"
+#include "chivecrank/upstreams/http_upstream_client.h"
+#include "entry_settings.h"
+#include "upstream_refresher.h"
+
+namespace chivecrank {
+namespace {
+
+process::readiness Readiness(bool stopping,
+                             const configuration::view& configured,
+                             const upstream_refresher& refresher) {
+  if (stopping)
+    return {false, "stopping"};
+  if (!configured.Current())
+    return {false, "the configuration is not known yet"};
+  if (!refresher.HasList())
+    return {false, "the instance list is not known yet"};
+  return {true, ""};
+}
+
+process::exit_code Run(const entry_settings& settings) {
+  base::system_clock clock;
+  platform::http_store store(settings.platform, settings.store_timeout);
+  platform::http_instance_list instances(settings.platform,
+                                         settings.store_timeout);
+  configuration::follower configured(store, clock, {});
+  instances::scheduler_client jobs(settings.scheduler,
+                                   settings.scheduler_timeout);
+  upstreams::http_upstream_client upstreams;
+  callers::request_service requests(clock, settings.share, upstreams);
+  callers::caller_api api(clock, configured, requests, jobs);
+  upstream_refresher refresher(
+      clock, instances, settings.refresh,
+      [&](const auto& listed) { requests.UpdateUpstreams(listed); });
+  std::atomic<bool> stopping = false;
+
+  http::server server(
+      settings.listen, settings.limits,
+      [&](const http::request& message) { return api.Answer(message); });
+  process::status_server status(
+      settings.status, std::make_shared<prometheus::Registry>(),
+      [&] { return Readiness(stopping, configured, refresher); });
+  for (const auto& started : {status.Start(), server.Start()}) {
+    if (!started.has_value()) {
+      LOG(ERROR) << "entry: " << base::Describe(started.error());
+      return process::exit_code::kFailed;
+    }
+  }
+  configured.Start();
+  refresher.Start();
+  LOG(INFO) << "entry: " << settings.instance << " listening on "
+            << settings::ToString(settings.listen) << ".";
+  process::WaitForStopSignal();
+  stopping = true;
+  // The balancer sees "not ready" and sends nothing new before the port shuts.
+  clock.SleepUntil(clock.Now() + settings.drain);
+  server.Stop();
+  refresher.Stop();
+  configured.Stop();
+  status.Stop();
+  LOG(INFO) << "entry: stopped.";
+  return process::exit_code::kOk;
+}
+
+}  // namespace
+}  // namespace chivecrank
+
+int main(int argc, char** argv) {
+  using namespace chivecrank;
+  process::Initialize("chivecrank_entry",
+                      "Admits, routes and answers the requests of callers.",
+                      argc, argv);
+  entry_settings settings;
+  return process::RunDaemon(
+      [&](settings::section& root) { settings = ReadEntrySettings(root); },
+      [&] { return Run(settings); });
+}
--- /dev/null
+++ b/src/callers/include/chivecrank/callers/types.h
@@ -0,0 +1,54 @@
+#ifndef CHIVECRANK_CALLERS_TYPES_H_
+#define CHIVECRANK_CALLERS_TYPES_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "chivecrank/base/clock.h"
+#include "chivecrank/base/error.h"
+#include "chivecrank/http/types.h"
+
+/// What callers ask of an entry, and how it answers.
+namespace chivecrank::callers {
+
+/// Header fields of the callers' interface.
+inline constexpr char kKeyHeader[] = "Idempotency-Key";
+inline constexpr char kTimeoutHeader[] = "Chivecrank-Timeout-Ms";
+inline constexpr char kIdempotentHeader[] = "Chivecrank-Idempotent";
+inline constexpr char kOutcomeHeader[] = "Chivecrank-Outcome";
+inline constexpr char kRequestIdHeader[] = "Chivecrank-Request-Id";
+
+/// What became of a request, as told to its caller.
+enum class request_outcome {
+  /// The upstream's whole answer is in the response.
+  kCompleted,
+  /// It never reached an upstream and may be sent again.
+  kNotRun,
+  /// It was sent and not repeated; it may have run.
+  kUnknown,
+};
+
+std::string_view RequestOutcomeName(request_outcome value);
+
+/// An authenticated request to a service.
+struct caller_request {
+  std::string account;
+  std::string service;
+  /// Path and query at the upstream.
+  std::string target;
+  std::string key;
+  bool idempotent = false;
+  base::time_point deadline;
+  http::request message;
+};
+
+/// The answer to a service request.
+struct caller_answer {
+  request_outcome outcome = request_outcome::kNotRun;
+  http::response response;
+};
+
+}  // namespace chivecrank::callers
+
+#endif  // CHIVECRANK_CALLERS_TYPES_H_
--- /dev/null
+++ b/src/callers/internal/caller_api.cc
@@ -0,0 +1,118 @@
+#include "chivecrank/callers/caller_api.h"
+
+#include "chivecrank/callers/account_directory.h"
+#include "chivecrank/http/json.h"
+#include "internal/caller_request.h"
+
+namespace chivecrank::callers {
+namespace {
+
+constexpr std::string_view kServices = "/v1/services/";
+constexpr std::string_view kJobs = "/v1/jobs";
+constexpr std::string_view kJob = "/v1/jobs/";
+
+caller_answer NotRun(const base::error& failure) {
+  return {request_outcome::kNotRun, http::ErrorResponse(failure)};
+}
+
+base::error NoSuchPath(const http::request& message) {
+  return {base::error_kind::kNotFound,
+          "there is no " + message.method + " " + std::string(message.Path()),
+          "see the callers' page in the documentation"};
+}
+
+http::json_object EncodeReport(const instances::job_report& report) {
+  http::json_object body = new Poco::JSON::Object;
+  body->set("job", report.job_id);
+  body->set("template", report.template_name);
+  body->set("state", report.state);
+  body->set("attempts", report.attempts);
+  body->set("worker", report.worker_id);
+  body->set("detail", report.detail);
+  return body;
+}
+
+}  // namespace
+
+caller_api::caller_api(base::clock& clock,
+                       const configuration::view& configured,
+                       request_service& requests,
+                       instances::job_service& jobs)
+    : clock_(clock),
+      configured_(configured),
+      requests_(requests),
+      jobs_(jobs) {}
+
+http::response caller_api::Answer(const http::request& message) {
+  caller_answer answer = Route(message);
+  answer.response.headers.push_back(
+      {kOutcomeHeader, std::string(RequestOutcomeName(answer.outcome))});
+  return answer.response;
+}
+
+caller_answer caller_api::Route(const http::request& message) {
+  const auto current = configured_.Current();
+  if (!current) {
+    return NotRun({base::error_kind::kUnavailable,
+                   "the configuration is not known yet",
+                   "send the request to another entry"});
+  }
+  const auto account =
+      Authenticate(current->content, message.Header("Authorization"));
+  if (!account.has_value())
+    return NotRun(account.error());
+  const std::string_view path = message.Path();
+  if (path.starts_with(kServices)) {
+    const auto request = internal::ParseServiceRequest(
+        message, current->content, account.value(), clock_.Now());
+    if (!request.has_value())
+      return NotRun(request.error());
+    return requests_.Serve(request.value());
+  }
+  if (path == kJobs || path.starts_with(kJob))
+    return AnswerJobs(message, account.value());
+  return NotRun(NoSuchPath(message));
+}
+
+caller_answer caller_api::AnswerJobs(
+    const http::request& message,
+    const configuration::client_account& account) {
+  const auto report = CallJobs(message, account);
+  if (report.has_value()) {
+    return {
+        request_outcome::kCompleted,
+        http::JsonResponse(http::status::kOk, EncodeReport(report.value()))};
+  }
+  const bool unknown = report.error().kind == base::error_kind::kOutcomeUnknown;
+  return {unknown ? request_outcome::kUnknown : request_outcome::kNotRun,
+          http::ErrorResponse(report.error())};
+}
+
+base::result<instances::job_report> caller_api::CallJobs(
+    const http::request& message,
+    const configuration::client_account& account) {
+  constexpr auto kOrigin = instances::call_origin::kEntry;
+  const std::string_view path = message.Path();
+  if (path == kJobs && message.method == "POST") {
+    BOOST_OUTCOME_TRY(body, http::ParseObject(message.body));
+    const std::string key(message.Header(kKeyHeader));
+    if (key.empty()) {
+      return base::error{base::error_kind::kInvalidArgument,
+                         std::string(kKeyHeader) + " is missing",
+                         "give a key that no other job has"};
+    }
+    return jobs_.Submit(
+        {account.name, account.team, key, http::StringOf(body, "template")},
+        kOrigin);
+  }
+  if (!path.starts_with(kJob))
+    return NoSuchPath(message);
+  const std::string job_id(path.substr(kJob.size()));
+  if (message.method == "GET")
+    return jobs_.Describe({account.name, job_id}, kOrigin);
+  if (message.method == "DELETE")
+    return jobs_.Cancel({account.name, job_id}, kOrigin);
+  return NoSuchPath(message);
+}
+
+}  // namespace chivecrank::callers
--- /dev/null
+++ b/tests/harness/caller.cc
@@ -0,0 +1,123 @@
+#include "harness/caller.h"
+
+#include <thread>
+#include <utility>
+
+#include "chivecrank/http/json.h"
+
+namespace chivecrank::harness {
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kControlTimeout{8000};
+constexpr std::chrono::milliseconds kPause{50};
+/// Time that an answer may travel beyond the deadline stated to the entry.
+constexpr std::chrono::milliseconds kTravel{200};
+
+std::chrono::milliseconds Since(clock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() -
+                                                               start);
+}
+
+callers::request_outcome OutcomeOf(const http::response& answer) {
+  const std::string_view name = answer.Header(callers::kOutcomeHeader);
+  for (const auto outcome : {callers::request_outcome::kCompleted,
+                             callers::request_outcome::kNotRun}) {
+    if (callers::RequestOutcomeName(outcome) == name)
+      return outcome;
+  }
+  return callers::request_outcome::kUnknown;
+}
+
+}  // namespace
+
+caller::caller(std::vector<settings::endpoint> entries,
+               caller_options options,
+               std::uint64_t seed)
+    : options_(std::move(options)), random_(seed) {
+  for (const settings::endpoint& entry : entries)
+    entries_.push_back(std::make_unique<http::client>(entry));
+}
+
+call_record caller::SendCallout(const std::string& key) {
+  call_record record;
+  record.identifier = options_.account + "/" + key;
+  const clock::time_point start = clock::now();
+  const std::string body = "callout " + key;
+  while (true) {
+    const auto remaining = options_.timeout - Since(start);
+    if (remaining.count() <= 0)
+      break;
+    const http::request message{
+        "POST",
+        "/v1/services/" + options_.service + "/callouts",
+        {{"Authorization", "Bearer " + options_.token},
+         {callers::kKeyHeader, key},
+         {callers::kIdempotentHeader, "false"},
+         {callers::kTimeoutHeader, std::to_string(remaining.count())}},
+        body};
+    const auto answer = CallAnyEntry(message, remaining + kTravel);
+    record.outcome = callers::request_outcome::kUnknown;
+    if (answer.has_value()) {
+      record.outcome = OutcomeOf(answer.value());
+      record.wrong_answer =
+          record.outcome == callers::request_outcome::kCompleted &&
+          answer.value().body != "answer to " + body;
+    } else if (answer.error().kind == base::error_kind::kUnavailable) {
+      record.outcome = callers::request_outcome::kNotRun;
+    }
+    if (record.outcome != callers::request_outcome::kNotRun)
+      break;
+    std::this_thread::sleep_for(kPause);
+  }
+  record.latency = Since(start);
+  record.late = record.latency > options_.timeout + kTravel;
+  return record;
+}
+
+std::string caller::SubmitJob(const std::string& template_name,
+                              const std::string& key) {
+  http::json_object body = new Poco::JSON::Object;
+  body->set("template", template_name);
+  const auto answer =
+      CallAnyEntry({"POST",
+                    "/v1/jobs",
+                    {{"Authorization", "Bearer " + options_.token},
+                     {callers::kKeyHeader, key}},
+                    http::ToText(body)},
+                   kControlTimeout);
+  if (!answer.has_value() ||
+      answer.value().code != static_cast<int>(http::status::kOk)) {
+    return "";
+  }
+  const auto parsed = http::ParseObject(answer.value().body);
+  return parsed.has_value() ? http::StringOf(parsed.value(), "job") : "";
+}
+
+std::string caller::JobState(const std::string& job_id) {
+  const auto answer =
+      CallAnyEntry({"GET",
+                    "/v1/jobs/" + job_id,
+                    {{"Authorization", "Bearer " + options_.token}},
+                    ""},
+                   kControlTimeout);
+  if (!answer.has_value())
+    return "";
+  const auto parsed = http::ParseObject(answer.value().body);
+  return parsed.has_value() ? http::StringOf(parsed.value(), "state") : "";
+}
+
+base::result<http::response> caller::CallAnyEntry(
+    const http::request& message,
+    std::chrono::milliseconds timeout) {
+  std::size_t chosen = 0;
+  {
+    std::lock_guard lock(mutex_);
+    chosen = std::uniform_int_distribution<std::size_t>(
+        0, entries_.size() - 1)(random_);
+  }
+  return entries_[chosen]->Call(message, timeout);
+}
+
+}  // namespace chivecrank::harness
--- /dev/null
+++ b/tests/harness/caller.h
@@ -0,0 +1,69 @@
+#ifndef CHIVECRANK_TESTS_HARNESS_CALLER_H_
+#define CHIVECRANK_TESTS_HARNESS_CALLER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "chivecrank/callers/types.h"
+#include "chivecrank/http/client.h"
+
+namespace chivecrank::harness {
+
+/// One request as its caller saw it.
+struct call_record {
+  /// "account/key", as workers record it.
+  std::string identifier;
+  callers::request_outcome outcome = callers::request_outcome::kUnknown;
+  /// Completed, but the answer was not the whole one of this request.
+  bool wrong_answer = false;
+  /// Answered after its deadline.
+  bool late = false;
+  std::chrono::milliseconds latency{0};
+};
+
+/// What one account calls with.
+struct caller_options {
+  std::string account = "hotel-watch";
+  std::string token = "hotel-watch-token";
+  std::string service = "dispatch";
+  std::chrono::milliseconds timeout{2000};
+};
+
+/// A caller that spreads its requests over the entries, as a balancer would,
+/// and keeps its own account of the answers. Safe to use from several threads.
+class caller {
+ public:
+  caller(std::vector<settings::endpoint> entries,
+         caller_options options,
+         std::uint64_t seed);
+
+  /// Sends one non-idempotent request with a key of its own and records what
+  /// became of it. Not-run answers are sent again until the deadline.
+  call_record SendCallout(const std::string& key);
+
+  /// Submits a job; returns its identifier, or "" when it was not accepted.
+  std::string SubmitJob(const std::string& template_name,
+                        const std::string& key);
+
+  /// The state of a job; "" when no entry answered.
+  std::string JobState(const std::string& job_id);
+
+ private:
+  base::result<http::response> CallAnyEntry(const http::request& message,
+                                            std::chrono::milliseconds timeout);
+
+  const caller_options options_;
+  std::vector<std::unique_ptr<http::client>> entries_;
+  std::mutex mutex_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace chivecrank::harness
+
+#endif  // CHIVECRANK_TESTS_HARNESS_CALLER_H_
--- /dev/null
+++ b/tests/harness/deployment.cc
@@ -0,0 +1,343 @@
+#include "harness/deployment.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "chivecrank/http/client.h"
+#include "chivecrank/platform/store_codec.h"
+
+namespace chivecrank::harness {
+namespace {
+
+constexpr std::chrono::milliseconds kCallTimeout{2000};
+constexpr std::chrono::milliseconds kPoll{50};
+constexpr std::chrono::seconds kReadyLimit{30};
+constexpr int kPlatformGroup = 0;
+constexpr int kInstanceGroup = 1;
+constexpr int kWorkerGroup = 2;
+constexpr std::int64_t kSlots = 8;
+constexpr std::int64_t kConnections = 64;
+constexpr platform::resources kWorkerCapacity{16'000, 60'000, 0};
+
+std::filesystem::path MakeFolder() {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "chivecrank-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr)
+    throw std::runtime_error("can't make a temporary folder");
+  return name;
+}
+
+http::json_object Fetch(const settings::endpoint& address,
+                        const std::string& target) {
+  http::client client(address);
+  const auto answer = client.Call({"GET", target, {}, ""}, kCallTimeout);
+  if (!answer.has_value())
+    return {};
+  const auto body = http::ParseObject(answer.value().body);
+  return body.has_value() ? body.value() : http::json_object();
+}
+
+bool IsReady(const settings::endpoint& status) {
+  http::client client(status);
+  const auto answer = client.Call({"GET", "/readyz", {}, ""}, kCallTimeout);
+  return answer.has_value() &&
+         answer.value().code == static_cast<int>(http::status::kOk);
+}
+
+}  // namespace
+
+deployment::deployment(deployment_options options)
+    : options_(std::move(options)),
+      folder_(MakeFolder()),
+      platform_{network_.Host(kPlatformGroup, 1), 7100} {
+  DescribeInstances();
+  DescribeWorkers();
+}
+
+deployment::~deployment() {
+  instances_.clear();
+  workers_.clear();
+  platform_process_.reset();
+  if (std::getenv("CHIVECRANK_KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all(folder_);
+}
+
+void deployment::DescribeInstances() {
+  for (int index = 0; index < options_.instances; ++index) {
+    const std::string host = network_.Host(kInstanceGroup, index + 1);
+    instance_addresses at;
+    at.id = "i-" + std::to_string(index + 1);
+    at.failure_domain =
+        options_.failure_domains[static_cast<std::size_t>(index) %
+                                 options_.failure_domains.size()];
+    at.entry = {host, 8080};
+    at.entry_status = {host, 8081};
+    at.scheduler = {host, 9090};
+    at.scheduler_status = {host, 9091};
+    at.admin = {host, 7400};
+    at.admin_status = {host, 7401};
+    at.platform = platform_;
+    at.index = index;
+    at.count = options_.instances;
+    instances_.push_back({at, true, nullptr, nullptr, nullptr});
+  }
+}
+
+void deployment::DescribeWorkers() {
+  for (int index = 0; index < options_.workers; ++index) {
+    const int rack = index / options_.workers_per_rack;
+    const std::string host = network_.Host(kWorkerGroup, index + 1);
+    platform::instance worker;
+    worker.id = "w-" + std::to_string(index + 1);
+    worker.kind = platform::instance_kind::kWorker;
+    worker.failure_domain =
+        options_.failure_domains[static_cast<std::size_t>(rack) %
+                                 options_.failure_domains.size()];
+    worker.rack = "r" + std::to_string(rack + 1);
+    worker.capacity = kWorkerCapacity;
+    worker.slots = kSlots;
+    worker.connections = kConnections;
+    worker.service = {host, 7200};
+    worker.agent = {host, 7201};
+    workers_.push_back({worker, true, nullptr, {}, {}});
+  }
+}
+
+bool deployment::Start() {
+  platform_process_ =
+      Launch("standin_platform", {"--host=" + platform_.host}, "platform");
+  for (int index = 0; index < options_.workers; ++index)
+    StartWorker(index);
+  http::client client(platform_);
+  const auto limit = std::chrono::steady_clock::now() + kReadyLimit;
+  while (!client.Call({"POST", "/control/calls", {}, "{}"}, kCallTimeout)
+              .has_value()) {
+    if (std::chrono::steady_clock::now() > limit)
+      return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  PublishInstances();
+  for (int index = 0; index < options_.instances; ++index)
+    StartInstance(index);
+  for (int index = 0; index < options_.instances; ++index) {
+    if (!WaitUntilReady(index, kReadyLimit))
+      return false;
+  }
+  return true;
+}
+
+int deployment::Apply(const std::string& file) {
+  return RunCtl({"apply", file});
+}
+
+int deployment::RunCtl(const std::vector<std::string>& arguments) {
+  std::vector<std::string> flags = {
+      "--admin=" + settings::ToString(instances_[0].at.admin),
+      "--token=mere-token"};
+  flags.insert(flags.end(), arguments.begin(), arguments.end());
+  return Launch("chivecrankctl", flags, "ctl")->Wait();
+}
+
+void deployment::StartInstance(int index) {
+  system_instance& instance = instances_.at(static_cast<std::size_t>(index));
+  const std::string& id = instance.at.id;
+  instance.listed = true;
+  PublishInstances();
+  const auto start = [&](const std::string& part, const std::string& text) {
+    const std::string name = id + "-" + part;
+    return Launch("chivecrank_" + part,
+                  {"--settings=" + WriteSettings(name, text)}, name);
+  };
+  instance.scheduler = start("scheduler", SchedulerSettingsText(instance.at));
+  instance.entry = start("entry", EntrySettingsText(instance.at));
+  instance.admin = start("admin", AdminSettingsText(instance.at));
+}
+
+void deployment::KillInstance(int index) {
+  system_instance& instance = instances_.at(static_cast<std::size_t>(index));
+  for (child_process* process : ProcessesOf(index))
+    process->Signal(SIGKILL);
+  instance.entry.reset();
+  instance.scheduler.reset();
+  instance.admin.reset();
+  instance.listed = false;
+  PublishInstances();
+}
+
+void deployment::StopInstance(int index) {
+  system_instance& instance = instances_.at(static_cast<std::size_t>(index));
+  for (child_process* process : ProcessesOf(index))
+    process->Signal(SIGTERM);
+  for (child_process* process : ProcessesOf(index))
+    process->Wait();
+  instance.listed = false;
+  PublishInstances();
+}
+
+void deployment::StartWorker(int index) {
+  worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
+  const platform::instance& listed = worker.listed;
+  worker.shown = true;
+  worker.process = Launch(
+      "standin_worker",
+      {"--id=" + listed.id, "--host=" + listed.service.host,
+       "--service_ms=" + std::to_string(options_.service_ms),
+       "--slots=" + std::to_string(listed.slots),
+       "--processors_milli=" + std::to_string(listed.capacity.processors_milli),
+       "--memory_mib=" + std::to_string(listed.capacity.memory_mib)},
+      listed.id);
+}
+
+void deployment::KillWorker(int index) {
+  worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
+  // Stopped first, so that the saved account is its last word.
+  worker.saved_service_account = ServiceAccount(worker);
+  worker.saved_task_account = TaskAccount(worker);
+  worker.process.reset();
+  worker.shown = false;
+  PublishInstances();
+}
+
+void deployment::SetPlatformFaults(const std::string& json) {
+  http::client client(platform_);
+  static_cast<void>(
+      client.Call({"POST", "/control/faults", {}, json}, kCallTimeout));
+}
+
+void deployment::PublishInstances() {
+  http::json_array listed = new Poco::JSON::Array;
+  for (const system_instance& instance : instances_) {
+    if (!instance.listed)
+      continue;
+    platform::instance entry;
+    entry.id = instance.at.id;
+    entry.kind = platform::instance_kind::kSystem;
+    entry.failure_domain = instance.at.failure_domain;
+    entry.scheduler = instance.at.scheduler;
+    entry.entry = instance.at.entry;
+    listed->add(platform::EncodeInstance(entry));
+  }
+  for (const worker_instance& worker : workers_) {
+    if (worker.shown)
+      listed->add(platform::EncodeInstance(worker.listed));
+  }
+  http::json_object body = new Poco::JSON::Object;
+  body->set("instances", listed);
+  http::client client(platform_);
+  static_cast<void>(client.Call(
+      {"POST", "/control/instances", {}, http::ToText(body)}, kCallTimeout));
+}
+
+bool deployment::WaitUntilReady(int index, std::chrono::seconds limit) {
+  const instance_addresses& at = InstanceAt(index);
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!IsReady(at.entry_status) || !IsReady(at.scheduler_status) ||
+         !IsReady(at.admin_status)) {
+    if (std::chrono::steady_clock::now() > end)
+      return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+std::vector<settings::endpoint> deployment::Entries() const {
+  std::vector<settings::endpoint> entries;
+  for (const system_instance& instance : instances_)
+    entries.push_back(instance.at.entry);
+  return entries;
+}
+
+const instance_addresses& deployment::InstanceAt(int index) const {
+  return instances_.at(static_cast<std::size_t>(index)).at;
+}
+
+const platform::instance& deployment::WorkerAt(int index) const {
+  return workers_.at(static_cast<std::size_t>(index)).listed;
+}
+
+std::vector<child_process*> deployment::ProcessesOf(int index) {
+  system_instance& instance = instances_.at(static_cast<std::size_t>(index));
+  std::vector<child_process*> all;
+  for (const auto* process :
+       {&instance.entry, &instance.scheduler, &instance.admin}) {
+    if (*process)
+      all.push_back(process->get());
+  }
+  return all;
+}
+
+child_process* deployment::WorkerProcess(int index) {
+  return workers_.at(static_cast<std::size_t>(index)).process.get();
+}
+
+std::vector<task_run> deployment::TaskRuns() {
+  std::vector<task_run> all;
+  for (worker_instance& worker : workers_) {
+    const http::json_object account = TaskAccount(worker);
+    const http::json_array runs = http::ArrayOf(account, "runs");
+    for (unsigned i = 0; i < runs->size(); ++i) {
+      const http::json_object run = runs->getObject(i);
+      all.push_back(
+          {worker.listed.id, http::StringOf(run, "task"),
+           http::IntegerOf(run, "attempt"), http::IntegerOf(run, "from_ms"),
+           http::IntegerOf(run, "to_ms"), http::StringOf(run, "state")});
+    }
+  }
+  return all;
+}
+
+std::map<std::string, std::int64_t> deployment::RequestRuns() {
+  std::map<std::string, std::int64_t> all;
+  for (worker_instance& worker : workers_) {
+    const http::json_object runs =
+        http::ObjectOf(ServiceAccount(worker), "runs");
+    if (!runs)
+      continue;
+    for (const std::string& identifier : runs->getNames())
+      all[identifier] += http::IntegerOf(runs, identifier);
+  }
+  return all;
+}
+
+std::vector<std::string> deployment::OvercommittedWorkers() {
+  std::vector<std::string> found;
+  for (worker_instance& worker : workers_) {
+    if (http::BooleanOf(ServiceAccount(worker), "overcommitted") ||
+        http::BooleanOf(TaskAccount(worker), "overcommitted")) {
+      found.push_back(worker.listed.id);
+    }
+  }
+  return found;
+}
+
+std::unique_ptr<child_process> deployment::Launch(
+    const std::string& program,
+    const std::vector<std::string>& flags,
+    const std::string& name) {
+  return std::make_unique<child_process>(
+      std::string(CHIVECRANK_BINARY_DIR) + "/" + program, flags,
+      (folder_ / (name + ".log")).string());
+}
+
+std::string deployment::WriteSettings(const std::string& name,
+                                      const std::string& text) {
+  const std::filesystem::path path = folder_ / (name + ".toml");
+  std::ofstream(path) << text;
+  return path.string();
+}
+
+http::json_object deployment::ServiceAccount(worker_instance& worker) {
+  if (!worker.process)
+    return worker.saved_service_account;
+  return Fetch(worker.listed.service, "/control/account");
+}
+
+http::json_object deployment::TaskAccount(worker_instance& worker) {
+  if (!worker.process)
+    return worker.saved_task_account;
+  return Fetch(worker.listed.agent, "/control/account");
+}
+
+}  // namespace chivecrank::harness
