--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -31,7 +31,8 @@
     """Runs CTest and returns {program: (exited cleanly, output)}."""
     junit = build / "tests.xml"
     junit.unlink(missing_ok=True)
-    command = ["ctest", "--test-dir", str(build), "-j", str(os.cpu_count()),
+    command = ["ctest", "--test-dir", str(build), "-j",
+               os.environ.get("JOBS", str(os.cpu_count())),
                "--output-junit", str(junit), "--quiet"]
     if label:
         command += ["-L", label]
