Entries count answered requests against their service's objective

Cause: nothing measured whether requests meet the objective that operators configure, and the burn report will need it. Change: module objectives with the counters and the latency histogram on /metrics; caller_api tells an observer of each answered request.

--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -7,6 +7,7 @@
 #include "chivecrank/configuration/follower.h"
 #include "chivecrank/http/server.h"
 #include "chivecrank/instances/scheduler_client.h"
+#include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -41,7 +42,11 @@
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
   callers::request_service requests(clock, settings.share, upstreams);
-  callers::caller_api api(clock, configured, requests, jobs);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  objectives::request_metrics metrics(*registry);
+  callers::caller_api api(
+      clock, configured, requests, jobs,
+      [&](const auto& answered) { metrics.Observe(answered); });
   upstream_refresher refresher(
       clock, instances, settings.refresh,
       [&](const auto& listed) { requests.UpdateUpstreams(listed); });
@@ -50,9 +55,9 @@
   http::server server(
       settings.listen, settings.limits,
       [&](const http::request& message) { return api.Answer(message); });
-  process::status_server status(
-      settings.status, std::make_shared<prometheus::Registry>(),
-      [&] { return Readiness(stopping, configured, refresher); });
+  process::status_server status(settings.status, registry, [&] {
+    return Readiness(stopping, configured, refresher);
+  });
   for (const auto& started : {status.Start(), server.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
--- a/src/callers/include/chivecrank/callers/caller_api.h
+++ b/src/callers/include/chivecrank/callers/caller_api.h
@@ -1,27 +1,36 @@
 #ifndef CHIVECRANK_CALLERS_CALLER_API_H_
 #define CHIVECRANK_CALLERS_CALLER_API_H_
 
+#include <functional>
+
 #include "chivecrank/base/clock.h"
 #include "chivecrank/callers/request_service.h"
 #include "chivecrank/callers/types.h"
 #include "chivecrank/configuration/view.h"
 #include "chivecrank/instances/job_service.h"
+#include "chivecrank/objectives/types.h"
 
 namespace chivecrank::callers {
 
 /// The HTTP interface for callers: service requests and batch jobs.
 class caller_api {
  public:
+  /// Called once for each answered service request.
+  using observer = std::function<void(const objectives::request_observation&)>;
+
   caller_api(base::clock& clock,
              const configuration::view& configured,
              request_service& requests,
-             instances::job_service& jobs);
+             instances::job_service& jobs,
+             observer observe);
 
   /// Safe to call from several threads.
   http::response Answer(const http::request& message);
 
  private:
   caller_answer Route(const http::request& message);
+  caller_answer ServeObserved(const caller_request& request,
+                              const configuration::content& configured);
   caller_answer AnswerJobs(const http::request& message,
                            const configuration::client_account& account);
   base::result<instances::job_report> CallJobs(
@@ -32,6 +41,7 @@
   const configuration::view& configured_;
   request_service& requests_;
   instances::job_service& jobs_;
+  const observer observe_;
 };
 
 }  // namespace chivecrank::callers
--- a/src/callers/internal/caller_api.cc
+++ b/src/callers/internal/caller_api.cc
@@ -1,5 +1,7 @@
 #include "chivecrank/callers/caller_api.h"
 
+#include <utility>
+
 #include "chivecrank/callers/account_directory.h"
 #include "chivecrank/http/json.h"
 #include "internal/caller_request.h"
@@ -38,11 +40,13 @@
 caller_api::caller_api(base::clock& clock,
                        const configuration::view& configured,
                        request_service& requests,
-                       instances::job_service& jobs)
+                       instances::job_service& jobs,
+                       observer observe)
     : clock_(clock),
       configured_(configured),
       requests_(requests),
-      jobs_(jobs) {}
+      jobs_(jobs),
+      observe_(std::move(observe)) {}
 
 http::response caller_api::Answer(const http::request& message) {
   caller_answer answer = Route(message);
@@ -68,13 +72,31 @@
         message, current->content, account.value(), clock_.Now());
     if (!request.has_value())
       return NotRun(request.error());
-    return requests_.Serve(request.value());
+    return ServeObserved(request.value(), current->content);
   }
   if (path == kJobs || path.starts_with(kJob))
     return AnswerJobs(message, account.value());
   return NotRun(NoSuchPath(message));
 }
 
+caller_answer caller_api::ServeObserved(
+    const caller_request& request,
+    const configuration::content& configured) {
+  const base::time_point arrived = clock_.Now();
+  caller_answer answer = requests_.Serve(request);
+  const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      clock_.Now() - arrived);
+  const configuration::service_template* service =
+      configuration::FindService(configured, request.service);
+  const bool in_objective = answer.outcome == request_outcome::kCompleted &&
+                            service != nullptr &&
+                            latency <= service->objective_latency;
+  observe_({request.service, request.account,
+            std::string(RequestOutcomeName(answer.outcome)), latency,
+            in_objective});
+  return answer;
+}
+
 caller_answer caller_api::AnswerJobs(
     const http::request& message,
     const configuration::client_account& account) {
--- a/src/callers/tests/caller_api_test.cc
+++ b/src/callers/tests/caller_api_test.cc
@@ -79,7 +79,10 @@
   fake_upstream upstream;
   fake_jobs jobs;
   request_service requests{clock, {0, 1}, upstream};
-  caller_api api{clock, configured, requests, jobs};
+  std::vector<objectives::request_observation> observed;
+  caller_api api{
+      clock, configured, requests, jobs,
+      [this](const auto& answered) { observed.push_back(answered); }};
 };
 
 }  // namespace
@@ -91,6 +94,9 @@
   BOOST_TEST(answer.code == 200);
   BOOST_TEST(answer.body == "answer to panel 7");
   BOOST_TEST(answer.Header(kOutcomeHeader) == "completed");
+  BOOST_REQUIRE(observed.size() == 1);
+  BOOST_TEST(observed[0].account == "hotel");
+  BOOST_TEST(observed[0].in_objective);
 }
 
 BOOST_AUTO_TEST_CASE(SaysNotRunOnlyWhenCertain) {
