Readiness names the configuration in force; accounts of all lives of a worker

Cause: nothing outside could tell which revision a daemon has in force, and a worker killed twice lost the account of its first life. Change: /readyz prints the revision; the harness keeps every account, cancels jobs, marks workers as leaving and knows which entry cut a request off.

--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -25,11 +25,12 @@
                              const upstream_refresher& refresher) {
   if (stopping)
     return {false, "stopping"};
-  if (!configured.Current())
+  const auto current = configured.Current();
+  if (!current)
     return {false, "the configuration is not known yet"};
   if (!refresher.HasList())
     return {false, "the instance list is not known yet"};
-  return {true, ""};
+  return {true, "", current->revision};
 }
 
 process::exit_code Run(const entry_settings& settings) {
--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -28,11 +28,12 @@
                              const shards::shard_manager& manager) {
   if (stopping)
     return {false, "stopping"};
-  if (!configured.Current())
+  const auto current = configured.Current();
+  if (!current)
     return {false, "the configuration is not known yet"};
   if (!manager.IsReady())
     return {false, "the platform is not reached"};
-  return {true, ""};
+  return {true, "", current->revision};
 }
 
 process::exit_code Run(const scheduler_settings& settings) {
--- a/src/process/include/chivecrank/process/status_server.h
+++ b/src/process/include/chivecrank/process/status_server.h
@@ -3,6 +3,7 @@
 
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +18,8 @@
 struct readiness {
   bool ready = false;
   std::string reason;
+  /// Revision of the configuration in force; 0 when none is known.
+  std::uint64_t revision = 0;
 };
 
 /// Answers /healthz, /readyz and /metrics of a daemon.
--- a/src/process/internal/status_server.cc
+++ b/src/process/internal/status_server.cc
@@ -46,8 +46,10 @@
     return Text(http::status::kOk, "ok\n");
   if (path == "/readyz") {
     const readiness state = ready_();
-    if (state.ready)
-      return Text(http::status::kOk, "ready\n");
+    if (state.ready) {
+      return Text(http::status::kOk, "ready, configuration revision " +
+                                         std::to_string(state.revision) + "\n");
+    }
     return Text(http::status::kServiceUnavailable, state.reason + "\n");
   }
   if (path == "/metrics") {
--- a/tests/demo/main.cc
+++ b/tests/demo/main.cc
@@ -7,7 +7,7 @@
 #include <thread>
 
 #include "chivecrank/process/program.h"
-#include "demo_account.h"
+#include "harness/account_book.h"
 #include "harness/caller.h"
 #include "harness/deployment.h"
 
@@ -132,7 +132,7 @@
   }
 
   int Finish() {
-    const demo_totals totals =
+    const account_totals totals =
         account_.Compare(system_.RequestRuns(), system_.TaskRuns());
     for (const std::string& worker : system_.OvercommittedWorkers())
       std::cout << "demo: worker " << worker << " was overcommitted\n";
@@ -141,7 +141,7 @@
   }
 
   deployment system_;
-  demo_account account_;
+  account_book account_;
   std::atomic<bool> stopping_ = false;
   std::atomic<int> done_ = 0;
 };
--- a/tests/demo/demo_account.cc
+++ b/tests/harness/account_book.cc
@@ -1,4 +1,4 @@
-#include "demo_account.h"
+#include "harness/account_book.h"
 
 #include <algorithm>
 #include <sstream>
@@ -9,7 +9,7 @@
 
 void CountRequest(const call_record& record,
                   std::int64_t runs,
-                  demo_totals& totals) {
+                  account_totals& totals) {
   ++totals.requests;
   if (record.late)
     ++totals.late;
@@ -55,7 +55,7 @@
 
 }  // namespace
 
-std::string Describe(const demo_totals& totals) {
+std::string Describe(const account_totals& totals) {
   std::ostringstream text;
   text << "demo: requests=" << totals.requests
        << " answered=" << totals.answered << " not_run=" << totals.not_run
@@ -65,26 +65,26 @@
   return text.str();
 }
 
-void demo_account::Add(call_record record) {
+void account_book::Add(call_record record) {
   std::lock_guard lock(mutex_);
   records_.push_back(std::move(record));
 }
 
-void demo_account::AddJob(const std::string& job_id, bool done) {
+void account_book::AddJob(const std::string& job_id, bool done) {
   std::lock_guard lock(mutex_);
   jobs_[job_id] = done;
 }
 
-std::size_t demo_account::size() {
+std::size_t account_book::size() {
   std::lock_guard lock(mutex_);
   return records_.size();
 }
 
-demo_totals demo_account::Compare(
+account_totals account_book::Compare(
     const std::map<std::string, std::int64_t>& request_runs,
     const std::vector<task_run>& task_runs) {
   std::lock_guard lock(mutex_);
-  demo_totals totals;
+  account_totals totals;
   for (const call_record& record : records_) {
     const auto found = request_runs.find(record.identifier);
     CountRequest(record, found == request_runs.end() ? 0 : found->second,
--- a/tests/demo/demo_account.h
+++ b/tests/harness/account_book.h
@@ -1,5 +1,5 @@
-#ifndef CHIVECRANK_TESTS_DEMO_DEMO_ACCOUNT_H_
-#define CHIVECRANK_TESTS_DEMO_DEMO_ACCOUNT_H_
+#ifndef CHIVECRANK_TESTS_HARNESS_ACCOUNT_BOOK_H_
+#define CHIVECRANK_TESTS_HARNESS_ACCOUNT_BOOK_H_
 
 #include <cstdint>
 #include <map>
@@ -12,8 +12,8 @@
 
 namespace chivecrank::harness {
 
-/// Totals of a demonstration, from the callers' and the workers' accounts.
-struct demo_totals {
+/// Totals of a run, from the callers' and the workers' accounts.
+struct account_totals {
   std::int64_t requests = 0;
   std::int64_t answered = 0;
   std::int64_t not_run = 0;
@@ -30,17 +30,18 @@
 };
 
 /// "demo: requests=N ... done=N".
-std::string Describe(const demo_totals& totals);
+std::string Describe(const account_totals& totals);
 
 /// Collects what callers saw. Safe to use from several threads.
-class demo_account {
+class account_book {
  public:
   void Add(call_record record);
   void AddJob(const std::string& job_id, bool done);
 
   /// Compares the callers' records with the workers'.
-  demo_totals Compare(const std::map<std::string, std::int64_t>& request_runs,
-                      const std::vector<task_run>& task_runs);
+  account_totals Compare(
+      const std::map<std::string, std::int64_t>& request_runs,
+      const std::vector<task_run>& task_runs);
 
   std::size_t size();
 
@@ -52,4 +53,4 @@
 
 }  // namespace chivecrank::harness
 
-#endif  // CHIVECRANK_TESTS_DEMO_DEMO_ACCOUNT_H_
+#endif  // CHIVECRANK_TESTS_HARNESS_ACCOUNT_BOOK_H_
--- a/tests/harness/caller.cc
+++ b/tests/harness/caller.cc
@@ -35,8 +35,10 @@
 caller::caller(std::vector<settings::endpoint> entries,
                caller_options options,
                std::uint64_t seed)
-    : options_(std::move(options)), random_(seed) {
-  for (const settings::endpoint& entry : entries)
+    : options_(std::move(options)),
+      addresses_(std::move(entries)),
+      random_(seed) {
+  for (const settings::endpoint& entry : addresses_)
     entries_.push_back(std::make_unique<http::client>(entry));
 }
 
@@ -57,7 +59,11 @@
          {callers::kIdempotentHeader, "false"},
          {callers::kTimeoutHeader, std::to_string(remaining.count())}},
         body};
-    const auto answer = CallAnyEntry(message, remaining + kTravel);
+    const std::size_t chosen = ChooseEntry();
+    record.entry = addresses_[chosen];
+    const auto answer = entries_[chosen]->Call(message, remaining + kTravel);
+    record.cut_off = !answer.has_value() &&
+                     answer.error().kind == base::error_kind::kOutcomeUnknown;
     record.outcome = callers::request_outcome::kUnknown;
     if (answer.has_value()) {
       record.outcome = OutcomeOf(answer.value());
@@ -72,6 +78,9 @@
     std::this_thread::sleep_for(kPause);
   }
   record.latency = Since(start);
+  record.ended_at_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
   record.late = record.latency > options_.timeout + kTravel;
   return record;
 }
@@ -95,6 +104,17 @@
   return parsed.has_value() ? http::StringOf(parsed.value(), "job") : "";
 }
 
+bool caller::CancelJob(const std::string& job_id) {
+  const auto answer =
+      CallAnyEntry({"DELETE",
+                    "/v1/jobs/" + job_id,
+                    {{"Authorization", "Bearer " + options_.token}},
+                    ""},
+                   kControlTimeout);
+  return answer.has_value() &&
+         answer.value().code == static_cast<int>(http::status::kOk);
+}
+
 std::string caller::JobState(const std::string& job_id) {
   const auto answer =
       CallAnyEntry({"GET",
@@ -108,16 +128,16 @@
   return parsed.has_value() ? http::StringOf(parsed.value(), "state") : "";
 }
 
+std::size_t caller::ChooseEntry() {
+  std::lock_guard lock(mutex_);
+  std::uniform_int_distribution<std::size_t> any(0, entries_.size() - 1);
+  return any(random_);
+}
+
 base::result<http::response> caller::CallAnyEntry(
     const http::request& message,
     std::chrono::milliseconds timeout) {
-  std::size_t chosen = 0;
-  {
-    std::lock_guard lock(mutex_);
-    chosen = std::uniform_int_distribution<std::size_t>(
-        0, entries_.size() - 1)(random_);
-  }
-  return entries_[chosen]->Call(message, timeout);
+  return entries_[ChooseEntry()]->Call(message, timeout);
 }
 
 }  // namespace chivecrank::harness
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -25,6 +25,12 @@
   /// Answered after its deadline.
   bool late = false;
   std::chrono::milliseconds latency{0};
+  /// The entry that got the last try.
+  settings::endpoint entry;
+  /// The last try ended without an answer, though its entry was reached.
+  bool cut_off = false;
+  /// When the last try ended, in wall time.
+  std::int64_t ended_at_ms = 0;
 };
 
 /// What one account calls with.
@@ -51,14 +57,19 @@
   std::string SubmitJob(const std::string& template_name,
                         const std::string& key);
 
+  /// Cancels a job; whether an entry confirmed it.
+  bool CancelJob(const std::string& job_id);
+
   /// The state of a job; "" when no entry answered.
   std::string JobState(const std::string& job_id);
 
  private:
+  std::size_t ChooseEntry();
   base::result<http::response> CallAnyEntry(const http::request& message,
                                             std::chrono::milliseconds timeout);
 
   const caller_options options_;
+  const std::vector<settings::endpoint> addresses_;
   std::vector<std::unique_ptr<http::client>> entries_;
   std::mutex mutex_;
   std::mt19937_64 random_;
--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -1,5 +1,6 @@
 #include "harness/deployment.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -39,6 +40,19 @@
   return body.has_value() ? body.value() : http::json_object();
 }
 
+void AppendRuns(const std::string& worker_id,
+                const http::json_object& account,
+                std::vector<task_run>& all) {
+  const http::json_array runs = http::ArrayOf(account, "runs");
+  for (unsigned i = 0; i < runs->size(); ++i) {
+    const http::json_object run = runs->getObject(i);
+    all.push_back(
+        {worker_id, http::StringOf(run, "task"),
+         http::IntegerOf(run, "attempt"), http::IntegerOf(run, "from_ms"),
+         http::IntegerOf(run, "to_ms"), http::StringOf(run, "state")});
+  }
+}
+
 bool IsReady(const settings::endpoint& status) {
   http::client client(status);
   const auto answer = client.Call({"GET", "/readyz", {}, ""}, kCallTimeout);
@@ -193,14 +207,21 @@
 void deployment::KillWorker(int index) {
   worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
   // Frozen first, so that the saved account is its last word.
-  worker.saved_service_account =
-      Fetch(worker.listed.service, "/control/freeze");
-  worker.saved_task_account = Fetch(worker.listed.agent, "/control/freeze");
+  worker.service_accounts.push_back(
+      Fetch(worker.listed.service, "/control/freeze"));
+  worker.task_accounts.push_back(Fetch(worker.listed.agent, "/control/freeze"));
   worker.process.reset();
   worker.shown = false;
   PublishInstances();
 }
 
+void deployment::SetLeaving(int index, bool leaving) {
+  workers_.at(static_cast<std::size_t>(index)).listed.state =
+      leaving ? platform::instance_state::kLeaving
+              : platform::instance_state::kLive;
+  PublishInstances();
+}
+
 void deployment::SetPlatformFaults(const std::string& json) {
   http::client client(platform_);
   static_cast<void>(
@@ -276,15 +297,8 @@
 std::vector<task_run> deployment::TaskRuns() {
   std::vector<task_run> all;
   for (worker_instance& worker : workers_) {
-    const http::json_object account = TaskAccount(worker);
-    const http::json_array runs = http::ArrayOf(account, "runs");
-    for (unsigned i = 0; i < runs->size(); ++i) {
-      const http::json_object run = runs->getObject(i);
-      all.push_back(
-          {worker.listed.id, http::StringOf(run, "task"),
-           http::IntegerOf(run, "attempt"), http::IntegerOf(run, "from_ms"),
-           http::IntegerOf(run, "to_ms"), http::StringOf(run, "state")});
-    }
+    for (const http::json_object& account : TaskAccounts(worker))
+      AppendRuns(worker.listed.id, account, all);
   }
   return all;
 }
@@ -292,23 +306,38 @@
 std::map<std::string, std::int64_t> deployment::RequestRuns() {
   std::map<std::string, std::int64_t> all;
   for (worker_instance& worker : workers_) {
-    const http::json_object runs =
-        http::ObjectOf(ServiceAccount(worker), "runs");
-    if (!runs)
-      continue;
-    for (const std::string& identifier : runs->getNames())
-      all[identifier] += http::IntegerOf(runs, identifier);
+    for (const http::json_object& account : ServiceAccounts(worker)) {
+      const http::json_object runs = http::ObjectOf(account, "runs");
+      if (!runs)
+        continue;
+      for (const std::string& identifier : runs->getNames())
+        all[identifier] += http::IntegerOf(runs, identifier);
+    }
   }
   return all;
 }
 
+std::int64_t deployment::LastStartAt(int index) {
+  const worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
+  return std::max(
+      http::IntegerOf(Fetch(worker.listed.service, "/control/account"),
+                      "last_start_ms"),
+      http::IntegerOf(Fetch(worker.listed.agent, "/control/account"),
+                      "last_start_ms"));
+}
+
 std::vector<std::string> deployment::OvercommittedWorkers() {
   std::vector<std::string> found;
   for (worker_instance& worker : workers_) {
-    if (http::BooleanOf(ServiceAccount(worker), "overcommitted") ||
-        http::BooleanOf(TaskAccount(worker), "overcommitted")) {
+    std::vector<http::json_object> accounts = ServiceAccounts(worker);
+    const std::vector<http::json_object> tasks = TaskAccounts(worker);
+    accounts.insert(accounts.end(), tasks.begin(), tasks.end());
+    const bool overcommitted =
+        std::any_of(accounts.begin(), accounts.end(), [](const auto& account) {
+          return http::BooleanOf(account, "overcommitted");
+        });
+    if (overcommitted)
       found.push_back(worker.listed.id);
-    }
   }
   return found;
 }
@@ -329,16 +358,20 @@
   return path.string();
 }
 
-http::json_object deployment::ServiceAccount(worker_instance& worker) {
-  if (!worker.process)
-    return worker.saved_service_account;
-  return Fetch(worker.listed.service, "/control/account");
+std::vector<http::json_object> deployment::ServiceAccounts(
+    const worker_instance& worker) {
+  std::vector<http::json_object> accounts = worker.service_accounts;
+  if (worker.process)
+    accounts.push_back(Fetch(worker.listed.service, "/control/account"));
+  return accounts;
 }
 
-http::json_object deployment::TaskAccount(worker_instance& worker) {
-  if (!worker.process)
-    return worker.saved_task_account;
-  return Fetch(worker.listed.agent, "/control/account");
+std::vector<http::json_object> deployment::TaskAccounts(
+    const worker_instance& worker) {
+  std::vector<http::json_object> accounts = worker.task_accounts;
+  if (worker.process)
+    accounts.push_back(Fetch(worker.listed.agent, "/control/account"));
+  return accounts;
 }
 
 }  // namespace chivecrank::harness
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -72,14 +72,20 @@
   std::vector<child_process*> ProcessesOf(int index);
   child_process* WorkerProcess(int index);
 
-  /// The workers' own accounts. Those of dead workers are gone, except what
-  /// KillWorker read before it killed them.
+  /// Marks a worker as leaving, or as live again.
+  void SetLeaving(int index, bool leaving);
+
+  /// The workers' own accounts, those of killed workers included.
   std::vector<task_run> TaskRuns();
   /// How often each request ran, over all workers.
   std::map<std::string, std::int64_t> RequestRuns();
   /// Workers whose account says that they were given too much at once.
   std::vector<std::string> OvercommittedWorkers();
 
+  /// Wall time in milliseconds of the last request or task that a worker
+  /// started.
+  std::int64_t LastStartAt(int index);
+
   const std::filesystem::path& folder() const { return folder_; }
 
  private:
@@ -94,8 +100,9 @@
     platform::instance listed;
     bool shown = true;
     std::unique_ptr<child_process> process;
-    http::json_object saved_service_account;
-    http::json_object saved_task_account;
+    /// Accounts of its earlier lives.
+    std::vector<http::json_object> service_accounts;
+    std::vector<http::json_object> task_accounts;
   };
 
   void DescribeInstances();
@@ -104,8 +111,11 @@
                                         const std::vector<std::string>& flags,
                                         const std::string& name);
   std::string WriteSettings(const std::string& name, const std::string& text);
-  http::json_object ServiceAccount(worker_instance& worker);
-  http::json_object TaskAccount(worker_instance& worker);
+  /// The accounts of all lives of a worker.
+  static std::vector<http::json_object> ServiceAccounts(
+      const worker_instance& worker);
+  static std::vector<http::json_object> TaskAccounts(
+      const worker_instance& worker);
 
   deployment_options options_;
   network network_;
--- a/tests/standin_worker/task_agent.cc
+++ b/tests/standin_worker/task_agent.cc
@@ -135,6 +135,7 @@
   json_object account = NewObject();
   account->set("runs", runs);
   account->set("overcommitted", overcommitted);
+  account->set("last_start_ms", records_.empty() ? 0 : records_.back().from_ms);
   return account;
 }
 
--- a/tests/standin_worker/upstream_service.cc
+++ b/tests/standin_worker/upstream_service.cc
@@ -26,6 +26,7 @@
     std::unique_lock lock(mutex_);
     HangWhileFrozen(lock);
     ++runs_[identifier];
+    last_start_ = clock_.WallNow();
     ++in_flight_;
     highest_in_flight_ = std::max(highest_in_flight_, in_flight_);
   }
@@ -60,6 +61,11 @@
   http::json_object account = new Poco::JSON::Object;
   account->set("runs", runs);
   account->set("highest_in_flight", highest_in_flight_);
+  account->set("last_start_ms",
+               static_cast<Poco::Int64>(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       last_start_.time_since_epoch())
+                       .count()));
   account->set("overcommitted", highest_in_flight_ > slots_);
   return http::JsonResponse(http::status::kOk, account);
 }
--- a/tests/standin_worker/upstream_service.h
+++ b/tests/standin_worker/upstream_service.h
@@ -41,6 +41,7 @@
   std::map<std::string, std::int64_t> runs_;
   std::condition_variable thawed_;
   bool frozen_ = false;
+  base::wall_time last_start_;
   std::int64_t in_flight_ = 0;
   std::int64_t highest_in_flight_ = 0;
 };
