--- a/src/process/include/chivecrank/process/stop_signal.h
+++ b/src/process/include/chivecrank/process/stop_signal.h
@@ -7,6 +7,9 @@
 /// ignores SIGPIPE. Call it before any thread is started.
 void BlockStopSignals();
 
+/// Undoes BlockStopSignals, for programs that SIGTERM and SIGINT just end.
+void RestoreStopSignals();
+
 /// Waits until SIGTERM or SIGINT arrives.
 void WaitForStopSignal();
 
--- a/src/process/internal/stop_signal.cc
+++ b/src/process/internal/stop_signal.cc
@@ -21,6 +21,11 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+void RestoreStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 void WaitForStopSignal() {
   const sigset_t signals = StopSignals();
   int received = 0;
--- a/tests/demo/main.cc
+++ b/tests/demo/main.cc
@@ -1,12 +1,12 @@
 #include <absl/flags/flag.h>
 
 #include <atomic>
-#include <csignal>
 #include <cstdio>
 #include <iostream>
 #include <thread>
 
 #include "chivecrank/process/program.h"
+#include "chivecrank/process/stop_signal.h"
 #include "harness/account_book.h"
 #include "harness/caller.h"
 #include "harness/deployment.h"
@@ -155,9 +155,6 @@
                       "Shows a deployment at work while parts of it die.", argc,
                       argv);
   // Ctrl-C ends the program at once, and the processes it started with it.
-  std::signal(SIGINT, SIG_DFL);
-  sigset_t none;
-  sigemptyset(&none);
-  pthread_sigmask(SIG_SETMASK, &none, nullptr);
+  process::RestoreStopSignals();
   return harness::demonstration().Run();
 }
