--- /dev/null
+++ b/src/objectives/include/chivecrank/objectives/alert_rules.h
@@ -0,0 +1,17 @@
+#ifndef CHIVECRANK_OBJECTIVES_ALERT_RULES_H_
+#define CHIVECRANK_OBJECTIVES_ALERT_RULES_H_
+
+#include <string>
+#include <vector>
+
+#include "chivecrank/objectives/types.h"
+
+namespace chivecrank::objectives {
+
+/// Prometheus alert rules (YAML) for the objectives, with the same windows and
+/// rates as the report.
+std::string AlertRules(const std::vector<service_objective>& objectives);
+
+}  // namespace chivecrank::objectives
+
+#endif  // CHIVECRANK_OBJECTIVES_ALERT_RULES_H_
--- /dev/null
+++ b/src/objectives/include/chivecrank/objectives/html_report.h
@@ -0,0 +1,15 @@
+#ifndef CHIVECRANK_OBJECTIVES_HTML_REPORT_H_
+#define CHIVECRANK_OBJECTIVES_HTML_REPORT_H_
+
+#include <string>
+
+#include "chivecrank/objectives/types.h"
+
+namespace chivecrank::objectives {
+
+/// The report as one HTML page with inline plots and no outside assets.
+std::string HtmlReport(const burn_report& report);
+
+}  // namespace chivecrank::objectives
+
+#endif  // CHIVECRANK_OBJECTIVES_HTML_REPORT_H_
--- /dev/null
+++ b/src/objectives/include/chivecrank/objectives/text_report.h
@@ -0,0 +1,22 @@
+#ifndef CHIVECRANK_OBJECTIVES_TEXT_REPORT_H_
+#define CHIVECRANK_OBJECTIVES_TEXT_REPORT_H_
+
+#include <string>
+
+#include "chivecrank/http/json.h"
+#include "chivecrank/objectives/types.h"
+
+namespace chivecrank::objectives {
+
+/// The report as plain text.
+std::string TextReport(const burn_report& report);
+
+/// The report as JSON.
+http::json_object JsonReport(const burn_report& report);
+
+/// A window as people write it: "5 m", "1 h", "3 d".
+std::string WindowText(std::chrono::minutes window);
+
+}  // namespace chivecrank::objectives
+
+#endif  // CHIVECRANK_OBJECTIVES_TEXT_REPORT_H_
--- a/tests/demo/main.cc
+++ b/tests/demo/main.cc
@@ -135,7 +135,7 @@
     const account_totals totals =
         account_.Compare(system_.RequestRuns(), system_.TaskRuns());
     for (const std::string& worker : system_.OvercommittedWorkers())
-      std::cout << "demo: worker " << worker << " was overcommitted\n";
+      std::cout << "demo: overcommitted: " << worker << "\n";
     std::cout << Describe(totals) << std::endl;
     return totals.lost == 0 && totals.doubled == 0 ? 0 : 1;
   }
--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -53,6 +53,13 @@
   }
 }
 
+bool AnyOvercommitted(const std::vector<http::json_object>& accounts) {
+  return std::any_of(accounts.begin(), accounts.end(),
+                     [](const http::json_object& account) {
+                       return http::BooleanOf(account, "overcommitted");
+                     });
+}
+
 bool IsReady(const settings::endpoint& status) {
   http::client client(status);
   const auto answer = client.Call({"GET", "/readyz", {}, ""}, kCallTimeout);
@@ -329,15 +336,10 @@
 std::vector<std::string> deployment::OvercommittedWorkers() {
   std::vector<std::string> found;
   for (worker_instance& worker : workers_) {
-    std::vector<http::json_object> accounts = ServiceAccounts(worker);
-    const std::vector<http::json_object> tasks = TaskAccounts(worker);
-    accounts.insert(accounts.end(), tasks.begin(), tasks.end());
-    const bool overcommitted =
-        std::any_of(accounts.begin(), accounts.end(), [](const auto& account) {
-          return http::BooleanOf(account, "overcommitted");
-        });
-    if (overcommitted)
-      found.push_back(worker.listed.id);
+    if (AnyOvercommitted(ServiceAccounts(worker)))
+      found.push_back("slots of " + worker.listed.id);
+    if (AnyOvercommitted(TaskAccounts(worker)))
+      found.push_back("resources of " + worker.listed.id);
   }
   return found;
 }
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -79,7 +79,8 @@
   std::vector<task_run> TaskRuns();
   /// How often each request ran, over all workers.
   std::map<std::string, std::int64_t> RequestRuns();
-  /// Workers whose account says that they were given too much at once.
+  /// "slots of ID" or "resources of ID" for each worker whose account says
+  /// that it was given too much at once.
   std::vector<std::string> OvercommittedWorkers();
 
   /// Wall time in milliseconds of the last request or task that a worker
