--- a/tests/demo/main.cc
+++ b/tests/demo/main.cc
@@ -1,13 +1,13 @@
 #include <absl/flags/flag.h>
 
 #include <atomic>
-#include <csignal>
 #include <cstdio>
 #include <iostream>
 #include <thread>
 
 #include "chivecrank/process/program.h"
-#include "demo_account.h"
+#include "chivecrank/process/stop_signal.h"
+#include "harness/account_book.h"
 #include "harness/caller.h"
 #include "harness/deployment.h"
 
@@ -132,7 +132,7 @@
   }
 
   int Finish() {
-    const demo_totals totals =
+    const account_totals totals =
         account_.Compare(system_.RequestRuns(), system_.TaskRuns());
     for (const std::string& worker : system_.OvercommittedWorkers())
       std::cout << "demo: worker " << worker << " was overcommitted\n";
@@ -141,7 +141,7 @@
   }
 
   deployment system_;
-  demo_account account_;
+  account_book account_;
   std::atomic<bool> stopping_ = false;
   std::atomic<int> done_ = 0;
 };
@@ -155,9 +155,6 @@
                       "Shows a deployment at work while parts of it die.", argc,
                       argv);
   // Ctrl-C ends the program at once, and the processes it started with it.
-  std::signal(SIGINT, SIG_DFL);
-  sigset_t none;
-  sigemptyset(&none);
-  pthread_sigmask(SIG_SETMASK, &none, nullptr);
+  process::RestoreStopSignals();
   return harness::demonstration().Run();
 }
