Pure rules of worker leases, fencing and ownership terms

A sync or start delayed in the network could renew or start an attempt after its scheduler had taken it as lost. A lease now counts from the worker's own answer to the sync that the scheduler names, so no message can outlive the scheduler's bound, however long it travels. Syncs carry a number; overtaken ones are refused.

--- /dev/null
+++ b/src/protocol/include/chivecrank/protocol/tenure.h
@@ -0,0 +1,35 @@
+#ifndef CHIVECRANK_PROTOCOL_TENURE_H_
+#define CHIVECRANK_PROTOCOL_TENURE_H_
+
+#include <atomic>
+
+#include "chivecrank/base/clock.h"
+#include "chivecrank/protocol/types.h"
+
+namespace chivecrank::protocol {
+
+/// One ownership lease of a process, from its grant to its end.
+/// Safe to use from several threads.
+class tenure {
+ public:
+  explicit tenure(std::chrono::milliseconds ride) : ride_(ride) {}
+
+  /// The lease in the store certainly lasts until then.
+  void Extend(base::time_point valid_until);
+  /// The store said that the lease has ended.
+  void Lapse() { lapsed_ = true; }
+  /// The shards are given up for good.
+  void End() { ended_ = true; }
+
+  authority At(base::time_point now) const;
+
+ private:
+  const std::chrono::milliseconds ride_;
+  std::atomic<base::time_point> valid_until_{base::time_point{}};
+  std::atomic<bool> lapsed_ = false;
+  std::atomic<bool> ended_ = false;
+};
+
+}  // namespace chivecrank::protocol
+
+#endif  // CHIVECRANK_PROTOCOL_TENURE_H_
--- /dev/null
+++ b/src/protocol/include/chivecrank/protocol/worker_fence.h
@@ -0,0 +1,42 @@
+#ifndef CHIVECRANK_PROTOCOL_WORKER_FENCE_H_
+#define CHIVECRANK_PROTOCOL_WORKER_FENCE_H_
+
+#include <map>
+#include <string>
+
+#include "chivecrank/base/clock.h"
+#include "chivecrank/protocol/types.h"
+
+namespace chivecrank::protocol {
+
+/// The worker's side: which syncs count, and until when attempts may run.
+class worker_fence {
+ public:
+  /// `incarnation` identifies the process run of the agent.
+  explicit worker_fence(std::string incarnation);
+
+  sync_verdict OnSync(const sync_order& order,
+                      base::time_point now,
+                      std::chrono::milliseconds term);
+
+  /// Every attempt must have stopped by this moment.
+  base::time_point lease_ends() const { return lease_ends_; }
+  bool LeaseOver(base::time_point now) const { return now >= lease_ends_; }
+
+  const std::string& incarnation() const { return incarnation_; }
+  std::uint64_t epoch() const { return epoch_; }
+
+ private:
+  bool Renew(const sync_order& order, std::chrono::milliseconds term);
+
+  std::string incarnation_;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t last_number_ = 0;
+  /// When the syncs that may still be named as answered were answered.
+  std::map<std::uint64_t, base::time_point> answered_at_;
+  base::time_point lease_ends_{};
+};
+
+}  // namespace chivecrank::protocol
+
+#endif  // CHIVECRANK_PROTOCOL_WORKER_FENCE_H_
--- /dev/null
+++ b/src/protocol/internal/worker_fence.cc
@@ -0,0 +1,43 @@
+#include "chivecrank/protocol/worker_fence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivecrank::protocol {
+
+worker_fence::worker_fence(std::string incarnation)
+    : incarnation_(std::move(incarnation)) {}
+
+sync_verdict worker_fence::OnSync(const sync_order& order,
+                                  base::time_point now,
+                                  std::chrono::milliseconds term) {
+  if (order.epoch < epoch_)
+    return sync_verdict::kFenced;
+  if (order.epoch > epoch_) {
+    epoch_ = order.epoch;
+    last_number_ = 0;
+    answered_at_.clear();
+  }
+  if (order.number <= last_number_)
+    return sync_verdict::kStale;
+  last_number_ = order.number;
+  const bool renewed = Renew(order, term);
+  answered_at_[order.number] = now;
+  if (renewed && !LeaseOver(now))
+    return sync_verdict::kRenewed;
+  return sync_verdict::kIntroduced;
+}
+
+bool worker_fence::Renew(const sync_order& order,
+                         std::chrono::milliseconds term) {
+  if (order.incarnation != incarnation_)
+    return false;
+  const auto answered = answered_at_.find(order.answered);
+  if (answered == answered_at_.end())
+    return false;
+  lease_ends_ = std::max(lease_ends_, answered->second + term);
+  answered_at_.erase(answered_at_.begin(), answered);
+  return true;
+}
+
+}  // namespace chivecrank::protocol
--- /dev/null
+++ b/src/protocol/internal/worker_lease.cc
@@ -0,0 +1,31 @@
+#include "chivecrank/protocol/worker_lease.h"
+
+#include <algorithm>
+
+namespace chivecrank::protocol {
+
+// A former owner may have gone on renewing for the length of the ride.
+worker_lease::worker_lease(std::uint64_t epoch,
+                           lease_terms terms,
+                           base::time_point opened)
+    : epoch_(epoch),
+      terms_(terms),
+      over_(opened + terms.ride + terms.term + terms.margin) {}
+
+sync_order worker_lease::NextSync() {
+  return {epoch_, ++last_sent_, answered_, incarnation_};
+}
+
+bool worker_lease::OnAnswer(std::uint64_t number,
+                            const std::string& incarnation,
+                            base::time_point now) {
+  if (number <= answered_)
+    return false;
+  answered_ = number;
+  incarnation_ = incarnation;
+  // The worker has seen this epoch, so the former owner renews nothing there.
+  over_ = now + terms_.term + terms_.margin;
+  return true;
+}
+
+}  // namespace chivecrank::protocol
