--- a/src/journal/include/chivecrank/journal/types.h
+++ b/src/journal/include/chivecrank/journal/types.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_JOURNAL_TYPES_H_
 #define CHIVECRANK_JOURNAL_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,17 @@
   std::vector<scheduling::event> events;
 };
 
+/// Bounds of the journal of one shard.
+struct journal_limits {
+  /// Keys that the records take in turns. A record is overwritten only once a
+  /// snapshot covers it, so that trimming costs no calls.
+  std::size_t slots = 1024;
+  /// Records since the last snapshot after which another one is wanted.
+  std::size_t snapshot_after = 768;
+  /// Largest value that is written; the store refuses more than 1 MiB.
+  std::size_t value_bytes = 900'000;
+};
+
 }  // namespace chivecrank::journal
 
 #endif  // CHIVECRANK_JOURNAL_TYPES_H_
--- a/src/workers/include/chivecrank/workers/agent.h
+++ b/src/workers/include/chivecrank/workers/agent.h
@@ -7,22 +7,16 @@
 
 namespace chivecrank::workers {
 
-/// Calls the agents of workers. Every call may fail with kFenced (the worker
-/// has seen a higher epoch), kUnavailable (not sent) or kOutcomeUnknown.
-/// Safe to use from several threads.
+/// Calls the agents of workers. A call may fail with kFenced (the worker has
+/// seen a higher epoch), kConflict (it has seen a later sync), kUnavailable
+/// (not sent) or kOutcomeUnknown. Safe to use from several threads.
 class agent {
  public:
   virtual ~agent() = default;
 
-  /// Starting an attempt that the worker already knows has no effect.
-  virtual base::result<void> Start(const settings::endpoint& worker,
-                                   const start_command& command) = 0;
-  /// Returns once the attempt has stopped or was never there.
-  virtual base::result<void> Stop(const settings::endpoint& worker,
-                                  const stop_command& command) = 0;
-  /// Renews leases and returns what the worker knows.
-  virtual base::result<inventory> Sync(const settings::endpoint& worker,
-                                       const sync_command& command) = 0;
+  /// Passes commands on and returns what the worker has to say.
+  virtual base::result<sync_report> Sync(const settings::endpoint& worker,
+                                         const sync_command& command) = 0;
 };
 
 }  // namespace chivecrank::workers
--- a/src/workers/include/chivecrank/workers/agent_codec.h
+++ b/src/workers/include/chivecrank/workers/agent_codec.h
@@ -8,18 +8,12 @@
 /// JSON forms of the agents' messages; see docs/WIRE.md.
 namespace chivecrank::workers {
 
-http::json_object EncodeStart(const start_command& command);
-start_command DecodeStart(const http::json_object& encoded);
-
-http::json_object EncodeStop(const stop_command& command);
-stop_command DecodeStop(const http::json_object& encoded);
-
 http::json_object EncodeSync(const sync_command& command);
 sync_command DecodeSync(const http::json_object& encoded);
 
-http::json_object EncodeInventory(const inventory& known);
-/// kInvalidArgument for an unknown state.
-base::result<inventory> DecodeInventory(const http::json_object& encoded);
+http::json_object EncodeReport(const sync_report& report);
+/// kInvalidArgument for an unknown state or without an incarnation.
+base::result<sync_report> DecodeReport(const http::json_object& encoded);
 
 }  // namespace chivecrank::workers
 
--- a/src/workers/include/chivecrank/workers/http_agent.h
+++ b/src/workers/include/chivecrank/workers/http_agent.h
@@ -16,12 +16,8 @@
  public:
   explicit http_agent(std::chrono::milliseconds timeout);
 
-  base::result<void> Start(const settings::endpoint& worker,
-                           const start_command& command) override;
-  base::result<void> Stop(const settings::endpoint& worker,
-                          const stop_command& command) override;
-  base::result<inventory> Sync(const settings::endpoint& worker,
-                               const sync_command& command) override;
+  base::result<sync_report> Sync(const settings::endpoint& worker,
+                                 const sync_command& command) override;
 
  private:
   std::shared_ptr<http::client> ClientOf(const settings::endpoint& worker);
--- a/src/workers/include/chivecrank/workers/types.h
+++ b/src/workers/include/chivecrank/workers/types.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_WORKERS_TYPES_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "chivecrank/platform/types.h"
+#include "chivecrank/protocol/types.h"
 
 /// Task commands to the agents of workers.
 namespace chivecrank::workers {
@@ -18,32 +20,37 @@
   std::string task_id;
   std::int32_t attempt = 0;
 
-  bool operator==(const attempt_id&) const = default;
+  auto operator<=>(const attempt_id&) const = default;
 };
 
-/// Orders a worker to start an attempt under a lease. The worker stops it by
-/// itself when the lease ends.
+/// Orders a worker to run an attempt. Repeating it has no effect.
 struct start_command {
-  std::uint64_t epoch = 0;
   attempt_id attempt;
   std::string template_name;
   platform::resources demand;
   std::chrono::milliseconds run_time{0};
-  std::chrono::milliseconds lease{0};
+  /// What an earlier attempt left behind; empty to start anew.
+  std::string checkpoint;
 };
 
 /// Orders a worker to stop an attempt.
 struct stop_command {
-  std::uint64_t epoch = 0;
   attempt_id attempt;
+  /// Whether it saves its progress first.
+  bool save = false;
 };
 
-/// Renews the leases of the attempts in `keep` and lets the worker forget the
-/// ended attempts in `acknowledged`.
+/// Renews the lease of a worker, which bounds every attempt on it, and carries
+/// all commands for it. See protocol::worker_fence for what counts.
 struct sync_command {
-  std::uint64_t epoch = 0;
-  std::chrono::milliseconds lease{0};
-  std::vector<attempt_id> keep;
+  protocol::sync_order order;
+  std::chrono::milliseconds term{0};
+  /// The position of the newest report of this run of the agent that was
+  /// taken in; 0 asks for a full report.
+  std::uint64_t position = 0;
+  std::vector<start_command> starts;
+  std::vector<stop_command> stops;
+  /// Ended attempts that the worker may forget.
   std::vector<attempt_id> acknowledged;
 };
 
@@ -57,11 +64,19 @@
 struct attempt_report {
   attempt_id attempt;
   attempt_state state = attempt_state::kRunning;
+  /// What a stopped attempt saved; empty for none.
+  std::string checkpoint;
 };
 
-/// All attempts that a worker knows: those that run and those that ended and
-/// were not acknowledged yet.
-struct inventory {
+/// A worker's answer to a sync.
+struct sync_report {
+  /// Identifies the process run of the agent.
+  std::string incarnation;
+  /// Whether this names every attempt that the worker knows (those that run
+  /// and those that ended and were not acknowledged), or only the changes
+  /// after the position in the command.
+  bool full = false;
+  std::uint64_t position = 0;
   std::vector<attempt_report> attempts;
 };
 
--- a/src/workers/internal/agent_codec.cc
+++ b/src/workers/internal/agent_codec.cc
@@ -19,100 +19,139 @@
           static_cast<std::int32_t>(http::IntegerOf(encoded, "attempt"))};
 }
 
-http::json_array EncodeAttempts(const std::vector<attempt_id>& attempts) {
+/// Leaves empty lists out: most syncs carry nothing.
+template <class Item, class Encode>
+void SetList(const std::string& key,
+             const std::vector<Item>& items,
+             const Encode& encode,
+             json_object& target) {
+  if (items.empty())
+    return;
   http::json_array encoded = new Poco::JSON::Array;
-  for (const attempt_id& attempt : attempts) {
-    json_object item = NewObject();
-    SetAttempt(attempt, item);
-    encoded->add(item);
-  }
-  return encoded;
+  for (const Item& item : items)
+    encoded->add(encode(item));
+  target->set(key, encoded);
 }
 
-std::vector<attempt_id> DecodeAttempts(const http::json_array& encoded) {
-  std::vector<attempt_id> attempts;
-  for (unsigned i = 0; i < encoded->size(); ++i)
-    attempts.push_back(AttemptOf(encoded->getObject(i)));
-  return attempts;
+template <class Item, class Decode>
+std::vector<Item> ListOf(const json_object& encoded,
+                         const std::string& key,
+                         const Decode& decode) {
+  std::vector<Item> items;
+  const http::json_array list = http::ArrayOf(encoded, key);
+  for (unsigned i = 0; i < list->size(); ++i) {
+    if (list->isObject(i))
+      items.push_back(decode(list->getObject(i)));
+  }
+  return items;
 }
 
-std::uint64_t EpochOf(const json_object& encoded) {
-  return static_cast<std::uint64_t>(http::IntegerOf(encoded, "epoch"));
+json_object EncodeAttempt(const attempt_id& attempt) {
+  json_object encoded = NewObject();
+  SetAttempt(attempt, encoded);
+  return encoded;
 }
 
-std::chrono::milliseconds DurationOf(const json_object& encoded,
-                                     const std::string& key) {
-  return std::chrono::milliseconds(http::IntegerOf(encoded, key));
+void SetText(const std::string& key,
+             const std::string& value,
+             json_object& target) {
+  if (!value.empty())
+    target->set(key, value);
 }
 
-}  // namespace
-
 json_object EncodeStart(const start_command& command) {
-  json_object encoded = NewObject();
-  encoded->set("epoch", command.epoch);
-  SetAttempt(command.attempt, encoded);
+  json_object encoded = EncodeAttempt(command.attempt);
   encoded->set("template", command.template_name);
   encoded->set("processors_milli", command.demand.processors_milli);
   encoded->set("memory_mib", command.demand.memory_mib);
-  encoded->set("accelerators", command.demand.accelerators);
+  if (command.demand.accelerators != 0)
+    encoded->set("accelerators", command.demand.accelerators);
   encoded->set("run_time_ms",
                static_cast<Poco::Int64>(command.run_time.count()));
-  encoded->set("lease_ms", static_cast<Poco::Int64>(command.lease.count()));
+  SetText("checkpoint", command.checkpoint, encoded);
   return encoded;
 }
 
 start_command DecodeStart(const json_object& encoded) {
-  return {EpochOf(encoded),
-          AttemptOf(encoded),
-          http::StringOf(encoded, "template"),
-          {http::IntegerOf(encoded, "processors_milli"),
-           http::IntegerOf(encoded, "memory_mib"),
-           http::IntegerOf(encoded, "accelerators")},
-          DurationOf(encoded, "run_time_ms"),
-          DurationOf(encoded, "lease_ms")};
+  return {
+      AttemptOf(encoded),
+      http::StringOf(encoded, "template"),
+      {http::IntegerOf(encoded, "processors_milli"),
+       http::IntegerOf(encoded, "memory_mib"),
+       http::IntegerOf(encoded, "accelerators")},
+      std::chrono::milliseconds(http::IntegerOf(encoded, "run_time_ms")),
+      http::StringOf(encoded, "checkpoint")};
 }
 
 json_object EncodeStop(const stop_command& command) {
-  json_object encoded = NewObject();
-  encoded->set("epoch", command.epoch);
-  SetAttempt(command.attempt, encoded);
+  json_object encoded = EncodeAttempt(command.attempt);
+  if (command.save)
+    encoded->set("save", true);
   return encoded;
 }
 
 stop_command DecodeStop(const json_object& encoded) {
-  return {EpochOf(encoded), AttemptOf(encoded)};
+  return {AttemptOf(encoded), http::BooleanOf(encoded, "save")};
+}
+
+json_object EncodeAttemptReport(const attempt_report& report) {
+  json_object encoded = EncodeAttempt(report.attempt);
+  encoded->set("state", std::string(AttemptStateName(report.state)));
+  SetText("checkpoint", report.checkpoint, encoded);
+  return encoded;
 }
 
+std::uint64_t NumberOf(const json_object& encoded, const std::string& key) {
+  return static_cast<std::uint64_t>(http::IntegerOf(encoded, key));
+}
+
+}  // namespace
+
 json_object EncodeSync(const sync_command& command) {
   json_object encoded = NewObject();
-  encoded->set("epoch", command.epoch);
-  encoded->set("lease_ms", static_cast<Poco::Int64>(command.lease.count()));
-  encoded->set("keep", EncodeAttempts(command.keep));
-  encoded->set("acknowledged", EncodeAttempts(command.acknowledged));
+  encoded->set("epoch", command.order.epoch);
+  encoded->set("number", command.order.number);
+  encoded->set("answered", command.order.answered);
+  SetText("incarnation", command.order.incarnation, encoded);
+  encoded->set("term_ms", static_cast<Poco::Int64>(command.term.count()));
+  encoded->set("position", command.position);
+  SetList("starts", command.starts, EncodeStart, encoded);
+  SetList("stops", command.stops, EncodeStop, encoded);
+  SetList("acknowledged", command.acknowledged, EncodeAttempt, encoded);
   return encoded;
 }
 
 sync_command DecodeSync(const json_object& encoded) {
-  return {EpochOf(encoded), DurationOf(encoded, "lease_ms"),
-          DecodeAttempts(http::ArrayOf(encoded, "keep")),
-          DecodeAttempts(http::ArrayOf(encoded, "acknowledged"))};
-}
-
-json_object EncodeInventory(const inventory& known) {
-  http::json_array attempts = new Poco::JSON::Array;
-  for (const attempt_report& report : known.attempts) {
-    json_object item = NewObject();
-    SetAttempt(report.attempt, item);
-    item->set("state", std::string(AttemptStateName(report.state)));
-    attempts->add(item);
-  }
+  return {{NumberOf(encoded, "epoch"), NumberOf(encoded, "number"),
+           NumberOf(encoded, "answered"),
+           http::StringOf(encoded, "incarnation")},
+          std::chrono::milliseconds(http::IntegerOf(encoded, "term_ms")),
+          NumberOf(encoded, "position"),
+          ListOf<start_command>(encoded, "starts", DecodeStart),
+          ListOf<stop_command>(encoded, "stops", DecodeStop),
+          ListOf<attempt_id>(encoded, "acknowledged", AttemptOf)};
+}
+
+json_object EncodeReport(const sync_report& report) {
   json_object encoded = NewObject();
-  encoded->set("attempts", attempts);
+  encoded->set("incarnation", report.incarnation);
+  if (report.full)
+    encoded->set("full", true);
+  encoded->set("position", report.position);
+  SetList("attempts", report.attempts, EncodeAttemptReport, encoded);
   return encoded;
 }
 
-base::result<inventory> DecodeInventory(const json_object& encoded) {
-  inventory known;
+base::result<sync_report> DecodeReport(const json_object& encoded) {
+  sync_report report;
+  report.incarnation = http::StringOf(encoded, "incarnation");
+  if (report.incarnation.empty()) {
+    return base::error{base::error_kind::kInvalidArgument,
+                       "a worker's report names no incarnation",
+                       "check the version of its agent"};
+  }
+  report.full = http::BooleanOf(encoded, "full");
+  report.position = NumberOf(encoded, "position");
   const http::json_array attempts = http::ArrayOf(encoded, "attempts");
   for (unsigned i = 0; i < attempts->size(); ++i) {
     const json_object item = attempts->getObject(i);
@@ -123,9 +162,10 @@
                          "a worker reports the unknown state \"" + name + "\"",
                          "check the version of its agent"};
     }
-    known.attempts.push_back({AttemptOf(item), *state});
+    report.attempts.push_back(
+        {AttemptOf(item), *state, http::StringOf(item, "checkpoint")});
   }
-  return known;
+  return report;
 }
 
 }  // namespace chivecrank::workers
--- a/tests/standin_worker/main.cc
+++ b/tests/standin_worker/main.cc
@@ -1,3 +1,4 @@
+#include <Poco/UUIDGenerator.h>
 #include <absl/flags/flag.h>
 #include <glog/logging.h>
 
@@ -18,6 +19,19 @@
 ABSL_FLAG(std::int64_t, memory_mib, 60'000, "memory in MiB");
 ABSL_FLAG(std::int64_t, accelerators, 0, "accelerators");
 
+namespace {
+
+constexpr std::size_t kIncarnationDigits = 8;
+
+std::string NewIncarnation() {
+  return Poco::UUIDGenerator::defaultGenerator()
+      .createRandom()
+      .toString()
+      .substr(0, kIncarnationDigits);
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using namespace chivecrank;
   process::Initialize("standin_worker",
@@ -31,7 +45,8 @@
       absl::GetFlag(FLAGS_slots));
   standin::task_agent agent(clock, {absl::GetFlag(FLAGS_processors_milli),
                                     absl::GetFlag(FLAGS_memory_mib),
-                                    absl::GetFlag(FLAGS_accelerators)});
+                                    absl::GetFlag(FLAGS_accelerators)},
+                            NewIncarnation());
   http::server service_server(
       {host, absl::GetFlag(FLAGS_service_port)}, {},
       [&](const http::request& message) { return service.Answer(message); });
--- a/tests/standin_worker/task_agent.cc
+++ b/tests/standin_worker/task_agent.cc
@@ -15,8 +15,10 @@
 
 }  // namespace
 
-task_agent::task_agent(base::clock& clock, platform::resources capacity)
-    : clock_(clock), capacity_(capacity) {}
+task_agent::task_agent(base::clock& clock,
+                       platform::resources capacity,
+                       std::string incarnation)
+    : clock_(clock), capacity_(capacity), fence_(std::move(incarnation)) {}
 
 http::response task_agent::Answer(const http::request& message) {
   const auto body =
@@ -35,10 +37,6 @@
 task_agent::answer task_agent::Route(const http::request& message,
                                      const json_object& body) {
   const std::string_view path = message.Path();
-  if (path == "/v1/tasks/start")
-    return Start(workers::DecodeStart(body));
-  if (path == "/v1/tasks/stop")
-    return Stop(workers::DecodeStop(body));
   if (path == "/v1/tasks/sync")
     return Sync(workers::DecodeSync(body));
   if (path == "/control/account")
@@ -49,22 +47,76 @@
                      "see docs/WIRE.md"};
 }
 
-task_agent::answer task_agent::Start(const workers::start_command& command) {
-  BOOST_OUTCOME_TRY(CheckEpoch(command.epoch));
+task_agent::answer task_agent::Sync(const workers::sync_command& command) {
+  const protocol::sync_verdict verdict =
+      fence_.OnSync(command.order, clock_.Now(), command.term);
+  if (verdict == protocol::sync_verdict::kFenced) {
+    return base::error{base::error_kind::kFenced,
+                       "a newer epoch leads this worker",
+                       "stop acting for this shard"};
+  }
+  if (verdict == protocol::sync_verdict::kStale) {
+    return base::error{base::error_kind::kConflict,
+                       "a later sync has come already", "send the next one"};
+  }
+  for (const workers::attempt_id& ended : command.acknowledged)
+    Forget(ended);
+  for (const workers::stop_command& stop : command.stops)
+    Stop(stop);
+  if (verdict == protocol::sync_verdict::kRenewed) {
+    for (const workers::start_command& start : command.starts)
+      Start(start);
+  }
+  const bool same_run = command.order.incarnation == fence_.incarnation();
+  return workers::EncodeReport(Report(same_run ? command.position : 0));
+}
+
+workers::sync_report task_agent::Report(std::uint64_t known_position) const {
+  workers::sync_report report;
+  report.incarnation = fence_.incarnation();
+  report.full = known_position == 0;
+  report.position = position_;
+  for (const auto& [id, task] : tasks_) {
+    if (task.changed > known_position)
+      report.attempts.push_back(
+          {task.command.attempt, task.state, task.checkpoint});
+  }
+  return report;
+}
+
+void task_agent::Forget(const workers::attempt_id& ended) {
+  const auto known = tasks_.find(ended.task_id);
+  if (known != tasks_.end() && known->second.command.attempt == ended &&
+      known->second.state != workers::attempt_state::kRunning) {
+    tasks_.erase(known);
+  }
+}
+
+void task_agent::Start(const workers::start_command& command) {
   const auto known = tasks_.find(command.attempt.task_id);
   if (known != tasks_.end() &&
       known->second.command.attempt.attempt >= command.attempt.attempt) {
-    return NewObject();
+    return;
   }
   const base::time_point now = clock_.Now();
-  tasks_[command.attempt.task_id] = {command, workers::attempt_state::kRunning,
-                                     now + command.run_time,
-                                     now + command.lease};
+  const std::chrono::milliseconds done_before(
+      command.checkpoint.empty() ? 0 : std::stoll(command.checkpoint));
+  tasks_[command.attempt.task_id] = {command,
+                                     workers::attempt_state::kRunning,
+                                     now + command.run_time - done_before,
+                                     done_before,
+                                     now,
+                                     ++position_,
+                                     ""};
   records_.push_back({command.attempt,
                       std::chrono::duration_cast<std::chrono::milliseconds>(
                           clock_.WallNow().time_since_epoch())
                           .count(),
                       0, workers::attempt_state::kRunning});
+  NoteUse();
+}
+
+void task_agent::NoteUse() {
   platform::resources use;
   for (const auto& [id, task] : tasks_) {
     if (task.state != workers::attempt_state::kRunning)
@@ -76,38 +128,22 @@
   highest_use_ = {std::max(highest_use_.processors_milli, use.processors_milli),
                   std::max(highest_use_.memory_mib, use.memory_mib),
                   std::max(highest_use_.accelerators, use.accelerators)};
-  return NewObject();
 }
 
-task_agent::answer task_agent::Stop(const workers::stop_command& command) {
-  BOOST_OUTCOME_TRY(CheckEpoch(command.epoch));
+void task_agent::Stop(const workers::stop_command& command) {
   const auto known = tasks_.find(command.attempt.task_id);
-  if (known != tasks_.end() &&
-      known->second.command.attempt == command.attempt) {
-    End(known->first, known->second, workers::attempt_state::kStopped,
-        clock_.Now());
-  }
-  return NewObject();
-}
-
-task_agent::answer task_agent::Sync(const workers::sync_command& command) {
-  BOOST_OUTCOME_TRY(CheckEpoch(command.epoch));
-  for (const workers::attempt_id& ended : command.acknowledged) {
-    const auto known = tasks_.find(ended.task_id);
-    if (known != tasks_.end() && known->second.command.attempt == ended &&
-        known->second.state != workers::attempt_state::kRunning) {
-      tasks_.erase(known);
-    }
+  if (known == tasks_.end() ||
+      known->second.command.attempt != command.attempt ||
+      known->second.state != workers::attempt_state::kRunning) {
+    return;
   }
-  for (const workers::attempt_id& kept : command.keep) {
-    const auto known = tasks_.find(kept.task_id);
-    if (known != tasks_.end() && known->second.command.attempt == kept)
-      known->second.lease_ends = clock_.Now() + command.lease;
+  running_task& task = known->second;
+  if (command.save) {
+    const auto worked = std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock_.Now() - task.started);
+    task.checkpoint = std::to_string((task.done_before + worked).count());
   }
-  workers::inventory all;
-  for (const auto& [id, task] : tasks_)
-    all.attempts.push_back({task.command.attempt, task.state});
-  return workers::EncodeInventory(all);
+  End(known->first, task, workers::attempt_state::kStopped, clock_.Now());
 }
 
 task_agent::answer task_agent::Freeze() {
@@ -138,25 +174,15 @@
   return account;
 }
 
-base::result<void> task_agent::CheckEpoch(std::uint64_t epoch) {
-  if (epoch < epoch_) {
-    return base::error{base::error_kind::kFenced,
-                       "a newer epoch leads this worker",
-                       "stop acting for this shard"};
-  }
-  epoch_ = epoch;
-  return base::Success();
-}
-
 void task_agent::Elapse() {
   const base::time_point now = clock_.Now();
   for (auto& [id, task] : tasks_) {
     if (task.state != workers::attempt_state::kRunning)
       continue;
-    const base::time_point over = std::min(task.ends, task.lease_ends);
+    const base::time_point over = std::min(task.ends, fence_.lease_ends());
     if (now < over)
       continue;
-    const bool done = task.ends <= task.lease_ends;
+    const bool done = task.ends <= fence_.lease_ends();
     End(id, task,
         done ? workers::attempt_state::kDone : workers::attempt_state::kStopped,
         over);
@@ -170,6 +196,7 @@
   if (task.state != workers::attempt_state::kRunning)
     return;
   task.state = state;
+  task.changed = ++position_;
   const auto ago =
       std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - at);
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/tests/standin_worker/task_agent.h
+++ b/tests/standin_worker/task_agent.h
@@ -10,6 +10,7 @@
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/http/json.h"
+#include "chivecrank/protocol/worker_fence.h"
 #include "chivecrank/workers/types.h"
 
 namespace chivecrank::standin {
@@ -18,7 +19,10 @@
 /// when, which tests compare across workers.
 class task_agent {
  public:
-  task_agent(base::clock& clock, platform::resources capacity);
+  /// `incarnation` identifies this process run.
+  task_agent(base::clock& clock,
+             platform::resources capacity,
+             std::string incarnation);
 
   /// Safe to call from several threads.
   http::response Answer(const http::request& message);
@@ -28,7 +32,12 @@
     workers::start_command command;
     workers::attempt_state state = workers::attempt_state::kRunning;
     base::time_point ends;
-    base::time_point lease_ends;
+    /// Work done by earlier attempts, as their checkpoint says.
+    std::chrono::milliseconds done_before{0};
+    base::time_point started;
+    /// Position of the last change, for reports of changes only.
+    std::uint64_t changed = 0;
+    std::string checkpoint;
   };
 
   /// One run of an attempt, in wall time, for the account.
@@ -42,14 +51,16 @@
   using answer = base::result<http::json_object>;
 
   answer Route(const http::request& message, const http::json_object& body);
-  answer Start(const workers::start_command& command);
-  answer Stop(const workers::stop_command& command);
   answer Sync(const workers::sync_command& command);
+  void Start(const workers::start_command& command);
+  void Stop(const workers::stop_command& command);
+  void Forget(const workers::attempt_id& ended);
+  workers::sync_report Report(std::uint64_t known_position) const;
+  void NoteUse();
   answer Account() const;
   /// Ends every task and answers nothing more, so that the returned account is
   /// the last word of a worker that a test is about to kill.
   answer Freeze();
-  base::result<void> CheckEpoch(std::uint64_t epoch);
   void Elapse();
   void End(const std::string& task_id,
            running_task& task,
@@ -61,7 +72,8 @@
   std::mutex mutex_;
   std::condition_variable thawed_;
   bool frozen_ = false;
-  std::uint64_t epoch_ = 0;
+  protocol::worker_fence fence_;
+  std::uint64_t position_ = 0;
   std::map<std::string, running_task> tasks_;
   std::vector<run_record> records_;
   platform::resources highest_use_;
