One transition table for the whole life of a task

Cause: tasks knew five states; throttled, evicted and resumed work had no place, and what a worker is committed to was summed over all tasks at each decision. Older records still read: unset members take the values they had before. The commitment of a worker and the set of waiting tasks follow each event. Conclusion: the life of a task can be read in one file.

--- a/src/scheduling/include/chivecrank/scheduling/placement.h
+++ b/src/scheduling/include/chivecrank/scheduling/placement.h
@@ -8,11 +8,6 @@
 
 namespace chivecrank::scheduling {
 
-/// Whether `demand` fits into `capacity` beside `committed`.
-bool Fits(const platform::resources& demand,
-          const platform::resources& committed,
-          const platform::resources& capacity);
-
 /// The attempts to start now. Urgent tasks come first; no worker is committed
 /// beyond its capacity.
 std::vector<attempt_started> PlanStarts(
--- a/src/scheduling/include/chivecrank/scheduling/shard_state.h
+++ b/src/scheduling/include/chivecrank/scheduling/shard_state.h
@@ -2,14 +2,18 @@
 #define CHIVECRANK_SCHEDULING_SHARD_STATE_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/scheduling/transitions.h"
 #include "chivecrank/scheduling/types.h"
 
 namespace chivecrank::scheduling {
 
-/// The tasks of one shard, built from the events of its journal.
+/// The tasks of one shard, built from the events of its journal. What workers
+/// are committed to and which tasks wait is kept up to date with each event,
+/// so that reading it costs nothing that grows with the shard.
 class shard_state {
  public:
   /// Applies a recorded event. kCorrupt when it can't follow the state.
@@ -21,16 +25,40 @@
   /// All tasks by identifier.
   const std::map<std::string, task>& tasks() const { return tasks_; }
 
-  /// What the unfinished attempts on a worker have been promised.
+  /// Identifiers of the tasks that wait for an attempt.
+  const std::set<std::string>& waiting() const { return waiting_; }
+
+  /// What the open attempts on a worker have been promised. An attempt stays
+  /// open until its end is recorded, whatever state its task is in.
   platform::resources CommittedOn(const std::string& worker_id) const;
 
+  /// Identifiers of the tasks with an open attempt on a worker.
+  const std::set<std::string>& OpenOn(const std::string& worker_id) const;
+
  private:
+  struct worker_use {
+    platform::resources committed;
+    std::set<std::string> open;
+  };
+
   base::result<void> Apply(const task_accepted& recorded);
   base::result<void> Apply(const attempt_started& recorded);
+  base::result<void> Apply(const attempt_confirmed& recorded);
+  base::result<void> Apply(const attempt_throttled& recorded);
+  base::result<void> Apply(const checkpoint_ordered& recorded);
   base::result<void> Apply(const attempt_ended& recorded);
+  base::result<void> Apply(const task_parked& recorded);
+  base::result<void> Apply(const task_released& recorded);
   base::result<void> Apply(const task_cancelled& recorded);
 
+  task* FindAttempt(const std::string& task_id, std::int32_t attempt);
+  bool Move(task& moved, task_trigger trigger);
+  void OpenAttempt(task& started, const attempt_started& recorded);
+  void CloseAttempt(task& ended);
+
   std::map<std::string, task> tasks_;
+  std::set<std::string> waiting_;
+  std::map<std::string, worker_use> workers_;
 };
 
 }  // namespace chivecrank::scheduling
--- a/src/scheduling/internal/event_codec.cc
+++ b/src/scheduling/internal/event_codec.cc
@@ -12,11 +12,16 @@
 constexpr char kAccepted[] = "task_accepted";
 constexpr char kStarted[] = "attempt_started";
 constexpr char kEnded[] = "attempt_ended";
+constexpr char kConfirmed[] = "attempt_confirmed";
+constexpr char kThrottled[] = "attempt_throttled";
+constexpr char kCheckpoint[] = "checkpoint_ordered";
+constexpr char kParked[] = "task_parked";
+constexpr char kReleased[] = "task_released";
 constexpr char kCancelled[] = "task_cancelled";
 
 constexpr std::array kOutcomes = {
     attempt_outcome::kDone, attempt_outcome::kFailed, attempt_outcome::kLost,
-    attempt_outcome::kStopped};
+    attempt_outcome::kStopped, attempt_outcome::kCrashed};
 
 base::error Corrupt(const std::string& detail) {
   return {base::error_kind::kCorrupt, "a journal event " + detail,
@@ -29,58 +34,122 @@
   return encoded;
 }
 
+Poco::Int64 MillisecondsOf(base::wall_time time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+json_object NewObject(const char* kind, const std::string& task_id) {
+  json_object encoded = NewObject(kind);
+  encoded->set("task", task_id);
+  return encoded;
+}
+
+json_object NewObject(const char* kind,
+                      const std::string& task_id,
+                      std::int32_t attempt) {
+  json_object encoded = NewObject(kind, task_id);
+  encoded->set("attempt", attempt);
+  return encoded;
+}
+
+void SetResources(json_object& encoded, const platform::resources& of) {
+  encoded->set("processors_milli", of.processors_milli);
+  encoded->set("memory_mib", of.memory_mib);
+  encoded->set("accelerators", of.accelerators);
+}
+
+platform::resources ResourcesOf(const json_object& encoded) {
+  return {http::IntegerOf(encoded, "processors_milli"),
+          http::IntegerOf(encoded, "memory_mib"),
+          http::IntegerOf(encoded, "accelerators")};
+}
+
 json_object Encode(const task_accepted& recorded) {
   const task_request& request = recorded.request;
-  json_object encoded = NewObject(kAccepted);
-  encoded->set("task", request.id);
+  json_object encoded = NewObject(kAccepted, request.id);
   encoded->set("account", request.account);
   encoded->set("team", request.team);
   encoded->set("template", request.template_name);
-  encoded->set("processors_milli", request.demand.processors_milli);
-  encoded->set("memory_mib", request.demand.memory_mib);
-  encoded->set("accelerators", request.demand.accelerators);
+  SetResources(encoded, request.demand);
   encoded->set("run_time_ms",
                static_cast<Poco::Int64>(request.run_time.count()));
   encoded->set("urgent", request.urgent);
   encoded->set("attempt_limit", request.attempt_limit);
+  encoded->set("service", request.kind == task_kind::kService);
+  encoded->set("checkpoints", request.checkpoints);
+  encoded->set("due_ms", MillisecondsOf(request.due));
+  if (!request.gang.empty()) {
+    encoded->set("gang", request.gang);
+    encoded->set("gang_size", request.gang_size);
+  }
   return encoded;
 }
 
 json_object Encode(const attempt_started& recorded) {
-  json_object encoded = NewObject(kStarted);
-  encoded->set("task", recorded.task_id);
-  encoded->set("attempt", recorded.attempt);
+  json_object encoded = NewObject(kStarted, recorded.task_id, recorded.attempt);
   encoded->set("worker", recorded.worker_id);
+  if (recorded.granted)
+    SetResources(encoded, *recorded.granted);
+  return encoded;
+}
+
+json_object Encode(const attempt_confirmed& recorded) {
+  return NewObject(kConfirmed, recorded.task_id, recorded.attempt);
+}
+
+json_object Encode(const attempt_throttled& recorded) {
+  json_object encoded =
+      NewObject(kThrottled, recorded.task_id, recorded.attempt);
+  encoded->set("throttled", recorded.throttled);
   return encoded;
 }
 
+json_object Encode(const checkpoint_ordered& recorded) {
+  return NewObject(kCheckpoint, recorded.task_id, recorded.attempt);
+}
+
 json_object Encode(const attempt_ended& recorded) {
-  json_object encoded = NewObject(kEnded);
-  encoded->set("task", recorded.task_id);
-  encoded->set("attempt", recorded.attempt);
+  json_object encoded = NewObject(kEnded, recorded.task_id, recorded.attempt);
   encoded->set("outcome", std::string(AttemptOutcomeName(recorded.outcome)));
+  if (recorded.saved.count() > 0)
+    encoded->set("saved_ms", static_cast<Poco::Int64>(recorded.saved.count()));
   return encoded;
 }
 
-json_object Encode(const task_cancelled& recorded) {
-  json_object encoded = NewObject(kCancelled);
-  encoded->set("task", recorded.task_id);
+json_object Encode(const task_parked& recorded) {
+  json_object encoded = NewObject(kParked, recorded.task_id);
+  encoded->set("reason", recorded.reason);
   return encoded;
 }
 
+json_object Encode(const task_released& recorded) {
+  return NewObject(kReleased, recorded.task_id);
+}
+
+json_object Encode(const task_cancelled& recorded) {
+  return NewObject(kCancelled, recorded.task_id);
+}
+
 task_accepted DecodeAccepted(const json_object& encoded) {
   task_request request;
   request.id = http::StringOf(encoded, "task");
   request.account = http::StringOf(encoded, "account");
   request.team = http::StringOf(encoded, "team");
   request.template_name = http::StringOf(encoded, "template");
-  request.demand = {http::IntegerOf(encoded, "processors_milli"),
-                    http::IntegerOf(encoded, "memory_mib"),
-                    http::IntegerOf(encoded, "accelerators")};
+  request.demand = ResourcesOf(encoded);
   request.run_time =
       std::chrono::milliseconds(http::IntegerOf(encoded, "run_time_ms"));
   request.urgent = http::BooleanOf(encoded, "urgent");
   request.attempt_limit = http::IntegerOf(encoded, "attempt_limit", 1);
+  if (http::BooleanOf(encoded, "service"))
+    request.kind = task_kind::kService;
+  request.checkpoints = http::BooleanOf(encoded, "checkpoints");
+  request.due = base::wall_time(
+      std::chrono::milliseconds(http::IntegerOf(encoded, "due_ms")));
+  request.gang = http::StringOf(encoded, "gang");
+  request.gang_size = http::IntegerOf(encoded, "gang_size", 1);
   return {request};
 }
 
@@ -88,12 +157,21 @@
   return static_cast<std::int32_t>(http::IntegerOf(encoded, "attempt"));
 }
 
+attempt_started DecodeStarted(const json_object& encoded) {
+  attempt_started started{http::StringOf(encoded, "task"), AttemptOf(encoded),
+                          http::StringOf(encoded, "worker")};
+  if (encoded->has("processors_milli"))
+    started.granted = ResourcesOf(encoded);
+  return started;
+}
+
 base::result<event> DecodeEnded(const json_object& encoded) {
   const std::string name = http::StringOf(encoded, "outcome");
   for (const attempt_outcome outcome : kOutcomes) {
     if (AttemptOutcomeName(outcome) == name) {
-      return event(attempt_ended{http::StringOf(encoded, "task"),
-                                 AttemptOf(encoded), outcome});
+      return event(attempt_ended{
+          http::StringOf(encoded, "task"), AttemptOf(encoded), outcome,
+          std::chrono::milliseconds(http::IntegerOf(encoded, "saved_ms"))});
     }
   }
   return Corrupt("has the unknown outcome \"" + name + "\"");
@@ -107,19 +185,29 @@
 
 base::result<event> DecodeEvent(const json_object& encoded) {
   const std::string kind = http::StringOf(encoded, kKind);
-  if (http::StringOf(encoded, "task").empty())
+  const std::string task_id = http::StringOf(encoded, "task");
+  if (task_id.empty())
     return Corrupt("of kind \"" + kind + "\" names no task");
   if (kind == kAccepted)
     return event(DecodeAccepted(encoded));
-  if (kind == kStarted) {
-    return event(attempt_started{http::StringOf(encoded, "task"),
-                                 AttemptOf(encoded),
-                                 http::StringOf(encoded, "worker")});
+  if (kind == kStarted)
+    return event(DecodeStarted(encoded));
+  if (kind == kConfirmed)
+    return event(attempt_confirmed{task_id, AttemptOf(encoded)});
+  if (kind == kThrottled) {
+    return event(attempt_throttled{task_id, AttemptOf(encoded),
+                                   http::BooleanOf(encoded, "throttled")});
   }
+  if (kind == kCheckpoint)
+    return event(checkpoint_ordered{task_id, AttemptOf(encoded)});
   if (kind == kEnded)
     return DecodeEnded(encoded);
+  if (kind == kParked)
+    return event(task_parked{task_id, http::StringOf(encoded, "reason")});
+  if (kind == kReleased)
+    return event(task_released{task_id});
   if (kind == kCancelled)
-    return event(task_cancelled{http::StringOf(encoded, "task")});
+    return event(task_cancelled{task_id});
   return Corrupt("has the unknown kind \"" + kind + "\"");
 }
 
--- a/src/scheduling/internal/placement.cc
+++ b/src/scheduling/internal/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chivecrank/scheduling/resources.h"
+
 namespace chivecrank::scheduling {
 namespace {
 
@@ -21,10 +23,8 @@
 
 std::vector<const task*> PendingByUrgency(const shard_state& state) {
   std::vector<const task*> pending;
-  for (const auto& [id, known] : state.tasks()) {
-    if (known.state == task_state::kPending)
-      pending.push_back(&known);
-  }
+  for (const std::string& id : state.waiting())
+    pending.push_back(state.Find(id));
   std::stable_sort(pending.begin(), pending.end(),
                    [](const task* left, const task* right) {
                      return left->request.urgent && !right->request.urgent;
@@ -46,23 +46,8 @@
   return best;
 }
 
-void Commit(const platform::resources& demand, platform::resources& committed) {
-  committed.processors_milli += demand.processors_milli;
-  committed.memory_mib += demand.memory_mib;
-  committed.accelerators += demand.accelerators;
-}
-
 }  // namespace
 
-bool Fits(const platform::resources& demand,
-          const platform::resources& committed,
-          const platform::resources& capacity) {
-  return committed.processors_milli + demand.processors_milli <=
-             capacity.processors_milli &&
-         committed.memory_mib + demand.memory_mib <= capacity.memory_mib &&
-         committed.accelerators + demand.accelerators <= capacity.accelerators;
-}
-
 std::vector<attempt_started> PlanStarts(
     const shard_state& state,
     const std::vector<worker_view>& workers) {
@@ -72,7 +57,7 @@
     candidate* chosen = LeastCommitted(candidates, pending->request.demand);
     if (chosen == nullptr)
       continue;
-    Commit(pending->request.demand, chosen->committed);
+    chosen->committed = Plus(chosen->committed, pending->request.demand);
     starts.push_back(
         {pending->request.id, pending->attempt + 1, chosen->worker->id});
   }
--- a/src/scheduling/internal/shard_state.cc
+++ b/src/scheduling/internal/shard_state.cc
@@ -1,5 +1,9 @@
 #include "chivecrank/scheduling/shard_state.h"
 
+#include <algorithm>
+
+#include "chivecrank/scheduling/resources.h"
+
 namespace chivecrank::scheduling {
 namespace {
 
@@ -9,16 +13,23 @@
           "inspect the shard's journal; it was written out of order"};
 }
 
-task_state StateAfter(const task& ended, attempt_outcome outcome) {
-  if (ended.state == task_state::kCancelled)
-    return task_state::kCancelled;
+task_trigger TriggerOf(const task& ended, attempt_outcome outcome) {
   if (outcome == attempt_outcome::kDone)
-    return task_state::kDone;
+    return task_trigger::kFinish;
   if (outcome == attempt_outcome::kFailed &&
       ended.failures >= ended.request.attempt_limit) {
-    return task_state::kFailed;
+    return task_trigger::kExhaust;
   }
-  return task_state::kPending;
+  return ended.saved.count() > 0 ? task_trigger::kEvict
+                                 : task_trigger::kRequeue;
+}
+
+void CountFailure(task& failed) {
+  ++failed.failures;
+  const auto begin = failed.failed_on.begin();
+  const auto end = failed.failed_on.end();
+  if (std::find(begin, end, failed.worker_id) == end)
+    failed.failed_on.push_back(failed.worker_id);
 }
 
 }  // namespace
@@ -29,45 +40,85 @@
 }
 
 base::result<void> shard_state::Apply(const task_accepted& recorded) {
-  const bool added =
-      tasks_.try_emplace(recorded.request.id, task{recorded.request}).second;
+  const std::string& id = recorded.request.id;
+  const bool added = tasks_.try_emplace(id, task{recorded.request}).second;
   if (!added)
-    return Impossible(recorded.request.id, "accepted again");
+    return Impossible(id, "accepted again");
+  waiting_.insert(id);
   return base::Success();
 }
 
 base::result<void> shard_state::Apply(const attempt_started& recorded) {
-  const auto found = tasks_.find(recorded.task_id);
-  if (found == tasks_.end())
-    return Impossible(recorded.task_id, "started");
-  task& started = found->second;
-  if (started.state != task_state::kPending ||
-      recorded.attempt != started.attempt + 1) {
+  task* started = FindAttempt(recorded.task_id, recorded.attempt - 1);
+  if (started == nullptr || !Move(*started, task_trigger::kStart))
     return Impossible(recorded.task_id, "started");
-  }
-  started.state = task_state::kRunning;
-  started.attempt = recorded.attempt;
-  started.worker_id = recorded.worker_id;
+  OpenAttempt(*started, recorded);
+  return base::Success();
+}
+
+base::result<void> shard_state::Apply(const attempt_confirmed& recorded) {
+  task* confirmed = FindAttempt(recorded.task_id, recorded.attempt);
+  if (confirmed == nullptr || !Move(*confirmed, task_trigger::kConfirm))
+    return Impossible(recorded.task_id, "confirmed");
+  return base::Success();
+}
+
+base::result<void> shard_state::Apply(const attempt_throttled& recorded) {
+  task* throttled = FindAttempt(recorded.task_id, recorded.attempt);
+  const task_trigger trigger =
+      recorded.throttled ? task_trigger::kThrottle : task_trigger::kUnthrottle;
+  if (throttled == nullptr || !Move(*throttled, trigger))
+    return Impossible(recorded.task_id, "throttled");
+  return base::Success();
+}
+
+base::result<void> shard_state::Apply(const checkpoint_ordered& recorded) {
+  task* stopping = FindAttempt(recorded.task_id, recorded.attempt);
+  if (stopping == nullptr || !Move(*stopping, task_trigger::kCheckpoint))
+    return Impossible(recorded.task_id, "checkpointed");
+  ++stopping->evictions;
   return base::Success();
 }
 
 base::result<void> shard_state::Apply(const attempt_ended& recorded) {
-  const auto found = tasks_.find(recorded.task_id);
-  if (found == tasks_.end() || found->second.attempt != recorded.attempt)
+  task* ended = FindAttempt(recorded.task_id, recorded.attempt);
+  if (ended == nullptr || ended->worker_id.empty())
     return Impossible(recorded.task_id, "ended");
-  task& ended = found->second;
-  if (recorded.outcome == attempt_outcome::kFailed)
-    ++ended.failures;
-  ended.state = StateAfter(ended, recorded.outcome);
-  ended.worker_id.clear();
+  if (recorded.outcome == attempt_outcome::kFailed ||
+      recorded.outcome == attempt_outcome::kCrashed) {
+    CountFailure(*ended);
+  }
+  ended->saved = std::max(ended->saved, recorded.saved);
+  CloseAttempt(*ended);
+  if (IsFinal(ended->state))
+    return base::Success();
+  if (!Move(*ended, TriggerOf(*ended, recorded.outcome)))
+    return Impossible(recorded.task_id, "ended");
+  return base::Success();
+}
+
+base::result<void> shard_state::Apply(const task_parked& recorded) {
+  const auto found = tasks_.find(recorded.task_id);
+  if (found == tasks_.end() || !Move(found->second, task_trigger::kPark))
+    return Impossible(recorded.task_id, "parked");
+  found->second.parked_reason = recorded.reason;
+  return base::Success();
+}
+
+base::result<void> shard_state::Apply(const task_released& recorded) {
+  const auto found = tasks_.find(recorded.task_id);
+  if (found == tasks_.end() || !Move(found->second, task_trigger::kRelease))
+    return Impossible(recorded.task_id, "released");
+  found->second.failures = 0;
+  found->second.failed_on.clear();
+  found->second.parked_reason.clear();
   return base::Success();
 }
 
 base::result<void> shard_state::Apply(const task_cancelled& recorded) {
   const auto found = tasks_.find(recorded.task_id);
-  if (found == tasks_.end() || IsFinal(found->second.state))
+  if (found == tasks_.end() || !Move(found->second, task_trigger::kCancel))
     return Impossible(recorded.task_id, "cancelled");
-  found->second.state = task_state::kCancelled;
   return base::Success();
 }
 
@@ -78,15 +129,53 @@
 
 platform::resources shard_state::CommittedOn(
     const std::string& worker_id) const {
-  platform::resources total;
-  for (const auto& [id, known] : tasks_) {
-    if (known.worker_id != worker_id)
-      continue;
-    total.processors_milli += known.request.demand.processors_milli;
-    total.memory_mib += known.request.demand.memory_mib;
-    total.accelerators += known.request.demand.accelerators;
-  }
-  return total;
+  const auto found = workers_.find(worker_id);
+  return found == workers_.end() ? platform::resources{}
+                                 : found->second.committed;
+}
+
+const std::set<std::string>& shard_state::OpenOn(
+    const std::string& worker_id) const {
+  static const std::set<std::string> none;
+  const auto found = workers_.find(worker_id);
+  return found == workers_.end() ? none : found->second.open;
+}
+
+task* shard_state::FindAttempt(const std::string& task_id,
+                               std::int32_t attempt) {
+  const auto found = tasks_.find(task_id);
+  if (found == tasks_.end() || found->second.attempt != attempt)
+    return nullptr;
+  return &found->second;
+}
+
+bool shard_state::Move(task& moved, task_trigger trigger) {
+  const auto next = NextState(moved.state, trigger);
+  if (!next)
+    return false;
+  moved.state = *next;
+  if (IsWaiting(moved.state))
+    waiting_.insert(moved.request.id);
+  else
+    waiting_.erase(moved.request.id);
+  return true;
+}
+
+void shard_state::OpenAttempt(task& started, const attempt_started& recorded) {
+  started.attempt = recorded.attempt;
+  started.worker_id = recorded.worker_id;
+  started.granted = recorded.granted.value_or(started.request.demand);
+  worker_use& use = workers_[recorded.worker_id];
+  use.committed = Plus(use.committed, started.granted);
+  use.open.insert(recorded.task_id);
+}
+
+void shard_state::CloseAttempt(task& ended) {
+  worker_use& use = workers_[ended.worker_id];
+  use.committed = Minus(use.committed, ended.granted);
+  use.open.erase(ended.request.id);
+  ended.worker_id.clear();
+  ended.granted = {};
 }
 
 }  // namespace chivecrank::scheduling
--- a/src/scheduling/internal/types.cc
+++ b/src/scheduling/internal/types.cc
@@ -6,14 +6,26 @@
   switch (value) {
     case task_state::kPending:
       return "pending";
+    case task_state::kStarting:
+      return "starting";
     case task_state::kRunning:
       return "running";
+    case task_state::kThrottled:
+      return "throttled";
+    case task_state::kCheckpointing:
+      return "checkpointing";
+    case task_state::kEvicted:
+      return "evicted";
+    case task_state::kResuming:
+      return "resuming";
     case task_state::kDone:
       return "done";
     case task_state::kFailed:
       return "failed";
     case task_state::kCancelled:
       return "cancelled";
+    case task_state::kParked:
+      return "parked";
   }
   return "unknown";
 }
@@ -23,6 +35,20 @@
          value == task_state::kCancelled;
 }
 
+bool IsWaiting(task_state value) {
+  return value == task_state::kPending || value == task_state::kEvicted;
+}
+
+std::string_view TaskKindName(task_kind value) {
+  switch (value) {
+    case task_kind::kBatch:
+      return "batch";
+    case task_kind::kService:
+      return "service";
+  }
+  return "unknown";
+}
+
 std::string_view AttemptOutcomeName(attempt_outcome value) {
   switch (value) {
     case attempt_outcome::kDone:
@@ -33,6 +59,8 @@
       return "lost";
     case attempt_outcome::kStopped:
       return "stopped";
+    case attempt_outcome::kCrashed:
+      return "crashed";
   }
   return "unknown";
 }
