Leases survive delayed messages, slow workers and store outages

Change: one sync per worker carries starts, stops and acknowledgements under a number, and only changes come back. Syncs run in parallel without the shard's lock, silent workers on threads of their own. Events are committed in groups, one write in flight per shard; a write in doubt is repeated, which a slot takes only once. Ownership renewals, refreshes and rounds have threads of their own, and owners are read as changes once a second. While the store is away leases go on for a bounded time that the next owner waits out before it takes silent workers' attempts as over.

--- a/src/journal/internal/shard_journal.cc
+++ b/src/journal/internal/shard_journal.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kSlotDigits = 12;
 /// A former owner's last write may land while the journal is read.
 constexpr int kOpenTries = 4;
+/// Slots that only new owners may use, to open their epochs.
+constexpr sequence kOpenReserve = 4;
 
 base::error Fenced(const std::string& prefix) {
   return {base::error_kind::kFenced, "another owner has written to " + prefix,
@@ -63,6 +65,8 @@
   pending_.reset();
   for (int tries = 1;; ++tries) {
     BOOST_OUTCOME_TRY(records, Read(owner_epoch));
+    if (last_ + 1 > snapshots_.covered() + limits_.slots)
+      return Full(prefix_);
     epoch_ = owner_epoch;
     const auto written = Write({last_ + 1, epoch_, writer_, {}});
     if (written.has_value()) {
@@ -71,7 +75,8 @@
     }
     pending_.reset();
     // The slot was taken since it was read; reading again tells by whom.
-    if (written.error().kind != base::error_kind::kFenced || tries == kOpenTries)
+    if (written.error().kind != base::error_kind::kFenced ||
+        tries == kOpenTries)
       return written.error();
   }
 }
@@ -109,7 +114,7 @@
     return NotOpen(prefix_);
   if (pending_)
     return Pending(prefix_);
-  if (last_ + 1 - snapshots_.covered() > limits_.slots)
+  if (last_ + kOpenReserve >= snapshots_.covered() + limits_.slots)
     return Full(prefix_);
   return Write({last_ + 1, epoch_, writer_, std::move(events)});
 }
@@ -137,9 +142,9 @@
   if (value.size() > limits_.value_bytes)
     return TooLarge(prefix_);
   pending_ = written;
-  const auto result =
-      store_.Put(kClass, {KeyOf(written.sequence), value,
-                          versions_[SlotOf(written.sequence)], 0});
+  const auto result = store_.Put(
+      kClass,
+      {KeyOf(written.sequence), value, versions_[SlotOf(written.sequence)], 0});
   if (result.has_value()) {
     Confirm(written, result.value());
     return base::Success();
--- a/src/journal/internal/snapshot_store.cc
+++ b/src/journal/internal/snapshot_store.cc
@@ -37,9 +37,8 @@
   while (at < from.events.size()) {
     const std::size_t end = std::min(from.events.size(), at + step);
     record part{from.sequence, from.epoch, from.writer, {}};
-    part.events.assign(
-        from.events.begin() + static_cast<std::ptrdiff_t>(at),
-        from.events.begin() + static_cast<std::ptrdiff_t>(end));
+    part.events.assign(from.events.begin() + static_cast<std::ptrdiff_t>(at),
+                       from.events.begin() + static_cast<std::ptrdiff_t>(end));
     std::string encoded = EncodeRecord(part);
     if (encoded.size() > value_bytes && end - at > 1) {
       step = (end - at) / 2;
@@ -124,8 +123,7 @@
   head->set("epoch", from.epoch);
   head->set("parts", static_cast<Poco::UInt64>(parts));
   const std::string text = http::ToText(head);
-  const auto written =
-      store_.Put(kClass, {head_key_, text, head_version_, 0});
+  const auto written = store_.Put(kClass, {head_key_, text, head_version_, 0});
   if (written.has_value()) {
     head_version_ = written.value();
     return base::Success();
--- a/src/ownership/include/chivecrank/ownership/session.h
+++ b/src/ownership/include/chivecrank/ownership/session.h
@@ -1,11 +1,13 @@
 #ifndef CHIVECRANK_OWNERSHIP_SESSION_H_
 #define CHIVECRANK_OWNERSHIP_SESSION_H_
 
+#include <memory>
 #include <string>
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/base/result.h"
 #include "chivecrank/platform/store.h"
+#include "chivecrank/protocol/tenure.h"
 
 namespace chivecrank::ownership {
 
@@ -14,6 +16,8 @@
   std::chrono::milliseconds term{6000};
   /// Taken off the term on this side, for clocks that run apart.
   std::chrono::milliseconds margin{1000};
+  /// How long leases of workers are renewed while the store can't be reached.
+  std::chrono::milliseconds ride{60'000};
 };
 
 /// The lease in the store under which a process run holds its shards. One
@@ -32,6 +36,9 @@
   /// Whether the lease certainly still holds. Check it after every wait.
   bool Holds() const;
 
+  /// The lease held now; another one after it was lost. Null before the first.
+  std::shared_ptr<const protocol::tenure> held() const { return held_; }
+
   /// Ends the lease, so that others may take over at once.
   void End();
 
@@ -48,7 +55,7 @@
   std::string holder_key_;
   std::uint64_t generation_ = 0;
   platform::lease_id lease_ = 0;
-  base::time_point valid_until_{};
+  std::shared_ptr<protocol::tenure> held_;
 };
 
 }  // namespace chivecrank::ownership
--- a/src/ownership/include/chivecrank/ownership/shard_registry.h
+++ b/src/ownership/include/chivecrank/ownership/shard_registry.h
@@ -17,12 +17,19 @@
   explicit shard_registry(platform::store& store);
 
   /// All owner records, also those whose holder is gone.
-  base::result<std::vector<owner>> Owners();
+  base::result<owner_changes> Owners();
+
+  /// The records written after a revision.
+  base::result<owner_changes> ChangesAfter(platform::revision known);
 
   /// Claims a shard whose holder is gone; returns the new epoch.
   /// kConflict: it is held, or another instance was quicker.
   base::result<std::uint64_t> Claim(const owner& claimant);
 
+  /// Gives a shard up, so that others may claim it at once. kConflict: the
+  /// record has another epoch.
+  base::result<void> Release(const std::string& shard, std::uint64_t epoch);
+
  private:
   base::result<bool> IsHeld(const owner& record);
 
--- a/src/ownership/include/chivecrank/ownership/types.h
+++ b/src/ownership/include/chivecrank/ownership/types.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
+#include "chivecrank/platform/types.h"
 #include "chivecrank/settings/types.h"
 
 /// Which scheduler owns which shard of workers.
@@ -20,6 +22,14 @@
   settings::endpoint scheduler;
 };
 
+/// Owner records as of a revision of the store.
+struct owner_changes {
+  std::vector<owner> owners;
+  platform::revision revision = 0;
+  /// Some changes are missing; read all records again.
+  bool gap = false;
+};
+
 }  // namespace chivecrank::ownership
 
 #endif  // CHIVECRANK_OWNERSHIP_TYPES_H_
--- a/src/ownership/internal/session.cc
+++ b/src/ownership/internal/session.cc
@@ -18,12 +18,12 @@
   const base::time_point sent = clock_.Now();
   const auto renewed = store_.RenewLease(lease_);
   if (renewed.has_value()) {
-    valid_until_ = sent + settings_.term - settings_.margin;
+    held_->Extend(sent + settings_.term - settings_.margin);
     return base::Success();
   }
   if (renewed.error().kind == base::error_kind::kNotFound) {
     lease_ = 0;
-    valid_until_ = {};
+    held_->Lapse();
   }
   return renewed.error();
 }
@@ -36,16 +36,18 @@
   BOOST_OUTCOME_TRY(store_.Put(platform::call_class::kOwnership,
                                {holder_key_, run_, 0, granted}));
   lease_ = granted;
-  valid_until_ = sent + settings_.term - settings_.margin;
+  held_ = std::make_shared<protocol::tenure>(settings_.ride);
+  held_->Extend(sent + settings_.term - settings_.margin);
   return base::Success();
 }
 
 bool session::Holds() const {
-  return lease_ != 0 && clock_.Now() < valid_until_;
+  return held_ && held_->At(clock_.Now()) == protocol::authority::kFull;
 }
 
 void session::End() {
-  valid_until_ = {};
+  if (held_)
+    held_->End();
   if (lease_ == 0)
     return;
   // When this fails the lease ends by itself after its term.
--- a/src/ownership/internal/shard_registry.cc
+++ b/src/ownership/internal/shard_registry.cc
@@ -18,14 +18,46 @@
 
 shard_registry::shard_registry(platform::store& store) : store_(store) {}
 
-base::result<std::vector<owner>> shard_registry::Owners() {
+base::result<owner_changes> shard_registry::Owners() {
   BOOST_OUTCOME_TRY(listing, store_.List(kClass, kOwnersPrefix));
-  std::vector<owner> owners;
+  owner_changes all;
+  all.revision = listing.revision;
   for (const platform::store_entry& entry : listing.entries) {
     BOOST_OUTCOME_TRY(record, internal::DecodeOwner(entry.value));
-    owners.push_back(std::move(record));
+    all.owners.push_back(std::move(record));
   }
-  return owners;
+  return all;
+}
+
+base::result<owner_changes> shard_registry::ChangesAfter(
+    platform::revision known) {
+  BOOST_OUTCOME_TRY(seen, store_.Watch({kOwnersPrefix, known, {}}));
+  owner_changes changes;
+  changes.revision = seen.revision;
+  changes.gap = seen.gap;
+  for (const platform::store_change& change : seen.changes) {
+    if (change.kind != platform::change_kind::kPut)
+      continue;
+    BOOST_OUTCOME_TRY(record, internal::DecodeOwner(change.entry.value));
+    changes.owners.push_back(std::move(record));
+  }
+  return changes;
+}
+
+base::result<void> shard_registry::Release(const std::string& shard,
+                                           std::uint64_t epoch) {
+  const std::string key = kOwnersPrefix + shard;
+  BOOST_OUTCOME_TRY(found, store_.Get(kClass, key));
+  if (!found)
+    return base::Success();
+  BOOST_OUTCOME_TRY(record, internal::DecodeOwner(found->value));
+  if (record.epoch != epoch)
+    return Held(record);
+  // No key of this name exists, so the record counts as free.
+  record.holder_key.clear();
+  BOOST_OUTCOME_TRY(store_.Put(
+      kClass, {key, internal::EncodeOwner(record), found->version, 0}));
+  return base::Success();
 }
 
 base::result<std::uint64_t> shard_registry::Claim(const owner& claimant) {
@@ -54,6 +86,8 @@
 }
 
 base::result<bool> shard_registry::IsHeld(const owner& record) {
+  if (record.holder_key.empty())
+    return false;
   BOOST_OUTCOME_TRY(holder, store_.Get(kClass, record.holder_key));
   return holder.has_value();
 }
--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -15,6 +15,7 @@
 #include "chivecrank/platform/instance_list.h"
 #include "chivecrank/platform/store.h"
 #include "chivecrank/shards/shard_runner.h"
+#include "chivecrank/shards/thread_pool.h"
 #include "chivecrank/shards/types.h"
 #include "chivecrank/workers/agent.h"
 
@@ -52,35 +53,55 @@
   bool IsReady() const;
 
  private:
+  /// A shard that this scheduler leads, and the lease under which it does.
+  struct held_shard {
+    std::shared_ptr<shard_runner> runner;
+    std::shared_ptr<const protocol::tenure> held;
+  };
+
   void Run();
-  void RunOnce();
+  void RunRenewals();
+  void RunRefreshes();
   base::result<void> RefreshInstances();
   base::result<void> RefreshOwners();
+  base::result<void> ListOwners();
   void ClaimProposed();
   void Claim(const std::string& shard);
+  void GiveUpUnproposed(const std::vector<std::string>& live);
   void RunRounds();
-  bool Holds() const;
-  void DropRunners();
+  void Drop(const std::string& shard);
+  std::shared_ptr<const protocol::tenure> Held() const;
+  void CloseRunners();
+  void SleepUnlessStopping(base::duration time);
+  executors Executors();
 
   const scheduler_identity self_;
   const shard_settings settings_;
+  const base::duration renewal_;
   base::clock& clock_;
   platform::store& store_;
   platform::instance_list& instances_;
   workers::agent& agents_;
   ownership::shard_registry registry_;
 
-  mutable std::mutex session_mutex_;
+  /// Used by the thread that renews it, and on Stop after that has ended.
   ownership::session session_;
 
   mutable std::mutex mutex_;
   std::vector<platform::instance> known_instances_;
   std::map<std::string, ownership::owner> owners_;
-  std::map<std::string, std::shared_ptr<shard_runner>> runners_;
+  platform::revision owners_revision_ = 0;
+  bool owners_known_ = false;
+  std::map<std::string, held_shard> runners_;
+  std::shared_ptr<const protocol::tenure> held_;
+  std::string holder_key_;
   bool ready_ = false;
 
   std::atomic<bool> stopping_ = false;
-  std::thread thread_;
+  thread_pool worker_calls_;
+  thread_pool silent_worker_calls_;
+  thread_pool store_calls_;
+  std::vector<std::thread> threads_;
 };
 
 }  // namespace chivecrank::shards
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -1,8 +1,9 @@
 #ifndef CHIVECRANK_SHARDS_SHARD_RUNNER_H_
 #define CHIVECRANK_SHARDS_SHARD_RUNNER_H_
 
-#include <functional>
+#include <condition_variable>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -10,17 +11,25 @@
 #include "chivecrank/base/clock.h"
 #include "chivecrank/journal/shard_journal.h"
 #include "chivecrank/platform/types.h"
+#include "chivecrank/protocol/tenure.h"
 #include "chivecrank/scheduling/shard_state.h"
 #include "chivecrank/shards/types.h"
 #include "chivecrank/workers/agent.h"
 
 namespace chivecrank::shards {
 
-/// Leads the tasks of one shard for as long as this scheduler owns it.
+namespace internal {
+class worker_link;
+}  // namespace internal
+
+/// Leads the tasks of one shard for as long as this scheduler owns it. Calls
+/// to workers and the store run on the executors, never under the lock.
+/// Events change the state at once; whatever follows from them outside
+/// (answers to callers, starts, acknowledgements) waits for the journal.
 /// Safe to use from several threads.
 class shard_runner {
  public:
-  /// `holds` tells whether the ownership certainly still holds.
+  /// `held` is the ownership lease under which the epoch was claimed.
   shard_runner(std::string shard,
                std::uint64_t epoch,
                shard_settings settings,
@@ -28,61 +37,103 @@
                platform::store& store,
                workers::agent& agents,
                std::string run,
-               std::function<bool()> holds);
+               std::shared_ptr<const protocol::tenure> held,
+               executors run_on);
+  /// Waits for the calls in progress.
+  ~shard_runner();
+  shard_runner(const shard_runner&) = delete;
+  shard_runner& operator=(const shard_runner&) = delete;
 
   /// Reads the journal and opens the epoch. Nothing else may be called before
   /// it succeeded.
   base::result<void> Open();
 
-  /// One round: syncs the workers, records what ended, starts what fits.
-  /// kFenced: the shard has another owner; drop this runner.
+  /// One round: records what was lost, plans starts, and hands due syncs and
+  /// writes to the executors. kFenced: the shard has another owner; drop this
+  /// runner. kUnavailable: the ownership may have ended.
   base::result<void> RunRound(const std::vector<platform::instance>& workers);
 
   /// Accepts a task once its record is confirmed, or returns the one that was
-  /// accepted under the same identifier.
+  /// accepted under the same identifier. kUnavailable: it was not accepted.
+  /// kOutcomeUnknown: it may be; repeat with the same identifier.
   base::result<scheduling::task> Submit(
       const scheduling::task_request& request);
   base::result<scheduling::task> Find(const std::string& task_id);
   base::result<scheduling::task> Cancel(const std::string& task_id);
+  /// Cancels all that have not ended, in one record.
+  base::result<void> CancelAll(const std::vector<std::string>& task_ids);
+
+  /// Starts no more calls and waits for those in progress.
+  void Close();
 
   const std::string& shard() const { return shard_; }
+  std::uint64_t epoch() const { return epoch_; }
 
  private:
-  /// What is known of a worker's tasks.
-  struct worker_link {
-    settings::endpoint agent;
-    platform::resources capacity;
-    bool takes_tasks = false;
-    /// Whether it has answered in this epoch.
-    bool synced = false;
-    /// When a renewal or start may last have been sent.
-    base::time_point last_sent;
-    std::vector<workers::attempt_id> acknowledged;
-  };
-
-  base::result<void> CheckHolds() const;
-  base::result<void> Record(std::vector<scheduling::event> events);
-  void UpdateLinks(const std::vector<platform::instance>& workers);
-  base::result<void> SyncWorker(const std::string& worker_id);
-  base::result<void> RecordEnded(const std::string& worker_id,
-                                 const workers::inventory& known);
-  base::result<void> RecordLost();
-  base::result<void> StartPlanned();
-  void SendStart(const scheduling::attempt_started& start);
-  std::vector<workers::attempt_id> AttemptsOn(const std::string& worker_id,
-                                              bool cancelled) const;
+  /// A worker with what is needed to call it.
+  struct worker_entry;
+  using event_position = std::uint64_t;
+
+  base::result<void> CheckFull() const;
+  base::result<void> CheckNotFenced() const;
+  void UpdateWorkers(const std::vector<platform::instance>& workers);
+  worker_entry& EntryOf(const std::string& worker_id);
+  void StageLost();
+  void StageStarts();
+  base::result<event_position> Stage(std::vector<scheduling::event> events);
+  base::result<void> AwaitConfirmed(std::unique_lock<std::mutex>& lock,
+                                    event_position position);
+
+  /// Hands due syncs and writes to the executors. Needs the lock free.
+  void Dispatch();
+  std::vector<std::string> TakeDue();
+  bool TakeWrite();
+  void Launch(const executor& on, std::function<void()> job);
+  void SyncWorker(const std::string& worker_id);
+  void OnAnswer(worker_entry& entry,
+                const workers::sync_command& command,
+                const base::result<workers::sync_report>& answer);
+  void WriteStaged();
+  bool WriteOnce(std::unique_lock<std::mutex>& lock);
+  void TakeBatch();
+  void OnConfirmed();
+  void WriteSnapshot(std::unique_lock<std::mutex>& lock);
 
   const std::string shard_;
   const std::uint64_t epoch_;
   const shard_settings settings_;
   base::clock& clock_;
   workers::agent& agents_;
-  const std::function<bool()> holds_;
+  const std::shared_ptr<const protocol::tenure> held_;
+  const executors run_on_;
 
   std::mutex mutex_;
-  journal::shard_journal journal_;
+  std::condition_variable changed_;
   scheduling::shard_state state_;
-  std::map<std::string, worker_link> links_;
+  std::map<std::string, worker_entry> workers_;
+  base::time_point opened_;
+  bool plan_due_ = true;
+  bool fenced_ = false;
+  bool closing_ = false;
+  int calls_in_progress_ = 0;
+
+  /// Used by the one writer at a time.
+  journal::shard_journal journal_;
+  bool writing_ = false;
+  std::vector<scheduling::event> staged_;
+  std::vector<scheduling::event> batch_;
+  std::size_t batch_limit_;
+  event_position staged_end_ = 0;
+  event_position confirmed_ = 0;
+  /// Whether something waits for what is staged.
+  bool write_due_ = false;
+  /// Counts writes that failed; reset by one that succeeded.
+  int failed_writes_ = 0;
+  std::uint64_t failures_seen_ = 0;
+  /// Positions of the newest unconfirmed events of tasks.
+  std::map<std::string, event_position> unconfirmed_;
+  /// Confirmed events by task, for snapshots.
+  std::map<std::string, std::vector<scheduling::event>> history_;
 };
 
 }  // namespace chivecrank::shards
--- a/src/shards/include/chivecrank/shards/types.h
+++ b/src/shards/include/chivecrank/shards/types.h
@@ -2,10 +2,12 @@
 #define CHIVECRANK_SHARDS_TYPES_H_
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "chivecrank/platform/types.h"
+#include "chivecrank/protocol/types.h"
 #include "chivecrank/settings/types.h"
 
 /// Running the shards that a scheduler owns.
@@ -18,8 +20,26 @@
   /// Added to the term before an attempt counts as over, for clocks that run
   /// apart.
   std::chrono::milliseconds clock_margin{1000};
-  /// Time between two rounds of syncing and planning.
+  /// Time between two rounds of planning.
   std::chrono::milliseconds round{200};
+  /// Time between two syncs of a worker for which there is nothing new.
+  std::chrono::milliseconds sync_interval{1000};
+  /// How long leases are renewed while the store can't be reached.
+  std::chrono::milliseconds ride{60'000};
+};
+
+/// The terms that bound the attempts of a shard.
+protocol::lease_terms TermsOf(const shard_settings& settings);
+
+/// Runs a function some time, on any thread.
+using executor = std::function<void(std::function<void()>)>;
+
+/// Where the calls of shards run. They are apart so that neither silent
+/// workers nor a slow store hold up the syncs of the others.
+struct executors {
+  executor workers;
+  executor silent_workers;
+  executor store;
 };
 
 /// Identifies this scheduler to others.
--- a/src/shards/internal/types.cc
+++ b/src/shards/internal/types.cc
@@ -4,6 +4,10 @@
 
 namespace chivecrank::shards {
 
+protocol::lease_terms TermsOf(const shard_settings& settings) {
+  return {settings.task_lease, settings.clock_margin, settings.ride};
+}
+
 std::string ShardOf(const platform::instance& worker) {
   return worker.failure_domain + "." + worker.rack;
 }
--- /dev/null
+++ b/src/shards/internal/worker_link.cc
@@ -0,0 +1,164 @@
+#include "internal/worker_link.h"
+
+#include <utility>
+
+namespace chivecrank::shards::internal {
+namespace {
+
+using scheduling::attempt_outcome;
+using scheduling::task;
+using scheduling::task_state;
+
+attempt_outcome OutcomeOf(workers::attempt_state state) {
+  if (state == workers::attempt_state::kDone)
+    return attempt_outcome::kDone;
+  if (state == workers::attempt_state::kFailed)
+    return attempt_outcome::kFailed;
+  return attempt_outcome::kStopped;
+}
+
+bool IsUnconfirmed(const task& known) {
+  return known.state == task_state::kStarting ||
+         known.state == task_state::kResuming;
+}
+
+scheduling::event Lost(const std::string& task_id, const task& known) {
+  return scheduling::attempt_ended{task_id, known.attempt,
+                                   attempt_outcome::kLost};
+}
+
+}  // namespace
+
+worker_link::worker_link(std::string worker_id,
+                         std::uint64_t epoch,
+                         protocol::lease_terms terms,
+                         base::time_point opened)
+    : worker_id_(std::move(worker_id)),
+      lease_(epoch, terms, opened),
+      terms_(terms) {}
+
+workers::sync_command worker_link::NextSync(
+    const scheduling::shard_state& state,
+    event_position confirmed,
+    bool may_start) {
+  workers::sync_command command;
+  command.order = lease_.NextSync();
+  command.term = terms_.term;
+  command.position = reported_;
+  for (const std::string& id : state.OpenOn(worker_id_)) {
+    const task& known = *state.Find(id);
+    const workers::attempt_id attempt{id, known.attempt};
+    if (known.state == task_state::kCancelled ||
+        known.state == task_state::kCheckpointing) {
+      command.stops.push_back(
+          {attempt, known.state == task_state::kCheckpointing});
+    } else if (may_start && starts_.contains(attempt)) {
+      command.starts.push_back({attempt, known.request.template_name,
+                                known.granted, known.request.run_time,
+                                known.saved});
+    }
+  }
+  for (const workers::attempt_id& attempt : unwanted_)
+    command.stops.push_back({attempt, false});
+  for (const auto& [attempt, position] : ended_) {
+    if (position <= confirmed)
+      command.acknowledged.push_back(attempt);
+  }
+  return command;
+}
+
+std::vector<scheduling::event> worker_link::OnReport(
+    const workers::sync_command& command,
+    const workers::sync_report& report,
+    const scheduling::shard_state& state,
+    base::time_point now) {
+  std::vector<scheduling::event> events;
+  if (!lease_.OnAnswer(command.order.number, report.incarnation, now))
+    return events;
+  if (report.incarnation != incarnation_) {
+    // What another run of the agent was told is gone with it.
+    incarnation_ = report.incarnation;
+    starts_.clear();
+    unwanted_.clear();
+    ended_.clear();
+  }
+  for (const workers::attempt_id& forgotten : command.acknowledged)
+    ended_.erase(forgotten);
+  reported_ = report.position;
+  for (const workers::attempt_report& reported : report.attempts) {
+    if (const auto event = Interpret(reported, state))
+      events.push_back(*event);
+  }
+  if (report.full) {
+    for (scheduling::event& lost : Unreported(report, state))
+      events.push_back(std::move(lost));
+  }
+  return events;
+}
+
+std::optional<scheduling::event> worker_link::Interpret(
+    const workers::attempt_report& report,
+    const scheduling::shard_state& state) {
+  const workers::attempt_id& attempt = report.attempt;
+  starts_.erase(attempt);
+  const task* known = state.Find(attempt.task_id);
+  const bool open = known != nullptr && known->worker_id == worker_id_ &&
+                    known->attempt == attempt.attempt;
+  if (report.state == workers::attempt_state::kRunning) {
+    if (!open)
+      unwanted_.insert(attempt);
+    if (!open || !IsUnconfirmed(*known))
+      return std::nullopt;
+    return scheduling::attempt_confirmed{attempt.task_id, attempt.attempt};
+  }
+  unwanted_.erase(attempt);
+  if (!open) {
+    ended_.try_emplace(attempt, 0);
+    return std::nullopt;
+  }
+  unstaged_.push_back(attempt);
+  return scheduling::attempt_ended{attempt.task_id, attempt.attempt,
+                                   OutcomeOf(report.state), report.saved};
+}
+
+std::vector<scheduling::event> worker_link::Unreported(
+    const workers::sync_report& report,
+    const scheduling::shard_state& state) const {
+  std::set<workers::attempt_id> reported;
+  for (const workers::attempt_report& item : report.attempts)
+    reported.insert(item.attempt);
+  // The worker takes no earlier sync any more, so an attempt that it doesn't
+  // know neither runs nor will, unless a coming sync starts it.
+  std::vector<scheduling::event> lost;
+  for (const std::string& id : state.OpenOn(worker_id_)) {
+    const task& known = *state.Find(id);
+    const workers::attempt_id attempt{id, known.attempt};
+    if (!reported.contains(attempt) && !starts_.contains(attempt))
+      lost.push_back(Lost(id, known));
+  }
+  return lost;
+}
+
+void worker_link::OnStaged(event_position position) {
+  for (const workers::attempt_id& attempt : unstaged_)
+    ended_[attempt] = position;
+  unstaged_.clear();
+}
+
+void worker_link::AddStart(const workers::attempt_id& attempt) {
+  starts_.insert(attempt);
+}
+
+std::vector<scheduling::event> worker_link::TakeLost(
+    const scheduling::shard_state& state,
+    base::time_point now) {
+  std::vector<scheduling::event> lost;
+  if (!lease_.IsOver(now))
+    return lost;
+  starts_.clear();
+  for (const std::string& id : state.OpenOn(worker_id_))
+    lost.push_back(Lost(id, *state.Find(id)));
+  return lost;
+}
+
+}  // namespace chivecrank::shards::internal
--- a/src/shards/tests/shard_runner_test.cc
+++ b/src/shards/tests/shard_runner_test.cc
@@ -1,72 +1,132 @@
 #include "chivecrank/shards/shard_runner.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
 #include "chivecrank/platform/memory_store.h"
+#include "chivecrank/protocol/worker_fence.h"
 
 namespace chivecrank::shards {
 namespace {
 
-/// Workers that remember every start, so a double run shows.
+/// One worker that keeps the fencing rules and remembers every start, so a
+/// double run shows.
 class fake_agents final : public workers::agent {
  public:
-  base::result<void> Start(const settings::endpoint& /*worker*/,
-                           const workers::start_command& command) override {
-    ++starts;
-    known.attempts.push_back(
-        {command.attempt, workers::attempt_state::kRunning});
-    return base::Success();
-  }
-  base::result<void> Stop(const settings::endpoint& /*worker*/,
-                          const workers::stop_command& command) override {
-    SetState(command.attempt, workers::attempt_state::kStopped);
-    return base::Success();
-  }
-  base::result<workers::inventory> Sync(
+  explicit fake_agents(base::clock& clock) : clock_(clock) {}
+
+  base::result<workers::sync_report> Sync(
       const settings::endpoint& /*worker*/,
       const workers::sync_command& command) override {
     if (unreachable)
       return base::error{base::error_kind::kUnavailable, "cut off", "wait"};
-    for (const workers::attempt_id& ended : command.acknowledged) {
-      std::erase_if(known.attempts, [&](const auto& report) {
-        return report.attempt == ended;
-      });
+    return Deliver(command);
+  }
+
+  /// Takes a command, also one that was held up in the network.
+  base::result<workers::sync_report> Deliver(
+      const workers::sync_command& command) {
+    last = command;
+    EndLapsed();
+    const auto verdict =
+        fence.OnSync(command.order, clock_.Now(), command.term);
+    if (verdict == protocol::sync_verdict::kFenced)
+      return base::error{base::error_kind::kFenced, "newer epoch", "stop"};
+    if (verdict == protocol::sync_verdict::kStale)
+      return base::error{base::error_kind::kConflict, "late", "go on"};
+    for (const workers::attempt_id& ended : command.acknowledged)
+      std::erase_if(known, [&](const auto& r) { return r.attempt == ended; });
+    for (const workers::stop_command& stop : command.stops)
+      SetState(stop.attempt, workers::attempt_state::kStopped,
+               stop.save ? saved_by_stops : std::chrono::milliseconds(0));
+    if (verdict == protocol::sync_verdict::kRenewed) {
+      for (const workers::start_command& start : command.starts)
+        Start(start);
     }
-    return known;
+    return workers::sync_report{fence.incarnation(), true, 1, known};
   }
 
   void SetState(const workers::attempt_id& attempt,
-                workers::attempt_state state) {
-    for (workers::attempt_report& report : known.attempts) {
-      if (report.attempt == attempt)
+                workers::attempt_state state,
+                std::chrono::milliseconds saved = {}) {
+    for (workers::attempt_report& report : known) {
+      if (report.attempt == attempt &&
+          report.state == workers::attempt_state::kRunning) {
         report.state = state;
+        report.saved = saved;
+      }
     }
   }
 
-  workers::inventory known;
+  int Running() {
+    EndLapsed();
+    return static_cast<int>(
+        std::count_if(known.begin(), known.end(), [](const auto& report) {
+          return report.state == workers::attempt_state::kRunning;
+        }));
+  }
+
+  protocol::worker_fence fence{"boot"};
+  std::vector<workers::attempt_report> known;
+  std::vector<workers::start_command> started;
+  workers::sync_command last;
+  std::chrono::milliseconds saved_by_stops{0};
   int starts = 0;
   bool unreachable = false;
+
+ private:
+  void Start(const workers::start_command& start) {
+    for (const workers::attempt_report& report : known) {
+      if (report.attempt == start.attempt)
+        return;
+    }
+    ++starts;
+    started.push_back(start);
+    known.push_back({start.attempt, workers::attempt_state::kRunning, {}});
+  }
+
+  void EndLapsed() {
+    if (!fence.LeaseOver(clock_.Now()))
+      return;
+    for (workers::attempt_report& report : known) {
+      if (report.state == workers::attempt_state::kRunning)
+        report.state = workers::attempt_state::kStopped;
+    }
+  }
+
+  base::clock& clock_;
 };
 
+void RunInline(const std::function<void()>& job) {
+  job();
+}
+
 struct fixture {
   base::manual_clock clock;
   platform::memory_store store{clock};
-  fake_agents agents;
+  fake_agents agents{clock};
   shard_settings settings;
-  bool holds = true;
-  shard_runner runner = Runner(1);
+  std::shared_ptr<protocol::tenure> held =
+      std::make_shared<protocol::tenure>(settings.ride);
   std::vector<platform::instance> workers = {Worker()};
+  std::unique_ptr<shard_runner> runner = Runner(1);
+
+  fixture() { held->Extend(clock.Now() + std::chrono::hours(1)); }
+
+  std::unique_ptr<shard_runner> Runner(std::uint64_t epoch) {
+    return std::make_unique<shard_runner>(
+        "s", epoch, settings, clock, store, agents,
+        "run-" + std::to_string(epoch), held,
+        executors{RunInline, RunInline, RunInline});
+  }
 
-  shard_runner Runner(std::uint64_t epoch) {
-    return {"s",
-            epoch,
-            settings,
-            clock,
-            store,
-            agents,
-            "run-" + std::to_string(epoch),
-            [this] { return holds; }};
+  /// Enough rounds for a sync, a plan and a start.
+  void RunRounds(shard_runner& of) {
+    for (int i = 0; i < 3; ++i) {
+      BOOST_REQUIRE(of.RunRound(workers).has_value());
+      clock.Advance(settings.sync_interval);
+    }
   }
 
   static platform::instance Worker() {
@@ -94,55 +154,107 @@
 BOOST_FIXTURE_TEST_SUITE(shard_runner_suite, fixture)
 
 BOOST_AUTO_TEST_CASE(TaskRunsOnceAndFinishes) {
-  BOOST_REQUIRE(runner.Open().has_value());
-  BOOST_REQUIRE(runner.Submit(Request()).has_value());
-  BOOST_REQUIRE(runner.Submit(Request()).has_value());
-  BOOST_REQUIRE(runner.RunRound(workers).has_value());
-  BOOST_REQUIRE(runner.RunRound(workers).has_value());
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  RunRounds(*runner);
   BOOST_TEST(agents.starts == 1);
+  BOOST_TEST((State(*runner) == scheduling::task_state::kRunning));
   agents.SetState({"s:1", 1}, workers::attempt_state::kDone);
-  BOOST_REQUIRE(runner.RunRound(workers).has_value());
-  BOOST_TEST((State(runner) == scheduling::task_state::kDone));
+  RunRounds(*runner);
+  BOOST_TEST((State(*runner) == scheduling::task_state::kDone));
+  BOOST_TEST(agents.known.empty());
 }
 
 BOOST_AUTO_TEST_CASE(TakeoverWaitsForTheWorkersAnswer) {
-  BOOST_REQUIRE(runner.Open().has_value());
-  BOOST_REQUIRE(runner.Submit(Request()).has_value());
-  BOOST_REQUIRE(runner.RunRound(workers).has_value());
-  shard_runner next = Runner(2);
-  BOOST_REQUIRE(next.Open().has_value());
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  const auto next = Runner(2);
+  BOOST_REQUIRE(next->Open().has_value());
   agents.unreachable = true;
-  BOOST_REQUIRE(next.RunRound(workers).has_value());
-  clock.Advance(settings.task_lease);
-  BOOST_REQUIRE(next.RunRound(workers).has_value());
-  BOOST_TEST((State(next) == scheduling::task_state::kStarting));
+  BOOST_REQUIRE(next->RunRound(workers).has_value());
+  clock.Advance(settings.ride + settings.task_lease);
+  BOOST_REQUIRE(next->RunRound(workers).has_value());
+  BOOST_TEST((State(*next) != scheduling::task_state::kPending));
   clock.Advance(settings.clock_margin + std::chrono::milliseconds(1));
-  BOOST_REQUIRE(next.RunRound(workers).has_value());
-  BOOST_TEST((State(next) == scheduling::task_state::kPending));
+  BOOST_REQUIRE(next->RunRound(workers).has_value());
+  BOOST_TEST((State(*next) == scheduling::task_state::kPending));
   BOOST_TEST(agents.starts == 1);
 }
 
+BOOST_AUTO_TEST_CASE(AttemptOfSilentWorkerIsLostOnlyAfterItsLease) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  agents.unreachable = true;
+  while (agents.Running() == 1) {
+    BOOST_REQUIRE(runner->RunRound(workers).has_value());
+    BOOST_TEST((State(*runner) == scheduling::task_state::kRunning));
+    clock.Advance(settings.round);
+  }
+  clock.Advance(settings.clock_margin + settings.sync_interval +
+                settings.round);
+  BOOST_REQUIRE(runner->RunRound(workers).has_value());
+  BOOST_TEST((State(*runner) == scheduling::task_state::kPending));
+}
+
+BOOST_AUTO_TEST_CASE(StartHeldUpInTheNetworkRunsNothing) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  RunRounds(*runner);
+  // Lost on its way there; it arrives after everything else.
+  agents.unreachable = true;
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  BOOST_REQUIRE(runner->RunRound(workers).has_value());
+  workers::sync_command late = agents.last;
+  late.order.number += 1;
+  late.starts = {{{"s:1", 1}, "t", {}, {}, {}}};
+  agents.unreachable = false;
+  RunRounds(*runner);
+  const int starts = agents.starts;
+  BOOST_TEST(!agents.Deliver(late).has_value());
+  BOOST_TEST(agents.starts == starts);
+}
+
 BOOST_AUTO_TEST_CASE(CancelSurvivesATakeover) {
-  BOOST_REQUIRE(runner.Open().has_value());
-  BOOST_REQUIRE(runner.Submit(Request()).has_value());
-  BOOST_REQUIRE(runner.RunRound(workers).has_value());
-  BOOST_REQUIRE(runner.Cancel("s:1").has_value());
-  shard_runner next = Runner(2);
-  BOOST_REQUIRE(next.Open().has_value());
-  BOOST_REQUIRE(next.RunRound(workers).has_value());
-  BOOST_REQUIRE(next.RunRound(workers).has_value());
-  BOOST_TEST((State(next) == scheduling::task_state::kCancelled));
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  BOOST_REQUIRE(runner->Cancel("s:1").has_value());
+  const auto next = Runner(2);
+  BOOST_REQUIRE(next->Open().has_value());
+  RunRounds(*next);
+  RunRounds(*next);
+  BOOST_TEST((State(*next) == scheduling::task_state::kCancelled));
   BOOST_TEST(agents.starts == 1);
+  BOOST_TEST(agents.Running() == 0);
 }
 
 BOOST_AUTO_TEST_CASE(NothingIsStartedAfterTheLease) {
-  BOOST_REQUIRE(runner.Open().has_value());
-  BOOST_REQUIRE(runner.Submit(Request()).has_value());
-  holds = false;
-  BOOST_TEST(!runner.RunRound(workers).has_value());
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  held->End();
+  BOOST_TEST(!runner->RunRound(workers).has_value());
   BOOST_TEST(agents.starts == 0);
 }
 
+BOOST_AUTO_TEST_CASE(LapsedOwnerRenewsButStartsNothing) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  held->Lapse();
+  held->Extend(clock.Now());
+  for (int i = 0; i < 20; ++i) {
+    BOOST_REQUIRE(runner->RunRound(workers).has_value());
+    clock.Advance(settings.sync_interval);
+  }
+  BOOST_TEST(agents.Running() == 1);
+  BOOST_TEST(!runner->Submit(Request()).has_value());
+  clock.Advance(settings.ride);
+  BOOST_TEST(!runner->RunRound(workers).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::shards
--- a/src/workers/include/chivecrank/workers/types.h
+++ b/src/workers/include/chivecrank/workers/types.h
@@ -29,8 +29,9 @@
   std::string template_name;
   platform::resources demand;
   std::chrono::milliseconds run_time{0};
-  /// What an earlier attempt left behind; empty to start anew.
-  std::string checkpoint;
+  /// Run time that the checkpoint of an earlier attempt holds; 0 to start
+  /// anew.
+  std::chrono::milliseconds saved{0};
 };
 
 /// Orders a worker to stop an attempt.
@@ -64,8 +65,8 @@
 struct attempt_report {
   attempt_id attempt;
   attempt_state state = attempt_state::kRunning;
-  /// What a stopped attempt saved; empty for none.
-  std::string checkpoint;
+  /// Run time that the newest checkpoint holds.
+  std::chrono::milliseconds saved{0};
 };
 
 /// A worker's answer to a sync.
--- a/src/workers/internal/agent_codec.cc
+++ b/src/workers/internal/agent_codec.cc
@@ -59,6 +59,15 @@
     target->set(key, value);
 }
 
+void SetSaved(std::chrono::milliseconds saved, json_object& target) {
+  if (saved.count() > 0)
+    target->set("saved_ms", static_cast<Poco::Int64>(saved.count()));
+}
+
+std::chrono::milliseconds SavedOf(const json_object& encoded) {
+  return std::chrono::milliseconds(http::IntegerOf(encoded, "saved_ms"));
+}
+
 json_object EncodeStart(const start_command& command) {
   json_object encoded = EncodeAttempt(command.attempt);
   encoded->set("template", command.template_name);
@@ -68,19 +77,18 @@
     encoded->set("accelerators", command.demand.accelerators);
   encoded->set("run_time_ms",
                static_cast<Poco::Int64>(command.run_time.count()));
-  SetText("checkpoint", command.checkpoint, encoded);
+  SetSaved(command.saved, encoded);
   return encoded;
 }
 
 start_command DecodeStart(const json_object& encoded) {
-  return {
-      AttemptOf(encoded),
-      http::StringOf(encoded, "template"),
-      {http::IntegerOf(encoded, "processors_milli"),
-       http::IntegerOf(encoded, "memory_mib"),
-       http::IntegerOf(encoded, "accelerators")},
-      std::chrono::milliseconds(http::IntegerOf(encoded, "run_time_ms")),
-      http::StringOf(encoded, "checkpoint")};
+  return {AttemptOf(encoded),
+          http::StringOf(encoded, "template"),
+          {http::IntegerOf(encoded, "processors_milli"),
+           http::IntegerOf(encoded, "memory_mib"),
+           http::IntegerOf(encoded, "accelerators")},
+          std::chrono::milliseconds(http::IntegerOf(encoded, "run_time_ms")),
+          SavedOf(encoded)};
 }
 
 json_object EncodeStop(const stop_command& command) {
@@ -97,7 +105,7 @@
 json_object EncodeAttemptReport(const attempt_report& report) {
   json_object encoded = EncodeAttempt(report.attempt);
   encoded->set("state", std::string(AttemptStateName(report.state)));
-  SetText("checkpoint", report.checkpoint, encoded);
+  SetSaved(report.saved, encoded);
   return encoded;
 }
 
@@ -122,14 +130,14 @@
 }
 
 sync_command DecodeSync(const json_object& encoded) {
-  return {{NumberOf(encoded, "epoch"), NumberOf(encoded, "number"),
-           NumberOf(encoded, "answered"),
-           http::StringOf(encoded, "incarnation")},
-          std::chrono::milliseconds(http::IntegerOf(encoded, "term_ms")),
-          NumberOf(encoded, "position"),
-          ListOf<start_command>(encoded, "starts", DecodeStart),
-          ListOf<stop_command>(encoded, "stops", DecodeStop),
-          ListOf<attempt_id>(encoded, "acknowledged", AttemptOf)};
+  return {
+      {NumberOf(encoded, "epoch"), NumberOf(encoded, "number"),
+       NumberOf(encoded, "answered"), http::StringOf(encoded, "incarnation")},
+      std::chrono::milliseconds(http::IntegerOf(encoded, "term_ms")),
+      NumberOf(encoded, "position"),
+      ListOf<start_command>(encoded, "starts", DecodeStart),
+      ListOf<stop_command>(encoded, "stops", DecodeStop),
+      ListOf<attempt_id>(encoded, "acknowledged", AttemptOf)};
 }
 
 json_object EncodeReport(const sync_report& report) {
@@ -162,8 +170,7 @@
                          "a worker reports the unknown state \"" + name + "\"",
                          "check the version of its agent"};
     }
-    report.attempts.push_back(
-        {AttemptOf(item), *state, http::StringOf(item, "checkpoint")});
+    report.attempts.push_back({AttemptOf(item), *state, SavedOf(item)});
   }
   return report;
 }
--- a/src/workers/tests/agent_codec_test.cc
+++ b/src/workers/tests/agent_codec_test.cc
@@ -11,7 +11,8 @@
   command.order = {3, 7, 6, "boot"};
   command.term = std::chrono::milliseconds(5000);
   command.position = 9;
-  command.starts = {{{"t-1", 2}, "plan", {1000, 2000, 1}, {}, "saved"}};
+  command.starts = {
+      {{"t-1", 2}, "plan", {1000, 2000, 1}, {}, std::chrono::milliseconds(40)}};
   command.stops = {{{"t-2", 1}, true}};
   command.acknowledged = {{"t-3", 4}};
   const sync_command decoded = DecodeSync(EncodeSync(command));
@@ -24,7 +25,7 @@
   BOOST_REQUIRE(decoded.starts.size() == 1);
   BOOST_TEST((decoded.starts[0].attempt == command.starts[0].attempt));
   BOOST_TEST((decoded.starts[0].demand == command.starts[0].demand));
-  BOOST_TEST(decoded.starts[0].checkpoint == "saved");
+  BOOST_TEST(decoded.starts[0].saved.count() == 40);
   BOOST_REQUIRE(decoded.stops.size() == 1);
   BOOST_TEST(decoded.stops[0].save);
   BOOST_TEST((decoded.acknowledged == command.acknowledged));
--- a/tests/standin_worker/main.cc
+++ b/tests/standin_worker/main.cc
@@ -43,10 +43,11 @@
       clock, absl::GetFlag(FLAGS_id),
       std::chrono::milliseconds(absl::GetFlag(FLAGS_service_ms)),
       absl::GetFlag(FLAGS_slots));
-  standin::task_agent agent(clock, {absl::GetFlag(FLAGS_processors_milli),
-                                    absl::GetFlag(FLAGS_memory_mib),
-                                    absl::GetFlag(FLAGS_accelerators)},
-                            NewIncarnation());
+  standin::task_agent agent(
+      clock,
+      {absl::GetFlag(FLAGS_processors_milli), absl::GetFlag(FLAGS_memory_mib),
+       absl::GetFlag(FLAGS_accelerators)},
+      NewIncarnation());
   http::server service_server(
       {host, absl::GetFlag(FLAGS_service_port)}, {},
       [&](const http::request& message) { return service.Answer(message); });
--- a/tests/standin_worker/task_agent.cc
+++ b/tests/standin_worker/task_agent.cc
@@ -78,8 +78,7 @@
   report.position = position_;
   for (const auto& [id, task] : tasks_) {
     if (task.changed > known_position)
-      report.attempts.push_back(
-          {task.command.attempt, task.state, task.checkpoint});
+      report.attempts.push_back({task.command.attempt, task.state, task.saved});
   }
   return report;
 }
@@ -99,15 +98,12 @@
     return;
   }
   const base::time_point now = clock_.Now();
-  const std::chrono::milliseconds done_before(
-      command.checkpoint.empty() ? 0 : std::stoll(command.checkpoint));
   tasks_[command.attempt.task_id] = {command,
                                      workers::attempt_state::kRunning,
-                                     now + command.run_time - done_before,
-                                     done_before,
+                                     now + command.run_time - command.saved,
                                      now,
                                      ++position_,
-                                     ""};
+                                     command.saved};
   records_.push_back({command.attempt,
                       std::chrono::duration_cast<std::chrono::milliseconds>(
                           clock_.WallNow().time_since_epoch())
@@ -141,7 +137,7 @@
   if (command.save) {
     const auto worked = std::chrono::duration_cast<std::chrono::milliseconds>(
         clock_.Now() - task.started);
-    task.checkpoint = std::to_string((task.done_before + worked).count());
+    task.saved = task.command.saved + worked;
   }
   End(known->first, task, workers::attempt_state::kStopped, clock_.Now());
 }
--- a/tests/standin_worker/task_agent.h
+++ b/tests/standin_worker/task_agent.h
@@ -32,12 +32,11 @@
     workers::start_command command;
     workers::attempt_state state = workers::attempt_state::kRunning;
     base::time_point ends;
-    /// Work done by earlier attempts, as their checkpoint says.
-    std::chrono::milliseconds done_before{0};
     base::time_point started;
     /// Position of the last change, for reports of changes only.
     std::uint64_t changed = 0;
-    std::string checkpoint;
+    /// Run time that the newest checkpoint holds.
+    std::chrono::milliseconds saved{0};
   };
 
   /// One run of an attempt, in wall time, for the account.
