A repeated key meets its first submission though racks came or went

The shard followed from the current list of racks, so a new rack could send a repeat to another shard, which accepted it again. The first submission now records the home of its job in the store, once, before any shard hears of it.

--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -46,7 +46,8 @@
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
       settings.shards, settings.session, clock, store, instances, agents);
-  shards::job_router jobs(manager, configured, settings.peer_timeout);
+  ownership::home_registry homes(store);
+  shards::job_router jobs(manager, homes, configured, settings.peer_timeout);
   std::atomic<bool> stopping = false;
 
   instances::scheduler_server server(settings.listen, jobs);
--- a/apps/chivecrank_scheduler/scheduler_settings.cc
+++ b/apps/chivecrank_scheduler/scheduler_settings.cc
@@ -6,6 +6,7 @@
 constexpr settings::integer_range kTimeoutMilliseconds{10, 60'000};
 constexpr settings::integer_range kTermMilliseconds{500, 120'000};
 constexpr settings::integer_range kMarginMilliseconds{10, 60'000};
+constexpr settings::integer_range kRideMilliseconds{0, 3'600'000};
 constexpr settings::integer_range kRoundMilliseconds{20, 10'000};
 
 }  // namespace
@@ -36,6 +37,11 @@
   read.shards.task_lease = leases.MillisecondsOr("task_ms", kTermMilliseconds,
                                                  read.shards.task_lease);
   read.shards.clock_margin = read.session.margin;
+  read.session.ride =
+      leases.MillisecondsOr("ride_ms", kRideMilliseconds, read.session.ride);
+  read.shards.ride = read.session.ride;
+  read.shards.sync_interval = leases.MillisecondsOr(
+      "sync_ms", kRoundMilliseconds, read.shards.sync_interval);
   if (read.session.margin * 2 > read.session.term)
     leases.Reject("clock_margin_ms", "is more than half of session_ms",
                   "give a smaller margin or a longer session");
--- /dev/null
+++ b/src/ownership/tests/home_registry_test.cc
@@ -0,0 +1,24 @@
+#include "chivecrank/ownership/home_registry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "chivecrank/base/manual_clock.h"
+#include "chivecrank/platform/memory_store.h"
+
+namespace chivecrank::ownership {
+
+BOOST_AUTO_TEST_SUITE(home_registry_suite)
+
+BOOST_AUTO_TEST_CASE(RepeatMeetsTheFirstThoughRacksCame) {
+  base::manual_clock clock;
+  platform::memory_store store(clock);
+  home_registry first(store);
+  home_registry second(store);
+  BOOST_TEST(first.HomeOf("job", "r1").value() == "r1");
+  BOOST_TEST(second.HomeOf("job", "r2").value() == "r1");
+  BOOST_TEST(first.HomeOf("job", "r2").value() == "r1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::ownership
--- a/src/shards/include/chivecrank/shards/job_router.h
+++ b/src/shards/include/chivecrank/shards/job_router.h
@@ -4,6 +4,7 @@
 #include "chivecrank/configuration/view.h"
 #include "chivecrank/instances/job_service.h"
 #include "chivecrank/instances/scheduler_client.h"
+#include "chivecrank/ownership/home_registry.h"
 #include "chivecrank/shards/shard_manager.h"
 
 namespace chivecrank::shards {
@@ -14,6 +15,7 @@
 class job_router final : public instances::job_service {
  public:
   job_router(shard_manager& manager,
+             ownership::home_registry& homes,
              const configuration::view& configured,
              std::chrono::milliseconds forward_timeout);
 
@@ -29,13 +31,14 @@
 
  private:
   base::result<scheduling::task_request> RequestFor(
-      const instances::job_submission& submission) const;
+      const instances::job_submission& submission);
   /// The owner's client, or an error when the call must not be passed on.
   base::result<instances::scheduler_client> OwnerClient(
       const std::string& shard,
       instances::call_origin origin) const;
 
   shard_manager& manager_;
+  ownership::home_registry& homes_;
   const configuration::view& configured_;
   std::chrono::milliseconds forward_timeout_;
 };
--- a/src/shards/internal/job_router.cc
+++ b/src/shards/internal/job_router.cc
@@ -37,9 +37,11 @@
 }  // namespace
 
 job_router::job_router(shard_manager& manager,
+                       ownership::home_registry& homes,
                        const configuration::view& configured,
                        std::chrono::milliseconds forward_timeout)
     : manager_(manager),
+      homes_(homes),
       configured_(configured),
       forward_timeout_(forward_timeout) {}
 
@@ -93,7 +95,7 @@
 }
 
 base::result<scheduling::task_request> job_router::RequestFor(
-    const instances::job_submission& submission) const {
+    const instances::job_submission& submission) {
   const auto current = configured_.Current();
   if (!current) {
     return base::error{base::error_kind::kUnavailable,
@@ -108,10 +110,11 @@
         "name a template of revision " + std::to_string(current->revision)};
   }
   const std::string identifier = IdentifierOf(submission);
-  const std::string shard =
+  const std::string proposed =
       ownership::ProposeNode(identifier, manager_.Shards());
-  if (shard.empty())
+  if (proposed.empty())
     return NoOwner("(none)");
+  BOOST_OUTCOME_TRY(shard, homes_.HomeOf(identifier, proposed));
   scheduling::task_request request;
   request.id = shard + ":" + identifier;
   request.account = submission.account;
