Configuration spreads from process to process

Cause: every daemon watched the head record in the store, so waiting watches and reads grew with the fleet (three watches an instance).

Change: a gossip over Thrift (src/membership) carries the revision that each process holds; a newer one is pushed to four peers at once and fetched from whoever told of it, and a periodic exchange with one random peer mends what pushes missed. One scheduler of each failure domain watches the store. The administration API publishes what it has accepted. A fresh process reads the head itself and asks five peers before it is ready. Members are suspected, then taken for dead unless they refute it; the table only proposes.

Unit tests: a push reaches 7, 60 and 300 processes within 3 s of the manual clock; halves that were cut off agree on the higher revision afterwards; calls of a process stay flat from 7 to 300.

--- a/apps/chivecrank_admin/admin_settings.cc
+++ b/apps/chivecrank_admin/admin_settings.cc
@@ -1,5 +1,6 @@
 #include "admin_settings.h"
 
+#include "chivecrank/membership/peer_settings.h"
 #include "chivecrank/security/token.h"
 
 namespace chivecrank {
@@ -31,6 +32,8 @@
 admin_settings ReadAdminSettings(settings::section& root) {
   admin_settings read;
   read.instance = root.String("instance");
+  read.failure_domain = root.StringOr("failure_domain", "");
+  read.peers = membership::ReadPeerPorts(root);
   read.listen = root.Endpoint("listen");
   read.status = root.Endpoint("status");
   if (read.listen.port != 0 && read.listen == read.status)
--- a/apps/chivecrank_admin/admin_settings.h
+++ b/apps/chivecrank_admin/admin_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/membership/types.h"
 #include "chivecrank/operators/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -13,10 +14,14 @@
 /// Settings of chivecrank_admin.
 struct admin_settings {
   std::string instance;
+  std::string failure_domain;
   settings::endpoint listen;
   settings::endpoint status;
   settings::endpoint platform;
   std::chrono::milliseconds store_timeout{1000};
+  /// Age up to which a read of the instance list is used again.
+  std::chrono::milliseconds list_age{500};
+  membership::peer_ports peers;
   std::vector<operators::operator_account> operators;
 };
 
--- a/apps/chivecrank_admin/main.cc
+++ b/apps/chivecrank_admin/main.cc
@@ -5,9 +5,12 @@
 
 #include "admin_settings.h"
 #include "chivecrank/base/system_clock.h"
+#include "chivecrank/configuration/replica.h"
 #include "chivecrank/configuration/repository.h"
 #include "chivecrank/http/server.h"
 #include "chivecrank/operators/admin_api.h"
+#include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
 #include "chivecrank/process/status_server.h"
@@ -20,22 +23,44 @@
   return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
 }
 
+process::readiness Readiness(bool stopping,
+                             const configuration::view& configured) {
+  if (stopping)
+    return {false, "stopping"};
+  if (!configured.Current())
+    return {false, "the configuration is not known yet"};
+  return {true, ""};
+}
+
 process::exit_code Run(const admin_settings& settings) {
   base::system_clock clock;
   platform::http_store store(settings.platform, settings.store_timeout);
   configuration::repository accepted(store, clock, NewWriteId);
   const operators::operator_directory directory(settings.operators);
-  operators::admin_api api(accepted, directory);
+  platform::http_instance_list list_calls(settings.platform,
+                                          settings.store_timeout);
+  platform::cached_instance_list instances(list_calls, clock,
+                                           settings.list_age);
+  configuration::replica configured(
+      configuration::MakeReplicaSettings(
+          settings.instance, settings.failure_domain,
+          membership::daemon::kAdmin, settings.listen.host, settings.peers),
+      clock, store, instances);
+  operators::admin_api api(accepted, directory,
+                           {[&](const configuration::snapshot& newest) {
+                              configured.Publish(newest);
+                            },
+                            [&] { return configured.Fleet(); }});
   std::atomic<bool> stopping = false;
 
   http::server server(settings.listen, {}, [&](const http::request& message) {
     return api.Answer(message);
   });
   process::status_server status(
-      settings.status, std::make_shared<prometheus::Registry>(), [&] {
-        return process::readiness{!stopping, "stopping"};
-      });
-  for (const auto& started : {status.Start(), server.Start()}) {
+      settings.status, std::make_shared<prometheus::Registry>(),
+      [&] { return Readiness(stopping, configured); });
+  for (const auto& started :
+       {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "admin: " << base::Describe(started.error());
       return process::exit_code::kFailed;
@@ -46,6 +71,7 @@
   process::WaitForStopSignal();
   stopping = true;
   server.Stop();
+  configured.Stop();
   status.Stop();
   LOG(INFO) << "admin: stopped.";
   return process::exit_code::kOk;
--- a/apps/chivecrank_entry/entry_settings.cc
+++ b/apps/chivecrank_entry/entry_settings.cc
@@ -1,5 +1,7 @@
 #include "entry_settings.h"
 
+#include "chivecrank/membership/peer_settings.h"
+
 namespace chivecrank {
 namespace {
 
@@ -37,6 +39,7 @@
   if (read.listen.port != 0 && read.listen == read.status)
     root.Reject("status", "is the same address as listen",
                 "give the two different ports");
+  read.peers = membership::ReadPeerPorts(root);
   settings::section platform = root.Table("platform");
   read.platform = platform.Endpoint("address");
   read.store_timeout = platform.MillisecondsOr(
--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "chivecrank/http/types.h"
+#include "chivecrank/membership/types.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -20,6 +21,9 @@
   /// The scheduler of the same instance.
   settings::endpoint scheduler;
   std::chrono::milliseconds store_timeout{1000};
+  /// Age up to which a read of the instance list is used again.
+  std::chrono::milliseconds list_age{500};
+  membership::peer_ports peers;
   std::chrono::milliseconds scheduler_timeout{5000};
   std::chrono::milliseconds refresh{1000};
   /// Time between "not ready" and the end of listening on a planned stop.
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -4,10 +4,11 @@
 
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/callers/caller_api.h"
-#include "chivecrank/configuration/follower.h"
+#include "chivecrank/configuration/replica.h"
 #include "chivecrank/http/server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
+#include "chivecrank/platform/cached_instance_list.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -35,9 +36,15 @@
 process::exit_code Run(const entry_settings& settings) {
   base::system_clock clock;
   platform::http_store store(settings.platform, settings.store_timeout);
-  platform::http_instance_list instances(settings.platform,
-                                         settings.store_timeout);
-  configuration::follower configured(store, clock, {});
+  platform::http_instance_list list_calls(settings.platform,
+                                          settings.store_timeout);
+  platform::cached_instance_list instances(list_calls, clock,
+                                           settings.list_age);
+  configuration::replica configured(
+      configuration::MakeReplicaSettings(
+          settings.instance, settings.failure_domain,
+          membership::daemon::kEntry, settings.listen.host, settings.peers),
+      clock, store, instances);
   instances::scheduler_client jobs(settings.scheduler,
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
@@ -58,13 +65,13 @@
   process::status_server status(settings.status, registry, [&] {
     return Readiness(stopping, configured, refresher);
   });
-  for (const auto& started : {status.Start(), server.Start()}) {
+  for (const auto& started :
+       {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
       return process::exit_code::kFailed;
     }
   }
-  configured.Start();
   refresher.Start();
   LOG(INFO) << "entry: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -4,8 +4,9 @@
 #include <atomic>
 
 #include "chivecrank/base/system_clock.h"
-#include "chivecrank/configuration/follower.h"
+#include "chivecrank/configuration/replica.h"
 #include "chivecrank/instances/scheduler_server.h"
+#include "chivecrank/platform/cached_instance_list.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -38,10 +39,16 @@
 process::exit_code Run(const scheduler_settings& settings) {
   base::system_clock clock;
   platform::http_store store(settings.platform, settings.store_timeout);
-  platform::http_instance_list instances(settings.platform,
-                                         settings.store_timeout);
+  platform::http_instance_list list_calls(settings.platform,
+                                          settings.store_timeout);
+  platform::cached_instance_list instances(list_calls, clock,
+                                           settings.list_age);
   workers::http_agent agents(settings.agent_timeout);
-  configuration::follower configured(store, clock, {});
+  configuration::replica configured(
+      configuration::MakeReplicaSettings(
+          settings.instance, settings.failure_domain,
+          membership::daemon::kScheduler, settings.listen.host, settings.peers),
+      clock, store, instances);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
       settings.shards, settings.session, clock, store, instances, agents);
@@ -52,13 +59,13 @@
   process::status_server status(
       settings.status, std::make_shared<prometheus::Registry>(),
       [&] { return Readiness(stopping, configured, manager); });
-  for (const auto& started : {status.Start(), server.Start()}) {
+  for (const auto& started :
+       {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "scheduler: " << base::Describe(started.error());
       return process::exit_code::kFailed;
     }
   }
-  configured.Start();
   manager.Start();
   LOG(INFO) << "scheduler: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
--- a/apps/chivecrank_scheduler/scheduler_settings.h
+++ b/apps/chivecrank_scheduler/scheduler_settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include "chivecrank/membership/types.h"
 #include "chivecrank/ownership/session.h"
 #include "chivecrank/settings/section.h"
 #include "chivecrank/shards/types.h"
@@ -18,6 +19,9 @@
   settings::endpoint status;
   settings::endpoint platform;
   std::chrono::milliseconds store_timeout{1000};
+  /// Age up to which a read of the instance list is used again.
+  std::chrono::milliseconds list_age{500};
+  membership::peer_ports peers;
   std::chrono::milliseconds agent_timeout{1000};
   std::chrono::milliseconds peer_timeout{3000};
   ownership::session_settings session;
--- /dev/null
+++ b/src/membership/include/chivecrank/membership/peer_server.h
@@ -0,0 +1,31 @@
+#ifndef CHIVECRANK_MEMBERSHIP_PEER_SERVER_H_
+#define CHIVECRANK_MEMBERSHIP_PEER_SERVER_H_
+
+#include <memory>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/membership/transport.h"
+
+namespace chivecrank::membership {
+
+/// Offers a peer handler to the other processes over Thrift.
+class peer_server {
+ public:
+  peer_server(settings::endpoint address, peer_handler& handler);
+  ~peer_server();
+  peer_server(const peer_server&) = delete;
+  peer_server& operator=(const peer_server&) = delete;
+
+  /// kUnavailable when the address can't be bound.
+  base::result<void> Start();
+  /// Stops after the calls in progress.
+  void Stop();
+
+ private:
+  class implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace chivecrank::membership
+
+#endif  // CHIVECRANK_MEMBERSHIP_PEER_SERVER_H_
--- /dev/null
+++ b/src/membership/include/chivecrank/membership/thrift_transport.h
@@ -0,0 +1,33 @@
+#ifndef CHIVECRANK_MEMBERSHIP_THRIFT_TRANSPORT_H_
+#define CHIVECRANK_MEMBERSHIP_THRIFT_TRANSPORT_H_
+
+#include "chivecrank/membership/transport.h"
+
+namespace chivecrank::membership {
+
+/// Time limits of the calls between processes.
+struct transport_settings {
+  std::chrono::milliseconds exchange{300};
+  std::chrono::milliseconds fetch{1500};
+  std::chrono::milliseconds relay{800};
+};
+
+/// Calls other processes over Thrift, a connection for each call.
+class thrift_transport final : public transport {
+ public:
+  explicit thrift_transport(transport_settings limits);
+
+  base::result<digest> Exchange(const settings::endpoint& to,
+                                const digest& mine) override;
+  base::result<std::string> Fetch(const settings::endpoint& from,
+                                  std::uint64_t version) override;
+  base::result<bool> Relay(const settings::endpoint& through,
+                           const settings::endpoint& target) override;
+
+ private:
+  const transport_settings limits_;
+};
+
+}  // namespace chivecrank::membership
+
+#endif  // CHIVECRANK_MEMBERSHIP_THRIFT_TRANSPORT_H_
--- /dev/null
+++ b/src/membership/internal/thrift_transport.cc
@@ -0,0 +1,80 @@
+#include "chivecrank/membership/thrift_transport.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include "gossip_peer.h"
+#include "internal/digest_codec.h"
+
+namespace chivecrank::membership {
+namespace {
+
+namespace thrift = apache::thrift;
+
+base::error Unreached(const settings::endpoint& address,
+                      const std::string& detail) {
+  return {base::error_kind::kUnavailable,
+          "no answer from the peer at " + settings::ToString(address) + ": " +
+              detail,
+          "check that the process runs and is reachable"};
+}
+
+template <class Answer, class Call>
+base::result<Answer> Run(const settings::endpoint& address,
+                         std::chrono::milliseconds limit,
+                         const Call& call) {
+  auto socket =
+      std::make_shared<thrift::transport::TSocket>(address.host, address.port);
+  const int timeout = static_cast<int>(limit.count());
+  socket->setConnTimeout(timeout);
+  socket->setRecvTimeout(timeout);
+  socket->setSendTimeout(timeout);
+  auto transport =
+      std::make_shared<thrift::transport::TFramedTransport>(socket);
+  wire::gossip_peerClient peer(
+      std::make_shared<thrift::protocol::TCompactProtocol>(transport));
+  try {
+    transport->open();
+    return call(peer);
+  } catch (const wire::not_held& failure) {
+    return base::error{base::error_kind::kNotFound, failure.message,
+                       "fetch it from another peer"};
+  } catch (const thrift::TException& failure) {
+    return Unreached(address, failure.what());
+  }
+}
+
+}  // namespace
+
+thrift_transport::thrift_transport(transport_settings limits)
+    : limits_(limits) {}
+
+base::result<digest> thrift_transport::Exchange(const settings::endpoint& to,
+                                                const digest& mine) {
+  return Run<digest>(to, limits_.exchange, [&](wire::gossip_peerClient& peer) {
+    wire::digest answer;
+    peer.Exchange(answer, internal::ToWire(mine));
+    return internal::FromWire(answer);
+  });
+}
+
+base::result<std::string> thrift_transport::Fetch(
+    const settings::endpoint& from,
+    std::uint64_t version) {
+  return Run<std::string>(
+      from, limits_.fetch, [&](wire::gossip_peerClient& peer) {
+        std::string text;
+        peer.Fetch(text, static_cast<std::int64_t>(version));
+        return text;
+      });
+}
+
+base::result<bool> thrift_transport::Relay(const settings::endpoint& through,
+                                           const settings::endpoint& target) {
+  return Run<bool>(through, limits_.relay, [&](wire::gossip_peerClient& peer) {
+    return peer.Relay(target.host, target.port);
+  });
+}
+
+}  // namespace chivecrank::membership
--- /dev/null
+++ b/src/membership/internal/types.cc
@@ -0,0 +1,51 @@
+#include "chivecrank/membership/types.h"
+
+#include <array>
+
+namespace chivecrank::membership {
+namespace {
+
+constexpr std::array kDaemonNames = {"scheduler", "entry", "admin"};
+constexpr std::array kStatusNames = {"live", "suspect", "leaving", "dead"};
+constexpr std::array kDaemons = {daemon::kScheduler, daemon::kEntry,
+                                 daemon::kAdmin};
+
+}  // namespace
+
+std::string_view DaemonName(daemon value) {
+  return kDaemonNames.at(static_cast<std::size_t>(value));
+}
+
+std::string_view MemberStatusName(member_status value) {
+  return kStatusNames.at(static_cast<std::size_t>(value));
+}
+
+std::uint16_t PortOf(const peer_ports& ports, daemon part) {
+  if (part == daemon::kScheduler)
+    return ports.scheduler;
+  return part == daemon::kEntry ? ports.entry : ports.admin;
+}
+
+peer MakePeer(const std::string& instance,
+              const std::string& failure_domain,
+              daemon part,
+              const settings::endpoint& address) {
+  return {instance + "/" + std::string(DaemonName(part)), instance, part,
+          failure_domain, address};
+}
+
+std::vector<peer> PeersOf(const std::vector<platform::instance>& listed,
+                          const peer_ports& ports) {
+  std::vector<peer> peers;
+  for (const platform::instance& instance : listed) {
+    if (instance.kind != platform::instance_kind::kSystem)
+      continue;
+    for (const daemon part : kDaemons) {
+      peers.push_back(MakePeer(instance.id, instance.failure_domain, part,
+                               {instance.scheduler.host, PortOf(ports, part)}));
+    }
+  }
+  return peers;
+}
+
+}  // namespace chivecrank::membership
--- /dev/null
+++ b/src/membership/tests/gossip_test.cc
@@ -0,0 +1,167 @@
+#include "chivecrank/membership/gossip.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+#include "chivecrank/base/manual_clock.h"
+
+namespace chivecrank::membership {
+namespace {
+
+/// A document whose text is its version.
+class number_document final : public shared_document {
+ public:
+  std::uint64_t Version() const override { return held; }
+  std::uint64_t InForce() const override { return held; }
+  std::string Text() const override { return std::to_string(held); }
+  base::result<void> OfferText(const std::string& text) override {
+    held = std::max<std::uint64_t>(held, std::stoull(text));
+    return base::Success();
+  }
+  base::time_point ConfirmedAt() const override { return confirmed; }
+  void HearConfirmation(std::uint64_t, base::time_point at) override {
+    confirmed = std::max(confirmed, at);
+  }
+
+  std::uint64_t held = 0;
+  base::time_point confirmed;
+};
+
+/// Joins gossips without sockets. Links between the halves can be cut, and
+/// single processes can be down.
+class memory_network final : public transport {
+ public:
+  base::result<digest> Exchange(const settings::endpoint& to,
+                                const digest& mine) override {
+    ++exchanges;
+    if (!Reaches(mine.address, to))
+      return base::error{base::error_kind::kUnavailable, "cut", ""};
+    return at[to.port]->OnExchange(mine);
+  }
+  base::result<std::string> Fetch(const settings::endpoint& from,
+                                  std::uint64_t version) override {
+    return at[from.port]->OnFetch(version);
+  }
+  base::result<bool> Relay(const settings::endpoint& through,
+                           const settings::endpoint& target) override {
+    return Reaches(through, target);
+  }
+
+  bool Reaches(const settings::endpoint& from, const settings::endpoint& to) {
+    const bool other_half = (from.port < half) != (to.port < half);
+    return to.port != down && from.port != down && !(cut && other_half);
+  }
+
+  std::map<std::uint16_t, peer_handler*> at;
+  int exchanges = 0;
+  std::uint16_t half = 0;
+  std::uint16_t down = 0;
+  bool cut = false;
+};
+
+struct fleet {
+  explicit fleet(int size) {
+    for (int i = 1; i <= size; ++i) {
+      peers.push_back(MakePeer("i-" + std::to_string(100 + i), "viti-suva",
+                               daemon::kScheduler,
+                               {"127.0.0.1", static_cast<std::uint16_t>(i)}));
+    }
+    network.half = static_cast<std::uint16_t>(size / 2 + 1);
+    for (const peer& who : peers) {
+      documents.push_back(std::make_unique<number_document>());
+      gossip_settings settings;
+      settings.seed = who.address.port;
+      nodes.push_back(std::make_unique<gossip>(
+          who, 1, settings, clock, network, *documents.back(),
+          [this]() -> base::result<std::vector<peer>> { return peers; }));
+      network.at[who.address.port] = nodes.back().get();
+      nodes.back()->RefreshList();
+    }
+  }
+
+  void Run(std::chrono::milliseconds time) {
+    constexpr std::chrono::milliseconds kStep{25};
+    for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
+      for (const auto& node : nodes)
+        node->RunOnce();
+      clock.Advance(kStep);
+    }
+  }
+
+  std::size_t Holders(std::uint64_t version) const {
+    std::size_t count = 0;
+    for (const auto& document : documents)
+      count += document->held >= version ? 1 : 0;
+    return count;
+  }
+
+  std::size_t WithStatus(std::size_t node, member_status status) const {
+    std::size_t count = 0;
+    for (const member& known : nodes[node]->Members())
+      count += known.status == status ? 1 : 0;
+    return count;
+  }
+
+  base::manual_clock clock;
+  memory_network network;
+  std::vector<peer> peers;
+  std::vector<std::unique_ptr<number_document>> documents;
+  std::vector<std::unique_ptr<gossip>> nodes;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(gossip_suite)
+
+BOOST_AUTO_TEST_CASE(PushReachesAllWithinSecondsAtAnySize) {
+  for (const int size : {7, 60, 300}) {
+    fleet all(size);
+    all.documents[0]->held = 5;
+    all.nodes[0]->Push();
+    all.Run(std::chrono::seconds(3));
+    BOOST_TEST(all.Holders(5) == static_cast<std::size_t>(size));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HalvesThatWereCutOffAgreeOnTheHigherAfterwards) {
+  fleet all(20);
+  all.network.cut = true;
+  all.documents[0]->held = 5;
+  all.nodes[0]->Push();
+  all.documents[19]->held = 4;
+  all.nodes[19]->Push();
+  all.Run(std::chrono::seconds(20));
+  BOOST_TEST(all.Holders(5) == 10);
+  BOOST_TEST(all.Holders(4) == 20);
+  BOOST_TEST(all.WithStatus(0, member_status::kDead) == 10);
+  all.network.cut = false;
+  all.Run(std::chrono::seconds(30));
+  BOOST_TEST(all.Holders(5) == 20);
+  BOOST_TEST(all.WithStatus(0, member_status::kLive) == 19);
+}
+
+BOOST_AUTO_TEST_CASE(DeadMemberIsSuspectedThenTakenForDeadByAll) {
+  fleet all(30);
+  all.Run(std::chrono::seconds(2));
+  all.network.down = 7;
+  all.Run(std::chrono::seconds(12));
+  for (std::size_t node = 0; node < all.nodes.size(); ++node) {
+    if (node != 6)
+      BOOST_TEST(all.WithStatus(node, member_status::kDead) == 1);
+  }
+  all.network.down = 0;
+  all.Run(std::chrono::seconds(30));
+  BOOST_TEST(all.WithStatus(0, member_status::kLive) == 29);
+}
+
+BOOST_AUTO_TEST_CASE(CallsOfAProcessStayFlatAsTheFleetGrows) {
+  for (const int size : {7, 60, 300}) {
+    fleet all(size);
+    all.Run(std::chrono::seconds(10));
+    BOOST_TEST(all.network.exchanges <= size * 24);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::membership
--- /dev/null
+++ b/src/membership/thrift/gossip_peer.thrift
@@ -0,0 +1,32 @@
+namespace cpp chivecrank.membership.wire
+
+/// What one process says of a member.
+struct rumor {
+  1: string id
+  2: i32 status
+  3: i64 incarnation
+}
+
+/// What two processes tell each other: the version of the configuration that
+/// the sender holds, the time since the store last confirmed it, and some rumors.
+struct digest {
+  1: string sender
+  2: string host
+  3: i32 port
+  4: i64 version
+  5: i64 confirmed_age_ms
+  6: list<rumor> rumors
+  7: i64 in_force
+}
+
+/// The process does not hold the version asked for.
+exception not_held {
+  1: string message
+}
+
+/// What every process of the system offers to the others.
+service gossip_peer {
+  digest Exchange(1: digest mine)
+  string Fetch(1: i64 version) throws (1: not_held failure)
+  bool Relay(1: string host, 2: i32 port)
+}
--- a/src/operators/internal/admin_api.cc
+++ b/src/operators/internal/admin_api.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <charconv>
+#include <utility>
 
 #include "chivecrank/configuration/codec.h"
 
@@ -40,8 +41,9 @@
 }  // namespace
 
 admin_api::admin_api(configuration::repository& accepted,
-                     const operator_directory& directory)
-    : accepted_(accepted), directory_(directory) {}
+                     const operator_directory& directory,
+                     fleet_hooks fleet)
+    : accepted_(accepted), directory_(directory), fleet_(std::move(fleet)) {}
 
 http::response admin_api::Answer(const http::request& message) {
   const answer result = Route(message);
@@ -58,6 +60,8 @@
     return PostConfiguration(message);
   if (path == "/v1/history" && message.method == "GET")
     return GetHistory(message);
+  if (path == "/v1/instances" && message.method == "GET")
+    return GetInstances(message);
   return base::error{base::error_kind::kNotFound,
                      "there is no " + message.method + " " + std::string(path),
                      "see the API page in the documentation"};
@@ -93,6 +97,7 @@
   BOOST_OUTCOME_TRY(
       accepted, accepted_.Accept({base, author.name,
                                   http::StringOf(body, "comment"), content}));
+  fleet_.on_accepted(accepted);
   LOG(INFO) << "admin: accepted revision " << accepted.revision << " by "
             << accepted.author << ".";
   return Summary(accepted);
@@ -110,4 +115,26 @@
   return body;
 }
 
+admin_api::answer admin_api::GetInstances(const http::request& message) {
+  BOOST_OUTCOME_TRY(directory_.Authorize(message.Header("Authorization"),
+                                         operator_role::kViewer));
+  http::json_array processes = new Poco::JSON::Array;
+  for (const configuration::process_state& one : fleet_.fleet()) {
+    json_object item = new Poco::JSON::Object;
+    const membership::peer& who = one.process.who;
+    item->set("instance", who.instance);
+    item->set("daemon", std::string(membership::DaemonName(who.part)));
+    item->set("failure_domain", who.failure_domain);
+    item->set("address", settings::ToString(who.address));
+    item->set("status",
+              std::string(membership::MemberStatusName(one.process.status)));
+    item->set("reached", one.reached);
+    item->set("revision", one.in_force);
+    processes->add(item);
+  }
+  json_object body = new Poco::JSON::Object;
+  body->set("processes", processes);
+  return body;
+}
+
 }  // namespace chivecrank::operators
--- a/src/operators/tests/admin_api_test.cc
+++ b/src/operators/tests/admin_api_test.cc
@@ -18,7 +18,11 @@
   operator_directory directory{
       {{"mere", operator_role::kEditor, security::HashToken("edit")},
        {"jone", operator_role::kViewer, security::HashToken("view")}}};
-  admin_api api{accepted, directory};
+  int published = 0;
+  admin_api api{accepted,
+                directory,
+                {[this](const auto&) { ++published; },
+                 [] { return std::vector<configuration::process_state>(); }}};
 
   int Post(const std::string& token, const std::string& body) {
     http::request message{"POST", "/v1/configuration", {}, body};
@@ -43,6 +47,7 @@
 BOOST_AUTO_TEST_CASE(EditorChangesAndSecondGetsAConflict) {
   BOOST_TEST(Post("edit", kChange) == 200);
   BOOST_TEST(Post("edit", kChange) == 409);
+  BOOST_TEST(published == 1);
   BOOST_TEST(accepted.Head().value().revision == 1);
 }
 
--- a/tests/harness/settings_files.cc
+++ b/tests/harness/settings_files.cc
@@ -51,6 +51,7 @@
 std::string AdminSettingsText(const instance_addresses& at) {
   std::ostringstream text;
   text << "instance = " << Quoted(at.id) << "\n"
+       << "failure_domain = " << Quoted(at.failure_domain) << "\n"
        << "listen = " << Quoted(at.admin) << "\n"
        << "status = " << Quoted(at.admin_status) << "\n"
        << "[platform]\naddress = " << Quoted(at.platform) << "\n"
