Answers of changes are true when the store's answer was lost

Cause: a write of the head whose answer was lost and that had not arrived could still arrive after the operator was told to try again; a failed read of the history was taken for a conflict; a value too large for the store was reported as possibly accepted; a change whose answer was lost on the way to the operator could not be sent again safely.

Change: when the head is still at the expected version, the same head is written under a new version, which keeps the late write out for good, and only then "not accepted" is told. Proposals carry a write id; the same proposal is accepted once. The stand-in platform shows late writes and stale reads.

--- a/src/configuration/include/chivecrank/configuration/repository.h
+++ b/src/configuration/include/chivecrank/configuration/repository.h
@@ -1,7 +1,9 @@
 #ifndef CHIVECRANK_CONFIGURATION_REPOSITORY_H_
 #define CHIVECRANK_CONFIGURATION_REPOSITORY_H_
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,16 @@
   std::string author;
   std::string comment;
   configuration::content content;
+  /// Chosen by whoever proposes, so that the same proposal can be sent again
+  /// when its answer was lost; a new one is made when it is empty.
+  std::string write_id;
+};
+
+/// How long the repository tries to find out what became of a write.
+struct settle_settings {
+  std::chrono::milliseconds limit{5000};
+  std::chrono::milliseconds first_pause{20};
+  std::chrono::milliseconds longest_pause{500};
 };
 
 /// Accepted configurations in the platform's store: one head record, swapped
@@ -32,12 +44,14 @@
   /// `new_write_id` returns an identifier that no other write has.
   repository(platform::store& store,
              base::clock& clock,
-             std::function<std::string()> new_write_id);
+             std::function<std::string()> new_write_id,
+             settle_settings settling = {});
 
   /// The newest accepted configuration; revision 0 when there is none.
   base::result<snapshot> Head();
 
-  /// Validates and accepts a proposal; returns it with its revision.
+  /// Validates and accepts a proposal; returns it with its revision. A
+  /// proposal that was accepted before under its write id is returned again.
   /// kInvalidArgument: it has faults. kConflict: the head is another revision
   /// than `base`. kOutcomeUnknown: the store did not tell whether it took it.
   base::result<snapshot> Accept(const proposal& change);
@@ -50,11 +64,17 @@
 
  private:
   base::result<void> Archive(const snapshot& head);
-  base::result<snapshot> ReadBack(const snapshot& written);
+  base::result<snapshot> AcceptedBefore(const proposal& change,
+                                        const snapshot& head);
+  base::result<snapshot> Settle(const snapshot& written,
+                                platform::version expected);
+  std::optional<base::result<snapshot>> TryToSettle(const snapshot& written,
+                                                    platform::version expected);
 
   platform::store& store_;
   base::clock& clock_;
   std::function<std::string()> new_write_id_;
+  const settle_settings settling_;
 };
 
 }  // namespace chivecrank::configuration
--- a/src/configuration/internal/repository.cc
+++ b/src/configuration/internal/repository.cc
@@ -11,6 +11,7 @@
 
 constexpr platform::call_class kClass = platform::call_class::kConfiguration;
 constexpr std::size_t kRevisionDigits = 12;
+constexpr std::size_t kLargestTextBytes = std::size_t{1} << 20;
 
 std::string HistoryKey(revision number) {
   std::string digits = std::to_string(number);
@@ -25,6 +26,20 @@
           "get the newest revision, apply the change to it and try again"};
 }
 
+base::error NotAccepted(const snapshot& written) {
+  return {base::error_kind::kUnavailable,
+          "revision " + std::to_string(written.revision) +
+              " did not reach the store and was not accepted",
+          "apply the change again"};
+}
+
+base::error TooLarge(std::size_t size) {
+  return {base::error_kind::kInvalidArgument,
+          "the configuration takes " + std::to_string(size) + " bytes, " +
+              std::to_string(kLargestTextBytes) + " at most fit the store",
+          "remove accounts, templates or parameters that are not used"};
+}
+
 struct versioned_head {
   snapshot accepted;
   platform::version version = 0;
@@ -42,8 +57,12 @@
 
 repository::repository(platform::store& store,
                        base::clock& clock,
-                       std::function<std::string()> new_write_id)
-    : store_(store), clock_(clock), new_write_id_(std::move(new_write_id)) {}
+                       std::function<std::string()> new_write_id,
+                       settle_settings settling)
+    : store_(store),
+      clock_(clock),
+      new_write_id_(std::move(new_write_id)),
+      settling_(settling) {}
 
 base::result<snapshot> repository::Head() {
   BOOST_OUTCOME_TRY(head, ReadHead(store_));
@@ -58,23 +77,41 @@
   }
   BOOST_OUTCOME_TRY(head, ReadHead(store_));
   if (head.accepted.revision != change.base)
-    return Conflict(head.accepted);
-  BOOST_OUTCOME_TRY(Archive(head.accepted));
+    return AcceptedBefore(change, head.accepted);
   snapshot next{change.base + 1,
                 change.author,
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     clock_.WallNow().time_since_epoch())
                     .count(),
-                new_write_id_(),
+                change.write_id.empty() ? new_write_id_() : change.write_id,
                 change.comment,
                 change.content};
-  const auto written =
-      store_.Put(kClass, {kHeadKey, EncodeSnapshot(next), head.version, 0});
+  const std::string text = EncodeSnapshot(next);
+  if (text.size() > kLargestTextBytes)
+    return TooLarge(text.size());
+  BOOST_OUTCOME_TRY(Archive(head.accepted));
+  const auto written = store_.Put(kClass, {kHeadKey, text, head.version, 0});
   if (written.has_value())
     return next;
-  if (written.error().kind == base::error_kind::kUnavailable)
-    return written.error();
-  return ReadBack(next);
+  switch (written.error().kind) {
+    case base::error_kind::kOutcomeUnknown:
+    case base::error_kind::kTimeout:
+    case base::error_kind::kConflict:
+      return Settle(next, head.version);
+    default:
+      return written.error();
+  }
+}
+
+base::result<snapshot> repository::AcceptedBefore(const proposal& change,
+                                                  const snapshot& head) {
+  const revision number = change.base + 1;
+  if (change.write_id.empty() || head.revision < number)
+    return Conflict(head);
+  BOOST_OUTCOME_TRY(found, At(number));
+  if (found.write_id == change.write_id)
+    return found;
+  return Conflict(head);
 }
 
 base::result<void> repository::Archive(const snapshot& head) {
@@ -94,28 +131,52 @@
       "apply the change again; it was not accepted"};
 }
 
-base::result<snapshot> repository::ReadBack(const snapshot& written) {
-  const auto head = ReadHead(store_);
-  if (!head.has_value()) {
-    return base::error{
-        base::error_kind::kOutcomeUnknown,
-        "the store did not tell whether it accepted revision " +
-            std::to_string(written.revision),
-        "look for the write id " + written.write_id + " in the history"};
+base::result<snapshot> repository::Settle(const snapshot& written,
+                                          platform::version expected) {
+  const base::time_point end = clock_.Now() + settling_.limit;
+  std::chrono::milliseconds pause = settling_.first_pause;
+  while (true) {
+    if (const auto settled = TryToSettle(written, expected))
+      return *settled;
+    if (clock_.Now() >= end)
+      break;
+    clock_.SleepUntil(std::min(end, clock_.Now() + pause));
+    pause = std::min(pause * 2, settling_.longest_pause);
   }
-  const snapshot& current = head.value().accepted;
-  if (current.write_id == written.write_id)
+  return base::error{base::error_kind::kOutcomeUnknown,
+                     "the store did not tell whether it accepted revision " +
+                         std::to_string(written.revision),
+                     "send the same change again with the write id " +
+                         written.write_id + "; it can't be accepted twice"};
+}
+
+std::optional<base::result<snapshot>> repository::TryToSettle(
+    const snapshot& written,
+    platform::version expected) {
+  const auto read = ReadHead(store_);
+  if (!read.has_value() || read.value().version < expected)
+    return std::nullopt;
+  const versioned_head& head = read.value();
+  if (head.accepted.write_id == written.write_id)
     return written;
-  if (current.revision < written.revision)
-    return base::error{base::error_kind::kOutcomeUnknown,
-                       "the write of revision " +
-                           std::to_string(written.revision) +
-                           " is not in the store yet and may still arrive",
-                       "read the history before trying again"};
+  if (head.version == expected) {
+    // The write may still arrive. The same head under a new version keeps it
+    // out for good, so that "not accepted" is true.
+    const std::string same = EncodeSnapshot(head.accepted);
+    if (!store_.Put(kClass, {kHeadKey, same, expected, 0}).has_value())
+      return std::nullopt;
+    return NotAccepted(written);
+  }
+  if (head.accepted.revision < written.revision)
+    return NotAccepted(written);
+  if (head.accepted.revision == written.revision)
+    return Conflict(head.accepted);
   const auto archived = At(written.revision);
-  if (archived.has_value() && archived.value().write_id == written.write_id)
+  if (!archived.has_value())
+    return std::nullopt;
+  if (archived.value().write_id == written.write_id)
     return written;
-  return Conflict(current);
+  return Conflict(head.accepted);
 }
 
 base::result<snapshot> repository::At(revision number) {
--- a/src/configuration/tests/repository_test.cc
+++ b/src/configuration/tests/repository_test.cc
@@ -1,6 +1,7 @@
 #include "chivecrank/configuration/repository.h"
 
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 #include "chivecrank/base/manual_clock.h"
 #include "chivecrank/platform/memory_store.h"
@@ -9,9 +10,39 @@
 namespace chivecrank::configuration {
 namespace {
 
+/// What becomes of the next write of the head.
+enum class head_fault { kNone, kAnswerLost, kArrivesLate, kNeverArrives };
+
+/// A store that loses the answer of one write of the head.
+class faulty_store final : public platform::memory_store {
+ public:
+  using memory_store::memory_store;
+
+  base::result<platform::version> Put(
+      platform::call_class purpose,
+      const platform::put_request& write) override {
+    if (write.key != kHeadKey || fault == head_fault::kNone)
+      return memory_store::Put(purpose, write);
+    const head_fault now = std::exchange(fault, head_fault::kNone);
+    if (now == head_fault::kAnswerLost)
+      static_cast<void>(memory_store::Put(purpose, write));
+    if (now == head_fault::kArrivesLate)
+      late = write;
+    return base::error{base::error_kind::kOutcomeUnknown, "lost", ""};
+  }
+
+  bool LateArrives() {
+    return memory_store::Put(platform::call_class::kConfiguration, late)
+        .has_value();
+  }
+
+  head_fault fault = head_fault::kNone;
+  platform::put_request late;
+};
+
 struct fixture {
   base::manual_clock clock;
-  platform::memory_store store{clock};
+  faulty_store store{clock};
   int writes = 0;
   repository accepted{store, clock,
                       [this] { return "w" + std::to_string(++writes); }};
@@ -52,6 +83,41 @@
   BOOST_TEST(accepted.Head().value().revision == 0);
 }
 
+BOOST_AUTO_TEST_CASE(LostAnswerIsReadBack) {
+  store.fault = head_fault::kAnswerLost;
+  BOOST_TEST(Propose(0, "mere").value().revision == 1);
+  BOOST_TEST(accepted.History().value().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(WriteThatMayArriveLateIsKeptOut) {
+  for (revision base = 0; base < 2; ++base) {
+    store.fault = head_fault::kArrivesLate;
+    const auto lost = Propose(base, "mere");
+    BOOST_REQUIRE(!lost.has_value());
+    BOOST_TEST((lost.error().kind == base::error_kind::kUnavailable));
+    BOOST_TEST(!store.LateArrives());
+    BOOST_TEST(accepted.Head().value().revision == base);
+    BOOST_REQUIRE(Propose(base, "mere").has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SameProposalIsAcceptedOnce) {
+  const proposal change{0, "mere", "", SampleContent(), "chosen"};
+  BOOST_TEST(accepted.Accept(change).value().revision == 1);
+  BOOST_TEST(accepted.Accept(change).value().revision == 1);
+  BOOST_REQUIRE(Propose(1, "jone").has_value());
+  BOOST_TEST(accepted.Accept(change).value().revision == 1);
+  BOOST_TEST(accepted.History().value().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationThatDoesNotFitTheStoreIsRefused) {
+  content all = SampleContent();
+  all.services[0].parameters[0].fallback.assign(std::size_t{1} << 20, 'x');
+  const auto refused = accepted.Accept({0, "mere", "", all});
+  BOOST_TEST((refused.error().kind == base::error_kind::kInvalidArgument));
+  BOOST_TEST(accepted.Head().value().revision == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::configuration
--- a/src/operators/internal/admin_api.cc
+++ b/src/operators/internal/admin_api.cc
@@ -18,6 +18,7 @@
   body->set("author", accepted.author);
   body->set("accepted_at_ms", accepted.accepted_at_ms);
   body->set("comment", accepted.comment);
+  body->set("write_id", accepted.write_id);
   return body;
 }
 
@@ -95,8 +96,9 @@
   const auto base =
       static_cast<configuration::revision>(http::IntegerOf(body, "base"));
   BOOST_OUTCOME_TRY(
-      accepted, accepted_.Accept({base, author.name,
-                                  http::StringOf(body, "comment"), content}));
+      accepted,
+      accepted_.Accept({base, author.name, http::StringOf(body, "comment"),
+                        content, http::StringOf(body, "write_id")}));
   fleet_.on_accepted(accepted);
   LOG(INFO) << "admin: accepted revision " << accepted.revision << " by "
             << accepted.author << ".";
--- a/src/platform/include/chivecrank/platform/memory_store.h
+++ b/src/platform/include/chivecrank/platform/memory_store.h
@@ -13,7 +13,7 @@
 
 /// A store in the memory of this process: the core of the stand-in platform
 /// and the fake of unit tests. Watches never wait.
-class memory_store final : public store {
+class memory_store : public store {
  public:
   explicit memory_store(base::clock& clock);
 
--- a/tests/standin_platform/fault_settings.h
+++ b/tests/standin_platform/fault_settings.h
@@ -15,6 +15,11 @@
   std::chrono::milliseconds delay{0};
   /// Share of writes whose answer is lost after they took effect.
   double lost_answers = 0;
+  /// Share of writes that are reported as lost and take effect `late_by` later.
+  double late_writes = 0;
+  std::chrono::milliseconds late_by{0};
+  /// Share of reads that return what the key held before its last write.
+  double stale_reads = 0;
 };
 
 fault_settings DecodeFaults(const http::json_object& encoded);
--- a/tests/standin_platform/platform_service.cc
+++ b/tests/standin_platform/platform_service.cc
@@ -30,6 +30,11 @@
   instances_->set("instances", http::json_array(new Poco::JSON::Array));
 }
 
+platform_service::~platform_service() {
+  for (std::thread& late : late_writes_)
+    late.join();
+}
+
 http::response platform_service::Answer(const http::request& message) {
   const auto parsed = http::ParseObject(message.body);
   if (!parsed.has_value())
@@ -50,6 +55,12 @@
     return http::ErrorResponse({base::error_kind::kUnavailable,
                                 "the store is down", "try again later"});
   }
+  if (operation == "put" && Happens(faults.late_writes)) {
+    PutLater(parsed.value(), faults.late_by);
+    return http::ErrorResponse({base::error_kind::kOutcomeUnknown,
+                                "the answer was lost",
+                                "read back, then decide"});
+  }
   const answer result = Operate(operation, parsed.value());
   if (LosesAnswer(operation)) {
     return http::ErrorResponse({base::error_kind::kOutcomeUnknown,
@@ -101,6 +112,12 @@
 platform_service::answer platform_service::Get(const json_object& body) {
   const std::string key = http::StringOf(body, "key");
   BOOST_OUTCOME_TRY(found, store_.Get(AnyClass(), key));
+  if (Happens(Faults().stale_reads)) {
+    std::lock_guard lock(mutex_);
+    const auto older = previous_.find(key);
+    if (older != previous_.end())
+      return platform::EncodeEntry(older->second);
+  }
   if (found)
     return platform::EncodeEntry(*found);
   return base::error{base::error_kind::kNotFound, "no key " + key,
@@ -108,7 +125,13 @@
 }
 
 platform_service::answer platform_service::Put(const json_object& body) {
-  BOOST_OUTCOME_TRY(version, store_.Put(AnyClass(), platform::DecodePut(body)));
+  const platform::put_request write = platform::DecodePut(body);
+  BOOST_OUTCOME_TRY(before, store_.Get(AnyClass(), write.key));
+  BOOST_OUTCOME_TRY(version, store_.Put(AnyClass(), write));
+  if (before) {
+    std::lock_guard lock(mutex_);
+    previous_[write.key] = *before;
+  }
   json_object result = NewObject();
   result->set("version", version);
   return result;
@@ -180,9 +203,22 @@
 bool platform_service::LosesAnswer(std::string_view operation) {
   if (operation != "put" && operation != "delete")
     return false;
+  return Happens(Faults().lost_answers);
+}
+
+bool platform_service::Happens(double share) {
+  std::lock_guard lock(mutex_);
+  std::uniform_real_distribution<double> drawn(0, 1);
+  return drawn(random_) < share;
+}
+
+void platform_service::PutLater(const json_object& body,
+                                std::chrono::milliseconds late_by) {
   std::lock_guard lock(mutex_);
-  std::uniform_real_distribution<double> share(0, 1);
-  return share(random_) < faults_.lost_answers;
+  late_writes_.emplace_back([this, body, late_by] {
+    clock_.SleepUntil(clock_.Now() + late_by);
+    static_cast<void>(Put(body));
+  });
 }
 
 }  // namespace chivecrank::standin
--- a/tests/standin_platform/platform_service.h
+++ b/tests/standin_platform/platform_service.h
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/base/result.h"
@@ -21,6 +23,7 @@
 class platform_service {
  public:
   platform_service(base::clock& clock, std::uint64_t seed);
+  ~platform_service();
 
   /// Safe to call from several threads.
   http::response Answer(const http::request& message);
@@ -43,6 +46,11 @@
   fault_settings Faults();
   void Count(const std::string& operation, const http::json_object& body);
   bool LosesAnswer(std::string_view operation);
+  /// Whether a fault of this share happens now.
+  bool Happens(double share);
+  /// Writes when `late_by` has passed, on a thread of its own.
+  void PutLater(const http::json_object& body,
+                std::chrono::milliseconds late_by);
 
   base::clock& clock_;
   platform::memory_store store_;
@@ -51,6 +59,9 @@
   std::mt19937_64 random_;
   http::json_object instances_;
   std::map<std::string, std::int64_t> calls_;
+  /// What each key held before its last write.
+  std::map<std::string, platform::store_entry> previous_;
+  std::vector<std::thread> late_writes_;
 };
 
 }  // namespace chivecrank::standin
