--- a/src/objectives/include/chivecrank/objectives/types.h
+++ b/src/objectives/include/chivecrank/objectives/types.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_OBJECTIVES_TYPES_H_
 
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -57,6 +58,9 @@
   double good = 0;
 
   double Bad() const { return total - good; }
+  /// Whole numbers, for people.
+  std::int64_t WholeTotal() const { return std::llround(total); }
+  std::int64_t WholeBad() const { return std::llround(Bad()); }
 };
 
 /// How fast an error budget is used in the window before the end of the data.
--- a/src/objectives/internal/html_report.cc
+++ b/src/objectives/internal/html_report.cc
@@ -46,8 +46,8 @@
           "<th>requests</th></tr>\n";
   for (const window_burn& window : burn.windows) {
     page << "<tr><td>" << WindowText(window.window) << "</td><td>"
-         << window.burn_rate << "</td><td>" << window.requests.Bad()
-         << "</td><td>" << window.requests.total << "</td></tr>\n";
+         << window.burn_rate << "</td><td>" << window.requests.WholeBad()
+         << "</td><td>" << window.requests.WholeTotal() << "</td></tr>\n";
   }
   page << "</table>\n";
 }
@@ -59,8 +59,8 @@
           "</tr>\n";
   for (const offender& worst : burn.worst_accounts) {
     page << "<tr><td>" << Escape(worst.account) << "</td><td>"
-         << worst.requests.Bad() << "</td><td>" << worst.requests.total
-         << "</td></tr>\n";
+         << worst.requests.WholeBad() << "</td><td>"
+         << worst.requests.WholeTotal() << "</td></tr>\n";
   }
   page << "</table>\n";
 }
--- a/src/objectives/internal/text_report.cc
+++ b/src/objectives/internal/text_report.cc
@@ -13,17 +13,18 @@
 void AppendService(const service_burn& burn, std::ostringstream& text) {
   text << burn.objective.service << ": " << kPercent * burn.objective.ratio
        << "% within " << burn.objective.latency.count() << " ms\n"
-       << "  requests " << burn.requests.total << ", bad "
-       << burn.requests.Bad() << ", budget left " << kPercent * burn.budget_left
-       << "%, alert " << AlertSeverityName(burn.alert) << "\n";
+       << "  requests " << burn.requests.WholeTotal() << ", bad "
+       << burn.requests.WholeBad() << ", budget left "
+       << kPercent * burn.budget_left << "%, alert "
+       << AlertSeverityName(burn.alert) << "\n";
   for (const window_burn& window : burn.windows) {
     text << "  burn over " << std::setw(4) << WindowText(window.window) << ": "
-         << window.burn_rate << " (" << window.requests.Bad() << " bad of "
-         << window.requests.total << ")\n";
+         << window.burn_rate << " (" << window.requests.WholeBad() << " bad of "
+         << window.requests.WholeTotal() << ")\n";
   }
   for (const offender& worst : burn.worst_accounts) {
-    text << "  account " << worst.account << ": " << worst.requests.Bad()
-         << " bad of " << worst.requests.total << "\n";
+    text << "  account " << worst.account << ": " << worst.requests.WholeBad()
+         << " bad of " << worst.requests.WholeTotal() << "\n";
   }
 }
 
