--- a/src/scheduling/include/chivecrank/scheduling/shard_state.h
+++ b/src/scheduling/include/chivecrank/scheduling/shard_state.h
@@ -35,6 +35,9 @@
   /// Identifiers of the tasks with an open attempt on a worker.
   const std::set<std::string>& OpenOn(const std::string& worker_id) const;
 
+  /// Members of a gang that will never run again.
+  std::int64_t EndedInGang(const std::string& gang) const;
+
  private:
   struct worker_use {
     platform::resources committed;
@@ -59,6 +62,7 @@
   std::map<std::string, task> tasks_;
   std::set<std::string> waiting_;
   std::map<std::string, worker_use> workers_;
+  std::map<std::string, std::int64_t> ended_in_gang_;
 };
 
 }  // namespace chivecrank::scheduling
--- a/src/scheduling/include/chivecrank/scheduling/types.h
+++ b/src/scheduling/include/chivecrank/scheduling/types.h
@@ -140,6 +140,8 @@
 struct checkpoint_ordered {
   std::string task_id;
   std::int32_t attempt = 0;
+  /// Time for saving; after it the attempt is stopped, saved or not.
+  std::chrono::milliseconds grace{0};
 };
 
 /// An attempt ended.
--- a/src/scheduling/internal/event_codec.cc
+++ b/src/scheduling/internal/event_codec.cc
@@ -107,7 +107,10 @@
 }
 
 json_object Encode(const checkpoint_ordered& recorded) {
-  return NewObject(kCheckpoint, recorded.task_id, recorded.attempt);
+  json_object encoded =
+      NewObject(kCheckpoint, recorded.task_id, recorded.attempt);
+  encoded->set("grace_ms", static_cast<Poco::Int64>(recorded.grace.count()));
+  return encoded;
 }
 
 json_object Encode(const attempt_ended& recorded) {
@@ -198,8 +201,11 @@
     return event(attempt_throttled{task_id, AttemptOf(encoded),
                                    http::BooleanOf(encoded, "throttled")});
   }
-  if (kind == kCheckpoint)
-    return event(checkpoint_ordered{task_id, AttemptOf(encoded)});
+  if (kind == kCheckpoint) {
+    return event(checkpoint_ordered{
+        task_id, AttemptOf(encoded),
+        std::chrono::milliseconds(http::IntegerOf(encoded, "grace_ms"))});
+  }
   if (kind == kEnded)
     return DecodeEnded(encoded);
   if (kind == kParked)
--- /dev/null
+++ b/src/scheduling/internal/placement_round.cc
@@ -0,0 +1,281 @@
+#include "internal/placement_round.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "chivecrank/scheduling/resources.h"
+
+namespace chivecrank::scheduling {
+namespace {
+
+/// Costs, in squared inflation above 1.
+constexpr double kPackingWeight = 0.02;
+constexpr double kAcceleratorWaste = 0.5;
+constexpr double kRepeatedCrash = 4.0;
+/// Costs of a replica beside another one of its service.
+constexpr double kSameWorker = 100.0;
+constexpr double kSameRack = 10.0;
+constexpr double kSameDomain = 1.0;
+
+double Harm(double inflation) {
+  return std::pow(std::max(0.0, inflation - 1), 2);
+}
+
+bool HasCrashedOn(const task& placed, const std::string& worker_id) {
+  return std::find(placed.failed_on.begin(), placed.failed_on.end(),
+                   worker_id) != placed.failed_on.end();
+}
+
+}  // namespace
+
+pairing_estimate Contribution(const planning_context& context,
+                              const std::string& worker_id,
+                              const std::string& service_template,
+                              const std::string& batch_template,
+                              double share) {
+  const pairing_estimate slope = context.forecast.Slope(
+      worker_id, service_template, batch_template, context.now);
+  return {slope.mean * share, slope.variance * share * share};
+}
+
+std::vector<service_outlook> OutlookOf(const planning_context& context,
+                                       const std::string& worker_id) {
+  std::vector<service_outlook> services;
+  const auto& open = context.book.On(worker_id);
+  for (const auto& [id, replica] : open) {
+    if (replica.request.kind != task_kind::kService)
+      continue;
+    service_outlook outlook{replica.request.template_name};
+    for (const auto& [batch_id, batch] : open) {
+      if (batch.request.kind != task_kind::kBatch)
+        continue;
+      const double share =
+          context.book.ShareOf(worker_id, batch.granted, batch.throttled);
+      const pairing_estimate added =
+          Contribution(context, worker_id, outlook.service_template,
+                       batch.request.template_name, share);
+      outlook.inflation += added.mean;
+      outlook.variance += added.variance;
+    }
+    services.push_back(outlook);
+  }
+  return services;
+}
+
+placement_round::placement_round(const planning_context& context,
+                                 const std::vector<worker_view>& workers)
+    : context_(context) {
+  workers_.reserve(workers.size());
+  for (const worker_view& worker : workers) {
+    workers_.push_back({&worker, context.state.CommittedOn(worker.id),
+                        !context.health.IsQuarantined(worker.id, context.now),
+                        context.health.IsOnProbation(worker.id, context.now)});
+  }
+}
+
+void placement_round::Reserve(const std::string& worker_id,
+                              const std::string& task_id,
+                              const platform::resources& size) {
+  for (round_worker& known : workers_) {
+    if (known.view->id == worker_id)
+      known.reservations.push_back({task_id, size});
+  }
+}
+
+std::optional<std::size_t> placement_round::Choose(
+    const placement_request& request) {
+  if (context_.hooks.choose &&
+      request.placed->request.kind == task_kind::kBatch) {
+    return ChooseByHook(request);
+  }
+  std::optional<std::size_t> best;
+  double lowest = 0;
+  for (std::size_t worker = 0; worker < workers_.size(); ++worker) {
+    if (!Admits(request, worker))
+      continue;
+    const auto cost = Cost(request, worker);
+    if (!cost || (best && *cost >= lowest))
+      continue;
+    best = worker;
+    lowest = *cost;
+  }
+  return best;
+}
+
+bool placement_round::HasRoom(const placement_request& request) const {
+  for (std::size_t worker = 0; worker < workers_.size(); ++worker) {
+    if (Admits(request, worker))
+      return true;
+  }
+  return false;
+}
+
+void placement_round::Commit(const placement_request& request,
+                             std::size_t worker) {
+  round_worker& on = workers_[worker];
+  const task_request& started = request.placed->request;
+  on.committed = Plus(on.committed, request.granted);
+  std::erase_if(on.reservations, [&](const reservation& known) {
+    return known.task_id == started.id;
+  });
+  if (started.kind == task_kind::kService) {
+    CountReplica(Replicas(started.template_name), *on.view);
+    Services(on).push_back({started.template_name});
+    return;
+  }
+  if (on.on_probation)
+    on.usable = false;
+  const double share =
+      context_.book.ShareOf(on.view->id, request.granted, false);
+  for (service_outlook& service : Services(on)) {
+    const pairing_estimate added =
+        Contribution(context_, on.view->id, service.service_template,
+                     started.template_name, share);
+    service.inflation += added.mean;
+    service.variance += added.variance;
+  }
+}
+
+bool placement_round::Admits(const placement_request& request,
+                             std::size_t worker) const {
+  const round_worker& on = workers_[worker];
+  if (!on.usable)
+    return false;
+  const task_request& wanted = request.placed->request;
+  if (on.on_probation && (wanted.kind == task_kind::kService || wanted.urgent ||
+                          !context_.book.On(on.view->id).empty())) {
+    return false;
+  }
+  const platform::resources taken =
+      Plus(on.committed, ReservedForOthers(worker, wanted.id));
+  return Fits(request.granted, taken, on.view->capacity);
+}
+
+platform::resources placement_round::ReservedForOthers(
+    std::size_t worker,
+    const std::string& task_id) const {
+  platform::resources reserved;
+  for (const reservation& known : workers_[worker].reservations) {
+    if (known.task_id != task_id)
+      reserved = Plus(reserved, known.size);
+  }
+  return reserved;
+}
+
+std::optional<std::size_t> placement_round::ChooseByHook(
+    const placement_request& request) {
+  std::vector<placement_candidate> feasible;
+  std::vector<std::size_t> indices;
+  for (std::size_t worker = 0; worker < workers_.size(); ++worker) {
+    if (!Admits(request, worker))
+      continue;
+    feasible.push_back({workers_[worker].view, workers_[worker].committed});
+    indices.push_back(worker);
+  }
+  if (feasible.empty())
+    return std::nullopt;
+  return indices[context_.hooks.choose(feasible)];
+}
+
+std::optional<double> placement_round::Cost(const placement_request& request,
+                                            std::size_t worker) {
+  round_worker& on = workers_[worker];
+  if (request.placed->request.kind == task_kind::kService)
+    return ServiceCost(request, on);
+  const auto harm = BatchCost(request, on);
+  if (!harm)
+    return std::nullopt;
+  double cost = *harm + PackingCost(request, on);
+  if (HasCrashedOn(*request.placed, on.view->id))
+    cost += kRepeatedCrash;
+  return cost;
+}
+
+std::optional<double> placement_round::BatchCost(
+    const placement_request& request,
+    round_worker& on) {
+  const double share =
+      context_.book.ShareOf(on.view->id, request.granted, false);
+  double harm = 0;
+  for (const service_outlook& service : Services(on)) {
+    const pairing_estimate added =
+        Contribution(context_, on.view->id, service.service_template,
+                     request.placed->request.template_name, share);
+    const double before = service.inflation + context_.settings.caution *
+                                                  std::sqrt(service.variance);
+    const double after = service.inflation + added.mean +
+                         context_.settings.caution *
+                             std::sqrt(service.variance + added.variance);
+    if (after > request.inflation_limit)
+      return std::nullopt;
+    harm += Harm(after) - Harm(before);
+  }
+  return harm;
+}
+
+double placement_round::ServiceCost(const placement_request& request,
+                                    round_worker& on) {
+  const std::string& name = request.placed->request.template_name;
+  double cost = PackingCost(request, on);
+  const replica_counts& replicas = Replicas(name);
+  const auto count = [&](const std::string& place) {
+    const auto found = replicas.find(place);
+    return found == replicas.end() ? 0 : found->second;
+  };
+  cost += kSameWorker * count(on.view->id);
+  cost += kSameRack * count(on.view->rack);
+  cost += kSameDomain * count(on.view->failure_domain);
+  double inflation = 1;
+  for (const auto& [id, open] : context_.book.On(on.view->id)) {
+    if (open.request.kind != task_kind::kBatch)
+      continue;
+    const double share =
+        context_.book.ShareOf(on.view->id, open.granted, open.throttled);
+    inflation += Contribution(context_, on.view->id, name,
+                              open.request.template_name, share)
+                     .mean;
+  }
+  return cost + Harm(inflation);
+}
+
+double placement_round::PackingCost(const placement_request& request,
+                                    const round_worker& on) const {
+  const platform::resources& capacity = on.view->capacity;
+  const double used =
+      DominantShare(Plus(on.committed, request.granted), capacity);
+  double cost = kPackingWeight * (1 - used);
+  if (capacity.accelerators > 0 && request.granted.accelerators == 0)
+    cost += kAcceleratorWaste;
+  return cost;
+}
+
+placement_round::replica_counts& placement_round::Replicas(
+    const std::string& service_template) {
+  const auto [counts, added] = replicas_.try_emplace(service_template);
+  if (!added)
+    return counts->second;
+  for (const round_worker& on : workers_) {
+    for (const auto& [id, open] : context_.book.On(on.view->id)) {
+      if (open.request.kind == task_kind::kService &&
+          open.request.template_name == service_template) {
+        CountReplica(counts->second, *on.view);
+      }
+    }
+  }
+  return counts->second;
+}
+
+void placement_round::CountReplica(replica_counts& counts,
+                                   const worker_view& on) {
+  ++counts[on.id];
+  ++counts[on.rack];
+  ++counts[on.failure_domain];
+}
+
+std::vector<service_outlook>& placement_round::Services(round_worker& on) {
+  if (!on.services)
+    on.services = OutlookOf(context_, on.view->id);
+  return *on.services;
+}
+
+}  // namespace chivecrank::scheduling
--- a/src/scheduling/internal/shard_state.cc
+++ b/src/scheduling/internal/shard_state.cc
@@ -141,6 +141,11 @@
   return found == workers_.end() ? none : found->second.open;
 }
 
+std::int64_t shard_state::EndedInGang(const std::string& gang) const {
+  const auto found = ended_in_gang_.find(gang);
+  return found == ended_in_gang_.end() ? 0 : found->second;
+}
+
 task* shard_state::FindAttempt(const std::string& task_id,
                                std::int32_t attempt) {
   const auto found = tasks_.find(task_id);
@@ -154,6 +159,8 @@
   if (!next)
     return false;
   moved.state = *next;
+  if (IsFinal(moved.state) && !moved.request.gang.empty())
+    ++ended_in_gang_[moved.request.gang];
   if (IsWaiting(moved.state))
     waiting_.insert(moved.request.id);
   else
--- /dev/null
+++ b/src/scheduling/internal/size_learner.cc
@@ -0,0 +1,60 @@
+#include "chivecrank/scheduling/size_learner.h"
+
+#include <algorithm>
+
+#include "chivecrank/scheduling/resources.h"
+
+namespace chivecrank::scheduling {
+namespace {
+
+/// Room above a measured peak, in percent.
+constexpr std::int64_t kMarginPercent = 10;
+/// Growth when an attempt ran into its limit, in percent.
+constexpr std::int64_t kLimitedPercent = 60;
+/// Weight of the newest run time.
+constexpr double kRunTimeWeight = 0.1;
+/// Runs before the measured run time replaces the declared one.
+constexpr int kEnoughRuns = 3;
+
+std::int64_t Grown(std::int64_t value, std::int64_t percent) {
+  return value + value * percent / 100;
+}
+
+}  // namespace
+
+void size_learner::Observe(const usage_sample& sample) {
+  const std::int64_t percent =
+      sample.limited ? kLimitedPercent : kMarginPercent;
+  const platform::resources needed{Grown(sample.peak.processors_milli, percent),
+                                   Grown(sample.peak.memory_mib, percent),
+                                   sample.peak.accelerators};
+  record& known = templates_[sample.template_name];
+  known.peak = Larger(known.peak, needed);
+}
+
+void size_learner::ObserveRunTime(const std::string& template_name,
+                                  std::chrono::milliseconds run_time) {
+  record& known = templates_[template_name];
+  ++known.runs;
+  const double weight = std::max(kRunTimeWeight, 1.0 / known.runs);
+  const auto newest = static_cast<double>(run_time.count());
+  known.mean_run_time_ms += weight * (newest - known.mean_run_time_ms);
+}
+
+platform::resources size_learner::SizeOf(const task_request& request) const {
+  const auto found = templates_.find(request.template_name);
+  if (found == templates_.end())
+    return request.demand;
+  return Larger(request.demand, found->second.peak);
+}
+
+std::chrono::milliseconds size_learner::RunTimeOf(
+    const task_request& request) const {
+  const auto found = templates_.find(request.template_name);
+  if (found == templates_.end() || found->second.runs < kEnoughRuns)
+    return request.run_time;
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(found->second.mean_run_time_ms));
+}
+
+}  // namespace chivecrank::scheduling
--- /dev/null
+++ b/src/scheduling/internal/start_planner.cc
@@ -0,0 +1,297 @@
+#include "internal/start_planner.h"
+
+#include <algorithm>
+
+#include "chivecrank/scheduling/resources.h"
+#include "internal/preemption.h"
+
+namespace chivecrank::scheduling {
+namespace {
+
+/// Tasks of one urgent or service queue that may fail to be placed in a round.
+constexpr int kUrgentTries = 8;
+/// How long room that was made for an urgent task is kept for it.
+constexpr std::chrono::seconds kUrgentHold{8};
+/// How long a worker is kept for batch work that fits nowhere.
+constexpr std::chrono::minutes kBatchHold{10};
+/// Safety factor on the time that a queue needs to be finished.
+constexpr double kRiskFactor = 1.3;
+
+platform::resources FindOrNone(
+    const std::map<std::string, platform::resources>& in,
+    const std::string& key) {
+  const auto found = in.find(key);
+  return found == in.end() ? platform::resources{} : found->second;
+}
+
+}  // namespace
+
+start_planner::start_planner(const planning_context& context,
+                             const waiting_queues& queues,
+                             const size_learner& sizes,
+                             const fleet_sizes& fleet,
+                             placement_round& round,
+                             held_workers& held)
+    : context_(context),
+      queues_(queues),
+      sizes_(sizes),
+      fleet_(fleet),
+      round_(round),
+      held_(held) {}
+
+std::vector<event> start_planner::Plan() {
+  OpenQueues();
+  while (queue_cursor* queue = BestQueue())
+    ServeHead(*queue);
+  return std::move(planned_);
+}
+
+void start_planner::OpenQueues() {
+  for (const auto& [key, entries] : queues_.queues()) {
+    cursors_.push_back(
+        {&key, entries.begin(), entries.end(), IsAtRisk(key, entries)});
+  }
+}
+
+start_planner::queue_cursor* start_planner::BestQueue() {
+  queue_cursor* best = nullptr;
+  std::optional<rank> lowest;
+  for (queue_cursor& queue : cursors_) {
+    if (queue.next == queue.end)
+      continue;
+    rank of_queue = RankOf(queue);
+    if (lowest && !(of_queue < *lowest))
+      continue;
+    lowest = std::move(of_queue);
+    best = &queue;
+  }
+  return best;
+}
+
+start_planner::rank start_planner::RankOf(const queue_cursor& queue) const {
+  const queue_key& key = *queue.key;
+  if (key.of != work_class::kBatch)
+    return {key.of, false, 0, 0, *queue.next};
+  std::optional<platform::resources> quota;
+  if (context_.hooks.quota_of)
+    quota = context_.hooks.quota_of(key.team);
+  const double weight =
+      context_.hooks.weight_of ? context_.hooks.weight_of(key.account) : 1.0;
+  return {key.of, !queue.at_risk,
+          DominantShare(TeamUse(key.team), quota.value_or(fleet_.total)),
+          DominantShare(AccountUse(key.account), fleet_.total) / weight,
+          *queue.next};
+}
+
+bool start_planner::IsAtRisk(const queue_key& key,
+                             const std::set<queue_entry>& entries) const {
+  const base::wall_time due = entries.begin()->due;
+  if (key.of != work_class::kBatch || due == base::wall_time::max())
+    return false;
+  const task* head = context_.state.Find(entries.begin()->task_id);
+  const std::chrono::duration<double> run_time =
+      sizes_.RunTimeOf(head->request);
+  const auto waiting = static_cast<double>(entries.size());
+  const auto running = static_cast<double>(std::max<std::int64_t>(
+      1, context_.book.OpenOfTemplate(key.template_name)));
+  const std::chrono::duration<double> left = due - context_.now;
+  return run_time * (1 + waiting / running) * kRiskFactor > left;
+}
+
+void start_planner::ServeHead(queue_cursor& queue) {
+  const queue_entry& entry = *queue.next;
+  ++queue.next;
+  if (started_.contains(entry.task_id))
+    return;
+  const task& head = *context_.state.Find(entry.task_id);
+  if (auto reason = ReasonToPark(head)) {
+    planned_.emplace_back(task_parked{entry.task_id, std::move(*reason)});
+    return;
+  }
+  const auto members = RequestsOf(head, queue.at_risk);
+  if (members.empty())
+    return;
+  if (!IsWithinQuota(members)) {
+    queue.next = queue.end;
+    return;
+  }
+  if (!Place(members))
+    HandleUnplaced(queue, entry, members);
+}
+
+void start_planner::HandleUnplaced(
+    queue_cursor& queue,
+    const queue_entry& entry,
+    const std::vector<placement_request>& members) {
+  if (queue.key->of != work_class::kBatch) {
+    if (context_.settings.preempts) {
+      for (const placement_request& member : members)
+        MakeRoom(member);
+    }
+    if (++queue.unplaced >= kUrgentTries)
+      queue.next = queue.end;
+    return;
+  }
+  queue.next = queue.end;
+  if (context_.now < entry.since + context_.settings.reserve_after)
+    return;
+  for (const placement_request& member : members) {
+    if (!round_.HasRoom(member))
+      HoldForLater(member);
+  }
+}
+
+std::optional<std::string> start_planner::ReasonToPark(
+    const task& waiting) const {
+  const auto trusted = std::count_if(
+      waiting.failed_on.begin(), waiting.failed_on.end(),
+      [this](const std::string& id) { return context_.health.IsTrusted(id); });
+  if (trusted < waiting.request.attempt_limit || !context_.settings.learns) {
+    return std::nullopt;
+  }
+  return "crashed on " + std::to_string(trusted) +
+         " healthy workers, last on " + waiting.failed_on.back();
+}
+
+std::vector<placement_request> start_planner::RequestsOf(const task& head,
+                                                         bool at_risk) const {
+  if (head.request.gang.empty())
+    return {RequestFor(head, at_risk)};
+  const std::string& gang = head.request.gang;
+  if (!context_.book.OpenInGang(gang).empty())
+    return {};
+  std::vector<placement_request> members;
+  for (const std::string& id : queues_.WaitingInGang(gang))
+    members.push_back(RequestFor(*context_.state.Find(id), at_risk));
+  std::int64_t ended = 0;
+  if (static_cast<std::int64_t>(members.size()) < head.request.gang_size)
+    ended = context_.state.EndedInGang(gang);
+  const auto gathered = static_cast<std::int64_t>(members.size()) + ended;
+  return gathered >= head.request.gang_size ? members
+                                            : std::vector<placement_request>{};
+}
+
+placement_request start_planner::RequestFor(const task& waiting,
+                                            bool at_risk) const {
+  return {&waiting, GrantFor(waiting.request),
+          at_risk ? context_.settings.place_at_risk_below
+                  : context_.settings.place_below};
+}
+
+platform::resources start_planner::GrantFor(const task_request& request) const {
+  const platform::resources learned = sizes_.SizeOf(request);
+  const platform::resources& largest = fleet_.largest;
+  const platform::resources possible{
+      std::min(learned.processors_milli, largest.processors_milli),
+      std::min(learned.memory_mib, largest.memory_mib),
+      std::min(learned.accelerators, largest.accelerators)};
+  return Larger(request.demand, possible);
+}
+
+bool start_planner::IsWithinQuota(
+    const std::vector<placement_request>& members) const {
+  const task_request& wanted = members.front().placed->request;
+  if (!context_.hooks.quota_of || wanted.kind != task_kind::kBatch)
+    return true;
+  const auto quota = context_.hooks.quota_of(wanted.team);
+  if (!quota)
+    return true;
+  platform::resources used = TeamUse(wanted.team);
+  for (const placement_request& member : members)
+    used = Plus(used, member.granted);
+  return IsWithin(used, *quota);
+}
+
+bool start_planner::Place(const std::vector<placement_request>& members) {
+  if (members.size() == 1) {
+    const auto worker = round_.Choose(members.front());
+    if (!worker)
+      return false;
+    CountStart(members.front(), *worker);
+    round_.Commit(members.front(), *worker);
+    return true;
+  }
+  placement_round trial = round_;
+  std::vector<std::size_t> chosen;
+  for (const placement_request& member : members) {
+    const auto worker = trial.Choose(member);
+    if (!worker)
+      return false;
+    trial.Commit(member, *worker);
+    chosen.push_back(*worker);
+  }
+  for (std::size_t member = 0; member < members.size(); ++member) {
+    CountStart(members[member], chosen[member]);
+    round_.Commit(members[member], chosen[member]);
+  }
+  return true;
+}
+
+void start_planner::CountStart(const placement_request& started,
+                               std::size_t worker) {
+  const task& placed = *started.placed;
+  planned_.emplace_back(attempt_started{placed.request.id, placed.attempt + 1,
+                                        round_.view(worker).id,
+                                        started.granted});
+  started_.insert(placed.request.id);
+  held_.erase(placed.request.id);
+  if (placed.request.kind != task_kind::kBatch)
+    return;
+  auto& team = started_by_team_[placed.request.team];
+  team = Plus(team, started.granted);
+  auto& account = started_by_account_[placed.request.account];
+  account = Plus(account, started.granted);
+}
+
+void start_planner::MakeRoom(const placement_request& request) {
+  const std::string& id = request.placed->request.id;
+  if (held_.contains(id))
+    return;
+  const auto planned = PlanPreemption(context_, round_, request);
+  if (!planned)
+    return;
+  for (const checkpoint_ordered& stop : planned->stops) {
+    round_.MarkStopping(stop.task_id);
+    planned_.emplace_back(stop);
+  }
+  const std::string& worker_id = round_.view(planned->worker).id;
+  held_[id] = {worker_id, request.granted, context_.now + kUrgentHold};
+  round_.Reserve(worker_id, id, request.granted);
+}
+
+void start_planner::HoldForLater(const placement_request& request) {
+  const std::string& id = request.placed->request.id;
+  if (held_.contains(id) || held_.size() >= context_.settings.reservations)
+    return;
+  std::optional<std::size_t> emptiest;
+  double lowest = 0;
+  for (std::size_t worker = 0; worker < round_.size(); ++worker) {
+    const platform::resources& capacity = round_.view(worker).capacity;
+    const platform::resources reserved = round_.ReservedForOthers(worker, id);
+    if (!Fits(request.granted, reserved, capacity))
+      continue;
+    const double used = DominantShare(round_.committed(worker), capacity);
+    if (emptiest && used >= lowest)
+      continue;
+    emptiest = worker;
+    lowest = used;
+  }
+  if (!emptiest)
+    return;
+  const std::string& worker_id = round_.view(*emptiest).id;
+  held_[id] = {worker_id, request.granted, context_.now + kBatchHold};
+  round_.Reserve(worker_id, id, request.granted);
+}
+
+platform::resources start_planner::TeamUse(const std::string& team) const {
+  return Plus(context_.book.UsedByTeam(team),
+              FindOrNone(started_by_team_, team));
+}
+
+platform::resources start_planner::AccountUse(
+    const std::string& account) const {
+  return Plus(context_.book.UsedByAccount(account),
+              FindOrNone(started_by_account_, account));
+}
+
+}  // namespace chivecrank::scheduling
--- /dev/null
+++ b/src/scheduling/internal/start_planner.h
@@ -0,0 +1,81 @@
+#ifndef CHIVECRANK_SCHEDULING_INTERNAL_START_PLANNER_H_
+#define CHIVECRANK_SCHEDULING_INTERNAL_START_PLANNER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "chivecrank/scheduling/planner.h"
+#include "internal/placement_round.h"
+
+namespace chivecrank::scheduling {
+
+/// Starts what waits, in one round: services, then urgent work, then nightly
+/// work that would miss its due time, then the team and the client account
+/// with the smallest dominant share. Used once.
+class start_planner {
+ public:
+  start_planner(const planning_context& context,
+                const waiting_queues& queues,
+                const size_learner& sizes,
+                const fleet_sizes& fleet,
+                placement_round& round,
+                held_workers& held);
+
+  /// Starts, orders to make room, and tasks to park.
+  std::vector<event> Plan();
+
+ private:
+  struct queue_cursor {
+    const queue_key* key = nullptr;
+    std::set<queue_entry>::const_iterator next;
+    std::set<queue_entry>::const_iterator end;
+    bool at_risk = false;
+    /// Tasks of this queue that found no worker in this round.
+    int unplaced = 0;
+  };
+  /// Order among queues; the smallest is served first.
+  using rank = std::tuple<work_class, bool, double, double, queue_entry>;
+
+  void OpenQueues();
+  queue_cursor* BestQueue();
+  rank RankOf(const queue_cursor& queue) const;
+  bool IsAtRisk(const queue_key& key,
+                const std::set<queue_entry>& entries) const;
+  void ServeHead(queue_cursor& queue);
+  void HandleUnplaced(queue_cursor& queue,
+                      const queue_entry& entry,
+                      const std::vector<placement_request>& members);
+  std::optional<std::string> ReasonToPark(const task& waiting) const;
+  std::vector<placement_request> RequestsOf(const task& head,
+                                            bool at_risk) const;
+  placement_request RequestFor(const task& waiting, bool at_risk) const;
+  platform::resources GrantFor(const task_request& request) const;
+  bool IsWithinQuota(const std::vector<placement_request>& members) const;
+  bool Place(const std::vector<placement_request>& members);
+  void CountStart(const placement_request& started, std::size_t worker);
+  void MakeRoom(const placement_request& request);
+  void HoldForLater(const placement_request& request);
+
+  platform::resources TeamUse(const std::string& team) const;
+  platform::resources AccountUse(const std::string& account) const;
+
+  const planning_context& context_;
+  const waiting_queues& queues_;
+  const size_learner& sizes_;
+  const fleet_sizes& fleet_;
+  placement_round& round_;
+  held_workers& held_;
+  std::vector<queue_cursor> cursors_;
+  std::vector<event> planned_;
+  std::set<std::string> started_;
+  std::map<std::string, platform::resources> started_by_team_;
+  std::map<std::string, platform::resources> started_by_account_;
+};
+
+}  // namespace chivecrank::scheduling
+
+#endif  // CHIVECRANK_SCHEDULING_INTERNAL_START_PLANNER_H_
