--- a/apps/chivecrank_entry/entry_settings.cc
+++ b/apps/chivecrank_entry/entry_settings.cc
@@ -7,7 +7,7 @@
 
 constexpr settings::integer_range kTimeoutMilliseconds{10, 60'000};
 constexpr settings::integer_range kDrainMilliseconds{0, 60'000};
-constexpr settings::integer_range kEntries{1, 1000};
+constexpr settings::integer_range kLeaseMilliseconds{50, 60'000};
 constexpr settings::integer_range kEntryIndex{0, 999};
 constexpr settings::integer_range kThreads{4, 2000};
 constexpr settings::integer_range kBodyBytes{1024, 64LL << 20};
@@ -27,6 +27,41 @@
                 "give at least as long as one read may take");
 }
 
+void ReadSharingTimes(settings::section& share,
+                      routing::sharing_options& sharing) {
+  sharing.lease =
+      share.MillisecondsOr("lease_ms", kLeaseMilliseconds, sharing.lease);
+  sharing.longest_request = share.MillisecondsOr(
+      "longest_request_ms", kLeaseMilliseconds, sharing.longest_request);
+  sharing.run_limit = share.MillisecondsOr("run_limit_ms", kLeaseMilliseconds,
+                                           sharing.run_limit);
+  sharing.clock_margin = share.MillisecondsOr(
+      "clock_margin_ms", kTimeoutMilliseconds, sharing.clock_margin);
+}
+
+void ReadShare(settings::section& root, entry_settings& read) {
+  settings::section share = root.Table("share");
+  read.share.index = share.Integer("index", kEntryIndex);
+  ReadSharingTimes(share, read.sharing);
+  read.peer_timeout = share.MillisecondsOr(
+      "peer_timeout_ms", kTimeoutMilliseconds, read.peer_timeout);
+  for (settings::section& place : share.Tables("entries")) {
+    read.share.failure_domains.push_back(place.String("failure_domain"));
+    read.places.push_back(place.Endpoint("address"));
+  }
+  read.share.count = std::ssize(read.places);
+  if (read.share.index >= read.share.count) {
+    share.Reject("index", "is not below the number of share.entries",
+                 "list every entry under share.entries and number them from 0");
+    return;
+  }
+  const std::string& listed =
+      read.share.failure_domains[static_cast<std::size_t>(read.share.index)];
+  if (listed != read.failure_domain)
+    share.Reject("index", "names a place in failure domain " + listed,
+                 "give the place that lists this entry");
+}
+
 }  // namespace
 
 entry_settings ReadEntrySettings(settings::section& root) {
@@ -50,12 +85,7 @@
   read.scheduler = scheduler.Endpoint("address");
   read.scheduler_timeout = scheduler.MillisecondsOr(
       "timeout_ms", kTimeoutMilliseconds, read.scheduler_timeout);
-  settings::section share = root.Table("share");
-  read.share.count = share.Integer("entries", kEntries);
-  read.share.index = share.Integer("index", kEntryIndex);
-  if (read.share.index >= read.share.count)
-    share.Reject("index", "is not below entries",
-                 "number the entries from 0 to entries - 1");
+  ReadShare(root, read);
   ReadLimits(root, read.limits);
   read.drain = root.MillisecondsOr("drain_ms", kDrainMilliseconds, read.drain);
   return read;
--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "chivecrank/http/types.h"
 #include "chivecrank/membership/types.h"
@@ -28,7 +29,12 @@
   std::chrono::milliseconds refresh{1000};
   /// Time between "not ready" and the end of listening on a planned stop.
   std::chrono::milliseconds drain{1000};
+  /// This entry's place among those that share slots.
   routing::entry_share share;
+  routing::sharing_options sharing;
+  /// Thrift address of each place.
+  std::vector<settings::endpoint> places;
+  std::chrono::milliseconds peer_timeout{250};
   http::server_limits limits;
 };
 
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -5,6 +5,10 @@
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/callers/caller_api.h"
 #include "chivecrank/configuration/replica.h"
+#include "chivecrank/entries/entry_server.h"
+#include "chivecrank/entries/slot_metrics.h"
+#include "chivecrank/entries/slot_pool.h"
+#include "chivecrank/entries/slot_sharer.h"
 #include "chivecrank/http/server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
@@ -16,14 +20,24 @@
 #include "chivecrank/process/stop_signal.h"
 #include "chivecrank/upstreams/http_upstream_client.h"
 #include "entry_settings.h"
+#include "upstream_prober.h"
 #include "upstream_refresher.h"
 
 namespace chivecrank {
 namespace {
 
+constexpr std::chrono::milliseconds kProbeTimeout{300};
+
+bool Probe(upstreams::upstream_client& client,
+           const platform::instance& upstream) {
+  return client.Send(upstream.service, {"GET", "/probe", {}, ""}, kProbeTimeout)
+      .has_value();
+}
+
 process::readiness Readiness(bool stopping,
                              const configuration::view& configured,
-                             const upstream_refresher& refresher) {
+                             const upstream_refresher& refresher,
+                             const entries::slot_pool& slots) {
   if (stopping)
     return {false, "stopping"};
   const auto current = configured.Current();
@@ -31,6 +45,8 @@
     return {false, "the configuration is not known yet"};
   if (!refresher.HasList())
     return {false, "the instance list is not known yet"};
+  if (!slots.IsUsable())
+    return {false, "slots may still be busy for an earlier process"};
   return {true, "", current->revision};
 }
 
@@ -49,31 +65,43 @@
   instances::scheduler_client jobs(settings.scheduler,
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
-  callers::request_service requests(clock, settings.share, upstreams);
+  entries::slot_pool slots(clock, settings.share, {settings.sharing, {}}, true);
+  entries::slot_sharer sharer(clock, slots, settings.places,
+                              settings.share.index, settings.peer_timeout);
+  entries::entry_server peers(
+      settings.places[static_cast<std::size_t>(settings.share.index)], slots);
+  callers::request_service requests(clock, slots, upstreams);
   const auto registry = std::make_shared<prometheus::Registry>();
   objectives::request_metrics metrics(*registry);
+  entries::slot_metrics slot_gauges(*registry);
   callers::caller_api api(
       clock, configured, requests, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
   upstream_refresher refresher(
       clock, instances, settings.refresh,
-      [&](const auto& listed) { requests.UpdateUpstreams(listed); });
+      [&](const auto& listed) { slots.Update(listed); });
+  upstream_prober prober(
+      clock, slots,
+      [&](const auto& upstream) { return Probe(upstreams, upstream); },
+      [&](const auto& totals) { slot_gauges.Show(totals); });
   std::atomic<bool> stopping = false;
 
   http::server server(
       settings.listen, settings.limits,
       [&](const http::request& message) { return api.Answer(message); });
   process::status_server status(settings.status, registry, [&] {
-    return Readiness(stopping, configured, refresher);
+    return Readiness(stopping, configured, refresher, slots);
   });
   for (const auto& started :
-       {status.Start(), server.Start(), configured.Start()}) {
+       {status.Start(), peers.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
       return process::exit_code::kFailed;
     }
   }
   refresher.Start();
+  sharer.Start();
+  prober.Start();
   LOG(INFO) << "entry: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
   process::WaitForStopSignal();
@@ -81,6 +109,9 @@
   // The balancer sees "not ready" and sends nothing new before the port shuts.
   clock.SleepUntil(clock.Now() + settings.drain);
   server.Stop();
+  prober.Stop();
+  sharer.Stop();
+  peers.Stop();
   refresher.Stop();
   configured.Stop();
   status.Stop();
--- /dev/null
+++ b/src/admission/include/chivecrank/admission/request_queue.h
@@ -0,0 +1,90 @@
+#ifndef CHIVECRANK_ADMISSION_REQUEST_QUEUE_H_
+#define CHIVECRANK_ADMISSION_REQUEST_QUEUE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "chivecrank/admission/drain_rate.h"
+#include "chivecrank/admission/types.h"
+#include "chivecrank/base/clock.h"
+
+namespace chivecrank::admission {
+
+/// The requests of one service that wait at one entry.
+///
+/// The earliest deadline goes first among the accounts that have not had more
+/// than their weighted share of late. A request that can't be answered in time
+/// is refused at once. When the queue is full, the account that is furthest
+/// above its share loses its latest request. Not safe to use from several
+/// threads.
+class request_queue {
+ public:
+  explicit request_queue(const queue_options& options);
+
+  void SetOptions(const queue_options& options) { options_ = options; }
+
+  /// Asks for a place in the queue.
+  admission_decision Admit(const admission_request& request,
+                           const service_capacity& capacity,
+                           base::time_point now);
+
+  /// The request that is served next.
+  std::optional<waiting_request> Next() const;
+  /// Takes the request that is served next. It counts as in flight until
+  /// Finish is called for its account.
+  std::optional<request_number> Pop(base::time_point now);
+  /// A popped request of an account has ended.
+  void Finish(const std::string& account);
+  /// Takes a waiting request out, such as one whose caller is gone.
+  void Remove(request_number number);
+
+  /// Takes out the requests that can't be answered in time any more.
+  std::vector<refusal> TakeLate(const service_capacity& capacity,
+                                base::time_point now);
+
+  /// How long a request that came now would wait.
+  std::chrono::milliseconds ExpectedWait(const service_capacity& capacity,
+                                         base::time_point now);
+
+  std::int64_t waiting() const { return waiting_; }
+
+ private:
+  using order_key = std::pair<base::time_point, request_number>;
+  struct account_state {
+    double weight = 1;
+    std::int64_t in_flight = 0;
+    /// Requests served so far, divided by the weight.
+    double served = 0;
+    std::map<order_key, base::time_point> queue;
+
+    double Overuse() const {
+      return static_cast<double>(std::ssize(queue)) / weight;
+    }
+  };
+  using account_map = std::map<std::string, account_state>;
+
+  std::chrono::milliseconds WaitOf(const account_state& account,
+                                   const service_capacity& capacity,
+                                   base::time_point now);
+  account_map::const_iterator ChooseAccount() const;
+  refusal Displace(const account_state& requester,
+                   const service_capacity& capacity,
+                   base::time_point now);
+  double LeastServed() const;
+
+  queue_options options_;
+  account_map accounts_;
+  drain_rate rate_;
+  std::int64_t waiting_ = 0;
+  /// Share that has been served to the waiting accounts that had least.
+  double served_floor_ = 0;
+};
+
+}  // namespace chivecrank::admission
+
+#endif  // CHIVECRANK_ADMISSION_REQUEST_QUEUE_H_
--- /dev/null
+++ b/src/admission/internal/request_queue.cc
@@ -0,0 +1,192 @@
+#include "chivecrank/admission/request_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace chivecrank::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kShortestRetry{10};
+constexpr double kMsPerSecond = 1000;
+
+milliseconds RetryAfter(milliseconds wait) {
+  return std::max(kShortestRetry, wait);
+}
+
+}  // namespace
+
+request_queue::request_queue(const queue_options& options)
+    : options_(options) {}
+
+admission_decision request_queue::Admit(const admission_request& request,
+                                        const service_capacity& capacity,
+                                        base::time_point now) {
+  account_state& account = accounts_[request.account];
+  account.weight =
+      static_cast<double>(std::max<std::int64_t>(1, request.weight));
+  // An account that was away can't claim what it left unused.
+  if (account.queue.empty())
+    account.served = std::max(account.served, served_floor_);
+  admission_decision decision;
+  decision.refused.number = request.number;
+  const milliseconds wait = WaitOf(account, capacity, now);
+  const auto in_progress = account.in_flight + std::ssize(account.queue);
+  if (in_progress >= request.account_limit) {
+    decision.refused.reason = refusal_reason::kAccountLimit;
+    decision.refused.retry_after =
+        RetryAfter(account.queue.empty() ? capacity.latency : wait);
+    return decision;
+  }
+  const base::time_point answered = now + wait + capacity.latency;
+  if (answered > request.deadline) {
+    decision.refused.reason = refusal_reason::kTooLate;
+    decision.refused.retry_after = RetryAfter(
+        std::chrono::ceil<milliseconds>(answered - request.deadline));
+    return decision;
+  }
+  if (waiting_ >= options_.queue_limit) {
+    decision.displaced = Displace(account, capacity, now);
+    if (decision.displaced.reason == refusal_reason::kNone) {
+      decision.refused.reason = refusal_reason::kQueueFull;
+      decision.refused.retry_after = RetryAfter(wait);
+      return decision;
+    }
+  }
+  account.queue.emplace(order_key{request.deadline, request.number}, now);
+  ++waiting_;
+  return decision;
+}
+
+std::optional<request_number> request_queue::Pop(base::time_point now) {
+  const auto chosen = ChooseAccount();
+  if (chosen == accounts_.end())
+    return std::nullopt;
+  account_state& account = accounts_.at(chosen->first);
+  const auto first = account.queue.begin();
+  const request_number number = first->first.second;
+  if (first->second < now)
+    rate_.Count(now);
+  account.queue.erase(first);
+  --waiting_;
+  served_floor_ = std::max(served_floor_, LeastServed());
+  account.served += 1 / account.weight;
+  ++account.in_flight;
+  return number;
+}
+
+std::optional<waiting_request> request_queue::Next() const {
+  const auto chosen = ChooseAccount();
+  if (chosen == accounts_.end())
+    return std::nullopt;
+  const auto& [deadline, number] = chosen->second.queue.begin()->first;
+  return waiting_request{number, deadline};
+}
+
+request_queue::account_map::const_iterator request_queue::ChooseAccount()
+    const {
+  const double least = LeastServed();
+  auto best = accounts_.end();
+  for (auto at = accounts_.begin(); at != accounts_.end(); ++at) {
+    const account_state& account = at->second;
+    if (account.queue.empty())
+      continue;
+    if (account.served > least + options_.fairness_window)
+      continue;
+    if (best == accounts_.end() ||
+        account.queue.begin()->first < best->second.queue.begin()->first) {
+      best = at;
+    }
+  }
+  return best;
+}
+
+double request_queue::LeastServed() const {
+  double least = std::numeric_limits<double>::max();
+  for (const auto& [name, account] : accounts_) {
+    if (!account.queue.empty())
+      least = std::min(least, account.served);
+  }
+  return waiting_ == 0 ? served_floor_ : least;
+}
+
+refusal request_queue::Displace(const account_state& requester,
+                                const service_capacity& capacity,
+                                base::time_point now) {
+  account_state* heaviest = nullptr;
+  for (auto& [name, account] : accounts_) {
+    if (heaviest == nullptr || account.Overuse() > heaviest->Overuse())
+      heaviest = &account;
+  }
+  // The requester would otherwise be the one above its share.
+  if (heaviest == nullptr || heaviest->Overuse() <= requester.Overuse() + 1)
+    return {};
+  const auto last = std::prev(heaviest->queue.end());
+  const refusal displaced{last->first.second, refusal_reason::kQueueFull,
+                          RetryAfter(WaitOf(*heaviest, capacity, now))};
+  heaviest->queue.erase(last);
+  --waiting_;
+  return displaced;
+}
+
+void request_queue::Finish(const std::string& account) {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end())
+    return;
+  --found->second.in_flight;
+}
+
+void request_queue::Remove(request_number number) {
+  for (auto& [name, account] : accounts_) {
+    waiting_ -= static_cast<std::int64_t>(
+        std::erase_if(account.queue, [number](const auto& waiting) {
+          return waiting.first.second == number;
+        }));
+  }
+}
+
+std::vector<refusal> request_queue::TakeLate(const service_capacity& capacity,
+                                             base::time_point now) {
+  std::vector<refusal> late;
+  const base::time_point earliest_answer = now + capacity.latency;
+  for (auto& [name, account] : accounts_) {
+    while (!account.queue.empty() &&
+           account.queue.begin()->first.first < earliest_answer) {
+      late.push_back({account.queue.begin()->first.second,
+                      refusal_reason::kTooLate,
+                      RetryAfter(WaitOf(account, capacity, now))});
+      account.queue.erase(account.queue.begin());
+      --waiting_;
+    }
+  }
+  return late;
+}
+
+milliseconds request_queue::ExpectedWait(const service_capacity& capacity,
+                                         base::time_point now) {
+  const double rate = rate_.PerSecond(capacity, now);
+  return milliseconds(static_cast<std::int64_t>(static_cast<double>(waiting_) /
+                                                rate * kMsPerSecond));
+}
+
+milliseconds request_queue::WaitOf(const account_state& account,
+                                   const service_capacity& capacity,
+                                   base::time_point now) {
+  double weights = account.queue.empty() ? account.weight : 0;
+  for (const auto& [name, other] : accounts_) {
+    if (!other.queue.empty())
+      weights += other.weight;
+  }
+  // By its share alone it waits for its own queue; it never waits for more
+  // than the whole queue.
+  const auto own = static_cast<double>(std::ssize(account.queue));
+  const double by_share = own * weights / account.weight;
+  const double ahead = std::min(static_cast<double>(waiting_), by_share);
+  const double rate = rate_.PerSecond(capacity, now);
+  return milliseconds(
+      static_cast<std::int64_t>(std::ceil(ahead / rate * kMsPerSecond)));
+}
+
+}  // namespace chivecrank::admission
--- /dev/null
+++ b/src/admission/tests/request_queue_test.cc
@@ -0,0 +1,103 @@
+#include "chivecrank/admission/request_queue.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace chivecrank::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr service_capacity kCapacity{10, milliseconds(20)};
+constexpr base::time_point kNow{std::chrono::seconds(100)};
+
+admission_request Request(request_number number,
+                          const std::string& account,
+                          milliseconds deadline) {
+  return {number, account, 1, 1000, kNow + deadline};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(request_queue_suite)
+
+BOOST_AUTO_TEST_CASE(EarliestDeadlineGoesFirst) {
+  request_queue queue({});
+  queue.Admit(Request(1, "a", milliseconds(900)), kCapacity, kNow);
+  queue.Admit(Request(2, "b", milliseconds(300)), kCapacity, kNow);
+  queue.Admit(Request(3, "a", milliseconds(600)), kCapacity, kNow);
+  BOOST_TEST(*queue.Pop(kNow) == 2U);
+  BOOST_TEST(*queue.Pop(kNow) == 3U);
+  BOOST_TEST(*queue.Pop(kNow) == 1U);
+  BOOST_TEST(!queue.Pop(kNow).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatCannotMakeItsDeadline) {
+  request_queue queue({});
+  for (request_number i = 0; i < 100; ++i)
+    queue.Admit(Request(i, "a", milliseconds(5000)), kCapacity, kNow);
+  // 100 waiting at 10 slots of 20 ms: 200 ms, and 20 ms to be answered.
+  const auto decision =
+      queue.Admit(Request(200, "a", milliseconds(150)), kCapacity, kNow);
+  BOOST_TEST((decision.refused.reason == refusal_reason::kTooLate));
+  BOOST_TEST(decision.refused.retry_after.count() == 70);
+  const auto later =
+      queue.Admit(Request(201, "a", milliseconds(220)), kCapacity, kNow);
+  BOOST_TEST(later.IsAdmitted());
+}
+
+BOOST_AUTO_TEST_CASE(WaveOfOneAccountCostsTheOthersLittle) {
+  request_queue queue({1000, 4});
+  for (request_number i = 0; i < 500; ++i)
+    queue.Admit(Request(i, "noisy", milliseconds(2000)), kCapacity, kNow);
+  BOOST_TEST(
+      queue.Admit(Request(1000, "calm", milliseconds(2100)), kCapacity, kNow)
+          .IsAdmitted());
+  int before = 0;
+  while (*queue.Pop(kNow) != 1000U)
+    ++before;
+  BOOST_TEST(before <= 6);
+}
+
+BOOST_AUTO_TEST_CASE(FullQueueDropsTheAccountAboveItsShare) {
+  request_queue queue({50, 4});
+  for (request_number i = 0; i < 50; ++i)
+    queue.Admit(Request(i, "noisy", milliseconds(2000)), kCapacity, kNow);
+  const auto calm =
+      queue.Admit(Request(100, "calm", milliseconds(2000)), kCapacity, kNow);
+  BOOST_TEST(calm.IsAdmitted());
+  BOOST_TEST(calm.displaced.number == 49U);
+  BOOST_TEST((calm.displaced.reason == refusal_reason::kQueueFull));
+  const auto noisy =
+      queue.Admit(Request(101, "noisy", milliseconds(2000)), kCapacity, kNow);
+  BOOST_TEST((noisy.refused.reason == refusal_reason::kQueueFull));
+  BOOST_TEST(queue.waiting() == 50);
+}
+
+BOOST_AUTO_TEST_CASE(AccountLimitCountsWaitingAndInFlight) {
+  request_queue queue({});
+  admission_request request = Request(1, "a", milliseconds(500));
+  request.account_limit = 2;
+  BOOST_TEST(queue.Admit(request, kCapacity, kNow).IsAdmitted());
+  queue.Pop(kNow);
+  request.number = 2;
+  BOOST_TEST(queue.Admit(request, kCapacity, kNow).IsAdmitted());
+  request.number = 3;
+  const auto third = queue.Admit(request, kCapacity, kNow);
+  BOOST_TEST((third.refused.reason == refusal_reason::kAccountLimit));
+  queue.Finish("a");
+  BOOST_TEST(queue.Admit(request, kCapacity, kNow).IsAdmitted());
+}
+
+BOOST_AUTO_TEST_CASE(GivesUpAtOnceOnWhatCanNotBeAnsweredAnyMore) {
+  request_queue queue({});
+  queue.Admit(Request(1, "a", milliseconds(50)), kCapacity, kNow);
+  BOOST_TEST(queue.TakeLate(kCapacity, kNow + milliseconds(30)).empty());
+  const auto late = queue.TakeLate(kCapacity, kNow + milliseconds(31));
+  BOOST_REQUIRE(late.size() == 1);
+  BOOST_TEST(late[0].number == 1U);
+  BOOST_TEST(queue.waiting() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::admission
--- a/src/callers/include/chivecrank/callers/types.h
+++ b/src/callers/include/chivecrank/callers/types.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_CALLERS_TYPES_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,7 @@
 inline constexpr char kIdempotentHeader[] = "Chivecrank-Idempotent";
 inline constexpr char kOutcomeHeader[] = "Chivecrank-Outcome";
 inline constexpr char kRequestIdHeader[] = "Chivecrank-Request-Id";
+inline constexpr char kRetryAfterHeader[] = "Chivecrank-Retry-After-Ms";
 
 /// What became of a request, as told to its caller.
 enum class request_outcome {
@@ -41,6 +43,11 @@
   bool idempotent = false;
   base::time_point deadline;
   http::request message;
+  /// Weight of the account, and how many requests it may have in one entry.
+  std::int64_t account_weight = 1;
+  std::int64_t account_limit = 64;
+  /// Requests of the service that wait in one entry at most.
+  std::int64_t queue_limit = 256;
 };
 
 /// The answer to a service request.
--- a/src/callers/internal/caller_request.cc
+++ b/src/callers/internal/caller_request.cc
@@ -71,7 +71,10 @@
                         key,
                         idempotent,
                         now + timeout,
-                        message};
+                        message,
+                        account.weight,
+                        account.request_limit,
+                        service->queue_limit};
 }
 
 }  // namespace chivecrank::callers::internal
--- a/src/callers/internal/request_service.cc
+++ b/src/callers/internal/request_service.cc
@@ -5,7 +5,7 @@
 namespace chivecrank::callers {
 namespace {
 
-constexpr std::chrono::milliseconds kWaitStep{20};
+constexpr int kServerError = 500;
 
 http::request UpstreamRequest(const caller_request& request) {
   http::request message{
@@ -33,33 +33,65 @@
   return passed;
 }
 
+entries::slot_wait SlotWait(const caller_request& request) {
+  entries::slot_wait wait;
+  wait.service = request.service;
+  wait.queue_limit = request.queue_limit;
+  wait.account = request.account;
+  wait.weight = request.account_weight;
+  wait.account_limit = request.account_limit;
+  wait.deadline = request.deadline;
+  return wait;
+}
+
+std::string ReasonText(admission::refusal_reason reason) {
+  switch (reason) {
+    case admission::refusal_reason::kAccountLimit:
+      return "the account has as many requests in progress as it may";
+    case admission::refusal_reason::kQueueFull:
+      return "the service's queue is full";
+    default:
+      return "no upstream can answer before the deadline";
+  }
+}
+
+caller_answer NotAdmitted(const admission::refusal& refused) {
+  const std::string wait = std::to_string(refused.retry_after.count());
+  caller_answer answer =
+      Refusal(request_outcome::kNotRun,
+              {base::error_kind::kResourceExhausted, ReasonText(refused.reason),
+               "send the request again after " + wait + " ms"});
+  answer.response.headers.push_back({kRetryAfterHeader, wait});
+  return answer;
+}
+
+routing::slot_outcome SlotOutcome(const base::result<http::response>& answer) {
+  if (answer.has_value()) {
+    return answer.value().code >= kServerError
+               ? routing::slot_outcome::kFailed
+               : routing::slot_outcome::kAnswered;
+  }
+  return answer.error().kind == base::error_kind::kUnavailable
+             ? routing::slot_outcome::kUnreachable
+             : routing::slot_outcome::kAbandoned;
+}
+
 }  // namespace
 
 request_service::request_service(base::clock& clock,
-                                 routing::entry_share share,
+                                 entries::slot_pool& slots,
                                  upstreams::upstream_client& client)
-    : clock_(clock), client_(client), router_(share) {}
-
-void request_service::UpdateUpstreams(
-    const std::vector<platform::instance>& upstreams) {
-  std::lock_guard lock(mutex_);
-  router_.Update(upstreams);
-  released_.notify_all();
-}
+    : clock_(clock), slots_(slots), client_(client) {}
 
 caller_answer request_service::Serve(const caller_request& request) {
-  const auto upstream = WaitForSlot(request.deadline);
-  if (!upstream) {
-    return Refusal(request_outcome::kNotRun,
-                   {base::error_kind::kResourceExhausted,
-                    "no upstream was free before the deadline",
-                    "send the request again after a second"});
-  }
+  const entries::slot_answer granted = slots_.Acquire(SlotWait(request));
+  if (!granted.slot)
+    return NotAdmitted(granted.refused);
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
       request.deadline - clock_.Now());
-  const auto answer =
-      client_.Send(upstream->service, UpstreamRequest(request), remaining);
-  Release(upstream->id);
+  const auto answer = client_.Send(granted.slot->ticket.upstream.service,
+                                   UpstreamRequest(request), remaining);
+  slots_.Release(*granted.slot, SlotOutcome(answer));
   if (answer.has_value())
     return {request_outcome::kCompleted, FromUpstream(answer.value())};
   const bool unsent = answer.error().kind == base::error_kind::kUnavailable;
@@ -67,22 +99,4 @@
                  answer.error());
 }
 
-std::optional<platform::instance> request_service::WaitForSlot(
-    base::time_point deadline) {
-  std::unique_lock lock(mutex_);
-  while (clock_.Now() < deadline) {
-    auto upstream = router_.Acquire();
-    if (upstream)
-      return upstream;
-    released_.wait_for(lock, kWaitStep);
-  }
-  return std::nullopt;
-}
-
-void request_service::Release(const std::string& upstream_id) {
-  std::lock_guard lock(mutex_);
-  router_.Release(upstream_id);
-  released_.notify_one();
-}
-
 }  // namespace chivecrank::callers
--- a/src/callers/tests/caller_api_test.cc
+++ b/src/callers/tests/caller_api_test.cc
@@ -65,7 +65,7 @@
     platform::instance listed;
     listed.id = "w-1";
     listed.slots = 1;
-    requests.UpdateUpstreams({listed});
+    slots.Update({listed});
   }
 
   http::response Call(std::vector<http::header> headers) {
@@ -78,7 +78,8 @@
   fixed_view configured;
   fake_upstream upstream;
   fake_jobs jobs;
-  request_service requests{clock, {0, 1}, upstream};
+  entries::slot_pool slots{clock, {0, 1}, {}, false};
+  request_service requests{clock, slots, upstream};
   std::vector<objectives::request_observation> observed;
   caller_api api{
       clock, configured, requests, jobs,
--- /dev/null
+++ b/src/entries/include/chivecrank/entries/slot_metrics.h
@@ -0,0 +1,29 @@
+#ifndef CHIVECRANK_ENTRIES_SLOT_METRICS_H_
+#define CHIVECRANK_ENTRIES_SLOT_METRICS_H_
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include "chivecrank/entries/types.h"
+
+namespace chivecrank::entries {
+
+/// Shows the slots and the admission of an entry on /metrics. Safe to use from
+/// several threads.
+class slot_metrics {
+ public:
+  explicit slot_metrics(prometheus::Registry& registry);
+
+  void Show(const pool_totals& totals);
+
+ private:
+  prometheus::Family<prometheus::Gauge>& slots_;
+  prometheus::Family<prometheus::Gauge>& upstreams_;
+  prometheus::Family<prometheus::Gauge>& waiting_;
+  prometheus::Family<prometheus::Gauge>& requests_;
+  prometheus::Family<prometheus::Gauge>& exchanges_;
+};
+
+}  // namespace chivecrank::entries
+
+#endif  // CHIVECRANK_ENTRIES_SLOT_METRICS_H_
--- /dev/null
+++ b/src/entries/internal/slot_pool.cc
@@ -0,0 +1,194 @@
+#include "chivecrank/entries/slot_pool.h"
+
+#include <utility>
+
+namespace chivecrank::entries {
+namespace {
+
+/// A waiting request looks at its deadline this often, on its own.
+constexpr std::chrono::milliseconds kWaitStep{10};
+
+}  // namespace
+
+slot_pool::slot_pool(base::clock& clock,
+                     const routing::entry_share& share,
+                     const routing::router_options& options,
+                     bool predecessor)
+    : clock_(clock),
+      usable_from_(clock.Now() + (predecessor ? options.sharing.ReclaimAfter()
+                                              : std::chrono::milliseconds{0})),
+      router_(share, options, usable_from_) {}
+
+void slot_pool::Update(const std::vector<platform::instance>& upstreams) {
+  std::lock_guard lock(mutex_);
+  const base::time_point now = clock_.Now();
+  router_.Update(upstreams, now);
+  Pump(now);
+}
+
+slot_answer slot_pool::Acquire(const slot_wait& wait) {
+  std::unique_lock lock(mutex_);
+  const base::time_point now = clock_.Now();
+  const auto [queue, is_new] = queues_.try_emplace(
+      wait.service, admission::queue_options{wait.queue_limit});
+  queue->second.SetOptions({wait.queue_limit});
+  const admission::request_number number = ++last_number_;
+  waiter self;
+  self.wait = &wait;
+  waiters_[number] = &self;
+  const admission::admission_decision decision = queue->second.Admit(
+      {number, wait.account, wait.weight, wait.account_limit, wait.deadline},
+      Capacity(now), now);
+  if (decision.displaced.reason != admission::refusal_reason::kNone)
+    Refuse(decision.displaced);
+  if (!decision.IsAdmitted())
+    Refuse(decision.refused);
+  Pump(now);
+  while (!self.decided) {
+    self.changed.wait_for(lock, kWaitStep);
+    Pump(clock_.Now());
+  }
+  waiters_.erase(number);
+  return self.answer;
+}
+
+void slot_pool::Release(const held_slot& slot, routing::slot_outcome outcome) {
+  std::lock_guard lock(mutex_);
+  const base::time_point now = clock_.Now();
+  router_.Release(slot.ticket, outcome, now);
+  const auto queue = queues_.find(slot.service);
+  if (queue != queues_.end())
+    queue->second.Finish(slot.account);
+  Pump(now);
+}
+
+void slot_pool::Pump(base::time_point now) {
+  for (auto& [service, queue] : queues_) {
+    for (const auto& late : queue.TakeLate(Capacity(now), now))
+      Refuse(late);
+  }
+  for (auto next = NextQueue(); next != queues_.end(); next = NextQueue()) {
+    admission::request_queue& queue = next->second;
+    const admission::waiting_request first = *queue.Next();
+    const waiter& waiting = *waiters_.at(first.number);
+    const auto ticket =
+        router_.Acquire({first.deadline, queue.ExpectedWait(Capacity(now), now),
+                         waiting.wait->avoid},
+                        now);
+    if (!ticket)
+      break;
+    queue.Pop(now);
+    ++totals_.admitted;
+    Decide(first.number,
+           {held_slot{*ticket, next->first, waiting.wait->account}, {}});
+  }
+  if (Waiting() > 0)
+    shortage_.notify_one();
+}
+
+slot_pool::queue_map::iterator slot_pool::NextQueue() {
+  auto best = queues_.end();
+  base::time_point earliest = base::time_point::max();
+  for (auto queue = queues_.begin(); queue != queues_.end(); ++queue) {
+    const auto first = queue->second.Next();
+    if (!first || first->deadline >= earliest)
+      continue;
+    best = queue;
+    earliest = first->deadline;
+  }
+  return best;
+}
+
+void slot_pool::Refuse(const admission::refusal& refused) {
+  switch (refused.reason) {
+    case admission::refusal_reason::kNone:
+      break;
+    case admission::refusal_reason::kAccountLimit:
+      ++totals_.refused_account_limit;
+      break;
+    case admission::refusal_reason::kQueueFull:
+      ++totals_.refused_queue_full;
+      break;
+    case admission::refusal_reason::kTooLate:
+      ++totals_.refused_too_late;
+      break;
+  }
+  Decide(refused.number, {std::nullopt, refused});
+}
+
+void slot_pool::Decide(admission::request_number number, slot_answer answer) {
+  waiter& decided = *waiters_.at(number);
+  decided.answer = std::move(answer);
+  decided.decided = true;
+  decided.changed.notify_one();
+}
+
+admission::service_capacity slot_pool::Capacity(base::time_point now) {
+  return {router_.Capacity(now), router_.TypicalLatency()};
+}
+
+std::int64_t slot_pool::Waiting() const {
+  std::int64_t waiting = 0;
+  for (const auto& [service, queue] : queues_)
+    waiting += queue.waiting();
+  return waiting;
+}
+
+void slot_pool::ConfirmAlive(const std::string& upstream_id,
+                             base::time_point sent) {
+  std::lock_guard lock(mutex_);
+  router_.ConfirmAlive(upstream_id, sent, clock_.Now());
+}
+
+std::vector<platform::instance> slot_pool::ToProbe() {
+  std::lock_guard lock(mutex_);
+  return router_.ToProbe();
+}
+
+std::vector<routing::outgoing_exchange> slot_pool::Exchanges() {
+  std::lock_guard lock(mutex_);
+  const base::time_point now = clock_.Now();
+  Pump(now);
+  auto messages = router_.Exchanges(Waiting(), now);
+  totals_.exchanges += std::ssize(messages);
+  return messages;
+}
+
+routing::exchange_answer slot_pool::Answer(
+    const routing::exchange_request& request) {
+  std::lock_guard lock(mutex_);
+  const base::time_point now = clock_.Now();
+  routing::exchange_answer answer = router_.Answer(request, Waiting(), now);
+  Pump(now);
+  return answer;
+}
+
+void slot_pool::Accept(const routing::outgoing_exchange& sent,
+                       const std::optional<routing::exchange_answer>& answer) {
+  std::lock_guard lock(mutex_);
+  const base::time_point now = clock_.Now();
+  if (!answer)
+    ++totals_.failed_exchanges;
+  router_.Accept(sent, answer, now);
+  Pump(now);
+}
+
+void slot_pool::WaitForShortage(std::chrono::milliseconds longest) {
+  std::unique_lock lock(mutex_);
+  if (Waiting() == 0)
+    shortage_.wait_for(lock, longest);
+}
+
+bool slot_pool::IsUsable() const {
+  return clock_.Now() >= usable_from_;
+}
+
+pool_totals slot_pool::Totals() {
+  std::lock_guard lock(mutex_);
+  pool_totals totals = totals_;
+  totals.router = router_.Totals(clock_.Now());
+  totals.waiting = Waiting();
+  return totals;
+}
+
+}  // namespace chivecrank::entries
--- /dev/null
+++ b/src/entries/internal/slot_sharer.cc
@@ -0,0 +1,131 @@
+#include "chivecrank/entries/slot_sharer.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace chivecrank::entries {
+namespace {
+
+/// Longest time between two looks at the pool.
+constexpr std::chrono::milliseconds kPeriod{20};
+/// Shortest time between two looks.
+constexpr std::chrono::milliseconds kPause{2};
+
+}  // namespace
+
+/// The connection to one peer with its thread and the message under way.
+class slot_sharer::peer_link {
+ public:
+  peer_link(slot_pool& pool,
+            const settings::endpoint& address,
+            std::chrono::milliseconds timeout)
+      : pool_(pool), address_(address), client_(address, timeout) {}
+
+  ~peer_link() { Stop(); }
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    changed_.notify_one();
+    if (thread_.joinable())
+      thread_.join();
+  }
+
+  /// The router has one message under way for each peer at most.
+  void Post(routing::outgoing_exchange message) {
+    std::lock_guard lock(mutex_);
+    message_ = std::move(message);
+    changed_.notify_one();
+  }
+
+ private:
+  void Run() {
+    while (const auto message = Take()) {
+      const auto answer = client_.Exchange(message->request);
+      if (answer.has_value() == failing_)
+        Report(answer);
+      pool_.Accept(*message, answer.has_value() ? std::optional(answer.value())
+                                                : std::nullopt);
+    }
+  }
+
+  std::optional<routing::outgoing_exchange> Take() {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return stopping_ || message_; });
+    if (stopping_)
+      return std::nullopt;
+    return std::exchange(message_, std::nullopt);
+  }
+
+  void Report(const base::result<routing::exchange_answer>& answer) {
+    failing_ = !answer.has_value();
+    if (failing_)
+      LOG(WARNING) << "entry: " << base::Describe(answer.error()) << ".";
+    else
+      LOG(INFO) << "entry: " << settings::ToString(address_)
+                << " answers again.";
+  }
+
+  slot_pool& pool_;
+  const settings::endpoint address_;
+  entry_client client_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::optional<routing::outgoing_exchange> message_;
+  bool stopping_ = false;
+  bool failing_ = false;
+  std::thread thread_;
+};
+
+slot_sharer::slot_sharer(base::clock& clock,
+                         slot_pool& pool,
+                         const std::vector<settings::endpoint>& peers,
+                         std::int64_t own,
+                         std::chrono::milliseconds timeout)
+    : clock_(clock), pool_(pool) {
+  for (std::int64_t place = 0; place < std::ssize(peers); ++place) {
+    if (place == own)
+      continue;
+    links_[place] = std::make_unique<peer_link>(
+        pool, peers[static_cast<std::size_t>(place)], timeout);
+  }
+}
+
+slot_sharer::~slot_sharer() {
+  Stop();
+}
+
+void slot_sharer::Start() {
+  for (auto& [place, link] : links_)
+    link->Start();
+  thread_ = std::thread([this] { Plan(); });
+}
+
+void slot_sharer::Stop() {
+  stopping_ = true;
+  if (thread_.joinable())
+    thread_.join();
+  for (auto& [place, link] : links_)
+    link->Stop();
+}
+
+void slot_sharer::Plan() {
+  while (!stopping_) {
+    const base::time_point next = clock_.Now() + kPause;
+    for (routing::outgoing_exchange& message : pool_.Exchanges()) {
+      const std::int64_t lender = message.lender;
+      links_.at(lender)->Post(std::move(message));
+    }
+    pool_.WaitForShortage(kPeriod);
+    clock_.SleepUntil(next);
+  }
+}
+
+}  // namespace chivecrank::entries
--- /dev/null
+++ b/src/entries/tests/slot_pool_test.cc
@@ -0,0 +1,79 @@
+#include "chivecrank/entries/slot_pool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "chivecrank/base/manual_clock.h"
+#include "chivecrank/base/system_clock.h"
+
+namespace chivecrank::entries {
+namespace {
+
+using std::chrono::milliseconds;
+
+platform::instance Upstream(std::int64_t slots) {
+  platform::instance upstream;
+  upstream.id = "w-1";
+  upstream.slots = slots;
+  return upstream;
+}
+
+slot_wait Wait(base::time_point deadline) {
+  slot_wait wait;
+  wait.service = "dispatch";
+  wait.account = "hotel";
+  wait.deadline = deadline;
+  return wait;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(slot_pool_suite)
+
+BOOST_AUTO_TEST_CASE(WaitingRequestGetsTheSlotThatIsReleased) {
+  base::system_clock clock;
+  slot_pool pool(clock, {0, 1}, {}, false);
+  pool.Update({Upstream(1)});
+  const base::time_point deadline = clock.Now() + std::chrono::seconds(60);
+  const slot_answer first = pool.Acquire(Wait(deadline));
+  BOOST_REQUIRE(first.slot.has_value());
+  std::thread waiting([&] {
+    const slot_answer second = pool.Acquire(Wait(deadline));
+    BOOST_TEST(second.slot.has_value());
+    if (second.slot)
+      pool.Release(*second.slot, routing::slot_outcome::kAnswered);
+  });
+  while (pool.Totals().waiting == 0)
+    std::this_thread::yield();
+  pool.Release(*first.slot, routing::slot_outcome::kAnswered);
+  waiting.join();
+  BOOST_TEST(pool.Totals().router.in_use == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWithoutWaitingWhatComesTooLate) {
+  base::manual_clock clock;
+  slot_pool pool(clock, {0, 1}, {}, false);
+  pool.Update({Upstream(1)});
+  const slot_answer first = pool.Acquire(Wait(clock.Now() + milliseconds(10)));
+  BOOST_REQUIRE(first.slot.has_value());
+  clock.Advance(milliseconds(100));
+  pool.Release(*first.slot, routing::slot_outcome::kAnswered);
+  // An answer takes 100 ms now, and the clock stands still.
+  const slot_answer late = pool.Acquire(Wait(clock.Now() + milliseconds(10)));
+  BOOST_TEST(!late.slot.has_value());
+  BOOST_TEST((late.refused.reason == admission::refusal_reason::kTooLate));
+  BOOST_TEST(late.refused.retry_after.count() == 90);
+}
+
+BOOST_AUTO_TEST_CASE(OwnSlotsWaitForThePredecessor) {
+  base::manual_clock clock;
+  slot_pool pool(clock, {0, 2}, {}, true);
+  pool.Update({Upstream(8)});
+  BOOST_TEST(!pool.IsUsable());
+  clock.Advance(routing::sharing_options().ReclaimAfter());
+  BOOST_TEST(pool.IsUsable());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::entries
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -7,40 +7,112 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/base/clock.h"
 #include "chivecrank/platform/types.h"
+#include "chivecrank/routing/slot_borrower.h"
+#include "chivecrank/routing/slot_layout.h"
+#include "chivecrank/routing/slot_lender.h"
 #include "chivecrank/routing/types.h"
+#include "chivecrank/routing/upstream_health.h"
 
 namespace chivecrank::routing {
 
-/// Shares each upstream's slots statically between the entries and picks the
-/// least loaded upstream with a slot left. Not safe to use from several
-/// threads.
+/// Chooses the upstream of each request among those with a slot that this
+/// entry owns or has borrowed, and shares slots with the other entries. Not
+/// safe to use from several threads.
 class slot_router {
  public:
-  explicit slot_router(entry_share share);
+  /// Slots may still be busy for a predecessor, so they are usable only after
+  /// `usable_from`.
+  slot_router(entry_share share,
+              const router_options& options,
+              base::time_point usable_from);
 
-  /// Takes over the list of upstreams. Leaving ones get nothing new.
-  void Update(const std::vector<platform::instance>& upstreams);
+  /// Takes over the list of upstreams. Leaving and missing ones get nothing
+  /// new.
+  void Update(const std::vector<platform::instance>& upstreams,
+              base::time_point now);
 
-  /// Takes a slot; nothing when none is free.
-  std::optional<platform::instance> Acquire();
+  /// Takes a slot; nothing when none is free or worth its latency.
+  std::optional<slot_ticket> Acquire(const slot_request& request,
+                                     base::time_point now);
 
-  /// Gives a slot back.
-  void Release(const std::string& upstream_id);
+  /// Gives a slot back and learns from how its request ended.
+  void Release(const slot_ticket& ticket,
+               slot_outcome outcome,
+               base::time_point now);
 
-  /// Slots of an upstream that this entry may use.
-  std::int64_t ShareOf(const platform::instance& upstream) const;
+  /// An upstream answered a probe that was sent at `sent`.
+  void ConfirmAlive(const std::string& upstream_id,
+                    base::time_point sent,
+                    base::time_point now);
+  /// Upstreams whose slots are held back until they answer a probe.
+  std::vector<platform::instance> ToProbe() const;
+
+  /// Messages for other entries. `waiting` requests have no slot.
+  std::vector<outgoing_exchange> Exchanges(std::int64_t waiting,
+                                           base::time_point now);
+  /// Answers another entry. `waiting` requests of this one have no slot.
+  exchange_answer Answer(const exchange_request& request,
+                         std::int64_t waiting,
+                         base::time_point now);
+  /// Takes over an answer; none when it did not come.
+  void Accept(const outgoing_exchange& sent,
+              const std::optional<exchange_answer>& answer,
+              base::time_point now);
+
+  /// Learned time from sending to the whole answer: of the median upstream.
+  std::chrono::milliseconds TypicalLatency() const;
+  /// Slots that this entry could fill at once, as of a few milliseconds ago.
+  std::int64_t Capacity(base::time_point now);
+  router_totals Totals(base::time_point now) const;
 
  private:
   struct upstream_state {
     platform::instance listed;
-    std::int64_t share = 0;
-    std::int64_t in_flight = 0;
+    upstream_health health;
     bool takes_requests = false;
+    std::int64_t in_use = 0;
   };
+  struct peer_state {
+    bool asked = false;
+    base::time_point ask_again;
+    std::int64_t spare = 0;
+  };
+  using upstream_map = std::map<std::string, upstream_state>;
+
+  bool HasSlot(const upstream_state& at,
+               const slot_request& request,
+               base::time_point now) const;
+  bool IsWorthIt(upstream_state& at,
+                 const slot_request& request,
+                 base::time_point now);
+  /// Whether it is so much slower than the others that waiting may be better.
+  bool IsSlow(const upstream_state& at) const;
+  double Cost(const upstream_state& at) const;
+  void LearnTypicalLatency(base::time_point now);
+  void EjectFailing(upstream_state& at, base::time_point now);
+  std::int64_t FreeSlots(base::time_point now) const;
+  std::int64_t InUse() const;
+  std::int64_t Reserve() const;
+  std::int64_t ChooseLender(base::time_point now) const;
+  void LendTo(const exchange_request& request,
+              std::int64_t slots,
+              exchange_answer& answer,
+              base::time_point now);
 
-  entry_share share_;
-  std::map<std::string, upstream_state> upstreams_;
+  slot_layout layout_;
+  const router_options options_;
+  slot_lender lender_;
+  slot_borrower borrower_;
+  upstream_map upstreams_;
+  std::map<std::int64_t, peer_state> peers_;
+  bool has_list_ = false;
+  std::int64_t in_use_ = 0;
+  double typical_ms_ = 0;
+  base::time_point next_typical_{};
+  std::int64_t capacity_ = 0;
+  base::time_point next_capacity_{};
 };
 
 }  // namespace chivecrank::routing
--- /dev/null
+++ b/src/routing/internal/slot_lender.cc
@@ -0,0 +1,166 @@
+#include "chivecrank/routing/slot_lender.h"
+
+#include <algorithm>
+
+namespace chivecrank::routing {
+namespace {
+
+/// Held slots of an upstream that is off the list for this long don't matter.
+constexpr std::chrono::minutes kForgetAfter{10};
+
+}  // namespace
+
+slot_lender::slot_lender(const sharing_options& options,
+                         base::time_point usable_from)
+    : options_(options), usable_from_(usable_from) {}
+
+void slot_lender::SetOwn(const std::string& upstream_id, std::int64_t slots) {
+  own_[upstream_id].total = slots;
+}
+
+std::int64_t slot_lender::Free(const std::string& upstream_id,
+                               base::time_point now) const {
+  const auto found = own_.find(upstream_id);
+  if (found == own_.end() || now < usable_from_)
+    return 0;
+  const own_slots& own = found->second;
+  return std::max<std::int64_t>(
+      0, own.total - own.in_use - own.lent - std::ssize(own.held));
+}
+
+std::int64_t slot_lender::InUse(const std::string& upstream_id) const {
+  const auto found = own_.find(upstream_id);
+  if (found == own_.end())
+    return 0;
+  return found->second.in_use + std::ssize(found->second.held);
+}
+
+void slot_lender::Take(const std::string& upstream_id) {
+  ++own_[upstream_id].in_use;
+}
+
+void slot_lender::GiveBack(const std::string& upstream_id) {
+  --own_[upstream_id].in_use;
+}
+
+void slot_lender::Abandon(const std::string& upstream_id,
+                          base::time_point now) {
+  own_slots& own = own_[upstream_id];
+  --own.in_use;
+  own.held.push_back({now, std::nullopt});
+  ++held_;
+}
+
+void slot_lender::ConfirmAnswer(const std::string& upstream_id,
+                                base::time_point sent,
+                                base::time_point now) {
+  const auto found = own_.find(upstream_id);
+  if (found == own_.end())
+    return;
+  for (held_slot& slot : found->second.held) {
+    if (!slot.free_at && sent > slot.since)
+      slot.free_at = now + options_.run_limit;
+  }
+}
+
+std::optional<slot_grant> slot_lender::Lend(std::int64_t borrower,
+                                            const std::string& upstream_id,
+                                            std::int64_t slots,
+                                            base::time_point now) {
+  const std::int64_t lent = std::min(slots, Free(upstream_id, now));
+  if (lent <= 0)
+    return std::nullopt;
+  own_[upstream_id].lent += lent;
+  const std::uint64_t number = ++last_number_;
+  const base::time_point reclaim_at = now + options_.ReclaimAfter();
+  grants_[number] = {borrower, upstream_id, lent, 0, reclaim_at};
+  next_reclaim_ = std::min(next_reclaim_, reclaim_at);
+  return slot_grant{number, upstream_id, lent};
+}
+
+void slot_lender::Return(std::int64_t borrower, const grant_return& returned) {
+  const auto found = grants_.find(returned.number);
+  if (found == grants_.end() || found->second.borrower != borrower)
+    return;
+  lent_grant& grant = found->second;
+  const std::int64_t total = std::min(returned.slots, grant.slots);
+  if (total <= grant.returned)
+    return;
+  own_[grant.upstream_id].lent -= total - grant.returned;
+  grant.returned = total;
+  if (grant.returned == grant.slots)
+    grants_.erase(found);
+}
+
+bool slot_lender::Renew(std::int64_t borrower,
+                        std::uint64_t number,
+                        base::time_point now) {
+  const auto found = grants_.find(number);
+  if (found == grants_.end() || found->second.borrower != borrower)
+    return false;
+  found->second.reclaim_at = now + options_.ReclaimAfter();
+  return true;
+}
+
+void slot_lender::Advance(base::time_point now) {
+  if (held_ > 0) {
+    held_ = 0;
+    for (auto& [id, own] : own_) {
+      std::erase_if(own.held, [&](const held_slot& slot) {
+        return slot.free_at && *slot.free_at <= now;
+      });
+      held_ += std::ssize(own.held);
+    }
+  }
+  if (now < next_reclaim_)
+    return;
+  next_reclaim_ = base::time_point::max();
+  for (auto grant = grants_.begin(); grant != grants_.end();) {
+    lent_grant& lent = grant->second;
+    if (lent.reclaim_at > now) {
+      next_reclaim_ = std::min(next_reclaim_, lent.reclaim_at);
+      ++grant;
+      continue;
+    }
+    own_slots& own = own_[lent.upstream_id];
+    for (; lent.returned < lent.slots; ++lent.returned) {
+      --own.lent;
+      own.held.push_back({now, std::nullopt});
+      ++held_;
+    }
+    grant = grants_.erase(grant);
+  }
+}
+
+std::vector<std::string> slot_lender::AwaitingAnswer() const {
+  std::vector<std::string> waiting;
+  for (const auto& [id, own] : own_) {
+    if (std::any_of(own.held.begin(), own.held.end(),
+                    [](const held_slot& slot) { return !slot.free_at; })) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
+bool slot_lender::IsIdle(const std::string& upstream_id,
+                         base::time_point now) const {
+  const auto found = own_.find(upstream_id);
+  if (found == own_.end())
+    return true;
+  const own_slots& own = found->second;
+  return own.in_use == 0 && own.lent == 0 &&
+         std::all_of(own.held.begin(), own.held.end(),
+                     [now](const held_slot& slot) {
+                       return slot.since + kForgetAfter < now;
+                     });
+}
+
+std::int64_t slot_lender::lent() const {
+  std::int64_t total = 0;
+  for (const auto& [id, own] : own_)
+    total += own.lent;
+  return total;
+}
+
+}  // namespace chivecrank::routing
--- a/src/routing/tests/slot_router_test.cc
+++ b/src/routing/tests/slot_router_test.cc
@@ -5,6 +5,11 @@
 namespace chivecrank::routing {
 namespace {
 
+using std::chrono::milliseconds;
+
+constexpr base::time_point kStart{std::chrono::seconds(1000)};
+const slot_request kRequest{kStart + std::chrono::hours(1)};
+
 platform::instance Upstream(const std::string& id) {
   platform::instance upstream;
   upstream.id = id;
@@ -12,38 +17,189 @@
   return upstream;
 }
 
+/// Fills every slot of a router and returns how many there were.
+int Fill(slot_router& router, base::time_point now) {
+  int taken = 0;
+  while (router.Acquire({now + milliseconds(100)}, now))
+    ++taken;
+  return taken;
+}
+
+/// Carries the messages of `from` to `to` and back at once.
+void Exchange(slot_router& from,
+              slot_router& to,
+              std::int64_t waiting,
+              base::time_point now) {
+  for (const outgoing_exchange& sent : from.Exchanges(waiting, now))
+    from.Accept(sent, to.Answer(sent.request, 0, now), now);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(slot_router_suite)
 
-BOOST_AUTO_TEST_CASE(SharesOfAllEntriesAddUpToTheSlots) {
+BOOST_AUTO_TEST_CASE(OwnSlotsOfAllEntriesAddUpToTheSlots) {
+  const std::vector<std::string> domains = {"a", "b", "c", "d", "a", "b", "c"};
   for (int i = 0; i < 50; ++i) {
-    const platform::instance upstream = Upstream("w-" + std::to_string(i));
-    std::int64_t total = 0;
-    for (std::int64_t index = 0; index < 7; ++index)
-      total += slot_router({index, 7}).ShareOf(upstream);
-    BOOST_TEST(total == 8);
+    platform::instance upstream = Upstream("w-" + std::to_string(i));
+    for (const std::string domain : {"a", "d", "elsewhere"}) {
+      upstream.failure_domain = domain;
+      std::int64_t total = 0;
+      for (std::int64_t index = 0; index < 7; ++index)
+        total += slot_layout({index, 7, domains}).OwnSlots(upstream);
+      BOOST_TEST(total == 8);
+    }
   }
 }
 
 BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNothingNew) {
-  slot_router router({0, 1});
+  slot_router router({0, 1}, {}, kStart);
   platform::instance upstream = Upstream("w-1");
-  router.Update({upstream});
-  BOOST_TEST(router.Acquire().has_value());
+  router.Update({upstream}, kStart);
+  BOOST_TEST(router.Acquire(kRequest, kStart).has_value());
   upstream.state = platform::instance_state::kLeaving;
-  router.Update({upstream});
-  BOOST_TEST(!router.Acquire().has_value());
+  router.Update({upstream}, kStart);
+  BOOST_TEST(!router.Acquire(kRequest, kStart).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(SlotsAreNotExceeded) {
-  slot_router router({0, 1});
-  router.Update({Upstream("w-1")});
-  for (int i = 0; i < 8; ++i)
-    BOOST_TEST(router.Acquire().has_value());
-  BOOST_TEST(!router.Acquire().has_value());
-  router.Release("w-1");
-  BOOST_TEST(router.Acquire().has_value());
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("w-1")}, kStart);
+  for (int i = 0; i < 7; ++i)
+    BOOST_TEST(router.Acquire(kRequest, kStart).has_value());
+  const auto last = router.Acquire(kRequest, kStart);
+  BOOST_REQUIRE(last.has_value());
+  BOOST_TEST(!router.Acquire(kRequest, kStart).has_value());
+  router.Release(*last, slot_outcome::kAnswered, kStart);
+  BOOST_TEST(router.Acquire(kRequest, kStart).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SlotsWaitForThePredecessorsRequestsToEnd) {
+  slot_router router({0, 1}, {}, kStart + milliseconds(500));
+  router.Update({Upstream("w-1")}, kStart);
+  BOOST_TEST(!router.Acquire(kRequest, kStart + milliseconds(499)));
+  BOOST_TEST(router.Acquire(kRequest, kStart + milliseconds(500)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SlotOfAnAbandonedRequestWaitsForTheUpstream) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("w-1")}, kStart);
+  const auto ticket = router.Acquire(kRequest, kStart);
+  router.Release(*ticket, slot_outcome::kAbandoned, kStart);
+  base::time_point now = kStart + std::chrono::hours(1);
+  BOOST_TEST(Fill(router, now) == 7);
+  BOOST_TEST(router.ToProbe().size() == 1);
+  router.ConfirmAlive("w-1", now, now);
+  BOOST_TEST(Fill(router, now) == 0);
+  now += sharing_options().run_limit;
+  BOOST_TEST(Fill(router, now) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LendsFreeSlotsAndGetsThemBackByMessage) {
+  slot_router lender({0, 2}, {}, kStart);
+  slot_router borrower({1, 2}, {}, kStart);
+  for (slot_router* router : {&lender, &borrower})
+    router->Update({Upstream("w-1"), Upstream("w-2")}, kStart);
+  std::vector<slot_ticket> own;
+  while (const auto ticket = borrower.Acquire(kRequest, kStart))
+    own.push_back(*ticket);
+  BOOST_TEST(own.size() == 8);
+  Exchange(borrower, lender, 3, kStart);
+  BOOST_TEST(lender.Totals(kStart).lent == 5);
+  BOOST_TEST(Fill(lender, kStart) == 3);
+  const auto used = borrower.Acquire({kStart + milliseconds(100)}, kStart);
+  BOOST_REQUIRE(used.has_value());
+  BOOST_TEST(used->grant.number != 0U);
+  borrower.Release(*used, slot_outcome::kAnswered, kStart);
+  const base::time_point later = kStart + sharing_options().lease;
+  BOOST_TEST(Fill(borrower, later) == 0);
+  for (const slot_ticket& ticket : own)
+    borrower.Release(ticket, slot_outcome::kAnswered, later);
+  Exchange(borrower, lender, 0, later);
+  BOOST_TEST(lender.Totals(later).lent == 0);
+  BOOST_TEST(Fill(lender, later) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(LentSlotsOfADeadBorrowerReturnAfterTheirLease) {
+  slot_router lender({0, 2}, {}, kStart);
+  slot_router borrower({1, 2}, {}, kStart);
+  for (slot_router* router : {&lender, &borrower})
+    router->Update({Upstream("w-1"), Upstream("w-2")}, kStart);
+  Fill(borrower, kStart);
+  Exchange(borrower, lender, 3, kStart);
+  const base::time_point end = kStart + sharing_options().ReclaimAfter();
+  BOOST_TEST(Fill(lender, end - milliseconds(1)) == 3);
+  BOOST_TEST(Fill(lender, end) == 0);
+  // They may still be busy: only a later answer frees them.
+  for (const platform::instance& upstream : lender.ToProbe())
+    lender.ConfirmAlive(upstream.id, end + milliseconds(1), end);
+  BOOST_TEST(Fill(lender, end + sharing_options().run_limit) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(LentSlotTakesNoRequestThatOutlivesTheLease) {
+  slot_router lender({0, 2}, {}, kStart);
+  slot_router borrower({1, 2}, {}, kStart);
+  for (slot_router* router : {&lender, &borrower})
+    router->Update({Upstream("w-1"), Upstream("w-2")}, kStart);
+  Fill(borrower, kStart);
+  Exchange(borrower, lender, 3, kStart);
+  const sharing_options options;
+  const base::time_point end = kStart + options.lease + options.longest_request;
+  BOOST_TEST(!borrower.Acquire({end + milliseconds(1)}, kStart).has_value());
+  BOOST_TEST(borrower.Acquire({end}, kStart).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(FailingUpstreamsAreEjectedButNeverAll) {
+  slot_router router({0, 1}, {}, kStart);
+  std::vector<platform::instance> listed;
+  listed.reserve(10);
+  for (int i = 0; i < 10; ++i)
+    listed.push_back(Upstream("w-" + std::to_string(i)));
+  router.Update(listed, kStart);
+  for (int i = 0; i < 200; ++i) {
+    const auto ticket = router.Acquire(kRequest, kStart);
+    BOOST_REQUIRE(ticket.has_value());
+    router.Release(*ticket, slot_outcome::kFailed, kStart);
+  }
+  BOOST_TEST(router.Totals(kStart).ejected == 4);
+}
+
+BOOST_AUTO_TEST_CASE(SlowUpstreamIsAvoidedWhileWaitingIsShorter) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("a"), Upstream("b"), Upstream("slow")}, kStart);
+  base::time_point now = kStart;
+  for (int i = 0; i < 60; ++i) {
+    std::vector<slot_ticket> taken;
+    while (const auto ticket = router.Acquire(kRequest, now))
+      taken.push_back(*ticket);
+    now += milliseconds(20);
+    for (const slot_ticket& ticket : taken) {
+      if (ticket.upstream.id != "slow")
+        router.Release(ticket, slot_outcome::kAnswered, now);
+    }
+    now += milliseconds(80);
+    for (const slot_ticket& ticket : taken) {
+      if (ticket.upstream.id == "slow")
+        router.Release(ticket, slot_outcome::kAnswered, now);
+    }
+  }
+  std::map<std::string, int> chosen;
+  while (const auto ticket = router.Acquire({now, milliseconds(10)}, now))
+    ++chosen[ticket->upstream.id];
+  BOOST_TEST(chosen["a"] == 8);
+  BOOST_TEST(chosen["b"] == 8);
+  BOOST_TEST(chosen["slow"] <= 1);
+  const slot_request long_wait{now, milliseconds(200)};
+  BOOST_TEST(router.Acquire(long_wait, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NewUpstreamGetsItsSlotsOneByOne) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("w-1")}, kStart);
+  BOOST_TEST(Fill(router, kStart) == 8);
+  router.Update({Upstream("w-1"), Upstream("w-2")}, kStart);
+  BOOST_TEST(Fill(router, kStart) == 1);
+  BOOST_TEST(Fill(router, kStart + health_options().slow_start) == 7);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -86,6 +86,8 @@
 }
 
 void deployment::DescribeInstances() {
+  std::vector<settings::endpoint> peers;
+  std::vector<std::string> domains;
   for (int index = 0; index < options_.instances; ++index) {
     const std::string host = network_.Host(kInstanceGroup, index + 1);
     instance_addresses at;
@@ -101,9 +103,14 @@
     at.admin_status = {host, 7401};
     at.platform = platform_;
     at.index = index;
-    at.count = options_.instances;
+    peers.push_back({host, 8082});
+    domains.push_back(at.failure_domain);
     instances_.push_back({at, true, nullptr, nullptr, nullptr});
   }
+  for (system_instance& instance : instances_) {
+    instance.at.entry_peers = peers;
+    instance.at.peer_domains = domains;
+  }
 }
 
 void deployment::DescribeWorkers() {
--- a/tests/harness/settings_files.cc
+++ b/tests/harness/settings_files.cc
@@ -32,7 +32,13 @@
        << "status = " << Quoted(at.entry_status) << "\n"
        << "[platform]\naddress = " << Quoted(at.platform) << "\n"
        << "[scheduler]\naddress = " << Quoted(at.scheduler) << "\n"
-       << "[share]\nentries = " << at.count << "\nindex = " << at.index << "\n";
+       << "[share]\nindex = " << at.index
+       << "\nlease_ms = 500\nrun_limit_ms = 500\n";
+  for (std::size_t place = 0; place < at.entry_peers.size(); ++place) {
+    text << "[[share.entries]]\nfailure_domain = "
+         << Quoted(at.peer_domains[place])
+         << "\naddress = " << Quoted(at.entry_peers[place]) << "\n";
+  }
   return text.str();
 }
 
--- a/tests/harness/settings_files.h
+++ b/tests/harness/settings_files.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_TESTS_HARNESS_SETTINGS_FILES_H_
 
 #include <string>
+#include <vector>
 
 #include "chivecrank/settings/types.h"
 
@@ -19,7 +20,9 @@
   settings::endpoint admin_status;
   settings::endpoint platform;
   int index = 0;
-  int count = 1;
+  /// Thrift address and failure domain of every entry.
+  std::vector<settings::endpoint> entry_peers;
+  std::vector<std::string> peer_domains;
 };
 
 /// TOML text of the settings files of one instance.
