Integration test: slots hold while entries die, pause and return

Seven entries, six workers and 44 callers; one instance is killed and started again, one entry is stopped for four seconds. The workers' own accounts show no slot used twice and no request run twice.

--- /dev/null
+++ b/tests/integration/slot_sharing_test.cc
@@ -0,0 +1,91 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+#include "harness/caller.h"
+#include "harness/deployment.h"
+
+namespace chivecrank::harness {
+namespace {
+
+constexpr std::chrono::seconds kStep{2};
+constexpr int kCallers = 44;
+const std::string kConfiguration =
+    std::string(CHIVECRANK_SOURCE_DIR) + "/config/tanoa.toml";
+
+/// Callers that together keep most of the slots busy.
+class load {
+ public:
+  explicit load(deployment& system) {
+    for (int i = 0; i < kCallers; ++i) {
+      callers_.emplace_back([this, &system, i] {
+        caller by(system.Entries(), {}, static_cast<std::uint64_t>(i));
+        for (int sent = 0; !stopping_; ++sent)
+          Count(by.SendCallout(std::to_string(i) + "-" + std::to_string(sent)));
+      });
+    }
+  }
+
+  void Stop() {
+    stopping_ = true;
+    for (std::thread& one : callers_)
+      one.join();
+  }
+
+  std::int64_t completed() const { return completed_; }
+  std::int64_t wrong() const { return wrong_; }
+
+ private:
+  void Count(const call_record& record) {
+    if (record.outcome == callers::request_outcome::kCompleted)
+      ++completed_;
+    if (record.wrong_answer)
+      ++wrong_;
+  }
+
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::int64_t> completed_ = 0;
+  std::atomic<std::int64_t> wrong_ = 0;
+  std::vector<std::thread> callers_;
+};
+
+child_process& EntryOf(deployment& system, int index) {
+  return *system.ProcessesOf(index).front();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(slot_sharing_suite)
+
+BOOST_AUTO_TEST_CASE(SlotsHoldWhileEntriesDiePauseAndReturn) {
+  deployment_options options;
+  options.instances = 7;
+  options.workers = 6;
+  options.service_ms = 30;
+  deployment system(options);
+  BOOST_REQUIRE(system.Start());
+  BOOST_REQUIRE(system.Apply(kConfiguration) == 0);
+  load callers(system);
+  std::this_thread::sleep_for(kStep);
+  system.KillInstance(0);
+  EntryOf(system, 1).Signal(SIGSTOP);
+  std::this_thread::sleep_for(kStep);
+  system.StartInstance(0);
+  std::this_thread::sleep_for(kStep);
+  EntryOf(system, 1).Signal(SIGCONT);
+  BOOST_TEST(system.WaitUntilReady(0, std::chrono::seconds(60)));
+  std::this_thread::sleep_for(kStep);
+  callers.Stop();
+  BOOST_TEST(callers.completed() > 0);
+  BOOST_TEST(callers.wrong() == 0);
+  for (const std::string& worker : system.OvercommittedWorkers())
+    BOOST_ERROR(worker << " ran more requests at once than it has slots");
+  for (const auto& [identifier, runs] : system.RequestRuns())
+    BOOST_TEST(runs == 1, identifier);
+  BOOST_TEST_MESSAGE("completed " << callers.completed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::harness
