Entries run a non-idempotent request at most once between them

Cause: a repeat through another entry ran the request again; nothing told what became of a key. Change: each key has one home entry (rendezvous hash of 8 partitions over the entries that answer pings); the entry that has the request asks the home by Thrift (entry_peer), which records the intent before it lets the request go, keeps repeats waiting, and replays the recorded answer. Homes are handed over when the list or the pings change. GET /v1/requests/KEY tells a key's state. The header Chivecrank-First-Send tells that a key cannot have run before. A refused repeat is no longer said to be not run. Settings: peer (address), requests.remember_ms.

--- a/apps/chivecrank_entry/entry_settings.cc
+++ b/apps/chivecrank_entry/entry_settings.cc
@@ -5,6 +5,7 @@
 
 constexpr settings::integer_range kTimeoutMilliseconds{10, 60'000};
 constexpr settings::integer_range kDrainMilliseconds{0, 60'000};
+constexpr settings::integer_range kRememberMilliseconds{60'000, 86'400'000};
 constexpr settings::integer_range kEntries{1, 1000};
 constexpr settings::integer_range kEntryIndex{0, 999};
 constexpr settings::integer_range kThreads{4, 2000};
@@ -34,6 +35,7 @@
   read.failure_domain = root.String("failure_domain");
   read.listen = root.Endpoint("listen");
   read.status = root.Endpoint("status");
+  read.peer = root.Endpoint("peer");
   if (read.listen.port != 0 && read.listen == read.status)
     root.Reject("status", "is the same address as listen",
                 "give the two different ports");
@@ -54,6 +56,9 @@
     share.Reject("index", "is not below entries",
                  "number the entries from 0 to entries - 1");
   ReadLimits(root, read.limits);
+  settings::section requests = root.TableOr("requests");
+  read.homes.retention = requests.MillisecondsOr(
+      "remember_ms", kRememberMilliseconds, read.homes.retention);
   read.drain = root.MillisecondsOr("drain_ms", kDrainMilliseconds, read.drain);
   return read;
 }
--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "chivecrank/http/types.h"
+#include "chivecrank/idempotency/types.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -16,6 +17,8 @@
   std::string failure_domain;
   settings::endpoint listen;
   settings::endpoint status;
+  /// Thrift, for the other entries.
+  settings::endpoint peer;
   settings::endpoint platform;
   /// The scheduler of the same instance.
   settings::endpoint scheduler;
@@ -26,6 +29,7 @@
   std::chrono::milliseconds drain{1000};
   routing::entry_share share;
   http::server_limits limits;
+  idempotency::home_settings homes;
 };
 
 /// Reads all settings; faults are recorded in the document.
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -1,3 +1,4 @@
+#include <Poco/UUIDGenerator.h>
 #include <glog/logging.h>
 
 #include <atomic>
@@ -6,6 +7,9 @@
 #include "chivecrank/callers/caller_api.h"
 #include "chivecrank/configuration/follower.h"
 #include "chivecrank/http/server.h"
+#include "chivecrank/idempotency/home_router.h"
+#include "chivecrank/instances/entry_client.h"
+#include "chivecrank/instances/entry_server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/http_instance_list.h"
@@ -20,6 +24,15 @@
 namespace chivecrank {
 namespace {
 
+/// Longest time for a call to another entry.
+constexpr std::chrono::milliseconds kPeerTimeout{300};
+/// Longest time to tell other entries how requests ended before stopping.
+constexpr std::chrono::milliseconds kReportLimit{2000};
+
+std::string NewRun() {
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
 process::readiness Readiness(bool stopping,
                              const configuration::view& configured,
                              const upstream_refresher& refresher) {
@@ -43,14 +56,22 @@
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
   callers::request_service requests(clock, settings.share, upstreams);
+  const idempotency::entry_identity self{settings.instance, NewRun()};
+  instances::entry_client peers(kPeerTimeout);
+  idempotency::home_keeper homes(self, settings.homes, clock, store, peers);
+  idempotency::home_router gate(self, settings.homes, clock, homes, peers);
+  instances::entry_server peer_server(settings.peer, homes);
+  callers::once_service once(clock, requests, gate);
   const auto registry = std::make_shared<prometheus::Registry>();
   objectives::request_metrics metrics(*registry);
   callers::caller_api api(
-      clock, configured, requests, jobs,
+      clock, configured, once, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
-  upstream_refresher refresher(
-      clock, instances, settings.refresh,
-      [&](const auto& listed) { requests.UpdateUpstreams(listed); });
+  upstream_refresher refresher(clock, instances, settings.refresh,
+                               [&](const auto& listed) {
+                                 requests.UpdateUpstreams(listed);
+                                 homes.Update(listed);
+                               });
   std::atomic<bool> stopping = false;
 
   http::server server(
@@ -59,7 +80,8 @@
   process::status_server status(settings.status, registry, [&] {
     return Readiness(stopping, configured, refresher);
   });
-  for (const auto& started : {status.Start(), server.Start()}) {
+  for (const auto& started :
+       {status.Start(), peer_server.Start(), server.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
       return process::exit_code::kFailed;
@@ -67,6 +89,7 @@
   }
   configured.Start();
   refresher.Start();
+  homes.Start();
   LOG(INFO) << "entry: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
   process::WaitForStopSignal();
@@ -74,6 +97,9 @@
   // The balancer sees "not ready" and sends nothing new before the port shuts.
   clock.SleepUntil(clock.Now() + settings.drain);
   server.Stop();
+  gate.Stop(kReportLimit);
+  homes.Stop();
+  peer_server.Stop();
   refresher.Stop();
   configured.Stop();
   status.Stop();
--- a/src/callers/include/chivecrank/callers/caller_api.h
+++ b/src/callers/include/chivecrank/callers/caller_api.h
@@ -4,7 +4,7 @@
 #include <functional>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/callers/request_service.h"
+#include "chivecrank/callers/once_service.h"
 #include "chivecrank/callers/types.h"
 #include "chivecrank/configuration/view.h"
 #include "chivecrank/instances/job_service.h"
@@ -20,7 +20,7 @@
 
   caller_api(base::clock& clock,
              const configuration::view& configured,
-             request_service& requests,
+             once_service& requests,
              instances::job_service& jobs,
              observer observe);
 
@@ -31,6 +31,8 @@
   caller_answer Route(const http::request& message);
   caller_answer ServeObserved(const caller_request& request,
                               const configuration::content& configured);
+  caller_answer DescribeKey(const http::request& message,
+                            const configuration::client_account& account);
   caller_answer AnswerJobs(const http::request& message,
                            const configuration::client_account& account);
   base::result<instances::job_report> CallJobs(
@@ -39,7 +41,7 @@
 
   base::clock& clock_;
   const configuration::view& configured_;
-  request_service& requests_;
+  once_service& requests_;
   instances::job_service& jobs_;
   const observer observe_;
 };
--- a/src/callers/include/chivecrank/callers/types.h
+++ b/src/callers/include/chivecrank/callers/types.h
@@ -16,6 +16,9 @@
 inline constexpr char kKeyHeader[] = "Idempotency-Key";
 inline constexpr char kTimeoutHeader[] = "Chivecrank-Timeout-Ms";
 inline constexpr char kIdempotentHeader[] = "Chivecrank-Idempotent";
+/// "true" on a send of a key that cannot have run before: the first one, and
+/// those after answers that said "not run".
+inline constexpr char kFirstSendHeader[] = "Chivecrank-First-Send";
 inline constexpr char kOutcomeHeader[] = "Chivecrank-Outcome";
 inline constexpr char kRequestIdHeader[] = "Chivecrank-Request-Id";
 
@@ -39,6 +42,8 @@
   std::string target;
   std::string key;
   bool idempotent = false;
+  /// The caller vouches that the key cannot have run before.
+  bool first_send = false;
   base::time_point deadline;
   http::request message;
 };
--- a/src/callers/internal/caller_api.cc
+++ b/src/callers/internal/caller_api.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view kServices = "/v1/services/";
+constexpr std::string_view kRequests = "/v1/requests/";
 constexpr std::string_view kJobs = "/v1/jobs";
 constexpr std::string_view kJob = "/v1/jobs/";
 constexpr auto kOrigin = instances::call_origin::kEntry;
@@ -18,6 +19,15 @@
   return {request_outcome::kNotRun, http::ErrorResponse(failure)};
 }
 
+/// A refused repeat may have run when it was sent before.
+caller_answer Refuse(const http::request& message, const base::error& failure) {
+  const bool may_be_repeat = !message.Header(kKeyHeader).empty() &&
+                             message.Header(kIdempotentHeader) != "true" &&
+                             message.Header(kFirstSendHeader) != "true";
+  return {may_be_repeat ? request_outcome::kUnknown : request_outcome::kNotRun,
+          http::ErrorResponse(failure)};
+}
+
 base::error NoSuchPath(const http::request& message) {
   return {base::error_kind::kNotFound,
           "there is no " + message.method + " " + std::string(message.Path()),
@@ -39,7 +49,7 @@
 
 caller_api::caller_api(base::clock& clock,
                        const configuration::view& configured,
-                       request_service& requests,
+                       once_service& requests,
                        instances::job_service& jobs,
                        observer observe)
     : clock_(clock),
@@ -58,22 +68,24 @@
 caller_answer caller_api::Route(const http::request& message) {
   const auto current = configured_.Current();
   if (!current) {
-    return NotRun({base::error_kind::kUnavailable,
-                   "the configuration is not known yet",
-                   "send the request to another entry"});
+    return Refuse(message, {base::error_kind::kUnavailable,
+                            "the configuration is not known yet",
+                            "send the request to another entry"});
   }
   const auto account =
       Authenticate(current->content, message.Header("Authorization"));
   if (!account.has_value())
-    return NotRun(account.error());
+    return Refuse(message, account.error());
   const std::string_view path = message.Path();
   if (path.starts_with(kServices)) {
     const auto request = internal::ParseServiceRequest(
         message, current->content, account.value(), clock_.Now());
     if (!request.has_value())
-      return NotRun(request.error());
+      return Refuse(message, request.error());
     return ServeObserved(request.value(), current->content);
   }
+  if (path.starts_with(kRequests) && message.method == "GET")
+    return DescribeKey(message, account.value());
   if (path == kJobs || path.starts_with(kJob))
     return AnswerJobs(message, account.value());
   return NotRun(NoSuchPath(message));
@@ -97,6 +109,21 @@
   return answer;
 }
 
+caller_answer caller_api::DescribeKey(
+    const http::request& message,
+    const configuration::client_account& account) {
+  const std::string key(message.Path().substr(kRequests.size()));
+  const auto report = requests_.Describe(account.name, key);
+  if (!report.has_value())
+    return {request_outcome::kUnknown, http::ErrorResponse(report.error())};
+  http::json_object body = new Poco::JSON::Object;
+  body->set("key", key);
+  body->set("state",
+            std::string(idempotency::KeyStateName(report.value().state)));
+  return {request_outcome::kCompleted,
+          http::JsonResponse(http::status::kOk, body)};
+}
+
 caller_answer caller_api::AnswerJobs(
     const http::request& message,
     const configuration::client_account& account) {
--- a/src/callers/internal/caller_request.cc
+++ b/src/callers/internal/caller_request.cc
@@ -30,14 +30,19 @@
                      std::to_string(service.longest_deadline.count()));
 }
 
-base::result<bool> ReadIdempotent(const http::request& message) {
-  const std::string_view text = message.Header(kIdempotentHeader);
+base::result<bool> ReadFlag(const http::request& message,
+                            const std::string& name,
+                            bool fallback) {
+  const std::string_view text = message.Header(name);
   if (text.empty())
-    return message.method == "GET" || message.method == "HEAD";
+    return fallback;
   if (text == "true" || text == "false")
     return text == "true";
-  return Invalid(std::string(kIdempotentHeader) + " is not usable",
-                 "give true or false");
+  return Invalid(name + " is not usable", "give true or false");
+}
+
+bool IsReading(const http::request& message) {
+  return message.method == "GET" || message.method == "HEAD";
 }
 
 }  // namespace
@@ -59,7 +64,9 @@
   }
   BOOST_OUTCOME_TRY(timeout,
                     ReadTimeout(message.Header(kTimeoutHeader), *service));
-  BOOST_OUTCOME_TRY(idempotent, ReadIdempotent(message));
+  BOOST_OUTCOME_TRY(idempotent,
+                    ReadFlag(message, kIdempotentHeader, IsReading(message)));
+  BOOST_OUTCOME_TRY(first_send, ReadFlag(message, kFirstSendHeader, false));
   const std::string key(message.Header(kKeyHeader));
   if (key.size() > kLongestKey || (!idempotent && key.empty())) {
     return Invalid(std::string(kKeyHeader) + " is missing or too long",
@@ -70,6 +77,7 @@
                         slash == std::string::npos ? "/" : rest.substr(slash),
                         key,
                         idempotent,
+                        first_send,
                         now + timeout,
                         message};
 }
--- /dev/null
+++ b/src/idempotency/include/chivecrank/idempotency/home_router.h
@@ -0,0 +1,63 @@
+#ifndef CHIVECRANK_IDEMPOTENCY_HOME_ROUTER_H_
+#define CHIVECRANK_IDEMPOTENCY_HOME_ROUTER_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "chivecrank/idempotency/home_keeper.h"
+#include "chivecrank/idempotency/request_gate.h"
+
+namespace chivecrank::idempotency {
+
+/// The gate of an entry: asks the home of each key, here or at another entry,
+/// until it decides.
+class home_router final : public request_gate {
+ public:
+  home_router(entry_identity self,
+              home_settings settings,
+              base::clock& clock,
+              home_keeper& homes,
+              home_peer& peers);
+  ~home_router() override;
+  home_router(const home_router&) = delete;
+  home_router& operator=(const home_router&) = delete;
+
+  decision Admit(arrival& request, base::time_point deadline) override;
+  void Finish(const log_entry& ended) override;
+  base::result<key_report> Describe(const std::string& request_id,
+                                    base::time_point deadline) override;
+
+  /// Reports the ends that are waiting, for `limit` at most, and stops.
+  void Stop(std::chrono::milliseconds limit);
+
+ private:
+  struct waiting_end {
+    log_entry ended;
+    base::time_point give_up;
+  };
+
+  base::result<decision> Ask(const arrival& request, time_limits limits);
+  base::result<void> Report(const log_entry& ended);
+  void RunReports();
+  std::chrono::milliseconds Until(base::time_point deadline) const;
+
+  const entry_identity self_;
+  const home_settings settings_;
+  base::clock& clock_;
+  home_keeper& homes_;
+  home_peer& peers_;
+  std::atomic<std::uint64_t> arrivals_ = 0;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<waiting_end> waiting_;
+  bool stopping_ = false;
+  std::thread reporting_;
+};
+
+}  // namespace chivecrank::idempotency
+
+#endif  // CHIVECRANK_IDEMPOTENCY_HOME_ROUTER_H_
--- a/src/idempotency/include/chivecrank/idempotency/key_ledger.h
+++ b/src/idempotency/include/chivecrank/idempotency/key_ledger.h
@@ -15,6 +15,8 @@
 enum class arrival_action {
   /// Record the intent, then send.
   kRecord,
+  /// Admitted before under the same token.
+  kAdmitted,
   /// Give the recorded answer.
   kReplay,
   /// Wait for the send that is in flight.
@@ -29,10 +31,11 @@
  public:
   explicit key_ledger(std::chrono::milliseconds retention);
 
-  /// Takes over what the log holds, in order. Intents without an end become
-  /// unknown. After an owner that did not close its log, `clean` is false:
-  /// it may have sent first requests without a record, so for the retention
-  /// time a repeat without a record counts as unknown.
+  /// Takes over what the log holds, in order. An owner that closed its log
+  /// leaves requests in flight. After one that did not, `clean` is false:
+  /// intents without an end are unknown, and since it may have sent first
+  /// requests without a record, a repeat without a record counts as unknown
+  /// for the retention time.
   void Load(const std::vector<log_entry>& entries,
             bool clean,
             base::time_point now);
@@ -56,6 +59,9 @@
   /// is completed stays so, and only the arrival that was admitted withdraws.
   bool Finish(const log_entry& ended, base::time_point now);
 
+  /// The intents of requests in flight.
+  std::vector<log_entry> InFlight() const;
+
   key_state StateOf(const std::string& request_id) const;
   /// Whether a key without a record may nevertheless have run.
   bool IsIncomplete(base::time_point now) const;
--- a/src/idempotency/include/chivecrank/idempotency/partition_home.h
+++ b/src/idempotency/include/chivecrank/idempotency/partition_home.h
@@ -34,10 +34,9 @@
   base::result<void> Open();
 
   /// Decides about a request; waits for its record, or for the end of the
-  /// same request in flight, for `timeout` at most. kFenced: this is no longer
-  /// the home, and the request was not admitted.
-  base::result<decision> Begin(const arrival& request,
-                               std::chrono::milliseconds timeout);
+  /// same request in flight. The same token may be asked about again. kFenced:
+  /// this is no longer the home, and the request is not to be sent.
+  base::result<decision> Begin(const arrival& request, time_limits limits);
 
   /// Takes in how an admitted request ended. kFenced: not the home any more.
   base::result<void> Finish(const log_entry& ended);
@@ -46,8 +45,8 @@
   /// the home any more.
   base::result<key_report> Describe(const std::string& request_id);
 
-  /// Lets what is in flight end and be recorded, for `limit` at most, and
-  /// gives the partition up.
+  /// Records all that is known, for `limit` at most, and gives the partition
+  /// up. What is in flight stays so at the next owner.
   void Close(std::chrono::milliseconds limit);
 
   bool IsOpen() const;
@@ -62,10 +61,8 @@
     base::time_point ends;
   };
 
-  base::result<decision> WaitToSend(lock& held,
-                                    const arrival& request,
-                                    base::time_point deadline);
-  void Withdraw(const arrival& request);
+  bool IsSlow(base::time_point now, base::time_point asked) const;
+  void Admit(const arrival& request, base::time_point deadline);
   void Run();
   bool WaitForWork(lock& held);
   std::vector<log_entry> TakeBatch();
--- a/src/idempotency/include/chivecrank/idempotency/partition_log.h
+++ b/src/idempotency/include/chivecrank/idempotency/partition_log.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_IDEMPOTENCY_PARTITION_LOG_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,16 @@
   bool clean = true;
 };
 
+/// Who wrote the log of a partition last.
+struct log_owner {
+  std::string writer;
+  bool closed = false;
+};
+
+/// Reads who owns a partition; nothing when nobody ever did.
+base::result<std::optional<log_owner>> ReadOwner(platform::store& store,
+                                                 partition_id number);
+
 /// The log of one partition in the platform's store. Recent entries are in a
 /// head value, older ones in sealed segments that the head names. Every
 /// append is one compare-and-swap of the head, so an owner that was replaced
--- a/src/idempotency/include/chivecrank/idempotency/types.h
+++ b/src/idempotency/include/chivecrank/idempotency/types.h
@@ -41,7 +41,7 @@
   std::string request_id;
   /// Hash of the method, target and body that came with the key.
   std::uint64_t fingerprint = 0;
-  /// The token of the arrival that it belongs to. Not kept in the log.
+  /// The token of the arrival that it belongs to.
   std::string token;
   /// Only with kCompleted.
   http::response answer;
@@ -67,7 +67,9 @@
   kUnknown,
   /// The key came with another request before.
   kMismatch,
-  /// It was not sent, and is not to be sent: no time was left.
+  /// Undecided yet; ask again with the same token.
+  kPending,
+  /// It never ran and is not to be sent: no time was left.
   kRefused,
 };
 
@@ -75,6 +77,14 @@
 /// kUnknown for a name of none.
 verdict VerdictFromName(std::string_view name);
 
+/// How long an arrival may take.
+struct time_limits {
+  /// Until the request must have ended.
+  std::chrono::milliseconds remaining{0};
+  /// Until an undecided question is answered with kPending.
+  std::chrono::milliseconds slice{0};
+};
+
 /// The answer to an arrival.
 struct decision {
   idempotency::verdict verdict = verdict::kUnknown;
@@ -101,7 +111,11 @@
   /// How long a key is remembered after it ended.
   std::chrono::milliseconds retention{std::chrono::minutes(15)};
   /// How long a first send waits for its record before it goes without.
-  std::chrono::milliseconds patience{200};
+  std::chrono::milliseconds patience{100};
+  /// How long one question to a home may wait for its answer.
+  std::chrono::milliseconds slice{200};
+  /// Longest time that a request admitted by a former owner may take to end.
+  std::chrono::milliseconds longest_request{std::chrono::minutes(1)};
   /// Least time between two writes of one partition.
   std::chrono::milliseconds write_spacing{60};
   /// Time between tries while the store does not answer.
--- /dev/null
+++ b/src/idempotency/internal/home_keeper.cc
@@ -0,0 +1,228 @@
+#include "chivecrank/idempotency/home_keeper.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+#include "chivecrank/ownership/rendezvous.h"
+
+namespace chivecrank::idempotency {
+namespace {
+
+constexpr std::chrono::milliseconds kRound{100};
+constexpr std::chrono::milliseconds kPingPeriod{250};
+/// Pings in a row without an answer after which an entry counts as gone.
+constexpr int kMissedPings = 2;
+/// How long the former home has to hand a partition over.
+constexpr std::chrono::milliseconds kHandover{2000};
+constexpr std::chrono::milliseconds kClosing{1500};
+
+base::error NotHome() {
+  return {base::error_kind::kFenced, "this entry is not the home of the key",
+          "ask the new home"};
+}
+
+std::string NodeKey(partition_id number) {
+  return "requests/" + std::to_string(number);
+}
+
+}  // namespace
+
+home_keeper::home_keeper(entry_identity self,
+                         home_settings settings,
+                         base::clock& clock,
+                         platform::store& store,
+                         home_peer& peers)
+    : self_(std::move(self)),
+      settings_(settings),
+      clock_(clock),
+      store_(store),
+      peers_(peers) {}
+
+home_keeper::~home_keeper() {
+  Stop();
+}
+
+void home_keeper::Start() {
+  keeping_ = std::thread([this] { KeepHomes(); });
+  watching_ = std::thread([this] { WatchPeers(); });
+}
+
+void home_keeper::Stop() {
+  stopping_ = true;
+  if (keeping_.joinable())
+    keeping_.join();
+  if (watching_.joinable())
+    watching_.join();
+  std::vector<std::thread> closing;
+  for (partition_id number = 0; number < kPartitions; ++number) {
+    const auto home = Locate(number).local;
+    if (home)
+      closing.emplace_back([home] { home->Close(kClosing); });
+  }
+  for (std::thread& thread : closing)
+    thread.join();
+}
+
+void home_keeper::Update(const std::vector<platform::instance>& listed) {
+  std::map<std::string, settings::endpoint> entries;
+  for (const platform::instance& instance : listed) {
+    if (instance.kind == platform::instance_kind::kSystem &&
+        instance.state == platform::instance_state::kLive) {
+      entries[instance.id] = instance.entry;
+    }
+  }
+  std::lock_guard held(mutex_);
+  entries_ = std::move(entries);
+}
+
+home_location home_keeper::Locate(partition_id number) const {
+  std::lock_guard held(mutex_);
+  const auto& home = homes_.at(number);
+  if (home && home->IsOpen())
+    return {home, self_.instance, std::nullopt};
+  const std::string proposed = Proposed(number);
+  const auto found = entries_.find(proposed);
+  if (found == entries_.end() || proposed == self_.instance)
+    return {nullptr, proposed, std::nullopt};
+  return {nullptr, proposed, found->second};
+}
+
+base::result<decision> home_keeper::Begin(const arrival& request,
+                                          time_limits limits) {
+  const auto home = HomeOf(request.request_id);
+  if (!home)
+    return NotHome();
+  return home->Begin(request, limits);
+}
+
+base::result<void> home_keeper::Finish(const log_entry& ended) {
+  const auto home = HomeOf(ended.request_id);
+  if (!home)
+    return NotHome();
+  return home->Finish(ended);
+}
+
+base::result<key_report> home_keeper::Describe(const std::string& request_id) {
+  const auto home = HomeOf(request_id);
+  if (!home)
+    return NotHome();
+  return home->Describe(request_id);
+}
+
+void home_keeper::KeepHomes() {
+  while (!stopping_) {
+    for (partition_id number = 0; number < kPartitions; ++number) {
+      if (!stopping_)
+        KeepHome(number);
+    }
+    clock_.SleepUntil(clock_.Now() + kRound);
+  }
+}
+
+void home_keeper::KeepHome(partition_id number) {
+  std::shared_ptr<partition_home> home;
+  bool wanted = false;
+  {
+    std::lock_guard held(mutex_);
+    home = homes_.at(number);
+    wanted = Proposed(number) == self_.instance;
+  }
+  auto& since = wanted_since_.at(number);
+  if (!wanted)
+    since.reset();
+  else if (!since)
+    since = clock_.Now();
+  if (home && !wanted)
+    home->Close(kClosing);
+  if (home && !home->IsOpen()) {
+    std::lock_guard held(mutex_);
+    homes_.at(number).reset();
+    home.reset();
+    since.reset();
+    return;
+  }
+  if (!home && wanted && MayClaim(number))
+    Claim(number);
+}
+
+bool home_keeper::MayClaim(partition_id number) {
+  const auto owner = ReadOwner(store_, number);
+  if (!owner.has_value())
+    return false;
+  if (!owner.value() || owner.value()->closed)
+    return true;
+  const bool handover_over =
+      clock_.Now() >= *wanted_since_.at(number) + kHandover;
+  const std::string& writer = owner.value()->writer;
+  const std::string instance = writer.substr(0, writer.find('/'));
+  std::lock_guard held(mutex_);
+  const auto missed = missed_pings_.find(instance);
+  const bool answers = entries_.contains(instance) &&
+                       instance != self_.instance &&
+                       (missed == missed_pings_.end() || missed->second == 0);
+  return handover_over || !answers;
+}
+
+void home_keeper::Claim(partition_id number) {
+  auto home = std::make_shared<partition_home>(
+      store_, clock_, number, self_.instance + "/" + self_.run, settings_);
+  const auto opened = home->Open();
+  if (!opened.has_value()) {
+    LOG(WARNING) << "requests: can't open partition " << number << ": "
+                 << base::Describe(opened.error()) << ".";
+    return;
+  }
+  std::lock_guard held(mutex_);
+  homes_.at(number) = std::move(home);
+}
+
+void home_keeper::WatchPeers() {
+  while (!stopping_) {
+    const base::time_point next = clock_.Now() + kPingPeriod;
+    std::map<std::string, settings::endpoint> entries;
+    {
+      std::lock_guard held(mutex_);
+      entries = entries_;
+    }
+    std::vector<std::thread> pings;
+    for (const auto& [instance, entry] : entries) {
+      if (instance != self_.instance) {
+        pings.emplace_back([this, id = instance, at = entry] { Ping(id, at); });
+      }
+    }
+    for (std::thread& thread : pings)
+      thread.join();
+    clock_.SleepUntil(next);
+  }
+}
+
+void home_keeper::Ping(const std::string& instance,
+                       const settings::endpoint& entry) {
+  const auto answered = peers_.Ping(entry);
+  std::lock_guard held(mutex_);
+  int& missed = missed_pings_[instance];
+  missed = answered.has_value() ? 0 : missed + 1;
+}
+
+std::vector<std::string> home_keeper::Answering() const {
+  std::vector<std::string> answering;
+  for (const auto& [instance, entry] : entries_) {
+    const auto missed = missed_pings_.find(instance);
+    if (missed == missed_pings_.end() || missed->second < kMissedPings)
+      answering.push_back(instance);
+  }
+  return answering;
+}
+
+std::string home_keeper::Proposed(partition_id number) const {
+  return ownership::ProposeNode(NodeKey(number), Answering());
+}
+
+std::shared_ptr<partition_home> home_keeper::HomeOf(
+    std::string_view request_id) const {
+  std::lock_guard held(mutex_);
+  return homes_.at(PartitionOf(request_id));
+}
+
+}  // namespace chivecrank::idempotency
--- a/src/idempotency/internal/key_ledger.cc
+++ b/src/idempotency/internal/key_ledger.cc
@@ -19,7 +19,8 @@
   for (const log_entry& entry : entries)
     Apply(entry, now);
   for (auto& [id, known] : keys_) {
-    if (known.state == key_state::kInFlight)
+    known.recorded = true;
+    if (known.state == key_state::kInFlight && !clean)
       known.state = key_state::kUnknown;
   }
   if (!clean)
@@ -46,8 +47,10 @@
     return arrival_action::kMismatch;
   if (known.state == key_state::kCompleted)
     return arrival_action::kReplay;
-  if (known.state == key_state::kInFlight)
-    return arrival_action::kWait;
+  if (known.state == key_state::kInFlight) {
+    return known.token == request.token ? arrival_action::kAdmitted
+                                        : arrival_action::kWait;
+  }
   return arrival_action::kUnknown;
 }
 
@@ -93,6 +96,17 @@
   return true;
 }
 
+std::vector<log_entry> key_ledger::InFlight() const {
+  std::vector<log_entry> intents;
+  for (const auto& [id, known] : keys_) {
+    if (known.state == key_state::kInFlight) {
+      intents.push_back(
+          {entry_kind::kIntent, id, known.fingerprint, known.token, {}});
+    }
+  }
+  return intents;
+}
+
 key_state key_ledger::StateOf(const std::string& request_id) const {
   const auto found = keys_.find(request_id);
   return found == keys_.end() ? key_state::kAbsent : found->second.state;
@@ -124,6 +138,7 @@
   }
   key_record& known = keys_[entry.request_id];
   known.fingerprint = entry.fingerprint;
+  known.token = entry.token;
   known.changed = now;
   known.answer = entry.answer;
   known.state = key_state::kUnknown;
--- a/src/idempotency/internal/log_codec.cc
+++ b/src/idempotency/internal/log_codec.cc
@@ -64,6 +64,7 @@
   json_object encoded = new Poco::JSON::Object;
   encoded->set("kind", std::string(EntryKindName(entry.kind)));
   encoded->set("id", entry.request_id);
+  encoded->set("token", entry.token);
   encoded->set("hash", Poco::NumberFormatter::formatHex(entry.fingerprint));
   if (entry.kind == entry_kind::kCompleted)
     encoded->set("answer", EncodeAnswer(entry.answer));
@@ -74,6 +75,7 @@
   log_entry entry;
   entry.kind = EntryKindFromName(http::StringOf(encoded, "kind"));
   entry.request_id = http::StringOf(encoded, "id");
+  entry.token = http::StringOf(encoded, "token");
   Poco::UInt64 hash = 0;
   Poco::NumberParser::tryParseHex64(http::StringOf(encoded, "hash"), hash);
   entry.fingerprint = hash;
--- a/src/idempotency/internal/partition_home.cc
+++ b/src/idempotency/internal/partition_home.cc
@@ -53,76 +53,59 @@
   ledger_.Load(contents.entries, contents.clean, clock_.Now());
   ledger_.ConfirmOwnership(started);
   confirmed_ = started;
+  for (const log_entry& intent : ledger_.InFlight()) {
+    in_flight_[intent.request_id] = {intent.token, intent.fingerprint,
+                                     started + settings_.longest_request};
+  }
   open_ = true;
   thread_ = std::thread([this] { Run(); });
   return base::Success();
 }
 
-base::result<decision> partition_home::Begin(
-    const arrival& request,
-    std::chrono::milliseconds timeout) {
-  const base::time_point deadline = clock_.Now() + timeout;
+base::result<decision> partition_home::Begin(const arrival& request,
+                                             time_limits limits) {
+  const base::time_point asked = clock_.Now();
   lock held(mutex_);
   while (true) {
-    if (fenced_ || closing_)
-      return Fenced();
     const base::time_point now = clock_.Now();
-    switch (ledger_.Arrive(request, now)) {
-      case arrival_action::kRecord:
-        in_flight_[request.request_id] = {request.token, request.fingerprint,
-                                          deadline + kOverdue};
-        pending_.push_back({entry_kind::kIntent,
-                            request.request_id,
-                            request.fingerprint,
-                            request.token,
-                            {}});
-        changed_.notify_all();
-        return WaitToSend(held, request, deadline);
-      case arrival_action::kReplay:
-        return decision{verdict::kReplay,
-                        *ledger_.AnswerOf(request.request_id)};
-      case arrival_action::kUnknown:
-        return decision{verdict::kUnknown, {}};
-      case arrival_action::kMismatch:
-        return decision{verdict::kMismatch, {}};
-      case arrival_action::kWait:
-        break;
+    // What is in the log may be sent even if another owner follows.
+    if (ledger_.MaySend(request, IsSlow(now, asked), now))
+      return decision{verdict::kRun, {}};
+    if (fenced_)
+      return Fenced();
+    const arrival_action action =
+        closing_ && !in_flight_.contains(request.request_id)
+            ? arrival_action::kWait
+            : ledger_.Arrive(request, now);
+    if (action == arrival_action::kRecord)
+      Admit(request, now + limits.remaining);
+    if (action == arrival_action::kReplay) {
+      return decision{verdict::kReplay, *ledger_.AnswerOf(request.request_id)};
     }
-    if (now >= deadline)
+    if (action == arrival_action::kUnknown)
       return decision{verdict::kUnknown, {}};
+    if (action == arrival_action::kMismatch)
+      return decision{verdict::kMismatch, {}};
+    if (now >= asked + limits.slice)
+      return decision{verdict::kPending, {}};
     changed_.wait_for(held, kWaitStep);
   }
 }
 
-base::result<decision> partition_home::WaitToSend(lock& held,
-                                                  const arrival& request,
-                                                  base::time_point deadline) {
-  const base::time_point slow = clock_.Now() + settings_.patience;
-  while (true) {
-    if (fenced_)
-      return Fenced();
-    const base::time_point now = clock_.Now();
-    if (now >= deadline) {
-      Withdraw(request);
-      // A repeat may have run under an owner that this home knows nothing of.
-      return decision{request.first ? verdict::kRefused : verdict::kUnknown,
-                      {}};
-    }
-    if (ledger_.MaySend(request, failing_ || now >= slow, now))
-      return decision{verdict::kRun, {}};
-    changed_.wait_for(held, kWaitStep);
-  }
+bool partition_home::IsSlow(base::time_point now,
+                            base::time_point asked) const {
+  return !fenced_ && (failing_ || now - asked >= settings_.patience);
 }
 
-void partition_home::Withdraw(const arrival& request) {
-  const log_entry withdrawn{entry_kind::kWithdrawn,
-                            request.request_id,
-                            request.fingerprint,
-                            request.token,
-                            {}};
-  in_flight_.erase(request.request_id);
-  if (ledger_.Finish(withdrawn, clock_.Now()))
-    pending_.push_back(withdrawn);
+void partition_home::Admit(const arrival& request, base::time_point deadline) {
+  in_flight_[request.request_id] = {request.token, request.fingerprint,
+                                    deadline + kOverdue};
+  pending_.push_back({entry_kind::kIntent,
+                      request.request_id,
+                      request.fingerprint,
+                      request.token,
+                      {}});
+  changed_.notify_all();
 }
 
 base::result<void> partition_home::Finish(const log_entry& ended) {
@@ -158,9 +141,7 @@
     return;
   closing_ = true;
   changed_.notify_all();
-  const auto done = [this] {
-    return in_flight_.empty() && pending_.empty() && writing_.empty();
-  };
+  const auto done = [this] { return pending_.empty() && writing_.empty(); };
   while (!fenced_ && !done() && clock_.Now() < end)
     changed_.wait_for(held, kWaitStep);
   const bool clean = !fenced_ && done();
--- a/src/idempotency/internal/partition_log.cc
+++ b/src/idempotency/internal/partition_log.cc
@@ -18,8 +18,22 @@
           "send the request to the new home"};
 }
 
+std::string PrefixOf(partition_id number) {
+  return "requests/" + std::to_string(number) + "/";
+}
+
 }  // namespace
 
+base::result<std::optional<log_owner>> ReadOwner(platform::store& store,
+                                                 partition_id number) {
+  BOOST_OUTCOME_TRY(found,
+                    store.Get(call_class::kIntent, PrefixOf(number) + "head"));
+  if (!found)
+    return std::optional<log_owner>();
+  BOOST_OUTCOME_TRY(head, internal::DecodeHead(found->value));
+  return std::optional<log_owner>({head.writer, head.closed});
+}
+
 partition_log::partition_log(platform::store& store,
                              base::clock& clock,
                              partition_id number,
@@ -27,7 +41,7 @@
                              std::chrono::milliseconds retention)
     : store_(store),
       clock_(clock),
-      prefix_("requests/" + std::to_string(number) + "/"),
+      prefix_(PrefixOf(number)),
       writer_(std::move(writer)),
       retention_(retention),
       head_(std::make_unique<internal::log_head>()) {}
--- a/src/idempotency/internal/types.cc
+++ b/src/idempotency/internal/types.cc
@@ -18,11 +18,12 @@
     {entry_kind::kWithdrawn, "withdrawn"},
 }};
 
-constexpr name_table<verdict, 5> kVerdicts = {{
+constexpr name_table<verdict, 6> kVerdicts = {{
     {verdict::kRun, "run"},
     {verdict::kReplay, "replay"},
     {verdict::kUnknown, "unknown"},
     {verdict::kMismatch, "mismatch"},
+    {verdict::kPending, "pending"},
     {verdict::kRefused, "refused"},
 }};
 
--- a/src/idempotency/tests/key_ledger_test.cc
+++ b/src/idempotency/tests/key_ledger_test.cc
@@ -74,13 +74,22 @@
 
 BOOST_AUTO_TEST_CASE(IntentsWithoutAnEndAreUnknownToTheNextOwner) {
   key_ledger next(kRetention);
-  next.Load({Entry(entry_kind::kIntent, "a")}, true, kStart);
+  next.Load({Entry(entry_kind::kIntent, "a")}, false, kStart);
   BOOST_TEST((next.Arrive(First("b"), kStart) == arrival_action::kUnknown));
+  BOOST_TEST(!next.MaySend(First("a"), true, kStart));
   // The former owner's entry may still tell the end.
   BOOST_TEST(next.Finish(Entry(entry_kind::kCompleted, "a"), kStart));
   BOOST_TEST((next.Arrive(Repeat("c"), kStart) == arrival_action::kReplay));
 }
 
+BOOST_AUTO_TEST_CASE(AClosedLogLeavesRequestsInFlight) {
+  key_ledger next(kRetention);
+  next.Load({Entry(entry_kind::kIntent, "a")}, true, kStart);
+  BOOST_TEST(next.InFlight().size() == 1);
+  BOOST_TEST((next.Arrive(Repeat("b"), kStart) == arrival_action::kWait));
+  BOOST_TEST((next.Arrive(First("a"), kStart) == arrival_action::kAdmitted));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyTheAdmittedArrivalWithdraws) {
   BOOST_TEST((Arrive(First("a")) == arrival_action::kRecord));
   BOOST_TEST(ledger.Finish(Entry(entry_kind::kWithdrawn, "a"), kStart));
--- a/tests/harness/settings_files.cc
+++ b/tests/harness/settings_files.cc
@@ -30,6 +30,7 @@
        << "failure_domain = " << Quoted(at.failure_domain) << "\n"
        << "listen = " << Quoted(at.entry) << "\n"
        << "status = " << Quoted(at.entry_status) << "\n"
+       << "peer = " << Quoted(at.entry_peer) << "\n"
        << "[platform]\naddress = " << Quoted(at.platform) << "\n"
        << "[scheduler]\naddress = " << Quoted(at.scheduler) << "\n"
        << "[share]\nentries = " << at.count << "\nindex = " << at.index << "\n";
--- a/tests/harness/settings_files.h
+++ b/tests/harness/settings_files.h
@@ -13,6 +13,7 @@
   std::string failure_domain;
   settings::endpoint entry;
   settings::endpoint entry_status;
+  settings::endpoint entry_peer;
   settings::endpoint scheduler;
   settings::endpoint scheduler_status;
   settings::endpoint admin;
