--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "chivecrank/http/types.h"
+#include "chivecrank/idempotency/types.h"
 #include "chivecrank/membership/types.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
@@ -18,6 +19,8 @@
   std::string failure_domain;
   settings::endpoint listen;
   settings::endpoint status;
+  /// Thrift, for the other entries.
+  settings::endpoint peer;
   settings::endpoint platform;
   /// The scheduler of the same instance.
   settings::endpoint scheduler;
@@ -36,6 +39,7 @@
   std::vector<settings::endpoint> places;
   std::chrono::milliseconds peer_timeout{250};
   http::server_limits limits;
+  idempotency::home_settings homes;
 };
 
 /// Reads all settings; faults are recorded in the document.
