Unknown pairings are probed one at a time; tests of the planner

Cause: with nothing learned yet, a wave of new work ran beside services before its first measurement came back; and a task that its memory limit ended was held for a bad job. Change: a pessimistic belief about unknown pairings, deviations that add up (estimates of one template err together), one probe at a time of a pairing that was never measured, tighter limits, and due work judged against the whole backlog. Attempts ended by their memory limit get more and blame no one.

--- a/src/scheduling/include/chivecrank/scheduling/attempt_book.h
+++ b/src/scheduling/include/chivecrank/scheduling/attempt_book.h
@@ -62,8 +62,6 @@
   /// What batch attempts of a team or of a client account are granted.
   platform::resources UsedByTeam(const std::string& team) const;
   platform::resources UsedByAccount(const std::string& account) const;
-  /// Open attempts of a template.
-  std::int64_t OpenOfTemplate(const std::string& template_name) const;
 
   const residency_log& residency() const { return residency_; }
 
@@ -84,7 +82,6 @@
   std::map<std::string, std::map<std::string, std::int32_t>> gangs_;
   std::map<std::string, platform::resources> teams_;
   std::map<std::string, platform::resources> accounts_;
-  std::map<std::string, std::int64_t> templates_;
   std::map<std::string, platform::resources> capacities_;
   residency_log residency_;
 };
--- a/src/scheduling/include/chivecrank/scheduling/interference_model.h
+++ b/src/scheduling/include/chivecrank/scheduling/interference_model.h
@@ -26,8 +26,8 @@
 /// How pairings are learned.
 struct interference_settings {
   /// Belief about a pairing that was never measured.
-  double prior_mean = 0.4;
-  double prior_variance = 0.5;
+  double prior_mean = 2.5;
+  double prior_variance = 1.5;
   /// Variance of the service's own level, which no pairing is to blame for.
   double level_variance = 0.02;
   /// Relative noise of one sample.
--- a/src/scheduling/include/chivecrank/scheduling/planning_types.h
+++ b/src/scheduling/include/chivecrank/scheduling/planning_types.h
@@ -16,13 +16,13 @@
 /// service alone.
 struct planner_settings {
   /// Batch work is placed only where services stay below this.
-  double place_below = 1.3;
+  double place_below = 1.25;
   /// The same for work that would otherwise miss its due time.
-  double place_at_risk_below = 1.4;
+  double place_at_risk_below = 1.3;
   /// Above this batch work beside a service is throttled or moved.
-  double relieve_above = 1.45;
+  double relieve_above = 1.35;
   /// Throttled work gets its processors back when the service stays below.
-  double restore_below = 1.25;
+  double restore_below = 1.2;
   /// Standard deviations of an estimate that placement adds for caution.
   double caution = 0.5;
   /// Time between two acts of relief on one worker; measurements lag.
--- a/src/scheduling/include/chivecrank/scheduling/size_learner.h
+++ b/src/scheduling/include/chivecrank/scheduling/size_learner.h
@@ -12,9 +12,10 @@
 struct usage_sample {
   std::string template_name;
   platform::resources peak;
-  /// Whether the attempt was held back or ended by its processor or memory
-  /// limit, so that it may need more than `peak`.
-  bool limited = false;
+  /// Whether its limit held the attempt back or ended it, so that it may need
+  /// more than `peak`.
+  bool processors_limited = false;
+  bool memory_limited = false;
 };
 
 /// Sizes and run times of each template as they were measured.
@@ -34,7 +35,11 @@
 
  private:
   struct record {
+    /// Highest peaks seen, with a margin.
     platform::resources peak;
+    /// Sizes to try next, after attempts that ran into their limits; 0 once an
+    /// attempt stayed below its limit.
+    platform::resources probe;
     double mean_run_time_ms = 0;
     int runs = 0;
   };
--- a/src/scheduling/include/chivecrank/scheduling/types.h
+++ b/src/scheduling/include/chivecrank/scheduling/types.h
@@ -54,6 +54,8 @@
   kStopped,
   /// Failed by itself; the task is tried again until it is parked.
   kCrashed,
+  /// Ended by its memory limit; the task is tried again with more.
+  kOutgrown,
 };
 
 std::string_view AttemptOutcomeName(attempt_outcome value);
@@ -105,6 +107,8 @@
   std::vector<std::string> failed_on;
   /// Attempts that were ended to make room or to relieve a service.
   std::int32_t evictions = 0;
+  /// Attempts that their memory limit ended.
+  std::int32_t outgrown = 0;
   /// Why the task is parked.
   std::string parked_reason;
 };
--- a/src/scheduling/internal/attempt_book.cc
+++ b/src/scheduling/internal/attempt_book.cc
@@ -90,11 +90,6 @@
   return FindOrEmpty(accounts_, account);
 }
 
-std::int64_t attempt_book::OpenOfTemplate(
-    const std::string& template_name) const {
-  return FindOrEmpty(templates_, template_name);
-}
-
 double attempt_book::ShareOf(const std::string& worker_id,
                              const platform::resources& granted,
                              bool throttled) const {
@@ -136,7 +131,6 @@
 
 void attempt_book::Count(const open_attempt& counted, bool opened) {
   const task_request& request = counted.request;
-  templates_[request.template_name] += opened ? 1 : -1;
   if (!request.gang.empty()) {
     auto& members = gangs_[request.gang];
     if (opened)
--- a/src/scheduling/internal/event_codec.cc
+++ b/src/scheduling/internal/event_codec.cc
@@ -20,8 +20,9 @@
 constexpr char kCancelled[] = "task_cancelled";
 
 constexpr std::array kOutcomes = {
-    attempt_outcome::kDone, attempt_outcome::kFailed, attempt_outcome::kLost,
-    attempt_outcome::kStopped, attempt_outcome::kCrashed};
+    attempt_outcome::kDone,    attempt_outcome::kFailed,
+    attempt_outcome::kLost,    attempt_outcome::kStopped,
+    attempt_outcome::kCrashed, attempt_outcome::kOutgrown};
 
 base::error Corrupt(const std::string& detail) {
   return {base::error_kind::kCorrupt, "a journal event " + detail,
--- a/src/scheduling/internal/placement_round.cc
+++ b/src/scheduling/internal/placement_round.cc
@@ -12,6 +12,8 @@
 constexpr double kPackingWeight = 0.02;
 constexpr double kAcceleratorWaste = 0.5;
 constexpr double kRepeatedCrash = 4.0;
+/// Relative variance from which a pairing counts as never measured.
+constexpr double kUnknown = 0.1;
 /// Costs of a replica beside another one of its service.
 constexpr double kSameWorker = 100.0;
 constexpr double kSameRack = 10.0;
@@ -55,7 +57,7 @@
           Contribution(context, worker_id, outlook.service_template,
                        batch.request.template_name, share);
       outlook.inflation += added.mean;
-      outlook.variance += added.variance;
+      outlook.deviation += std::sqrt(added.variance);
     }
     services.push_back(outlook);
   }
@@ -132,7 +134,8 @@
         Contribution(context_, on.view->id, service.service_template,
                      started.template_name, share);
     service.inflation += added.mean;
-    service.variance += added.variance;
+    service.deviation += std::sqrt(added.variance);
+    paired_[{service.service_template, started.template_name}] = true;
   }
 }
 
@@ -196,18 +199,19 @@
     round_worker& on) {
   const double share =
       context_.book.ShareOf(on.view->id, request.granted, false);
+  const std::string& batch = request.placed->request.template_name;
   double harm = 0;
   for (const service_outlook& service : Services(on)) {
-    const pairing_estimate added =
-        Contribution(context_, on.view->id, service.service_template,
-                     request.placed->request.template_name, share);
-    const double before = service.inflation + context_.settings.caution *
-                                                  std::sqrt(service.variance);
-    const double after = service.inflation + added.mean +
-                         context_.settings.caution *
-                             std::sqrt(service.variance + added.variance);
-    if (after > request.inflation_limit)
+    const pairing_estimate added = Contribution(
+        context_, on.view->id, service.service_template, batch, share);
+    const double caution = context_.settings.caution;
+    const double before = service.inflation + caution * service.deviation;
+    const double after =
+        before + added.mean + caution * std::sqrt(added.variance);
+    if (after > request.inflation_limit &&
+        !MayProbe(service.service_template, batch, added)) {
       return std::nullopt;
+    }
     harm += Harm(after) - Harm(before);
   }
   return harm;
@@ -249,6 +253,27 @@
   return cost;
 }
 
+bool placement_round::MayProbe(const std::string& service_template,
+                               const std::string& batch_template,
+                               const pairing_estimate& slope) {
+  if (slope.variance < kUnknown * slope.mean * slope.mean)
+    return false;
+  const auto [paired, added] =
+      paired_.try_emplace({service_template, batch_template}, false);
+  if (!added)
+    return !paired->second;
+  for (const round_worker& on : workers_) {
+    bool has_service = false;
+    bool has_batch = false;
+    for (const auto& [id, open] : context_.book.On(on.view->id)) {
+      has_service |= open.request.template_name == service_template;
+      has_batch |= open.request.template_name == batch_template;
+    }
+    paired->second |= has_service && has_batch;
+  }
+  return !paired->second;
+}
+
 placement_round::replica_counts& placement_round::Replicas(
     const std::string& service_template) {
   const auto [counts, added] = replicas_.try_emplace(service_template);
--- a/src/scheduling/internal/placement_round.h
+++ b/src/scheduling/internal/placement_round.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "chivecrank/scheduling/attempt_book.h"
@@ -37,7 +38,8 @@
 struct service_outlook {
   std::string service_template;
   double inflation = 1;
-  double variance = 0;
+  /// Sum of the standard deviations; estimates of one template err together.
+  double deviation = 0;
 };
 
 /// Inflation that one attempt adds to a service on its worker.
@@ -118,12 +120,17 @@
   double PackingCost(const placement_request& request,
                      const round_worker& on) const;
   std::vector<service_outlook>& Services(round_worker& on);
+  bool MayProbe(const std::string& service_template,
+                const std::string& batch_template,
+                const pairing_estimate& slope);
   replica_counts& Replicas(const std::string& service_template);
   static void CountReplica(replica_counts& counts, const worker_view& on);
 
   const planning_context& context_;
   std::vector<round_worker> workers_;
   std::set<std::string> stopping_;
+  /// Pairings of which an attempt runs, as far as they were asked for.
+  std::map<std::pair<std::string, std::string>, bool> paired_;
   std::map<std::string, replica_counts> replicas_;
 };
 
--- a/src/scheduling/internal/shard_state.cc
+++ b/src/scheduling/internal/shard_state.cc
@@ -88,6 +88,8 @@
       recorded.outcome == attempt_outcome::kCrashed) {
     CountFailure(*ended);
   }
+  if (recorded.outcome == attempt_outcome::kOutgrown)
+    ++ended->outgrown;
   ended->saved = std::max(ended->saved, recorded.saved);
   CloseAttempt(*ended);
   if (IsFinal(ended->state))
@@ -111,6 +113,7 @@
     return Impossible(recorded.task_id, "released");
   found->second.failures = 0;
   found->second.failed_on.clear();
+  found->second.outgrown = 0;
   found->second.parked_reason.clear();
   return base::Success();
 }
--- a/src/scheduling/internal/size_learner.cc
+++ b/src/scheduling/internal/size_learner.cc
@@ -20,16 +20,28 @@
   return value + value * percent / 100;
 }
 
+void LearnDimension(std::int64_t seen,
+                    bool limited,
+                    std::int64_t& peak,
+                    std::int64_t& probe) {
+  if (limited) {
+    probe = std::max(probe, Grown(seen, kLimitedPercent));
+    return;
+  }
+  peak = std::max(peak, Grown(seen, kMarginPercent));
+  probe = 0;
+}
+
 }  // namespace
 
 void size_learner::Observe(const usage_sample& sample) {
-  const std::int64_t percent =
-      sample.limited ? kLimitedPercent : kMarginPercent;
-  const platform::resources needed{Grown(sample.peak.processors_milli, percent),
-                                   Grown(sample.peak.memory_mib, percent),
-                                   sample.peak.accelerators};
   record& known = templates_[sample.template_name];
-  known.peak = Larger(known.peak, needed);
+  LearnDimension(sample.peak.processors_milli, sample.processors_limited,
+                 known.peak.processors_milli, known.probe.processors_milli);
+  LearnDimension(sample.peak.memory_mib, sample.memory_limited,
+                 known.peak.memory_mib, known.probe.memory_mib);
+  known.peak.accelerators =
+      std::max(known.peak.accelerators, sample.peak.accelerators);
 }
 
 void size_learner::ObserveRunTime(const std::string& template_name,
@@ -45,7 +57,8 @@
   const auto found = templates_.find(request.template_name);
   if (found == templates_.end())
     return request.demand;
-  return Larger(request.demand, found->second.peak);
+  const record& known = found->second;
+  return Larger(request.demand, Larger(known.peak, known.probe));
 }
 
 std::chrono::milliseconds size_learner::RunTimeOf(
--- a/src/scheduling/internal/start_planner.cc
+++ b/src/scheduling/internal/start_planner.cc
@@ -15,7 +15,14 @@
 /// How long a worker is kept for batch work that fits nowhere.
 constexpr std::chrono::minutes kBatchHold{10};
 /// Safety factor on the time that a queue needs to be finished.
-constexpr double kRiskFactor = 1.3;
+constexpr double kRiskFactor = 1.15;
+/// Part of all processors that due work is held to get.
+constexpr double kUsableForBatch = 0.8;
+
+bool HasDueTime(const queue_key& key, const std::set<queue_entry>& entries) {
+  return key.of == work_class::kBatch &&
+         entries.begin()->due != base::wall_time::max();
+}
 
 platform::resources FindOrNone(
     const std::map<std::string, platform::resources>& in,
@@ -47,9 +54,10 @@
 }
 
 void start_planner::OpenQueues() {
+  const double due_work_s = TimeForDueWork();
   for (const auto& [key, entries] : queues_.queues()) {
-    cursors_.push_back(
-        {&key, entries.begin(), entries.end(), IsAtRisk(key, entries)});
+    cursors_.push_back({&key, entries.begin(), entries.end(),
+                        IsAtRisk(key, entries, due_work_s)});
   }
 }
 
@@ -83,19 +91,34 @@
           *queue.next};
 }
 
+double start_planner::TimeForDueWork() const {
+  double processor_seconds = 0;
+  for (const auto& [key, entries] : queues_.queues()) {
+    if (!HasDueTime(key, entries))
+      continue;
+    const task_request& head =
+        context_.state.Find(entries.begin()->task_id)->request;
+    const std::chrono::duration<double> run_time = sizes_.RunTimeOf(head);
+    processor_seconds += static_cast<double>(entries.size()) *
+                         run_time.count() *
+                         static_cast<double>(GrantFor(head).processors_milli);
+  }
+  const auto processors = static_cast<double>(
+      std::max<std::int64_t>(1, fleet_.total.processors_milli));
+  return processor_seconds / (processors * kUsableForBatch);
+}
+
 bool start_planner::IsAtRisk(const queue_key& key,
-                             const std::set<queue_entry>& entries) const {
-  const base::wall_time due = entries.begin()->due;
-  if (key.of != work_class::kBatch || due == base::wall_time::max())
+                             const std::set<queue_entry>& entries,
+                             double due_work_s) const {
+  if (!HasDueTime(key, entries))
     return false;
-  const task* head = context_.state.Find(entries.begin()->task_id);
-  const std::chrono::duration<double> run_time =
-      sizes_.RunTimeOf(head->request);
-  const auto waiting = static_cast<double>(entries.size());
-  const auto running = static_cast<double>(std::max<std::int64_t>(
-      1, context_.book.OpenOfTemplate(key.template_name)));
-  const std::chrono::duration<double> left = due - context_.now;
-  return run_time * (1 + waiting / running) * kRiskFactor > left;
+  const task_request& head =
+      context_.state.Find(entries.begin()->task_id)->request;
+  const std::chrono::duration<double> run_time = sizes_.RunTimeOf(head);
+  const std::chrono::duration<double> left =
+      entries.begin()->due - context_.now;
+  return (run_time.count() + due_work_s) * kRiskFactor > left.count();
 }
 
 void start_planner::ServeHead(queue_cursor& queue) {
@@ -146,9 +169,15 @@
   const auto trusted = std::count_if(
       waiting.failed_on.begin(), waiting.failed_on.end(),
       [this](const std::string& id) { return context_.health.IsTrusted(id); });
-  if (trusted < waiting.request.attempt_limit || !context_.settings.learns) {
+  if (!context_.settings.learns)
     return std::nullopt;
+  const std::int64_t needed = sizes_.SizeOf(waiting.request).memory_mib;
+  if (waiting.outgrown > 0 && needed > fleet_.largest.memory_mib) {
+    return "outgrew " + std::to_string(fleet_.largest.memory_mib) +
+           " MiB of memory, the most that a worker has";
   }
+  if (trusted < waiting.request.attempt_limit)
+    return std::nullopt;
   return "crashed on " + std::to_string(trusted) +
          " healthy workers, last on " + waiting.failed_on.back();
 }
--- a/src/scheduling/internal/start_planner.h
+++ b/src/scheduling/internal/start_planner.h
@@ -43,8 +43,11 @@
   void OpenQueues();
   queue_cursor* BestQueue();
   rank RankOf(const queue_cursor& queue) const;
+  /// Seconds that all waiting work with a due time would take.
+  double TimeForDueWork() const;
   bool IsAtRisk(const queue_key& key,
-                const std::set<queue_entry>& entries) const;
+                const std::set<queue_entry>& entries,
+                double due_work_s) const;
   void ServeHead(queue_cursor& queue);
   void HandleUnplaced(queue_cursor& queue,
                       const queue_entry& entry,
--- a/src/scheduling/internal/types.cc
+++ b/src/scheduling/internal/types.cc
@@ -61,6 +61,8 @@
       return "stopped";
     case attempt_outcome::kCrashed:
       return "crashed";
+    case attempt_outcome::kOutgrown:
+      return "outgrown";
   }
   return "unknown";
 }
--- /dev/null
+++ b/src/scheduling/tests/interference_test.cc
@@ -0,0 +1,127 @@
+#include "chivecrank/scheduling/interference_model.h"
+
+#include "tests/planner_fixture.h"
+
+namespace chivecrank::scheduling {
+namespace {
+
+constexpr int kSamples = 40;
+
+/// Two batch templates on one worker; one of them hurts the service.
+struct interference_fixture : planner_fixture {
+  interference_fixture() {
+    workers.resize(1);
+    settings.interference.prior_mean = 0;
+    settings.interference.prior_variance = 0.3;
+    AcceptService("s");
+    Round();
+  }
+
+  void Run(const std::string& id,
+           const std::string& template_name,
+           std::int64_t processors_milli = 2000) {
+    task_request request = Request(id, processors_milli);
+    request.template_name = template_name;
+    Accept(request);
+    Round();
+  }
+
+  /// A sample over the second that ended `lag` ago.
+  void Sample(double inflation, std::chrono::seconds lag = {}) {
+    Planner().Observe(service_sample{"w-1", "service",
+                                     now - lag - std::chrono::seconds(1),
+                                     now - lag, inflation, 1.0});
+  }
+
+  void Learn(double inflation) {
+    for (int sample = 0; sample < kSamples; ++sample) {
+      Pass(std::chrono::seconds(1));
+      Sample(inflation);
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(interference_suite, interference_fixture)
+
+BOOST_AUTO_TEST_CASE(LateSamplesAreCreditedToTheWorkOfTheirTime) {
+  residency_log residency(std::chrono::seconds(300));
+  inflation_forecast forecast({}, {});
+  const base::wall_time start = now;
+  residency.Set("w", "a", "noisy", 0.5, start);
+  residency.End("w", "a", start + std::chrono::seconds(100));
+  residency.Set("w", "b", "quiet", 0.5, start + std::chrono::seconds(100));
+  const auto slope = [&](const char* batch) {
+    return forecast
+        .Slope("w", "service", batch, start + std::chrono::seconds(120))
+        .mean;
+  };
+  for (int sample = 0; sample < kSamples; ++sample) {
+    // They arrive while only the quiet one runs.
+    const base::wall_time to = start + std::chrono::seconds(50 + sample);
+    forecast.Observe({"w", "service", to - std::chrono::seconds(1), to, 3, 1},
+                     residency);
+  }
+  BOOST_TEST(slope("noisy") > 3.0);
+  BOOST_TEST(slope("quiet") == interference_settings{}.prior_mean);
+}
+
+BOOST_AUTO_TEST_CASE(CheapestReliefComesFirstAndIsUndone) {
+  Run("a", "noisy", 1500);
+  Run("b", "noisy", 1500);
+  Learn(2.0);
+  const auto acts = Round();
+  BOOST_REQUIRE(acts.size() == 1);
+  BOOST_TEST(std::get<attempt_throttled>(acts[0]).throttled);
+  // The next act waits until the effect of the first can be seen.
+  Pass(std::chrono::seconds(1));
+  BOOST_TEST(Round().empty());
+  // The load falls, and with it the harm.
+  Pass(std::chrono::seconds(10));
+  Planner().Observe(service_sample{
+      "w-1", "service", now - std::chrono::seconds(1), now, 1.0, 0.05});
+  const auto restored = Round();
+  BOOST_REQUIRE(restored.size() == 1);
+  BOOST_TEST(!std::get<attempt_throttled>(restored[0]).throttled);
+}
+
+BOOST_AUTO_TEST_CASE(ThrottledWorkMovesWhenThereIsRoom) {
+  Run("a", "noisy");
+  Learn(2.0);
+  Round();
+  workers.push_back({"w-2", {4000, 8000, 0}, "r-2", "d-2"});
+  Pass(settings.throttled_before_move + std::chrono::seconds(1));
+  const auto acts = Round();
+  BOOST_REQUIRE(acts.size() == 1);
+  BOOST_TEST(std::get<checkpoint_ordered>(acts[0]).task_id == "a");
+  End("a", attempt_outcome::kStopped, std::chrono::seconds(60));
+  Round();
+  BOOST_TEST(WorkerOf("a") == "w-2");
+  BOOST_TEST(state.Find("a")->attempt == 2);
+}
+
+BOOST_AUTO_TEST_CASE(NearlyDoneWorkIsLetFinish) {
+  Run("a", "noisy");
+  Pass(std::chrono::minutes(4));
+  Learn(2.0);
+  Pass(std::chrono::seconds(10));
+  BOOST_TEST(Round().empty());
+}
+
+BOOST_AUTO_TEST_CASE(KnownHarmIsPlacedElsewhere) {
+  Run("a", "noisy");
+  Learn(2.0);
+  End("a", attempt_outcome::kDone);
+  workers.push_back({"w-2", {4000, 8000, 0}, "r-2", "d-2"});
+  Run("b", "noisy");
+  Run("c", "noisy");
+  Run("d", "noisy");
+  BOOST_TEST(WorkerOf("b") == "w-2");
+  BOOST_TEST(WorkerOf("c") == "w-2");
+  BOOST_TEST((State("d") == task_state::kPending));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::scheduling
--- a/tests/bench/placement/fake_worker.cc
+++ b/tests/bench/placement/fake_worker.cc
@@ -23,6 +23,16 @@
          attempt.done_s - attempt.began_s > kPeakAfterSeconds;
 }
 
+scheduling::usage_sample UsageOf(const fake_attempt& attempt) {
+  const platform::resources& wanted = attempt.truth->size;
+  const platform::resources& granted = attempt.granted;
+  return {attempt.request.template_name,
+          {std::min(granted.processors_milli, wanted.processors_milli),
+           std::min(granted.memory_mib, wanted.memory_mib), 0},
+          granted.processors_milli < wanted.processors_milli,
+          NeedsMoreMemory(attempt)};
+}
+
 double SpeedOf(const fake_attempt& attempt) {
   const double wanted =
       static_cast<double>(attempt.truth->size.processors_milli);
@@ -89,7 +99,7 @@
     if (bad && now > attempt.started + kCrashAfter)
       outcome = attempt_outcome::kCrashed;
     else if (NeedsMoreMemory(attempt))
-      outcome = attempt_outcome::kCrashed;
+      outcome = attempt_outcome::kOutgrown;
     else if (attempt.truth != nullptr &&
              attempt.done_s >=
                  static_cast<double>(attempt.truth->run_time.count()))
@@ -129,19 +139,25 @@
   return exposures;
 }
 
+std::vector<scheduling::usage_sample> fake_worker::Usage() const {
+  std::vector<scheduling::usage_sample> samples;
+  for (const auto& [id, attempt] : running_) {
+    // Memory is told at the end only, when the peak was reached.
+    if (attempt.truth == nullptr)
+      continue;
+    samples.push_back(UsageOf(attempt));
+    samples.back().peak.memory_mib = 0;
+    samples.back().memory_limited = true;
+  }
+  return samples;
+}
+
 void fake_worker::End(const fake_attempt& ended, attempt_outcome outcome) {
   fake_end end{ended.request.id, ended.attempt, outcome, ended.saved_s};
   if (outcome != attempt_outcome::kDone)
     end.lost_s = ended.done_s - ended.saved_s;
-  if (ended.truth != nullptr) {
-    const bool limited = NeedsMoreMemory(ended);
-    end.usage = {
-        ended.request.template_name,
-        {std::min(ended.granted.processors_milli,
-                  ended.truth->size.processors_milli),
-         std::min(ended.granted.memory_mib, ended.truth->size.memory_mib), 0},
-        limited};
-  }
+  if (ended.truth != nullptr)
+    end.usage = UsageOf(ended);
   ended_.push_back(std::move(end));
 }
 
--- a/tests/bench/placement/fake_worker.h
+++ b/tests/bench/placement/fake_worker.h
@@ -63,6 +63,8 @@
   const scheduling::worker_view& view() const { return view_; }
   /// Share of the processors that a batch template uses now.
   std::map<std::string, double> Exposures() const;
+  /// What the attempts use, as the worker reports it now and then.
+  std::vector<scheduling::usage_sample> Usage() const;
 
   bool reachable = true;
 
--- a/tests/bench/placement/simulation.cc
+++ b/tests/bench/placement/simulation.cc
@@ -292,6 +292,8 @@
       ++replicas[attempt.request.template_name];
   }
   for (const auto& [id, known] : links_) {
+    for (const scheduling::usage_sample& usage : known.worker.Usage())
+      planner_->Observe(usage);
     const auto exposures = known.worker.Exposures();
     for (const auto& [task_id, attempt] : known.worker.running()) {
       if (attempt.truth != nullptr)
