--- a/src/protocol/include/chivecrank/protocol/tenure.h
+++ b/src/protocol/include/chivecrank/protocol/tenure.h
@@ -8,6 +8,13 @@
 
 namespace chivecrank::protocol {
 
+/// What an owner may do whose lease in the store lasts until `valid_until`, or
+/// has `lapsed`, and who may ride out an outage for so long.
+authority AuthorityAt(base::time_point now,
+                      base::time_point valid_until,
+                      bool lapsed,
+                      std::chrono::milliseconds ride);
+
 /// One ownership lease of a process, from its grant to its end.
 /// Safe to use from several threads.
 class tenure {
--- a/src/protocol/include/chivecrank/protocol/worker_fence.h
+++ b/src/protocol/include/chivecrank/protocol/worker_fence.h
@@ -23,6 +23,9 @@
   base::time_point lease_ends() const { return lease_ends_; }
   bool LeaseOver(base::time_point now) const { return now >= lease_ends_; }
 
+  /// Canonical text of the state, to compare states by.
+  std::string Fingerprint() const;
+
   const std::string& incarnation() const { return incarnation_; }
   std::uint64_t epoch() const { return epoch_; }
 
--- a/src/protocol/include/chivecrank/protocol/worker_lease.h
+++ b/src/protocol/include/chivecrank/protocol/worker_lease.h
@@ -32,6 +32,9 @@
   /// run on the worker any more.
   bool IsOver(base::time_point now) const { return now > over_; }
 
+  /// Canonical text of the state, to compare states by.
+  std::string Fingerprint() const;
+
  private:
   std::uint64_t epoch_;
   lease_terms terms_;
--- a/src/protocol/internal/tenure.cc
+++ b/src/protocol/internal/tenure.cc
@@ -10,11 +10,18 @@
   const base::time_point valid_until = valid_until_;
   if (ended_ || valid_until == base::time_point{})
     return authority::kNone;
-  if (now < valid_until && !lapsed_)
+  return AuthorityAt(now, valid_until, lapsed_, ride_);
+}
+
+authority AuthorityAt(base::time_point now,
+                      base::time_point valid_until,
+                      bool lapsed,
+                      std::chrono::milliseconds ride) {
+  if (now < valid_until && !lapsed)
     return authority::kFull;
   // A new owner waits as long before it takes an unreachable worker's
   // attempts as over.
-  return now < valid_until + ride_ ? authority::kRenewOnly : authority::kNone;
+  return now < valid_until + ride ? authority::kRenewOnly : authority::kNone;
 }
 
 }  // namespace chivecrank::protocol
--- a/src/protocol/internal/worker_fence.cc
+++ b/src/protocol/internal/worker_fence.cc
@@ -28,6 +28,17 @@
   return sync_verdict::kIntroduced;
 }
 
+std::string worker_fence::Fingerprint() const {
+  std::string text = incarnation_ + "/" + std::to_string(epoch_) + "/" +
+                     std::to_string(last_number_) + "/" +
+                     std::to_string(lease_ends_.time_since_epoch().count());
+  for (const auto& [number, at] : answered_at_) {
+    text += "," + std::to_string(number) + ":" +
+            std::to_string(at.time_since_epoch().count());
+  }
+  return text;
+}
+
 bool worker_fence::Renew(const sync_order& order,
                          std::chrono::milliseconds term) {
   if (order.incarnation != incarnation_)
--- a/src/protocol/internal/worker_lease.cc
+++ b/src/protocol/internal/worker_lease.cc
@@ -16,6 +16,11 @@
   return {epoch_, ++last_sent_, answered_, incarnation_};
 }
 
+std::string worker_lease::Fingerprint() const {
+  return std::to_string(last_sent_) + "/" + std::to_string(answered_) + "/" +
+         incarnation_ + "/" + std::to_string(over_.time_since_epoch().count());
+}
+
 bool worker_lease::OnAnswer(std::uint64_t number,
                             const std::string& incarnation,
                             base::time_point now) {
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -19,7 +19,7 @@
 namespace chivecrank::shards {
 
 namespace internal {
-class worker_link;
+class shard_ledger;
 }  // namespace internal
 
 /// Leads the tasks of one shard for as long as this scheduler owns it. Calls
@@ -72,17 +72,15 @@
  private:
   /// A worker with what is needed to call it.
   struct worker_entry;
-  using event_position = std::uint64_t;
-
   base::result<void> CheckFull() const;
   base::result<void> CheckNotFenced() const;
   void UpdateWorkers(const std::vector<platform::instance>& workers);
   worker_entry& EntryOf(const std::string& worker_id);
   void StageLost();
   void StageStarts();
-  base::result<event_position> Stage(std::vector<scheduling::event> events);
+  base::result<std::uint64_t> Stage(std::vector<scheduling::event> events);
   base::result<void> AwaitConfirmed(std::unique_lock<std::mutex>& lock,
-                                    event_position position);
+                                    std::uint64_t position);
 
   /// Hands due syncs and writes to the executors. Needs the lock free.
   void Dispatch();
@@ -90,13 +88,12 @@
   bool TakeWrite();
   void Launch(const executor& on, std::function<void()> job);
   void SyncWorker(const std::string& worker_id);
-  void OnAnswer(worker_entry& entry,
+  void OnAnswer(const std::string& worker_id,
                 const workers::sync_command& command,
                 const base::result<workers::sync_report>& answer);
   void WriteStaged();
   bool WriteOnce(std::unique_lock<std::mutex>& lock);
-  void TakeBatch();
-  void OnConfirmed();
+  bool OnWriteFailed(const base::error& failure);
   void WriteSnapshot(std::unique_lock<std::mutex>& lock);
 
   const std::string shard_;
@@ -109,9 +106,8 @@
 
   std::mutex mutex_;
   std::condition_variable changed_;
-  scheduling::shard_state state_;
+  std::unique_ptr<internal::shard_ledger> ledger_;
   std::map<std::string, worker_entry> workers_;
-  base::time_point opened_;
   bool plan_due_ = true;
   bool fenced_ = false;
   bool closing_ = false;
@@ -120,20 +116,10 @@
   /// Used by the one writer at a time.
   journal::shard_journal journal_;
   bool writing_ = false;
-  std::vector<scheduling::event> staged_;
-  std::vector<scheduling::event> batch_;
   std::size_t batch_limit_;
-  event_position staged_end_ = 0;
-  event_position confirmed_ = 0;
-  /// Whether something waits for what is staged.
-  bool write_due_ = false;
   /// Counts writes that failed; reset by one that succeeded.
   int failed_writes_ = 0;
   std::uint64_t failures_seen_ = 0;
-  /// Positions of the newest unconfirmed events of tasks.
-  std::map<std::string, event_position> unconfirmed_;
-  /// Confirmed events by task, for snapshots.
-  std::map<std::string, std::vector<scheduling::event>> history_;
 };
 
 }  // namespace chivecrank::shards
--- /dev/null
+++ b/src/shards/internal/shard_ledger.cc
@@ -0,0 +1,173 @@
+#include "internal/shard_ledger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace chivecrank::shards::internal {
+namespace {
+
+/// A confirmation saves the next owner nothing that its first syncs don't
+/// tell, so it is not worth a write of its own.
+bool IsWorthAWrite(const scheduling::event& recorded) {
+  return !std::holds_alternative<scheduling::attempt_confirmed>(recorded);
+}
+
+}  // namespace
+
+const std::string& TaskOf(const scheduling::event& recorded) {
+  return std::visit(
+      [](const auto& known) -> const std::string& {
+        using kind = std::decay_t<decltype(known)>;
+        if constexpr (std::is_same_v<kind, scheduling::task_accepted>)
+          return known.request.id;
+        else
+          return known.task_id;
+      },
+      recorded);
+}
+
+std::string ShortTextOf(const scheduling::event& recorded) {
+  std::string text = std::to_string(recorded.index()) + TaskOf(recorded);
+  if (const auto* start = std::get_if<scheduling::attempt_started>(&recorded))
+    text += "#" + std::to_string(start->attempt) + "@" + start->worker_id;
+  if (const auto* ended = std::get_if<scheduling::attempt_ended>(&recorded)) {
+    text += "#" + std::to_string(ended->attempt) + "=" +
+            std::to_string(static_cast<int>(ended->outcome)) + "+" +
+            std::to_string(ended->saved.count());
+  }
+  return text + ";";
+}
+
+shard_ledger::shard_ledger(std::uint64_t epoch,
+                           protocol::lease_terms terms,
+                           base::time_point opened)
+    : epoch_(epoch), terms_(terms), opened_(opened) {}
+
+base::result<void> shard_ledger::Replay(const scheduling::event& recorded) {
+  BOOST_OUTCOME_TRY(state_.Apply(recorded));
+  history_[TaskOf(recorded)].push_back(recorded);
+  return base::Success();
+}
+
+base::result<event_position> shard_ledger::Stage(
+    std::vector<scheduling::event> events) {
+  for (scheduling::event& recorded : events) {
+    BOOST_OUTCOME_TRY(state_.Apply(recorded));
+    unconfirmed_[TaskOf(recorded)] = ++staged_end_;
+    write_due_ |= IsWorthAWrite(recorded);
+    staged_.push_back(std::move(recorded));
+  }
+  return staged_end_;
+}
+
+const std::vector<scheduling::event>& shard_ledger::TakeBatch(
+    std::size_t limit) {
+  if (!batch_.empty())
+    return batch_;
+  const std::size_t count = std::min(staged_.size(), limit);
+  const auto end = staged_.begin() + static_cast<std::ptrdiff_t>(count);
+  batch_.assign(std::make_move_iterator(staged_.begin()),
+                std::make_move_iterator(end));
+  staged_.erase(staged_.begin(), end);
+  write_due_ = !staged_.empty();
+  return batch_;
+}
+
+void shard_ledger::PutBack() {
+  staged_.insert(staged_.begin(), batch_.begin(), batch_.end());
+  batch_.clear();
+  write_due_ = !staged_.empty();
+}
+
+std::set<std::string> shard_ledger::OnConfirmed() {
+  std::set<std::string> wake;
+  confirmed_ += batch_.size();
+  for (scheduling::event& recorded : batch_) {
+    const std::string id = TaskOf(recorded);
+    const auto waiting = unconfirmed_.find(id);
+    if (waiting != unconfirmed_.end() && waiting->second <= confirmed_)
+      unconfirmed_.erase(waiting);
+    const scheduling::task& known = *state_.Find(id);
+    const auto* start = std::get_if<scheduling::attempt_started>(&recorded);
+    if (!known.worker_id.empty()) {
+      if (start != nullptr && start->attempt == known.attempt)
+        LinkOf(known.worker_id).AddStart({id, start->attempt});
+      // Starts, cancels and checkpoints go out now, not with the next renewal.
+      if (IsWorthAWrite(recorded))
+        wake.insert(known.worker_id);
+    }
+    history_[id].push_back(std::move(recorded));
+  }
+  batch_.clear();
+  return wake;
+}
+
+workers::sync_command shard_ledger::NextSync(const std::string& worker_id,
+                                             bool may_start) {
+  return LinkOf(worker_id).NextSync(state_, confirmed_, may_start);
+}
+
+base::result<void> shard_ledger::OnReport(const std::string& worker_id,
+                                          const workers::sync_command& command,
+                                          const workers::sync_report& report,
+                                          base::time_point now) {
+  worker_link& link = LinkOf(worker_id);
+  BOOST_OUTCOME_TRY(position,
+                    Stage(link.OnReport(command, report, state_, now)));
+  link.OnStaged(position);
+  return base::Success();
+}
+
+std::size_t shard_ledger::StageLost(base::time_point now) {
+  std::size_t count = 0;
+  for (auto& [id, link] : links_) {
+    auto lost = link.TakeLost(state_, now);
+    count += lost.size();
+    static_cast<void>(Stage(std::move(lost)));
+  }
+  return count;
+}
+
+worker_link& shard_ledger::LinkOf(const std::string& worker_id) {
+  const auto found = links_.find(worker_id);
+  if (found != links_.end())
+    return found->second;
+  // A worker that was never met may run what a former owner started.
+  return links_
+      .emplace(worker_id, worker_link(worker_id, epoch_, terms_, opened_))
+      .first->second;
+}
+
+event_position shard_ledger::PositionOf(const std::string& task_id) const {
+  const auto waiting = unconfirmed_.find(task_id);
+  return waiting == unconfirmed_.end() ? 0 : waiting->second;
+}
+
+std::vector<scheduling::event> shard_ledger::History() const {
+  std::vector<scheduling::event> all;
+  for (const auto& [id, events] : history_)
+    all.insert(all.end(), events.begin(), events.end());
+  return all;
+}
+
+std::string shard_ledger::Fingerprint() const {
+  std::string text = std::to_string(epoch_) + "/" +
+                     std::to_string(opened_.time_since_epoch().count()) + "/" +
+                     std::to_string(confirmed_);
+  // The events lead to the state, so the state adds nothing.
+  for (const auto& [id, events] : history_) {
+    for (const scheduling::event& recorded : events)
+      text += ShortTextOf(recorded);
+  }
+  for (const auto* queue : {&batch_, &staged_}) {
+    text += "|";
+    for (const scheduling::event& recorded : *queue)
+      text += ShortTextOf(recorded);
+  }
+  for (const auto& [id, link] : links_)
+    text += id + link.Fingerprint();
+  return text;
+}
+
+}  // namespace chivecrank::shards::internal
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "chivecrank/scheduling/placement.h"
-#include "internal/worker_link.h"
+#include "internal/shard_ledger.h"
 
 namespace chivecrank::shards {
 namespace {
@@ -40,28 +40,9 @@
           "repeat the call with the same idempotency key"};
 }
 
-const std::string& TaskOf(const scheduling::event& recorded) {
-  return std::visit(
-      [](const auto& known) -> const std::string& {
-        using kind = std::decay_t<decltype(known)>;
-        if constexpr (std::is_same_v<kind, scheduling::task_accepted>)
-          return known.request.id;
-        else
-          return known.task_id;
-      },
-      recorded);
-}
-
-/// A confirmation saves the next owner nothing that its first syncs don't
-/// tell, so it is not worth a write of its own.
-bool IsWorthAWrite(const scheduling::event& recorded) {
-  return !std::holds_alternative<scheduling::attempt_confirmed>(recorded);
-}
-
 }  // namespace
 
 struct shard_runner::worker_entry {
-  internal::worker_link link;
   platform::instance listed;
   bool takes_tasks = false;
   bool busy = false;
@@ -87,7 +68,9 @@
       agents_(agents),
       held_(std::move(held)),
       run_on_(std::move(run_on)),
-      opened_(clock.Now()),
+      ledger_(std::make_unique<internal::shard_ledger>(epoch_,
+                                                       TermsOf(settings_),
+                                                       clock.Now())),
       journal_(store, shard_, std::move(run)),
       batch_limit_(kEventsPerRecord) {}
 
@@ -105,15 +88,15 @@
 base::result<void> shard_runner::Open() {
   std::lock_guard lock(mutex_);
   BOOST_OUTCOME_TRY(records, journal_.Open(epoch_));
+  ledger_ = std::make_unique<internal::shard_ledger>(epoch_, TermsOf(settings_),
+                                                     clock_.Now());
   for (const journal::record& read : records) {
     for (const scheduling::event& recorded : read.events) {
-      BOOST_OUTCOME_TRY(state_.Apply(recorded));
-      history_[TaskOf(recorded)].push_back(recorded);
+      BOOST_OUTCOME_TRY(ledger_->Replay(recorded));
     }
   }
-  opened_ = clock_.Now();
   LOG(INFO) << "shard " << shard_ << ": opened epoch " << epoch_ << " with "
-            << state_.tasks().size() << " tasks.";
+            << ledger_->state().tasks().size() << " tasks.";
   return base::Success();
 }
 
@@ -140,36 +123,31 @@
     const scheduling::task_request& request) {
   std::unique_lock lock(mutex_);
   BOOST_OUTCOME_TRY(CheckFull());
-  event_position position = 0;
-  if (state_.Find(request.id) != nullptr) {
-    const auto waiting = unconfirmed_.find(request.id);
-    position = waiting == unconfirmed_.end() ? 0 : waiting->second;
-  } else {
-    if (failed_writes_ > 0 || staged_end_ - confirmed_ > kStagedLimit)
+  std::uint64_t position = ledger_->PositionOf(request.id);
+  if (ledger_->state().Find(request.id) == nullptr) {
+    const std::uint64_t waiting = ledger_->staged_end() - ledger_->confirmed();
+    if (failed_writes_ > 0 || waiting > kStagedLimit)
       return StoreAway(shard_);
     BOOST_OUTCOME_TRY(staged, Stage({scheduling::task_accepted{request}}));
     position = staged;
   }
   BOOST_OUTCOME_TRY(AwaitConfirmed(lock, position));
-  return *state_.Find(request.id);
+  return *ledger_->state().Find(request.id);
 }
 
 base::result<scheduling::task> shard_runner::Find(const std::string& task_id) {
   std::unique_lock lock(mutex_);
-  if (state_.Find(task_id) == nullptr)
+  if (ledger_->state().Find(task_id) == nullptr)
     return NoTask(task_id);
-  const auto waiting = unconfirmed_.find(task_id);
-  if (waiting != unconfirmed_.end()) {
-    BOOST_OUTCOME_TRY(AwaitConfirmed(lock, waiting->second));
-  }
-  return *state_.Find(task_id);
+  BOOST_OUTCOME_TRY(AwaitConfirmed(lock, ledger_->PositionOf(task_id)));
+  return *ledger_->state().Find(task_id);
 }
 
 base::result<scheduling::task> shard_runner::Cancel(
     const std::string& task_id) {
   {
     std::lock_guard lock(mutex_);
-    const scheduling::task* known = state_.Find(task_id);
+    const scheduling::task* known = ledger_->state().Find(task_id);
     if (known == nullptr)
       return NoTask(task_id);
     if (scheduling::IsFinal(known->state) &&
@@ -193,7 +171,7 @@
     return StoreAway(shard_);
   std::vector<scheduling::event> events;
   for (const std::string& id : task_ids) {
-    const scheduling::task* known = state_.Find(id);
+    const scheduling::task* known = ledger_->state().Find(id);
     if (known != nullptr && !scheduling::IsFinal(known->state))
       events.emplace_back(scheduling::task_cancelled{id});
   }
@@ -218,14 +196,7 @@
 
 shard_runner::worker_entry& shard_runner::EntryOf(
     const std::string& worker_id) {
-  const auto found = workers_.find(worker_id);
-  if (found != workers_.end())
-    return found->second;
-  // A worker that was never met may run what a former owner started.
-  return workers_
-      .emplace(worker_id, worker_entry{internal::worker_link(
-                              worker_id, epoch_, TermsOf(settings_), opened_)})
-      .first->second;
+  return workers_[worker_id];
 }
 
 void shard_runner::UpdateWorkers(
@@ -244,73 +215,65 @@
   std::erase_if(workers_, [this](const auto& known) {
     return !known.second.takes_tasks && !known.second.busy &&
            known.second.listed.state == platform::instance_state::kLive &&
-           state_.OpenOn(known.first).empty();
+           ledger_->state().OpenOn(known.first).empty();
   });
 }
 
 void shard_runner::StageLost() {
-  const base::time_point now = clock_.Now();
-  for (auto& [id, entry] : workers_) {
-    auto lost = entry.link.TakeLost(state_, now);
-    if (lost.empty())
-      continue;
-    LOG(WARNING) << "shard " << shard_ << ": lost " << lost.size()
-                 << " attempts on " << id << ", which says nothing.";
-    static_cast<void>(Stage(std::move(lost)));
-  }
+  const std::size_t lost = ledger_->StageLost(clock_.Now());
+  if (lost == 0)
+    return;
+  plan_due_ = true;
+  LOG(WARNING) << "shard " << shard_ << ": lost " << lost
+               << " attempts on workers that say nothing.";
 }
 
 void shard_runner::StageStarts() {
   if (!plan_due_ || failed_writes_ > 0)
     return;
   plan_due_ = false;
-  if (state_.waiting().empty())
+  if (ledger_->state().waiting().empty())
     return;
   std::vector<scheduling::worker_view> ready;
   for (const auto& [id, entry] : workers_) {
-    if (entry.takes_tasks && entry.link.IsIntroduced() && entry.failures == 0) {
+    if (entry.takes_tasks && entry.failures == 0 &&
+        ledger_->LinkOf(id).IsIntroduced()) {
       ready.push_back({id, entry.listed.capacity, entry.listed.rack,
                        entry.listed.failure_domain});
     }
   }
-  const auto starts = scheduling::PlanStarts(state_, ready);
+  const auto starts = scheduling::PlanStarts(ledger_->state(), ready);
   static_cast<void>(Stage({starts.begin(), starts.end()}));
   plan_due_ = false;
 }
 
-base::result<shard_runner::event_position> shard_runner::Stage(
+base::result<std::uint64_t> shard_runner::Stage(
     std::vector<scheduling::event> events) {
-  for (scheduling::event& recorded : events) {
-    const auto applied = state_.Apply(recorded);
-    if (!applied.has_value()) {
-      LOG(ERROR) << "shard " << shard_ << ": "
-                 << base::Describe(applied.error()) << ".";
-      return applied.error();
-    }
-    unconfirmed_[TaskOf(recorded)] = ++staged_end_;
-    write_due_ |= IsWorthAWrite(recorded);
-    staged_.push_back(std::move(recorded));
-    plan_due_ = true;
+  plan_due_ |= !events.empty();
+  const auto staged = ledger_->Stage(std::move(events));
+  if (!staged.has_value()) {
+    LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(staged.error())
+               << ".";
   }
-  return staged_end_;
+  return staged;
 }
 
 base::result<void> shard_runner::AwaitConfirmed(
     std::unique_lock<std::mutex>& lock,
-    event_position position) {
+    std::uint64_t position) {
   const std::uint64_t failures = failures_seen_;
   const auto settled = [&] {
-    return confirmed_ >= position || fenced_ || closing_ ||
+    return ledger_->confirmed() >= position || fenced_ || closing_ ||
            failures_seen_ != failures;
   };
   if (!settled()) {
-    write_due_ = true;
+    ledger_->AskForWrite();
     lock.unlock();
     Dispatch();
     lock.lock();
     changed_.wait(lock, settled);
   }
-  if (confirmed_ >= position)
+  if (ledger_->confirmed() >= position)
     return base::Success();
   return NotConfirmed(shard_);
 }
@@ -364,8 +327,7 @@
 }
 
 bool shard_runner::TakeWrite() {
-  const bool due = write_due_ || !batch_.empty();
-  if (writing_ || !due)
+  if (writing_ || !ledger_->NeedsWrite())
     return false;
   writing_ = true;
   return true;
@@ -386,36 +348,38 @@
       return;
     }
     agent = entry.listed.agent;
-    command = entry.link.NextSync(state_, confirmed_,
-                                  may == protocol::authority::kFull);
+    command = ledger_->NextSync(worker_id, may == protocol::authority::kFull);
   }
   const auto answer = agents_.Sync(agent, command);
   std::lock_guard lock(mutex_);
-  worker_entry& entry = EntryOf(worker_id);
-  entry.busy = false;
-  OnAnswer(entry, command, answer);
+  EntryOf(worker_id).busy = false;
+  OnAnswer(worker_id, command, answer);
 }
 
-void shard_runner::OnAnswer(worker_entry& entry,
+void shard_runner::OnAnswer(const std::string& worker_id,
                             const workers::sync_command& command,
                             const base::result<workers::sync_report>& answer) {
+  worker_entry& entry = EntryOf(worker_id);
   if (!answer.has_value()) {
     fenced_ |= answer.error().kind == base::error_kind::kFenced;
     ++entry.failures;
     changed_.notify_all();
     return;
   }
-  plan_due_ |= !entry.link.IsIntroduced() || entry.failures > 0;
+  plan_due_ |= !ledger_->LinkOf(worker_id).IsIntroduced() ||
+               entry.failures > 0 || !answer.value().attempts.empty();
   entry.failures = 0;
-  auto events =
-      entry.link.OnReport(command, answer.value(), state_, clock_.Now());
-  const auto staged = Stage(std::move(events));
-  entry.link.OnStaged(staged.has_value() ? staged.value() : staged_end_);
+  const auto taken =
+      ledger_->OnReport(worker_id, command, answer.value(), clock_.Now());
+  if (!taken.has_value()) {
+    LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(taken.error())
+               << ".";
+  }
 }
 
 void shard_runner::WriteStaged() {
   std::unique_lock lock(mutex_);
-  while (!fenced_ && (write_due_ || !batch_.empty())) {
+  while (!fenced_ && ledger_->NeedsWrite()) {
     if (!WriteOnce(lock))
       break;
   }
@@ -426,74 +390,41 @@
 bool shard_runner::WriteOnce(std::unique_lock<std::mutex>& lock) {
   if (journal_.WantsSnapshot())
     WriteSnapshot(lock);
-  if (batch_.empty())
-    TakeBatch();
-  if (batch_.empty())
+  const std::vector<scheduling::event>& batch =
+      ledger_->TakeBatch(batch_limit_);
+  if (batch.empty())
     return true;
   lock.unlock();
+  // Only this writer changes the batch.
   const auto written =
-      journal_.HasPending() ? journal_.Retry() : journal_.Append(batch_);
+      journal_.HasPending() ? journal_.Retry() : journal_.Append(batch);
   lock.lock();
-  if (written.has_value()) {
-    batch_limit_ = std::min(2 * batch_limit_, kEventsPerRecord);
-    OnConfirmed();
-    return true;
-  }
-  const base::error& failure = written.error();
-  if (failure.kind == base::error_kind::kFenced) {
-    fenced_ = true;
-  } else if (failure.kind == base::error_kind::kResourceExhausted &&
-             batch_.size() > 1) {
-    batch_limit_ = std::max<std::size_t>(1, batch_.size() / 2);
-    staged_.insert(staged_.begin(), batch_.begin(), batch_.end());
-    batch_.clear();
-    write_due_ = true;
+  if (!written.has_value())
+    return OnWriteFailed(written.error());
+  batch_limit_ = std::min(2 * batch_limit_, kEventsPerRecord);
+  failed_writes_ = 0;
+  for (const std::string& worker_id : ledger_->OnConfirmed())
+    EntryOf(worker_id).wake = true;
+  changed_.notify_all();
+  return true;
+}
+
+bool shard_runner::OnWriteFailed(const base::error& failure) {
+  const std::size_t size = ledger_->TakeBatch(batch_limit_).size();
+  if (failure.kind == base::error_kind::kResourceExhausted && size > 1) {
+    batch_limit_ = size / 2;
+    ledger_->PutBack();
     return true;
-  } else {
-    ++failed_writes_;
-    LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure)
-                 << ".";
   }
+  fenced_ |= failure.kind == base::error_kind::kFenced;
+  ++failed_writes_;
   ++failures_seen_;
+  LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure) << ".";
   return false;
 }
 
-void shard_runner::TakeBatch() {
-  const std::size_t count = std::min(staged_.size(), batch_limit_);
-  const auto end = staged_.begin() + static_cast<std::ptrdiff_t>(count);
-  batch_.assign(std::make_move_iterator(staged_.begin()),
-                std::make_move_iterator(end));
-  staged_.erase(staged_.begin(), end);
-  write_due_ = !staged_.empty();
-}
-
-void shard_runner::OnConfirmed() {
-  failed_writes_ = 0;
-  confirmed_ += batch_.size();
-  for (scheduling::event& recorded : batch_) {
-    const std::string id = TaskOf(recorded);
-    const auto waiting = unconfirmed_.find(id);
-    if (waiting != unconfirmed_.end() && waiting->second <= confirmed_)
-      unconfirmed_.erase(waiting);
-    const scheduling::task& known = *state_.Find(id);
-    const auto* start = std::get_if<scheduling::attempt_started>(&recorded);
-    if (!known.worker_id.empty()) {
-      worker_entry& entry = EntryOf(known.worker_id);
-      if (start != nullptr && start->attempt == known.attempt)
-        entry.link.AddStart({id, start->attempt});
-      // Starts, cancels and checkpoints go out now, not with the next renewal.
-      entry.wake |= IsWorthAWrite(recorded);
-    }
-    history_[id].push_back(std::move(recorded));
-  }
-  batch_.clear();
-  changed_.notify_all();
-}
-
 void shard_runner::WriteSnapshot(std::unique_lock<std::mutex>& lock) {
-  std::vector<scheduling::event> retained;
-  for (const auto& [id, events] : history_)
-    retained.insert(retained.end(), events.begin(), events.end());
+  const std::vector<scheduling::event> retained = ledger_->History();
   lock.unlock();
   const auto written = journal_.WriteSnapshot(retained);
   lock.lock();
--- a/src/shards/internal/worker_link.cc
+++ b/src/shards/internal/worker_link.cc
@@ -149,6 +149,21 @@
   starts_.insert(attempt);
 }
 
+std::string worker_link::Fingerprint() const {
+  const auto text_of = [](const workers::attempt_id& attempt) {
+    return attempt.task_id + "#" + std::to_string(attempt.attempt) + ",";
+  };
+  std::string text =
+      lease_.Fingerprint() + incarnation_ + "@" + std::to_string(reported_);
+  for (const workers::attempt_id& attempt : starts_)
+    text += "s" + text_of(attempt);
+  for (const workers::attempt_id& attempt : unwanted_)
+    text += "u" + text_of(attempt);
+  for (const auto& [attempt, position] : ended_)
+    text += "e" + std::to_string(position) + text_of(attempt);
+  return text;
+}
+
 std::vector<scheduling::event> worker_link::TakeLost(
     const scheduling::shard_state& state,
     base::time_point now) {
--- a/src/shards/internal/worker_link.h
+++ b/src/shards/internal/worker_link.h
@@ -48,6 +48,9 @@
   std::vector<scheduling::event> TakeLost(const scheduling::shard_state& state,
                                           base::time_point now);
 
+  /// Canonical text of the state, to compare states by.
+  std::string Fingerprint() const;
+
   bool IsIntroduced() const { return lease_.IsIntroduced(); }
 
  private:
