--- a/tests/model_checker/model.cc
+++ b/tests/model_checker/model.cc
@@ -491,6 +491,10 @@
     return state;
   // The first syncs introduce the workers, the second ones start the tasks.
   for (int sync = 0; sync < 3; ++sync) {
+    if (sync == 2 && options.second_done) {
+      state.workers[1].tasks["b"].state = workers::attempt_state::kDone;
+      state.done.insert("b");
+    }
     for (int worker = 0; worker < kWorkers; ++worker) {
       const workers::sync_command command =
           state.schedulers[0].ledger->NextSync(WorkerId(worker), true);
--- a/tests/model_checker/model.h
+++ b/tests/model_checker/model.h
@@ -46,6 +46,8 @@
   int claims = 1;
   /// Whether the first owner runs both tasks already.
   bool tasks_run = true;
+  /// Whether the second task is done, so that its worker has room.
+  bool second_done = false;
   /// Whether the second scheduler has just taken over from it.
   bool taken_over = false;
 };
--- a/tests/model_checker/model_checker_test.cc
+++ b/tests/model_checker/model_checker_test.cc
@@ -45,6 +45,17 @@
   BOOST_TEST(Check("delayed syncs and a takeover", options).broken == "");
 }
 
+BOOST_AUTO_TEST_CASE(SyncsThatOneOwnerSentLongAgoBreakNoRule) {
+  model_options options;
+  options.delayed_messages = 2;
+  options.claims = 0;
+  options.session_term = 6;
+  options.horizon = 6;
+  options.syncs = 4;
+  options.second_done = true;
+  BOOST_TEST(Check("syncs sent long ago", options).broken == "");
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswersAndCrashesBreakNoRule) {
   model_options options;
   options.lost_answers = 1;
