Jobs that fit into no worker are refused with the sizes that fit

Cause: a job larger than every worker was accepted and waited for ever; an accelerator job could land in a rack without accelerators. Change: the submission is checked against the listed workers as if empty and refused with the largest sizes; a job goes only to shards with a large enough worker. A repeat of an accepted key still meets its job, though the large workers left. Tasks get their due time and whether they save checkpoints. Preemption waits until a start was confirmed. Conclusion: refusals name what would fit.

--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -54,7 +54,8 @@
       {settings.instance, NewRun(settings.instance), settings.listen},
       settings.shards, settings.session, clock, store, instances, agents);
   ownership::home_registry homes(store);
-  shards::job_router jobs(manager, homes, configured, settings.peer_timeout);
+  shards::job_router jobs(manager, homes, configured, clock,
+                          settings.peer_timeout);
   std::atomic<bool> stopping = false;
 
   instances::scheduler_server server(settings.listen, jobs);
--- a/src/ownership/include/chivecrank/ownership/home_registry.h
+++ b/src/ownership/include/chivecrank/ownership/home_registry.h
@@ -22,6 +22,9 @@
   base::result<std::string> HomeOf(const std::string& identifier,
                                    const std::string& proposed);
 
+  /// The shard that an earlier submission chose; empty if there was none.
+  base::result<std::string> FindHome(const std::string& identifier);
+
  private:
   std::string Known(const std::string& identifier);
   void Remember(const std::string& identifier, const std::string& shard);
--- a/src/ownership/internal/home_registry.cc
+++ b/src/ownership/internal/home_registry.cc
@@ -41,6 +41,17 @@
   return home;
 }
 
+base::result<std::string> home_registry::FindHome(
+    const std::string& identifier) {
+  std::string home = Known(identifier);
+  if (!home.empty())
+    return home;
+  const auto found = store_.Get(kClass, kPrefix + identifier);
+  if (!found.has_value())
+    return Untold(identifier, found.error());
+  return found.value() ? found.value()->value : "";
+}
+
 std::string home_registry::Known(const std::string& identifier) {
   std::lock_guard lock(mutex_);
   const auto found = known_.find(identifier);
--- /dev/null
+++ b/src/scheduling/include/chivecrank/scheduling/submission_check.h
@@ -0,0 +1,27 @@
+#ifndef CHIVECRANK_SCHEDULING_SUBMISSION_CHECK_H_
+#define CHIVECRANK_SCHEDULING_SUBMISSION_CHECK_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/scheduling/types.h"
+
+namespace chivecrank::scheduling {
+
+/// Whether `gang_size` tasks of this size would fit together into the workers
+/// if these were empty. kInvalidArgument when they would not; the remedy names
+/// the sizes that would.
+base::result<void> CheckSubmission(const platform::resources& demand,
+                                   std::int64_t gang_size,
+                                   const std::vector<worker_view>& workers);
+
+/// Tasks of this size that fit into one empty worker of this capacity, at most
+/// `limit`.
+std::int64_t TasksThatFit(const platform::resources& demand,
+                          const platform::resources& capacity,
+                          std::int64_t limit);
+
+}  // namespace chivecrank::scheduling
+
+#endif  // CHIVECRANK_SCHEDULING_SUBMISSION_CHECK_H_
--- a/src/scheduling/internal/planner.cc
+++ b/src/scheduling/internal/planner.cc
@@ -138,7 +138,9 @@
       continue;
     // A gang that lost a member starts again as a whole.
     for (const auto& [task_id, attempt] : members) {
-      if (book_.Find(task_id)->stopping)
+      // A start that is still under way has to arrive before its stop.
+      const task_state known = context.state.Find(task_id)->state;
+      if (known != task_state::kRunning && known != task_state::kThrottled)
         continue;
       stops.emplace_back(
           checkpoint_ordered{task_id, attempt, context.settings.move_grace});
--- a/src/scheduling/internal/preemption.cc
+++ b/src/scheduling/internal/preemption.cc
@@ -12,8 +12,12 @@
 /// Part of the run time that an attempt is held to lose when it saves.
 constexpr double kLostWhenSaved = 0.05;
 
-bool MayStop(const open_attempt& open) {
-  return open.request.kind == task_kind::kBatch && !open.request.urgent;
+bool MayStop(const planning_context& context, const open_attempt& open) {
+  if (open.request.kind != task_kind::kBatch || open.request.urgent)
+    return false;
+  // A start that is still under way has to arrive before its stop.
+  const task_state state = context.state.Find(open.request.id)->state;
+  return state == task_state::kRunning || state == task_state::kThrottled;
 }
 
 double CostOf(const planning_context& context, const open_attempt& open) {
@@ -43,7 +47,7 @@
   for (const auto& [id, open] : context.book.On(view.id)) {
     if (round.IsStopping(open))
       committed = Minus(committed, open.granted);
-    else if (MayStop(open))
+    else if (MayStop(context, open))
       victims.push_back(&open);
   }
   std::stable_sort(victims.begin(), victims.end(),
--- a/src/shards/include/chivecrank/shards/job_router.h
+++ b/src/shards/include/chivecrank/shards/job_router.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_SHARDS_JOB_ROUTER_H_
 #define CHIVECRANK_SHARDS_JOB_ROUTER_H_
 
+#include "chivecrank/base/clock.h"
 #include "chivecrank/configuration/view.h"
 #include "chivecrank/instances/job_service.h"
 #include "chivecrank/instances/scheduler_client.h"
@@ -17,6 +18,7 @@
   job_router(shard_manager& manager,
              ownership::home_registry& homes,
              const configuration::view& configured,
+             base::clock& clock,
              std::chrono::milliseconds forward_timeout);
 
   base::result<instances::job_report> Submit(
@@ -32,6 +34,10 @@
  private:
   base::result<scheduling::task_request> RequestFor(
       const instances::job_submission& submission);
+  /// The shard that keeps the job, chosen by the first submission. Refuses a
+  /// job that fits into no worker.
+  base::result<std::string> ShardFor(const configuration::job_template& job,
+                                     const std::string& identifier);
   /// The owner's client, or an error when the call must not be passed on.
   base::result<instances::scheduler_client> OwnerClient(
       const std::string& shard,
@@ -40,6 +46,7 @@
   shard_manager& manager_;
   ownership::home_registry& homes_;
   const configuration::view& configured_;
+  base::clock& clock_;
   std::chrono::milliseconds forward_timeout_;
 };
 
--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -49,6 +49,9 @@
   /// All shards, sorted. Empty until the instance list was read.
   std::vector<std::string> Shards() const;
 
+  /// The workers on the list, live or leaving.
+  std::vector<platform::instance> Workers() const;
+
   /// Whether the store and the instance list were reached lately.
   bool IsReady() const;
 
--- a/src/shards/internal/job_router.cc
+++ b/src/shards/internal/job_router.cc
@@ -1,6 +1,8 @@
 #include "chivecrank/shards/job_router.h"
 
 #include "chivecrank/ownership/rendezvous.h"
+#include "chivecrank/scheduling/resources.h"
+#include "chivecrank/scheduling/submission_check.h"
 #include "chivecrank/security/token.h"
 
 namespace chivecrank::shards {
@@ -39,10 +41,12 @@
 job_router::job_router(shard_manager& manager,
                        ownership::home_registry& homes,
                        const configuration::view& configured,
+                       base::clock& clock,
                        std::chrono::milliseconds forward_timeout)
     : manager_(manager),
       homes_(homes),
       configured_(configured),
+      clock_(clock),
       forward_timeout_(forward_timeout) {}
 
 base::result<instances::job_report> job_router::Submit(
@@ -110,11 +114,7 @@
         "name a template of revision " + std::to_string(current->revision)};
   }
   const std::string identifier = IdentifierOf(submission);
-  const std::string proposed =
-      ownership::ProposeNode(identifier, manager_.Shards());
-  if (proposed.empty())
-    return NoOwner("(none)");
-  BOOST_OUTCOME_TRY(shard, homes_.HomeOf(identifier, proposed));
+  BOOST_OUTCOME_TRY(shard, ShardFor(*job, identifier));
   scheduling::task_request request;
   request.id = shard + ":" + identifier;
   request.account = submission.account;
@@ -124,9 +124,36 @@
   request.run_time = job->run_time;
   request.urgent = job->urgent;
   request.attempt_limit = job->attempt_limit;
+  request.checkpoints = job->checkpoints;
+  request.due = clock_.WallNow() + job->finish_within;
   return request;
 }
 
+base::result<std::string> job_router::ShardFor(
+    const configuration::job_template& job,
+    const std::string& identifier) {
+  const std::vector<platform::instance> workers = manager_.Workers();
+  if (workers.empty())
+    return NoOwner("(none)");
+  std::vector<scheduling::worker_view> views;
+  std::vector<platform::instance> large_enough;
+  for (const platform::instance& worker : workers) {
+    views.push_back({worker.id, worker.capacity});
+    if (scheduling::IsWithin(job.demand, worker.capacity))
+      large_enough.push_back(worker);
+  }
+  const auto possible = scheduling::CheckSubmission(job.demand, 1, views);
+  if (possible.has_value()) {
+    return homes_.HomeOf(
+        identifier, ownership::ProposeNode(identifier, ShardsOf(large_enough)));
+  }
+  // It may have been accepted while there were larger workers.
+  BOOST_OUTCOME_TRY(home, homes_.FindHome(identifier));
+  if (home.empty())
+    return possible.error();
+  return home;
+}
+
 base::result<instances::scheduler_client> job_router::OwnerClient(
     const std::string& shard,
     instances::call_origin origin) const {
--- a/src/shards/internal/shard_manager.cc
+++ b/src/shards/internal/shard_manager.cc
@@ -85,6 +85,16 @@
   return ShardsOf(known_instances_);
 }
 
+std::vector<platform::instance> shard_manager::Workers() const {
+  std::lock_guard lock(mutex_);
+  std::vector<platform::instance> workers;
+  for (const platform::instance& listed : known_instances_) {
+    if (listed.kind == platform::instance_kind::kWorker)
+      workers.push_back(listed);
+  }
+  return workers;
+}
+
 bool shard_manager::IsReady() const {
   std::lock_guard lock(mutex_);
   return ready_;
