Owners of shards let the planner decide

Change: each staged event reaches the planner, which plans at every change and at least once a second. A failed attempt no longer ends its task: it is tried elsewhere after a delay and parked with the reason, which the job's report shows. Relief of services is off until workers take an order to throttle and report latencies.

--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -12,6 +12,7 @@
 #include "chivecrank/journal/shard_journal.h"
 #include "chivecrank/platform/types.h"
 #include "chivecrank/protocol/tenure.h"
+#include "chivecrank/scheduling/planner.h"
 #include "chivecrank/scheduling/shard_state.h"
 #include "chivecrank/shards/types.h"
 #include "chivecrank/workers/agent.h"
@@ -77,7 +78,8 @@
   void UpdateWorkers(const std::vector<platform::instance>& workers);
   worker_entry& EntryOf(const std::string& worker_id);
   void StageLost();
-  void StageStarts();
+  void StagePlanned();
+  std::unique_ptr<internal::shard_ledger> NewLedger();
   base::result<std::uint64_t> Stage(std::vector<scheduling::event> events);
   base::result<void> AwaitConfirmed(std::unique_lock<std::mutex>& lock,
                                     std::uint64_t position);
@@ -106,9 +108,11 @@
 
   std::mutex mutex_;
   std::condition_variable changed_;
+  std::unique_ptr<scheduling::planner> planner_;
   std::unique_ptr<internal::shard_ledger> ledger_;
   std::map<std::string, worker_entry> workers_;
   bool plan_due_ = true;
+  base::time_point next_plan_{};
   bool fenced_ = false;
   bool closing_ = false;
   int calls_in_progress_ = 0;
--- a/src/shards/internal/job_router.cc
+++ b/src/shards/internal/job_router.cc
@@ -27,7 +27,7 @@
           std::string(scheduling::TaskStateName(known.state)),
           known.attempt,
           known.worker_id,
-          ""};
+          known.parked_reason};
 }
 
 std::string IdentifierOf(const instances::job_submission& submission) {
--- a/src/shards/internal/shard_ledger.cc
+++ b/src/shards/internal/shard_ledger.cc
@@ -41,8 +41,12 @@
 
 shard_ledger::shard_ledger(std::uint64_t epoch,
                            protocol::lease_terms terms,
-                           base::time_point opened)
-    : epoch_(epoch), terms_(terms), opened_(opened) {}
+                           base::time_point opened,
+                           applied_hook on_applied)
+    : epoch_(epoch),
+      terms_(terms),
+      opened_(opened),
+      on_applied_(std::move(on_applied)) {}
 
 base::result<void> shard_ledger::Replay(const scheduling::event& recorded) {
   BOOST_OUTCOME_TRY(state_.Apply(recorded));
@@ -54,6 +58,8 @@
     std::vector<scheduling::event> events) {
   for (scheduling::event& recorded : events) {
     BOOST_OUTCOME_TRY(state_.Apply(recorded));
+    if (on_applied_)
+      on_applied_(recorded, state_);
     unconfirmed_[TaskOf(recorded)] = ++staged_end_;
     write_due_ |= IsWorthAWrite(recorded);
     staged_.push_back(std::move(recorded));
--- a/src/shards/internal/shard_ledger.h
+++ b/src/shards/internal/shard_ledger.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_SHARDS_INTERNAL_SHARD_LEDGER_H_
 #define CHIVECRANK_SHARDS_INTERNAL_SHARD_LEDGER_H_
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -17,10 +18,17 @@
 /// and holds no lock, so the model checker drives it as the runner does.
 class shard_ledger {
  public:
-  /// `opened`: a moment after the former owner's lease had ended.
+  /// Called with each new event once it was applied to the state.
+  using applied_hook =
+      std::function<void(const scheduling::event& recorded,
+                         const scheduling::shard_state& after)>;
+
+  /// `opened`: a moment after the former owner's lease had ended. `on_applied`
+  /// may be empty.
   shard_ledger(std::uint64_t epoch,
                protocol::lease_terms terms,
-               base::time_point opened);
+               base::time_point opened,
+               applied_hook on_applied = {});
 
   /// Applies an event that the journal held before this owner.
   base::result<void> Replay(const scheduling::event& recorded);
@@ -70,6 +78,7 @@
   std::uint64_t epoch_;
   protocol::lease_terms terms_;
   base::time_point opened_;
+  applied_hook on_applied_;
   scheduling::shard_state state_;
   std::map<std::string, worker_link> links_;
   std::vector<scheduling::event> staged_;
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "chivecrank/scheduling/placement.h"
+#include "chivecrank/scheduling/planner.h"
 #include "internal/shard_ledger.h"
 
 namespace chivecrank::shards {
@@ -17,6 +17,17 @@
 constexpr std::uint64_t kStagedLimit = 20'000;
 /// A lease is renewed at least this often within its term.
 constexpr int kSyncsPerTerm = 4;
+/// Time after which decisions are due though nothing happened: delays pass,
+/// and due times come near.
+constexpr std::chrono::seconds kPlanInterval{1};
+
+std::unique_ptr<scheduling::planner> NewPlanner() {
+  scheduling::planner_settings settings;
+  // Workers take no order to throttle and report no latencies yet.
+  settings.relieves = false;
+  return std::make_unique<scheduling::planner>(settings,
+                                               scheduling::planner_hooks{});
+}
 
 base::error NoTask(const std::string& task_id) {
   return {base::error_kind::kNotFound, "there is no job " + task_id,
@@ -68,9 +79,8 @@
       agents_(agents),
       held_(std::move(held)),
       run_on_(std::move(run_on)),
-      ledger_(std::make_unique<internal::shard_ledger>(epoch_,
-                                                       TermsOf(settings_),
-                                                       clock.Now())),
+      planner_(NewPlanner()),
+      ledger_(NewLedger()),
       journal_(store, shard_, std::move(run)),
       batch_limit_(kEventsPerRecord) {}
 
@@ -88,13 +98,14 @@
 base::result<void> shard_runner::Open() {
   std::lock_guard lock(mutex_);
   BOOST_OUTCOME_TRY(records, journal_.Open(epoch_));
-  ledger_ = std::make_unique<internal::shard_ledger>(epoch_, TermsOf(settings_),
-                                                     clock_.Now());
+  planner_ = NewPlanner();
+  ledger_ = NewLedger();
   for (const journal::record& read : records) {
     for (const scheduling::event& recorded : read.events) {
       BOOST_OUTCOME_TRY(ledger_->Replay(recorded));
     }
   }
+  planner_->Restore(ledger_->state(), clock_.WallNow());
   LOG(INFO) << "shard " << shard_ << ": opened epoch " << epoch_ << " with "
             << ledger_->state().tasks().size() << " tasks.";
   return base::Success();
@@ -111,7 +122,7 @@
     UpdateWorkers(workers);
     if (may == protocol::authority::kFull) {
       StageLost();
-      StageStarts();
+      StagePlanned();
     }
   }
   Dispatch();
@@ -228,12 +239,20 @@
                << " attempts on workers that say nothing.";
 }
 
-void shard_runner::StageStarts() {
-  if (!plan_due_ || failed_writes_ > 0)
-    return;
-  plan_due_ = false;
-  if (ledger_->state().waiting().empty())
+std::unique_ptr<internal::shard_ledger> shard_runner::NewLedger() {
+  return std::make_unique<internal::shard_ledger>(
+      epoch_, TermsOf(settings_), clock_.Now(),
+      [this](const scheduling::event& recorded,
+             const scheduling::shard_state& after) {
+        planner_->Observe(recorded, after, clock_.WallNow());
+      });
+}
+
+void shard_runner::StagePlanned() {
+  const base::time_point now = clock_.Now();
+  if ((!plan_due_ && now < next_plan_) || failed_writes_ > 0)
     return;
+  next_plan_ = now + kPlanInterval;
   std::vector<scheduling::worker_view> ready;
   for (const auto& [id, entry] : workers_) {
     if (entry.takes_tasks && entry.failures == 0 &&
@@ -242,8 +261,8 @@
                        entry.listed.failure_domain});
     }
   }
-  const auto starts = scheduling::PlanStarts(ledger_->state(), ready);
-  static_cast<void>(Stage({starts.begin(), starts.end()}));
+  static_cast<void>(
+      Stage(planner_->Plan(ledger_->state(), ready, clock_.WallNow())));
   plan_due_ = false;
 }
 
--- a/src/shards/internal/worker_link.cc
+++ b/src/shards/internal/worker_link.cc
@@ -13,7 +13,7 @@
   if (state == workers::attempt_state::kDone)
     return attempt_outcome::kDone;
   if (state == workers::attempt_state::kFailed)
-    return attempt_outcome::kFailed;
+    return attempt_outcome::kCrashed;
   return attempt_outcome::kStopped;
 }
 
