A task cancelled before its start arrived frees its room

Cause: a start that a worker never got kept its attempt open when the task was cancelled meanwhile: the stop named an attempt unknown to the worker, and the attempt still counted as about to start. Its capacity stayed committed. Change: a stop takes back the start and asks for a full report.

--- a/src/shards/internal/worker_link.cc
+++ b/src/shards/internal/worker_link.cc
@@ -52,6 +52,10 @@
         known.state == task_state::kCheckpointing) {
       command.stops.push_back(
           {attempt, known.state == task_state::kCheckpointing});
+      // Its start won't be sent any more. A full report tells whether an
+      // earlier sync brought it.
+      if (starts_.erase(attempt) > 0)
+        command.position = 0;
     } else if (may_start && starts_.contains(attempt)) {
       command.starts.push_back({attempt, known.request.template_name,
                                 known.granted, known.request.run_time,
--- a/src/shards/tests/shard_runner_test.cc
+++ b/src/shards/tests/shard_runner_test.cc
@@ -255,6 +255,45 @@
   BOOST_TEST(!runner->RunRound(workers).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(UrgentTaskPreemptsAndTheOtherResumes) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  scheduling::task_request batch = Request();
+  batch.demand = Worker().capacity;
+  batch.checkpoints = true;
+  BOOST_REQUIRE(runner->Submit(batch).has_value());
+  RunRounds(*runner);
+  agents.saved_by_stops = std::chrono::milliseconds(700);
+  scheduling::task_request urgent = Request();
+  urgent.id = "s:2";
+  urgent.urgent = true;
+  BOOST_REQUIRE(runner->Submit(urgent).has_value());
+  RunRounds(*runner);
+  BOOST_TEST((State(*runner) == scheduling::task_state::kEvicted));
+  BOOST_TEST(
+      (runner->Find("s:2").value().state == scheduling::task_state::kRunning));
+  agents.SetState({"s:2", 1}, workers::attempt_state::kDone);
+  RunRounds(*runner);
+  BOOST_TEST((State(*runner) == scheduling::task_state::kRunning));
+  BOOST_TEST(agents.starts == 3);
+  BOOST_TEST((agents.started.back().saved == agents.saved_by_stops));
+}
+
+BOOST_AUTO_TEST_CASE(TaskCancelledBeforeItsStartArrivedFreesItsRoom) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  RunRounds(*runner);
+  BOOST_REQUIRE(runner->RunRound(workers).has_value());
+  agents.unreachable = true;
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  BOOST_REQUIRE(runner->RunRound(workers).has_value());
+  BOOST_REQUIRE((State(*runner) == scheduling::task_state::kStarting));
+  BOOST_REQUIRE(runner->Cancel("s:1").has_value());
+  agents.unreachable = false;
+  RunRounds(*runner);
+  RunRounds(*runner);
+  BOOST_TEST(agents.starts == 0);
+  BOOST_TEST(runner->Find("s:1").value().worker_id.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::shards
