--- a/src/journal/include/chivecrank/journal/snapshot_store.h
+++ b/src/journal/include/chivecrank/journal/snapshot_store.h
@@ -33,7 +33,10 @@
   base::result<void> WritePart(const std::string& key,
                                const std::string& value);
   base::result<void> WriteHead(const record& from, std::size_t parts);
-  void DropOthers(const std::string& kept);
+  base::result<std::vector<record>> ReadParts(sequence covered,
+                                              epoch by,
+                                              std::size_t count);
+  void DropOlder(const record& kept);
 
   platform::store& store_;
   std::string head_key_;
--- a/src/journal/tests/shard_journal_test.cc
+++ b/src/journal/tests/shard_journal_test.cc
@@ -42,6 +42,53 @@
   BOOST_TEST((first.Open(1).error().kind == base::error_kind::kFenced));
 }
 
+BOOST_AUTO_TEST_CASE(RingIsUsedAgainAfterSnapshots) {
+  const journal_limits limits{16, 8, 200};
+  shard_journal first(store, "s", "one", limits);
+  BOOST_REQUIRE(first.Open(1).has_value());
+  std::vector<scheduling::event> all;
+  for (int i = 0; i < 100; ++i) {
+    all.push_back(Cancelled(std::to_string(i)));
+    BOOST_REQUIRE(first.Append({all.back()}).has_value());
+    if (first.WantsSnapshot())
+      BOOST_REQUIRE(first.WriteSnapshot(all).has_value());
+  }
+  shard_journal second(store, "s", "two", limits);
+  const auto records = second.Open(2);
+  BOOST_REQUIRE(records.has_value());
+  std::size_t events = 0;
+  for (const record& read : records.value())
+    events += read.events.size();
+  BOOST_TEST(events == 100);
+}
+
+BOOST_AUTO_TEST_CASE(FullRingRefusesWithoutASnapshot) {
+  shard_journal first(store, "s", "one", {16, 8, 900'000});
+  BOOST_REQUIRE(first.Open(1).has_value());
+  int written = 0;
+  while (first.Append({Cancelled("a")}).has_value())
+    ++written;
+  BOOST_TEST(written < 16);
+  BOOST_TEST((first.Append({Cancelled("a")}).error().kind ==
+              base::error_kind::kResourceExhausted));
+  BOOST_TEST(
+      shard_journal(store, "s", "two", {16, 8, 900'000}).Open(2).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(MissingRecordIsRefused) {
+  shard_journal first(store, "s", "one");
+  BOOST_REQUIRE(first.Open(1).has_value());
+  BOOST_REQUIRE(first.Append({Cancelled("a")}).has_value());
+  BOOST_REQUIRE(first.Append({Cancelled("b")}).has_value());
+  const std::string key = "shards/s/journal/000000000002";
+  const auto entry = store.Get(platform::call_class::kJournal, key).value();
+  BOOST_REQUIRE(
+      store.Delete(platform::call_class::kJournal, key, entry->version)
+          .has_value());
+  BOOST_TEST((shard_journal(store, "s", "two").Open(2).error().kind ==
+              base::error_kind::kCorrupt));
+}
+
 BOOST_AUTO_TEST_CASE(CorruptRecordIsNotSkipped) {
   BOOST_REQUIRE(store
                     .Put(platform::call_class::kJournal,
--- a/src/ownership/include/chivecrank/ownership/shard_registry.h
+++ b/src/ownership/include/chivecrank/ownership/shard_registry.h
@@ -22,7 +22,8 @@
   /// The records written after a revision.
   base::result<owner_changes> ChangesAfter(platform::revision known);
 
-  /// Claims a shard whose holder is gone; returns the new epoch.
+  /// Claims a shard whose holder is gone, or is the claimant, which then must
+  /// have dropped what it led under the old epoch; returns the new epoch.
   /// kConflict: it is held, or another instance was quicker.
   base::result<std::uint64_t> Claim(const owner& claimant);
 
--- a/src/ownership/internal/shard_registry.cc
+++ b/src/ownership/internal/shard_registry.cc
@@ -67,9 +67,11 @@
   next.epoch = 1;
   if (found) {
     BOOST_OUTCOME_TRY(record, internal::DecodeOwner(found->value));
-    BOOST_OUTCOME_TRY(held, IsHeld(record));
-    if (held)
-      return Held(record);
+    if (record.holder_key != claimant.holder_key) {
+      BOOST_OUTCOME_TRY(held, IsHeld(record));
+      if (held)
+        return Held(record);
+    }
     next.epoch = record.epoch + 1;
   }
   const platform::version expected = found ? found->version : 0;
--- a/src/shards/include/chivecrank/shards/types.h
+++ b/src/shards/include/chivecrank/shards/types.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/journal/types.h"
 #include "chivecrank/platform/types.h"
 #include "chivecrank/protocol/types.h"
 #include "chivecrank/settings/types.h"
@@ -26,6 +27,7 @@
   std::chrono::milliseconds sync_interval{1000};
   /// How long leases are renewed while the store can't be reached.
   std::chrono::milliseconds ride{60'000};
+  journal::journal_limits journal;
 };
 
 /// The terms that bound the attempts of a shard.
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -71,7 +71,7 @@
       ledger_(std::make_unique<internal::shard_ledger>(epoch_,
                                                        TermsOf(settings_),
                                                        clock.Now())),
-      journal_(store, shard_, std::move(run)),
+      journal_(store, shard_, std::move(run), settings_.journal),
       batch_limit_(kEventsPerRecord) {}
 
 shard_runner::~shard_runner() {
--- /dev/null
+++ b/src/shards/tests/faulty_store.h
@@ -0,0 +1,112 @@
+#ifndef CHIVECRANK_SHARDS_TESTS_FAULTY_STORE_H_
+#define CHIVECRANK_SHARDS_TESTS_FAULTY_STORE_H_
+
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "chivecrank/platform/store.h"
+
+namespace chivecrank::shards {
+
+/// Shares of the calls that fail.
+struct store_faults {
+  /// Refused without effect.
+  double unavailable = 0;
+  /// Writes that take effect though their answer is lost.
+  double lost_answers = 0;
+  /// Writes whose answer is lost and that take effect before the next write.
+  double late_writes = 0;
+};
+
+/// Passes calls on to a store, or fails them at random.
+class faulty_store final : public platform::store {
+ public:
+  faulty_store(platform::store& real, std::mt19937_64& random)
+      : real_(real), random_(random) {}
+
+  void SetFaults(store_faults faults) { faults_ = faults; }
+
+  base::result<std::optional<platform::store_entry>> Get(
+      platform::call_class purpose,
+      const std::string& key) override {
+    if (Happens(faults_.unavailable))
+      return Unavailable();
+    return real_.Get(purpose, key);
+  }
+  base::result<platform::version> Put(
+      platform::call_class purpose,
+      const platform::put_request& write) override {
+    LandLate();
+    if (Happens(faults_.unavailable))
+      return Unavailable();
+    if (Happens(faults_.late_writes)) {
+      late_.emplace_back(purpose, write);
+      return Unknown();
+    }
+    auto written = real_.Put(purpose, write);
+    if (Happens(faults_.lost_answers))
+      return Unknown();
+    return written;
+  }
+  base::result<void> Delete(platform::call_class purpose,
+                            const std::string& key,
+                            platform::version expected) override {
+    if (Happens(faults_.unavailable))
+      return Unavailable();
+    return real_.Delete(purpose, key, expected);
+  }
+  base::result<platform::store_listing> List(
+      platform::call_class purpose,
+      const std::string& prefix) override {
+    if (Happens(faults_.unavailable))
+      return Unavailable();
+    return real_.List(purpose, prefix);
+  }
+  base::result<platform::watch_answer> Watch(
+      const platform::watch_request& request) override {
+    return real_.Watch(request);
+  }
+  base::result<platform::lease_id> GrantLease(
+      std::chrono::milliseconds term) override {
+    if (Happens(faults_.unavailable))
+      return Unavailable();
+    return real_.GrantLease(term);
+  }
+  base::result<void> RenewLease(platform::lease_id lease) override {
+    if (Happens(faults_.unavailable))
+      return Unavailable();
+    return real_.RenewLease(lease);
+  }
+  base::result<void> RevokeLease(platform::lease_id lease) override {
+    return real_.RevokeLease(lease);
+  }
+
+ private:
+  bool Happens(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+  }
+  void LandLate() {
+    // Half of them wait on, so that some land after a takeover.
+    if (late_.empty() || Happens(0.5))
+      return;
+    for (const auto& [purpose, write] : std::exchange(late_, {}))
+      static_cast<void>(real_.Put(purpose, write));
+  }
+  static base::error Unavailable() {
+    return {base::error_kind::kUnavailable, "the store is down", "wait"};
+  }
+  static base::error Unknown() {
+    return {base::error_kind::kOutcomeUnknown, "the answer was lost",
+            "read back"};
+  }
+
+  platform::store& real_;
+  std::mt19937_64& random_;
+  store_faults faults_;
+  std::vector<std::pair<platform::call_class, platform::put_request>> late_;
+};
+
+}  // namespace chivecrank::shards
+
+#endif  // CHIVECRANK_SHARDS_TESTS_FAULTY_STORE_H_
