--- a/src/admission/include/chivecrank/admission/types.h
+++ b/src/admission/include/chivecrank/admission/types.h
@@ -77,6 +77,8 @@
   std::int64_t slots = 0;
   /// Learned time from sending to the whole answer.
   std::chrono::milliseconds latency{0};
+  /// A latency that few requests exceed.
+  std::chrono::milliseconds high_latency{0};
 };
 
 }  // namespace chivecrank::admission
--- a/src/admission/internal/request_queue.cc
+++ b/src/admission/internal/request_queue.cc
@@ -12,6 +12,12 @@
 constexpr milliseconds kShortestRetry{10};
 constexpr double kMsPerSecond = 1000;
 
+/// Time that is kept for the answer of a request that has waited. An answer
+/// that misses the deadline would block its slot for long.
+milliseconds AnswerTime(const service_capacity& capacity) {
+  return std::max(capacity.latency, capacity.high_latency);
+}
+
 milliseconds RetryAfter(milliseconds wait) {
   return std::max(kShortestRetry, wait);
 }
@@ -40,7 +46,11 @@
         RetryAfter(account.queue.empty() ? capacity.latency : wait);
     return decision;
   }
-  const base::time_point answered = now + wait + capacity.latency;
+  // One that must wait also needs time for an answer that is slow; one that
+  // need not wait has its chance as long as an ordinary answer is in time.
+  const milliseconds latency =
+      wait.count() > 0 ? AnswerTime(capacity) : capacity.latency;
+  const base::time_point answered = now + wait + latency;
   if (answered > request.deadline) {
     decision.refused.reason = refusal_reason::kTooLate;
     decision.refused.retry_after = RetryAfter(
@@ -150,14 +160,16 @@
 std::vector<refusal> request_queue::TakeLate(const service_capacity& capacity,
                                              base::time_point now) {
   std::vector<refusal> late;
-  const base::time_point earliest_answer = now + capacity.latency;
   for (auto& [name, account] : accounts_) {
-    while (!account.queue.empty() &&
-           account.queue.begin()->first.first < earliest_answer) {
-      late.push_back({account.queue.begin()->first.second,
-                      refusal_reason::kTooLate,
+    while (!account.queue.empty()) {
+      const auto first = account.queue.begin();
+      const milliseconds latency =
+          first->second < now ? AnswerTime(capacity) : capacity.latency;
+      if (first->first.first >= now + latency)
+        break;
+      late.push_back({first->first.second, refusal_reason::kTooLate,
                       RetryAfter(WaitOf(account, capacity, now))});
-      account.queue.erase(account.queue.begin());
+      account.queue.erase(first);
       --waiting_;
     }
   }
--- a/src/admission/tests/request_queue_test.cc
+++ b/src/admission/tests/request_queue_test.cc
@@ -98,6 +98,14 @@
   BOOST_TEST(queue.waiting() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(KeepsTimeForASlowAnswerOfWhatHasWaited) {
+  constexpr service_capacity kSpread{10, milliseconds(20), milliseconds(90)};
+  request_queue queue({});
+  queue.Admit(Request(1, "a", milliseconds(50)), kSpread, kNow);
+  BOOST_TEST(queue.TakeLate(kSpread, kNow).empty());
+  BOOST_TEST(queue.TakeLate(kSpread, kNow + milliseconds(1)).size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::admission
--- a/src/entries/internal/slot_pool.cc
+++ b/src/entries/internal/slot_pool.cc
@@ -124,7 +124,8 @@
 }
 
 admission::service_capacity slot_pool::Capacity(base::time_point now) {
-  return {router_.Capacity(now), router_.TypicalLatency()};
+  return {router_.Capacity(now), router_.TypicalLatency(),
+          router_.HighLatency()};
 }
 
 std::int64_t slot_pool::Waiting() const {
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -9,6 +9,7 @@
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/platform/types.h"
+#include "chivecrank/routing/latency_spread.h"
 #include "chivecrank/routing/slot_borrower.h"
 #include "chivecrank/routing/slot_layout.h"
 #include "chivecrank/routing/slot_lender.h"
@@ -63,6 +64,8 @@
 
   /// Learned time from sending to the whole answer: of the median upstream.
   std::chrono::milliseconds TypicalLatency() const;
+  /// A latency that few requests exceed.
+  std::chrono::milliseconds HighLatency() const;
   /// Slots that this entry could fill at once, as of a few milliseconds ago.
   std::int64_t Capacity(base::time_point now);
   router_totals Totals(base::time_point now) const;
@@ -110,9 +113,11 @@
   bool has_list_ = false;
   std::int64_t in_use_ = 0;
   double typical_ms_ = 0;
+  latency_spread spread_;
   base::time_point next_typical_{};
   std::int64_t capacity_ = 0;
   base::time_point next_capacity_{};
+  base::time_point next_ask_{};
 };
 
 }  // namespace chivecrank::routing
--- a/src/routing/include/chivecrank/routing/types.h
+++ b/src/routing/include/chivecrank/routing/types.h
@@ -38,7 +38,9 @@
   /// Allowance for clocks that run at different speeds.
   std::chrono::milliseconds clock_margin{100};
   /// Most slots asked for in one message.
-  std::int64_t largest_request = 8;
+  std::int64_t largest_request = 64;
+  /// Shortest time between two requests for slots, whoever is asked.
+  std::chrono::milliseconds ask_pause{20};
   /// Pause before a peer that had nothing to lend is asked again.
   std::chrono::milliseconds refusal_pause{20};
 
--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -16,6 +16,10 @@
 /// No entry's place.
 constexpr std::int64_t kNobody = -1;
 
+double ToMs(base::duration value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
 }  // namespace
 
 slot_router::slot_router(entry_share share,
@@ -147,10 +151,13 @@
   --known.in_use;
   known.health.Learn(outcome, now - ticket.taken);
   LearnTypicalLatency(now);
-  if (outcome == slot_outcome::kAnswered)
-    lender_.ConfirmAnswer(id, ticket.taken, now);
-  else
+  if (outcome != slot_outcome::kAnswered) {
     EjectFailing(known, now);
+    return;
+  }
+  lender_.ConfirmAnswer(id, ticket.taken, now);
+  if (!IsSlow(known))
+    spread_.Learn(ToMs(now - ticket.taken));
 }
 
 void slot_router::EjectFailing(upstream_state& at, base::time_point now) {
@@ -225,7 +232,10 @@
   if (waiting == 0 && excess > 0)
     borrower_.Shrink(excess, now);
   const std::int64_t lacking = waiting + Reserve() - free;
-  const std::int64_t lender = lacking > 0 ? ChooseLender(now) : kNobody;
+  const bool may_ask = lacking > 0 && now >= next_ask_;
+  const std::int64_t lender = may_ask ? ChooseLender(now) : kNobody;
+  if (lender != kNobody)
+    next_ask_ = now + options_.sharing.ask_pause;
   std::vector<std::int64_t> receivers = borrower_.Due(now);
   const bool is_due =
       std::find(receivers.begin(), receivers.end(), lender) != receivers.end();
@@ -360,6 +370,10 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(typical_ms_));
 }
 
+std::chrono::milliseconds slot_router::HighLatency() const {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(spread_.HighMs()));
+}
+
 std::int64_t slot_router::Capacity(base::time_point now) {
   if (now >= next_capacity_) {
     capacity_ = FreeSlots(now) + InUse();
--- a/tests/bench/routing/sharing_policy.cc
+++ b/tests/bench/routing/sharing_policy.cc
@@ -182,8 +182,8 @@
 }
 
 admission::service_capacity sharing_policy::Capacity(entry_state& at) const {
-  return {at.router.Capacity(context_.events.Now()),
-          at.router.TypicalLatency()};
+  return {at.router.Capacity(context_.events.Now()), at.router.TypicalLatency(),
+          at.router.HighLatency()};
 }
 
 }  // namespace chivecrank::bench
