Upstreams that fall silent are avoided before their requests time out

Cause: an upstream that answers nothing was learned about only when its requests reached their deadlines, 2 s by default, and got up to its slots' number of requests until then.

Change: one that has answered nothing for twice the time that nearly all answers take is avoided and measured by trials, unless most are silent. The new test fails without it: 24 free slots in place of 16.

--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -76,6 +76,9 @@
     upstream_health health;
     bool takes_requests = false;
     std::int64_t in_use = 0;
+    /// When it got the first request that it has left unanswered while it
+    /// answered no other.
+    std::optional<base::time_point> silent_since;
   };
   struct peer_state {
     bool asked = false;
@@ -92,6 +95,10 @@
                  base::time_point now);
   /// Whether it is so much slower than the others that waiting may be better.
   bool IsSlow(const upstream_state& at) const;
+  /// Whether it has answered nothing for much longer than answers take.
+  bool IsSilent(const upstream_state& at, base::time_point now) const;
+  bool IsAvoided(const upstream_state& at, base::time_point now) const;
+  void JudgeSilence(base::time_point now);
   double Cost(const upstream_state& at) const;
   void LearnTypicalLatency(base::time_point now);
   void EjectFailing(upstream_state& at, base::time_point now);
@@ -115,6 +122,8 @@
   double typical_ms_ = 0;
   latency_spread spread_;
   base::time_point next_typical_{};
+  /// Silence counts only while few upstreams are silent.
+  bool silence_counts_ = false;
   std::int64_t capacity_ = 0;
   base::time_point next_capacity_{};
   base::time_point next_ask_{};
--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -13,6 +13,7 @@
 /// Free slots that are kept for the entry's own next requests.
 constexpr std::int64_t kSmallestReserve = 2;
 constexpr std::int64_t kReserveDivisor = 12;
+constexpr double kSilenceFactor = 2;
 /// No entry's place.
 constexpr std::int64_t kNobody = -1;
 
@@ -76,7 +77,7 @@
   }
   if (best == nullptr)
     return std::nullopt;
-  if (IsSlow(*best))
+  if (IsAvoided(*best, now))
     best->health.StartTrial(now);
   slot_ticket ticket{best->listed, {}, now};
   // Own slots first: borrowed ones that stay idle go back to their owner.
@@ -89,6 +90,8 @@
   }
   ++best->in_use;
   ++in_use_;
+  if (!best->silent_since)
+    best->silent_since = now;
   return ticket;
 }
 
@@ -107,13 +110,39 @@
 bool slot_router::IsWorthIt(upstream_state& at,
                             const slot_request& request,
                             base::time_point now) {
-  if (!IsSlow(at)) {
+  if (!IsAvoided(at, now)) {
     at.health.EndTrials();
     return true;
   }
+  if (at.health.IsTrialDue(now))
+    return true;
   const auto wait_ms = static_cast<double>(request.expected_wait.count());
-  return at.health.LatencyMs() <= typical_ms_ + wait_ms ||
-         at.health.IsTrialDue(now);
+  const bool silent = silence_counts_ && IsSilent(at, now);
+  return !silent && at.health.LatencyMs() <= typical_ms_ + wait_ms;
+}
+
+bool slot_router::IsAvoided(const upstream_state& at,
+                            base::time_point now) const {
+  return IsSlow(at) || (silence_counts_ && IsSilent(at, now));
+}
+
+bool slot_router::IsSilent(const upstream_state& at,
+                           base::time_point now) const {
+  return at.silent_since && spread_.HighMs() > 0 &&
+         ToMs(now - *at.silent_since) > kSilenceFactor * spread_.HighMs();
+}
+
+void slot_router::JudgeSilence(base::time_point now) {
+  std::int64_t live = 0;
+  std::int64_t silent = 0;
+  for (const auto& [id, known] : upstreams_) {
+    if (!known.takes_requests)
+      continue;
+    ++live;
+    silent += IsSilent(known, now) ? 1 : 0;
+  }
+  silence_counts_ = static_cast<double>(silent) <=
+                    options_.health.ejected_share * static_cast<double>(live);
 }
 
 bool slot_router::IsSlow(const upstream_state& at) const {
@@ -149,6 +178,10 @@
     return;
   upstream_state& known = found->second;
   --known.in_use;
+  if (known.in_use == 0)
+    known.silent_since.reset();
+  else if (outcome == slot_outcome::kAnswered)
+    known.silent_since = now;
   known.health.Learn(outcome, now - ticket.taken);
   LearnTypicalLatency(now);
   if (outcome != slot_outcome::kAnswered) {
@@ -207,6 +240,7 @@
   if (now < next_typical_)
     return;
   next_typical_ = now + kTypicalPeriod;
+  JudgeSilence(now);
   std::vector<double> known;
   for (const auto& [id, at] : upstreams_) {
     if (at.takes_requests && at.health.HasLatency())
@@ -310,7 +344,7 @@
     const bool usable =
         known.takes_requests &&
         known.in_use < known.health.Allowed(known.listed.slots, now);
-    if (usable && !IsSlow(known) && lender_.Free(id, now) > 0)
+    if (usable && !IsAvoided(known, now) && lender_.Free(id, now) > 0)
       offered.emplace_back(Cost(known), &id);
   }
   std::sort(offered.begin(), offered.end());
@@ -348,7 +382,7 @@
 std::int64_t slot_router::FreeSlots(base::time_point now) const {
   std::int64_t free = 0;
   for (const auto& [id, known] : upstreams_) {
-    if (!known.takes_requests || IsSlow(known))
+    if (!known.takes_requests || IsAvoided(known, now))
       continue;
     const std::int64_t allowed =
         known.health.Allowed(known.listed.slots, now) - known.in_use;
--- a/src/routing/tests/slot_router_test.cc
+++ b/src/routing/tests/slot_router_test.cc
@@ -202,6 +202,45 @@
   BOOST_TEST(Fill(router, kStart + health_options().slow_start) == 7);
 }
 
+BOOST_AUTO_TEST_CASE(SilentUpstreamIsAvoidedBeforeItsRequestsTimeOut) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("a"), Upstream("b"), Upstream("silent")}, kStart);
+  base::time_point now = kStart;
+  std::vector<slot_ticket> taken;
+  const auto run = [&](bool all_answer) {
+    while (const auto ticket = router.Acquire(kRequest, now))
+      taken.push_back(*ticket);
+    now += milliseconds(60);
+    std::erase_if(taken, [&](const slot_ticket& ticket) {
+      const bool answers = all_answer || ticket.upstream.id != "silent";
+      if (answers)
+        router.Release(ticket, slot_outcome::kAnswered, now);
+      return answers;
+    });
+  };
+  run(true);
+  BOOST_TEST(router.Capacity(now) == 24);
+  for (int i = 0; i < 6; ++i)
+    run(false);
+  BOOST_TEST(router.Totals(now).free == 16);
+  BOOST_TEST(taken.size() == 8);
+}
+
+BOOST_AUTO_TEST_CASE(SilenceOfMostUpstreamsIsNotHeldAgainstThem) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("a"), Upstream("b")}, kStart);
+  base::time_point now = kStart;
+  for (int i = 0; i < 16; ++i) {
+    const auto ticket = router.Acquire(kRequest, now);
+    now += milliseconds(20);
+    router.Release(*ticket, slot_outcome::kAnswered, now);
+  }
+  for (int i = 0; i < 4; ++i)
+    BOOST_TEST(router.Acquire(kRequest, now).has_value());
+  now += std::chrono::seconds(10);
+  BOOST_TEST(Fill(router, now) == 12);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::routing
