--- a/tests/integration/slot_sharing_test.cc
+++ b/tests/integration/slot_sharing_test.cc
@@ -54,10 +54,38 @@
   return *system.ProcessesOf(index).front();
 }
 
+void CheckAccounts(deployment& system, const load& callers) {
+  BOOST_TEST(callers.completed() > 0);
+  BOOST_TEST(callers.wrong() == 0);
+  for (const std::string& worker : system.OvercommittedWorkers())
+    BOOST_ERROR("more requests than slots at once: " + worker);
+  for (const auto& [identifier, runs] : system.RequestRuns())
+    BOOST_TEST(runs == 1, identifier);
+  BOOST_TEST_MESSAGE("completed " << callers.completed());
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(slot_sharing_suite)
 
+BOOST_AUTO_TEST_CASE(SlotsHoldWhileAnUpstreamIsStopped) {
+  deployment_options options;
+  options.instances = 7;
+  options.workers = 6;
+  options.service_ms = 30;
+  deployment system(options);
+  BOOST_REQUIRE(system.Start());
+  BOOST_REQUIRE(system.Apply(kConfiguration) == 0);
+  load callers(system);
+  std::this_thread::sleep_for(kStep);
+  system.WorkerProcess(0)->Signal(SIGSTOP);
+  std::this_thread::sleep_for(3 * kStep);
+  system.WorkerProcess(0)->Signal(SIGCONT);
+  std::this_thread::sleep_for(kStep);
+  callers.Stop();
+  CheckAccounts(system, callers);
+}
+
 BOOST_AUTO_TEST_CASE(SlotsHoldWhileEntriesDiePauseAndReturn) {
   deployment_options options;
   options.instances = 7;
@@ -77,13 +105,7 @@
   BOOST_TEST(system.WaitUntilReady(0, std::chrono::seconds(60)));
   std::this_thread::sleep_for(kStep);
   callers.Stop();
-  BOOST_TEST(callers.completed() > 0);
-  BOOST_TEST(callers.wrong() == 0);
-  for (const std::string& worker : system.OvercommittedWorkers())
-    BOOST_ERROR("more requests than slots at once: " + worker);
-  for (const auto& [identifier, runs] : system.RequestRuns())
-    BOOST_TEST(runs == 1, identifier);
-  BOOST_TEST_MESSAGE("completed " << callers.completed());
+  CheckAccounts(system, callers);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
