--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -13,8 +13,11 @@
 /// Free slots that are kept for the entry's own next requests.
 constexpr std::int64_t kSmallestReserve = 2;
 constexpr std::int64_t kReserveDivisor = 12;
-/// No entry's place.
-constexpr std::int64_t kNobody = -1;
+constexpr double kSilenceFactor = 2;
+
+double ToMs(base::duration value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
 
 }  // namespace
 
@@ -72,7 +75,7 @@
   }
   if (best == nullptr)
     return std::nullopt;
-  if (IsSlow(*best))
+  if (IsAvoided(*best, now))
     best->health.StartTrial(now);
   slot_ticket ticket{best->listed, {}, now};
   // Own slots first: borrowed ones that stay idle go back to their owner.
@@ -85,6 +88,8 @@
   }
   ++best->in_use;
   ++in_use_;
+  if (!best->silent_since)
+    best->silent_since = now;
   return ticket;
 }
 
@@ -103,13 +108,39 @@
 bool slot_router::IsWorthIt(upstream_state& at,
                             const slot_request& request,
                             base::time_point now) {
-  if (!IsSlow(at)) {
+  if (!IsAvoided(at, now)) {
     at.health.EndTrials();
     return true;
   }
+  if (at.health.IsTrialDue(now))
+    return true;
   const auto wait_ms = static_cast<double>(request.expected_wait.count());
-  return at.health.LatencyMs() <= typical_ms_ + wait_ms ||
-         at.health.IsTrialDue(now);
+  const bool silent = silence_counts_ && IsSilent(at, now);
+  return !silent && at.health.LatencyMs() <= typical_ms_ + wait_ms;
+}
+
+bool slot_router::IsAvoided(const upstream_state& at,
+                            base::time_point now) const {
+  return IsSlow(at) || (silence_counts_ && IsSilent(at, now));
+}
+
+bool slot_router::IsSilent(const upstream_state& at,
+                           base::time_point now) const {
+  return at.silent_since && spread_.HighMs() > 0 &&
+         ToMs(now - *at.silent_since) > kSilenceFactor * spread_.HighMs();
+}
+
+void slot_router::JudgeSilence(base::time_point now) {
+  std::int64_t live = 0;
+  std::int64_t silent = 0;
+  for (const auto& [id, known] : upstreams_) {
+    if (!known.takes_requests)
+      continue;
+    ++live;
+    silent += IsSilent(known, now) ? 1 : 0;
+  }
+  silence_counts_ = static_cast<double>(silent) <=
+                    options_.health.ejected_share * static_cast<double>(live);
 }
 
 bool slot_router::IsSlow(const upstream_state& at) const {
@@ -145,12 +176,19 @@
     return;
   upstream_state& known = found->second;
   --known.in_use;
+  if (known.in_use == 0)
+    known.silent_since.reset();
+  else if (outcome == slot_outcome::kAnswered)
+    known.silent_since = now;
   known.health.Learn(outcome, now - ticket.taken);
   LearnTypicalLatency(now);
-  if (outcome == slot_outcome::kAnswered)
-    lender_.ConfirmAnswer(id, ticket.taken, now);
-  else
+  if (outcome != slot_outcome::kAnswered) {
     EjectFailing(known, now);
+    return;
+  }
+  lender_.ConfirmAnswer(id, ticket.taken, now);
+  if (!IsSlow(known))
+    spread_.Learn(ToMs(now - ticket.taken));
 }
 
 void slot_router::EjectFailing(upstream_state& at, base::time_point now) {
@@ -200,6 +238,7 @@
   if (now < next_typical_)
     return;
   next_typical_ = now + kTypicalPeriod;
+  JudgeSilence(now);
   std::vector<double> known;
   for (const auto& [id, at] : upstreams_) {
     if (at.takes_requests && at.health.HasLatency())
@@ -225,23 +264,21 @@
   if (waiting == 0 && excess > 0)
     borrower_.Shrink(excess, now);
   const std::int64_t lacking = waiting + Reserve() - free;
-  const std::int64_t lender = lacking > 0 ? ChooseLender(now) : kNobody;
-  std::vector<std::int64_t> receivers = borrower_.Due(now);
-  const bool is_due =
-      std::find(receivers.begin(), receivers.end(), lender) != receivers.end();
-  if (lender != kNobody && !is_due)
-    receivers.push_back(lender);
-  for (const std::int64_t receiver : receivers) {
-    peer_state& peer = peers_[receiver];
+  std::map<std::int64_t, std::int64_t> wanted;
+  if (lacking > 0 && now >= next_ask_)
+    wanted = DivideAmongLenders(lacking, now);
+  if (!wanted.empty())
+    next_ask_ = now + options_.sharing.ask_pause;
+  for (const std::int64_t lender : borrower_.Due(now))
+    wanted.try_emplace(lender, 0);
+  for (const auto& [lender, slots] : wanted) {
+    peer_state& peer = peers_[lender];
     if (peer.asked || now < peer.ask_again)
       continue;
-    outgoing_exchange message{receiver, {}, now};
+    outgoing_exchange message{lender, {}, now};
     message.request.borrower = layout_.share().index;
-    if (lender == receiver) {
-      message.request.wanted =
-          std::min(lacking, options_.sharing.largest_request);
-    }
-    borrower_.Fill(receiver, message.request, now);
+    message.request.wanted = slots;
+    borrower_.Fill(lender, message.request, now);
     message.request.spare = std::max<std::int64_t>(0, free - Reserve());
     peer.asked = true;
     messages.push_back(std::move(message));
@@ -249,23 +286,26 @@
   return messages;
 }
 
-std::int64_t slot_router::ChooseLender(base::time_point now) const {
-  std::int64_t best = kNobody;
-  std::int64_t best_spare = -1;
-  base::time_point best_asked;
+std::map<std::int64_t, std::int64_t> slot_router::DivideAmongLenders(
+    std::int64_t slots,
+    base::time_point now) const {
+  std::vector<std::pair<std::int64_t, std::int64_t>> offers;
   for (const auto& [place, peer] : peers_) {
-    if (peer.asked || now < peer.ask_again)
-      continue;
-    const bool better =
-        peer.spare > best_spare ||
-        (peer.spare == best_spare && peer.ask_again < best_asked);
-    if (!better)
-      continue;
-    best = place;
-    best_spare = peer.spare;
-    best_asked = peer.ask_again;
+    if (!peer.asked && now >= peer.ask_again)
+      offers.emplace_back(peer.spare + lender_.LentTo(place), place);
+  }
+  std::sort(offers.rbegin(), offers.rend());
+  std::map<std::int64_t, std::int64_t> wanted;
+  for (const auto& [spare, place] : offers) {
+    if (slots <= 0)
+      break;
+    // What a peer last told may be old, so it is asked for some in any case.
+    const std::int64_t asked =
+        std::min(slots, std::max(spare, options_.sharing.smallest_request));
+    wanted[place] = asked;
+    slots -= asked;
   }
-  return best;
+  return wanted;
 }
 
 exchange_answer slot_router::Answer(const exchange_request& request,
@@ -283,6 +323,9 @@
   if (known == peers_.end())
     return answer;
   known->second.spare = request.spare;
+  // One that asks has a better right to the slots that it lent itself.
+  if (request.wanted > 0)
+    borrower_.Recall(request.borrower, request.wanted);
   std::int64_t spare = FreeSlots(now) - Reserve() - waiting;
   if (request.wanted > 0 && spare > 0)
     LendTo(request, std::min(request.wanted, spare), answer, now);
@@ -300,7 +343,7 @@
     const bool usable =
         known.takes_requests &&
         known.in_use < known.health.Allowed(known.listed.slots, now);
-    if (usable && !IsSlow(known) && lender_.Free(id, now) > 0)
+    if (usable && !IsAvoided(known, now) && lender_.Free(id, now) > 0)
       offered.emplace_back(Cost(known), &id);
   }
   std::sort(offered.begin(), offered.end());
@@ -338,7 +381,7 @@
 std::int64_t slot_router::FreeSlots(base::time_point now) const {
   std::int64_t free = 0;
   for (const auto& [id, known] : upstreams_) {
-    if (!known.takes_requests || IsSlow(known))
+    if (!known.takes_requests || IsAvoided(known, now))
       continue;
     const std::int64_t allowed =
         known.health.Allowed(known.listed.slots, now) - known.in_use;
@@ -360,6 +403,10 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(typical_ms_));
 }
 
+std::chrono::milliseconds slot_router::HighLatency() const {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(spread_.HighMs()));
+}
+
 std::int64_t slot_router::Capacity(base::time_point now) {
   if (now >= next_capacity_) {
     capacity_ = FreeSlots(now) + InUse();
