--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -11,11 +11,35 @@
 #include "internal/body_reader.h"
 
 namespace chivecrank::http {
-namespace {
 
 namespace net = Poco::Net;
 
+namespace internal {
+
+/// A connection that can tell whether it is still fit for a request.
+class kept_session final : public net::HTTPClientSession {
+ public:
+  using net::HTTPClientSession::HTTPClientSession;
+
+  /// Nothing was asked, so anything to read is the end of the connection or
+  /// no answer to the next request.
+  bool IsUsable() {
+    try {
+      return connected() && buffered() == 0 &&
+             !socket().poll(Poco::Timespan(0), net::Socket::SELECT_READ);
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+};
+
+}  // namespace internal
+
+namespace {
+
 constexpr std::size_t kIdleConnections = 4;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr std::size_t kAnswerBytes = std::size_t{8} << 20;
 
 void Write(net::HTTPClientSession& session, const request& message) {
@@ -33,15 +57,28 @@
 
 base::result<response> Read(net::HTTPClientSession& session,
                             std::chrono::steady_clock::time_point deadline,
+                            const std::string& method,
                             bool& reusable) {
   net::HTTPResponse in;
   std::istream& stream = session.receiveResponse(in);
-  const internal::body_bounds bounds{
-      kAnswerBytes, deadline,
-      in.hasContentLength() ? in.getContentLength64() : -1};
+  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+      deadline - std::chrono::steady_clock::now());
+  if (left.count() <= 0) {
+    return base::error{base::error_kind::kTimeout, "the answer is late",
+                       "allow more time"};
+  }
+  session.socket().setReceiveTimeout(Poco::Timespan(left.count()));
+  const bool has_body = method != "HEAD" && in.getStatus() != kNoContent &&
+                        in.getStatus() != kNotModified;
+  if (has_body && !in.hasContentLength()) {
+    return base::error{base::error_kind::kInvalidArgument,
+                       "the answer has no Content-Length",
+                       "let the server declare the length of its answers"};
+  }
+  const internal::body_bounds bounds{kAnswerBytes, deadline,
+                                     has_body ? in.getContentLength64() : -1};
   BOOST_OUTCOME_TRY(body, internal::ReadBody(stream, bounds));
-  reusable = in.getKeepAlive() &&
-             (in.hasContentLength() || in.getChunkedTransferEncoding());
+  reusable = in.getKeepAlive();
   response answer{in.getStatus(), {}, std::move(body)};
   for (const auto& [name, value] : in)
     answer.headers.push_back({name, value});
@@ -68,22 +105,23 @@
 
 client::~client() = default;
 
-std::unique_ptr<net::HTTPClientSession> client::Take() {
+std::unique_ptr<internal::kept_session> client::Take() {
   {
     std::lock_guard lock(mutex_);
-    if (!idle_.empty()) {
+    while (!idle_.empty()) {
       auto session = std::move(idle_.back());
       idle_.pop_back();
-      return session;
+      if (session->IsUsable())
+        return session;
     }
   }
   auto session =
-      std::make_unique<net::HTTPClientSession>(address_.host, address_.port);
+      std::make_unique<internal::kept_session>(address_.host, address_.port);
   session->setKeepAlive(true);
   return session;
 }
 
-void client::Keep(std::unique_ptr<net::HTTPClientSession> session) {
+void client::Keep(std::unique_ptr<internal::kept_session> session) {
   std::lock_guard lock(mutex_);
   if (idle_.size() < kIdleConnections)
     idle_.push_back(std::move(session));
@@ -108,7 +146,7 @@
   }
   try {
     bool reusable = false;
-    auto answer = Read(*session, deadline, reusable);
+    auto answer = Read(*session, deadline, message.method, reusable);
     if (!answer.has_value())
       return Unanswered(address_, answer.error().message);
     if (reusable)
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -39,6 +39,9 @@
   std::string token = "hotel-watch-token";
   std::string service = "dispatch";
   std::chrono::milliseconds timeout{2000};
+  /// Sends a key again, through another entry, after "unknown" and after no
+  /// answer, each send with at most this much of the time; 0 does not.
+  std::chrono::milliseconds repeat_after{0};
 };
 
 /// A caller that spreads its requests over the entries, as a balancer would,
@@ -64,6 +67,10 @@
   std::string JobState(const std::string& job_id);
 
  private:
+  void SendOnce(const std::string& key,
+                std::chrono::milliseconds limit,
+                bool first_send,
+                call_record& record);
   std::size_t ChooseEntry();
   base::result<http::response> CallAnyEntry(const http::request& message,
                                             std::chrono::milliseconds timeout);
