--- a/src/callers/include/chivecrank/callers/types.h
+++ b/src/callers/include/chivecrank/callers/types.h
@@ -20,7 +20,6 @@
 /// those after answers that said "not run".
 inline constexpr char kFirstSendHeader[] = "Chivecrank-First-Send";
 inline constexpr char kOutcomeHeader[] = "Chivecrank-Outcome";
-inline constexpr char kRequestIdHeader[] = "Chivecrank-Request-Id";
 
 /// What became of a request, as told to its caller.
 enum class request_outcome {
--- a/src/callers/internal/request_service.cc
+++ b/src/callers/internal/request_service.cc
@@ -14,7 +14,7 @@
   if (!type.empty())
     message.headers.push_back({"Content-Type", std::string(type)});
   message.headers.push_back(
-      {kRequestIdHeader, request.account + "/" + request.key});
+      {upstreams::kRequestIdHeader, request.account + "/" + request.key});
   return message;
 }
 
--- a/src/idempotency/include/chivecrank/idempotency/partition_home.h
+++ b/src/idempotency/include/chivecrank/idempotency/partition_home.h
@@ -65,6 +65,8 @@
   void Admit(const arrival& request, base::time_point deadline);
   void Run();
   bool WaitForWork(lock& held);
+  bool IsWriteDue(base::time_point now) const;
+  void Append(const log_entry& entry);
   std::vector<log_entry> TakeBatch();
   base::result<void> Write(lock& held);
   void TakeResult(const base::result<void>& result, base::time_point started);
@@ -83,6 +85,10 @@
   std::vector<log_entry> writing_;
   std::map<std::string, admitted_request> in_flight_;
   base::time_point confirmed_;
+  base::time_point pending_since_;
+  base::time_point expire_at_;
+  /// Where the writes so far would end if they were evenly spaced.
+  base::time_point paced_until_;
   bool open_ = false;
   bool closing_ = false;
   bool stopping_ = false;
--- a/src/idempotency/include/chivecrank/idempotency/types.h
+++ b/src/idempotency/include/chivecrank/idempotency/types.h
@@ -116,8 +116,10 @@
   std::chrono::milliseconds slice{200};
   /// Longest time that a request admitted by a former owner may take to end.
   std::chrono::milliseconds longest_request{std::chrono::minutes(1)};
-  /// Least time between two writes of one partition.
+  /// Mean time between two writes of one partition under load.
   std::chrono::milliseconds write_spacing{60};
+  /// How long the end of a request may wait for an intent to go with.
+  std::chrono::milliseconds end_delay{250};
   /// Time between tries while the store does not answer.
   std::chrono::milliseconds retry{200};
 };
--- a/src/idempotency/internal/partition_home.cc
+++ b/src/idempotency/internal/partition_home.cc
@@ -12,7 +12,10 @@
 /// An admitted request without an end counts as unknown this long after its
 /// deadline.
 constexpr std::chrono::milliseconds kOverdue{2000};
+constexpr std::chrono::milliseconds kExpiryPeriod{5000};
 constexpr std::size_t kBatchBytes = std::size_t{256} * 1024;
+/// Writes that may follow each other without spacing after a pause.
+constexpr int kWriteBurst = 8;
 /// Share of the retention time after which an idle home reads its head.
 constexpr int kChecksPerRetention = 30;
 
@@ -100,12 +103,11 @@
 void partition_home::Admit(const arrival& request, base::time_point deadline) {
   in_flight_[request.request_id] = {request.token, request.fingerprint,
                                     deadline + kOverdue};
-  pending_.push_back({entry_kind::kIntent,
-                      request.request_id,
-                      request.fingerprint,
-                      request.token,
-                      {}});
-  changed_.notify_all();
+  Append({entry_kind::kIntent,
+          request.request_id,
+          request.fingerprint,
+          request.token,
+          {}});
 }
 
 base::result<void> partition_home::Finish(const log_entry& ended) {
@@ -116,7 +118,7 @@
   if (admitted != in_flight_.end() && admitted->second.token == ended.token)
     in_flight_.erase(admitted);
   if (ledger_.Finish(ended, clock_.Now()))
-    pending_.push_back(ended);
+    Append(ended);
   changed_.notify_all();
   return base::Success();
 }
@@ -167,28 +169,52 @@
   lock held(mutex_);
   while (WaitForWork(held)) {
     const base::time_point started = clock_.Now();
+    paced_until_ = std::max(paced_until_, started) + settings_.write_spacing;
     const auto result = Write(held);
     TakeResult(result, started);
     changed_.notify_all();
-    const auto pause = failing_ ? settings_.retry : settings_.write_spacing;
-    while (!stopping_ && !fenced_ && clock_.Now() < started + pause)
+    while (failing_ && !stopping_ && !fenced_ &&
+           clock_.Now() < started + settings_.retry) {
       changed_.wait_for(held, kWaitStep);
+    }
   }
 }
 
 bool partition_home::WaitForWork(lock& held) {
   while (!stopping_ && !fenced_) {
+    const base::time_point now = clock_.Now();
     EndOverdue();
-    ledger_.Expire(clock_.Now());
-    const bool due =
-        clock_.Now() - confirmed_ > settings_.retention / kChecksPerRetention;
-    if (!pending_.empty() || !writing_.empty() || due)
+    if (now >= expire_at_) {
+      ledger_.Expire(now);
+      expire_at_ = now + kExpiryPeriod;
+    }
+    if (!writing_.empty() || IsWriteDue(now))
       return true;
-    changed_.wait_for(held, kWaitStep * 5);
+    changed_.wait_for(held, kWaitStep);
   }
   return false;
 }
 
+bool partition_home::IsWriteDue(base::time_point now) const {
+  if (pending_.empty())
+    return now - confirmed_ > settings_.retention / kChecksPerRetention;
+  const bool paced = paced_until_ - now > settings_.write_spacing * kWriteBurst;
+  // Requests wait for their intents; ends may come along with them.
+  const bool urgent =
+      closing_ || now - pending_since_ >= settings_.end_delay ||
+      std::any_of(pending_.begin(), pending_.end(), [](const log_entry& entry) {
+        return entry.kind == entry_kind::kIntent;
+      });
+  return urgent && !paced;
+}
+
+void partition_home::Append(const log_entry& entry) {
+  if (pending_.empty())
+    pending_since_ = clock_.Now();
+  pending_.push_back(entry);
+  changed_.notify_all();
+}
+
 base::result<void> partition_home::Write(lock& held) {
   const bool repeat = !writing_.empty();
   if (!repeat)
@@ -249,7 +275,7 @@
                          at->second.token,
                          {}};
     if (ledger_.Finish(lost, now))
-      pending_.push_back(lost);
+      Append(lost);
     at = in_flight_.erase(at);
   }
 }
--- a/src/idempotency/tests/partition_home_test.cc
+++ b/src/idempotency/tests/partition_home_test.cc
@@ -151,9 +151,10 @@
 BOOST_AUTO_TEST_CASE(ManyRequestsShareAWrite) {
   auto home = Open("x");
   const int before = store.writes();
-  constexpr int kRequests = 64;
+  constexpr std::size_t requests = 64;
   std::vector<std::thread> threads;
-  for (int i = 0; i < kRequests; ++i) {
+  threads.reserve(requests);
+  for (std::size_t i = 0; i < requests; ++i) {
     threads.emplace_back([&home, sent = Arrival(std::to_string(i), true)] {
       static_cast<void>(home->Begin(sent, kPatient));
       static_cast<void>(home->Finish(Completed(sent)));
@@ -162,7 +163,7 @@
   for (std::thread& thread : threads)
     thread.join();
   home->Close(kLong);
-  BOOST_TEST(store.writes() - before < kRequests);
+  BOOST_TEST(store.writes() - before < static_cast<int>(requests));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/idempotency/tests/partition_log_test.cc
+++ b/src/idempotency/tests/partition_log_test.cc
@@ -73,8 +73,8 @@
 
 BOOST_AUTO_TEST_CASE(SealsAndDropsSegmentsWithoutLoss) {
   BOOST_REQUIRE(log.Open().has_value());
-  constexpr int kEntries = 2000;
-  for (int i = 0; i < kEntries; ++i) {
+  constexpr int entries = 2000;
+  for (int i = 0; i < entries; ++i) {
     // Each kind of failed seal or append on its way.
     if (i % 50 == 49)
       store.Fail(i % 100 == 99 ? write_fault::kLostAnswer : write_fault::kDown);
@@ -84,7 +84,7 @@
       written = log.Retry().has_value();
   }
   partition_log next = NewLog("y");
-  BOOST_TEST(next.Open().value().entries.size() == kEntries);
+  BOOST_TEST(next.Open().value().entries.size() == entries);
   clock.Advance(2 * kRetention);
   BOOST_REQUIRE(next.Append({Completed("last")}).has_value());
   BOOST_TEST(memory.List(platform::call_class::kIntent, "requests/3/")
--- a/src/instances/internal/rpc_server.cc
+++ b/src/instances/internal/rpc_server.cc
@@ -4,7 +4,6 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <future>
-#include <utility>
 
 namespace chivecrank::instances::internal {
 namespace {
@@ -29,11 +28,11 @@
 }  // namespace
 
 rpc_server::rpc_server(const settings::endpoint& address,
-                       std::shared_ptr<thrift::TProcessor> processor)
+                       const std::shared_ptr<thrift::TProcessor>& processor)
     : address_(address),
       socket_(std::make_shared<thrift::transport::TServerSocket>(address.host,
                                                                  address.port)),
-      server_(std::move(processor),
+      server_(processor,
               socket_,
               std::make_shared<thrift::transport::TFramedTransportFactory>(),
               std::make_shared<thrift::protocol::TBinaryProtocolFactory>()) {
--- a/src/instances/internal/rpc_server.h
+++ b/src/instances/internal/rpc_server.h
@@ -17,7 +17,7 @@
 class rpc_server {
  public:
   rpc_server(const settings::endpoint& address,
-             std::shared_ptr<apache::thrift::TProcessor> processor);
+             const std::shared_ptr<apache::thrift::TProcessor>& processor);
   ~rpc_server();
   rpc_server(const rpc_server&) = delete;
   rpc_server& operator=(const rpc_server&) = delete;
--- a/src/upstreams/include/chivecrank/upstreams/upstream_client.h
+++ b/src/upstreams/include/chivecrank/upstreams/upstream_client.h
@@ -10,6 +10,10 @@
 /// Requests to the services that upstreams run.
 namespace chivecrank::upstreams {
 
+/// Names the request to its upstream. An answer that has this header too is
+/// taken only if it names the same request.
+inline constexpr char kRequestIdHeader[] = "Chivecrank-Request-Id";
+
 /// Sends requests to upstreams. Safe to use from several threads.
 class upstream_client {
  public:
--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -18,6 +18,8 @@
 constexpr int kPlatformGroup = 0;
 constexpr int kInstanceGroup = 1;
 constexpr int kWorkerGroup = 2;
+constexpr int kProxyGroup = 3;
+constexpr int kProxyControl = 250;
 constexpr std::int64_t kSlots = 8;
 constexpr std::int64_t kConnections = 64;
 constexpr platform::resources kWorkerCapacity{16'000, 60'000, 0};
@@ -81,6 +83,7 @@
   instances_.clear();
   workers_.clear();
   platform_process_.reset();
+  proxy_process_.reset();
   if (std::getenv("CHIVECRANK_KEEP_LOGS") == nullptr)
     std::filesystem::remove_all(folder_);
 }
@@ -121,15 +124,22 @@
     worker.capacity = kWorkerCapacity;
     worker.slots = kSlots;
     worker.connections = kConnections;
-    worker.service = {host, 7200};
+    const settings::endpoint service{host, 7200};
+    worker.service =
+        options_.proxied
+            ? settings::endpoint{network_.Host(kProxyGroup, index + 1),
+                                 service.port}
+            : service;
     worker.agent = {host, 7201};
-    workers_.push_back({worker, true, nullptr, {}, {}});
+    workers_.push_back({worker, service, true, nullptr, {}, {}});
   }
 }
 
 bool deployment::Start() {
   platform_process_ =
       Launch("standin_platform", {"--host=" + platform_.host}, "platform");
+  if (options_.proxied)
+    StartProxy();
   for (int index = 0; index < options_.workers; ++index)
     StartWorker(index);
   http::client client(platform_);
@@ -204,7 +214,7 @@
   worker.shown = true;
   worker.process = Launch(
       "standin_worker",
-      {"--id=" + listed.id, "--host=" + listed.service.host,
+      {"--id=" + listed.id, "--host=" + worker.service.host,
        "--service_ms=" + std::to_string(options_.service_ms),
        "--slots=" + std::to_string(listed.slots),
        "--processors_milli=" + std::to_string(listed.capacity.processors_milli),
@@ -215,8 +225,7 @@
 void deployment::KillWorker(int index) {
   worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
   // Frozen first, so that the saved account is its last word.
-  worker.service_accounts.push_back(
-      Fetch(worker.listed.service, "/control/freeze"));
+  worker.service_accounts.push_back(Fetch(worker.service, "/control/freeze"));
   worker.task_accounts.push_back(Fetch(worker.listed.agent, "/control/freeze"));
   worker.process.reset();
   worker.shown = false;
@@ -230,6 +239,26 @@
   PublishInstances();
 }
 
+void deployment::StartProxy() {
+  proxy_ = {network_.Host(kProxyGroup, kProxyControl), 7300};
+  std::string routes;
+  for (const worker_instance& worker : workers_) {
+    routes += (routes.empty() ? "" : ",") + worker.listed.id + "=" +
+              settings::ToString(worker.listed.service) + ">" +
+              settings::ToString(worker.service);
+  }
+  proxy_process_ =
+      Launch("fault_proxy",
+             {"--control=" + settings::ToString(proxy_), "--routes=" + routes},
+             "proxy");
+}
+
+void deployment::SetProxyFaults(const std::string& json) {
+  http::client client(proxy_);
+  static_cast<void>(
+      client.Call({"POST", "/control/faults", {}, json}, kCallTimeout));
+}
+
 void deployment::SetPlatformFaults(const std::string& json) {
   http::client client(platform_);
   static_cast<void>(
@@ -328,7 +357,7 @@
 std::int64_t deployment::LastStartAt(int index) {
   const worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
   return std::max(
-      http::IntegerOf(Fetch(worker.listed.service, "/control/account"),
+      http::IntegerOf(Fetch(worker.service, "/control/account"),
                       "last_start_ms"),
       http::IntegerOf(Fetch(worker.listed.agent, "/control/account"),
                       "last_start_ms"));
@@ -365,7 +394,7 @@
     const worker_instance& worker) {
   std::vector<http::json_object> accounts = worker.service_accounts;
   if (worker.process)
-    accounts.push_back(Fetch(worker.listed.service, "/control/account"));
+    accounts.push_back(Fetch(worker.service, "/control/account"));
   return accounts;
 }
 
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -22,6 +22,8 @@
   int workers_per_rack = 2;
   int instances = 2;
   int service_ms = 20;
+  /// Upstreams are reached through a fault proxy; see SetProxyFaults.
+  bool proxied = false;
   std::vector<std::string> failure_domains = {"viti-suva", "viti-nadi",
                                               "viti-lautoka", "viti-labasa"};
 };
@@ -59,6 +61,8 @@
   void KillWorker(int index);
 
   /// Sets the faults of the platform; see docs/WIRE.md.
+  /// Sets the faults between entries and upstreams; see tests/fault_proxy.
+  void SetProxyFaults(const std::string& json);
   void SetPlatformFaults(const std::string& json);
   /// Tells the platform's list which instances are there now.
   void PublishInstances();
@@ -99,6 +103,8 @@
   };
   struct worker_instance {
     platform::instance listed;
+    /// Where its service listens, with or without a proxy before it.
+    settings::endpoint service;
     bool shown = true;
     std::unique_ptr<child_process> process;
     /// Accounts of its earlier lives.
@@ -108,6 +114,7 @@
 
   void DescribeInstances();
   void DescribeWorkers();
+  void StartProxy();
   std::unique_ptr<child_process> Launch(const std::string& program,
                                         const std::vector<std::string>& flags,
                                         const std::string& name);
@@ -123,6 +130,8 @@
   std::filesystem::path folder_;
   settings::endpoint platform_;
   std::unique_ptr<child_process> platform_process_;
+  settings::endpoint proxy_;
+  std::unique_ptr<child_process> proxy_process_;
   std::vector<system_instance> instances_;
   std::vector<worker_instance> workers_;
 };
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -14,6 +14,13 @@
 constexpr char kStoreDown[] = R"({"down":true})";
 constexpr char kStoreSlow[] = R"({"delay_ms":700})";
 constexpr char kStoreLoses[] = R"({"lost_answers":0.4})";
+constexpr char kCuts[] =
+    R"({"to_server":{"truncate":0.02,"reset":0.05,"drop":0.02},
+        "to_client":{"truncate":0.1,"reset":0.05,"drop":0.05}})";
+constexpr char kDisorder[] =
+    R"({"to_client":{"delay_ms":20,"duplicate":0.1,"reorder":0.1}})";
+constexpr char kSilence[] =
+    R"({"to_server":{"silence":0.02},"to_client":{"silence":0.02}})";
 constexpr char kStoreWell[] = "{}";
 const std::string kConfiguration =
     std::string(CHIVECRANK_SOURCE_DIR) + "/config/tanoa.toml";
@@ -29,6 +36,7 @@
   static deployment_options Options() {
     deployment_options options;
     options.instances = kEntries;
+    options.proxied = true;
     return options;
   }
 
@@ -145,6 +153,34 @@
       });
 }
 
+BOOST_AUTO_TEST_CASE(AnswersCutAndConnectionsReset) {
+  Run([&] { system.SetProxyFaults(kCuts); },
+      [&] { system.SetProxyFaults("{}"); });
+}
+
+BOOST_AUTO_TEST_CASE(AnswersDelayedTwiceAndOutOfOrder) {
+  Run([&] { system.SetProxyFaults(kDisorder); },
+      [&] { system.SetProxyFaults("{}"); });
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsGoSilent) {
+  Run([&] { system.SetProxyFaults(kSilence); },
+      [&] { system.SetProxyFaults("{}"); });
+}
+
+BOOST_AUTO_TEST_CASE(AnswersCutWhileTheStoreIsDownAndAnEntryIsKilled) {
+  Run(
+      [&] {
+        system.SetProxyFaults(kCuts);
+        SetStore(kStoreDown);
+        KillEntry(2);
+      },
+      [&] {
+        system.SetProxyFaults("{}");
+        SetStore(kStoreWell);
+      });
+}
+
 BOOST_AUTO_TEST_CASE(PlannedStopCutsOffNothing) {
   const load_account account =
       Run([&] { system.StopInstance(0); }, [&] { system.StartInstance(0); });
--- a/tests/standin_worker/upstream_service.cc
+++ b/tests/standin_worker/upstream_service.cc
@@ -37,7 +37,9 @@
     --in_flight_;
   }
   return {static_cast<int>(http::status::kOk),
-          {{"X-Worker", worker_}, {"X-Request", identifier}},
+          {{"X-Worker", worker_},
+           {"X-Request", identifier},
+           {"Chivecrank-Request-Id", identifier}},
           "answer to " + message.body};
 }
 
