--- a/src/configuration/include/chivecrank/configuration/head_watcher.h
+++ b/src/configuration/include/chivecrank/configuration/head_watcher.h
@@ -64,6 +64,7 @@
   void Watch();
   void PauseAfterFailure();
   bool Impatient();
+  void DrawPatience();
 
   platform::store& store_;
   base::clock& clock_;
--- a/src/configuration/internal/head_watcher.cc
+++ b/src/configuration/internal/head_watcher.cc
@@ -20,7 +20,9 @@
       surroundings_(std::move(surroundings)),
       random_(settings.seed),
       pause_(settings.retry_pause),
-      patience_(settings.patience) {}
+      patience_(settings.patience) {
+  DrawPatience();
+}
 
 head_watcher::~head_watcher() {
   Stop();
@@ -121,10 +123,14 @@
 bool head_watcher::Impatient() {
   if (clock_.Now() - held_.ConfirmedAt() < patience_)
     return false;
+  DrawPatience();
+  return true;
+}
+
+void head_watcher::DrawPatience() {
   std::uniform_int_distribution<std::int64_t> added(0,
                                                     settings_.patience.count());
   patience_ = settings_.patience + std::chrono::milliseconds(added(random_));
-  return true;
 }
 
 }  // namespace chivecrank::configuration
--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -1,6 +1,7 @@
-#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <future>
 #include <map>
@@ -16,6 +17,10 @@
 constexpr std::chrono::milliseconds kPoll{50};
 /// Longer than the lease of a scheduler.
 constexpr std::chrono::seconds kOutage{5};
+/// A revision is in force everywhere within 7 s while the store is up.
+constexpr std::chrono::seconds kInForceLimit{7};
+constexpr std::chrono::milliseconds kChangePause{20};
+constexpr std::chrono::milliseconds kNoPause{0};
 constexpr int kChangesEach = 200;
 
 deployment_options Instances(int count) {
@@ -25,8 +30,9 @@
   return options;
 }
 
-bool WaitUntil(const std::function<bool()>& condition) {
-  const auto end = std::chrono::steady_clock::now() + kLimit;
+bool WaitUntil(const std::function<bool()>& condition,
+               std::chrono::seconds limit = kLimit) {
+  const auto end = std::chrono::steady_clock::now() + limit;
   while (!condition()) {
     if (std::chrono::steady_clock::now() > end)
       return false;
@@ -39,12 +45,14 @@
 std::map<std::string, std::int64_t> AddTeams(const deployment& system,
                                              int instance,
                                              const std::string& name,
-                                             int count) {
+                                             int count,
+                                             std::chrono::milliseconds pause) {
   configuration_operator by(system.InstanceAt(instance).admin, name);
   std::map<std::string, std::int64_t> accepted;
   for (int i = 0; i < count; ++i) {
     const std::string team = name + "-" + std::to_string(i);
     accepted[team] = by.AddTeam(team, kLimit);
+    std::this_thread::sleep_for(pause);
   }
   return accepted;
 }
@@ -53,9 +61,10 @@
 /// Each change that was accepted is in the history once, at the revision that
 /// the operator was told, and in every later revision.
 void RaceTwoOperators(deployment& system, int changes) {
-  auto first = std::async(std::launch::async,
-                          [&] { return AddTeams(system, 0, "mere", changes); });
-  auto accepted = AddTeams(system, 1, "jone", changes);
+  auto first = std::async(std::launch::async, [&] {
+    return AddTeams(system, 0, "mere", changes, kNoPause);
+  });
+  auto accepted = AddTeams(system, 1, "jone", changes, kNoPause);
   accepted.merge(first.get());
   system.SetPlatformFaults("{}");
   configuration_operator reader(system.InstanceAt(2).admin, "sala");
@@ -74,50 +83,51 @@
   BOOST_TEST(WaitUntil([&] { return reader.LowestInForce() == last; }));
 }
 
-/// Watches the revisions in force in the background. A process may be without
-/// one after a restart, but none may go back to a lower one.
-class revision_monitor {
- public:
-  explicit revision_monitor(const settings::endpoint& admin)
-      : by_(admin, "sala"), thread_([this] { Run(); }) {}
-  ~revision_monitor() { Stop(); }
-
-  /// Names of processes that went back.
-  std::set<std::string> Stop() {
-    stopping_ = true;
-    if (thread_.joinable())
-      thread_.join();
-    return went_back_;
+/// Whether the processes of an instance answer and have a revision in force.
+bool HasInForce(const deployment& system, int index, std::int64_t revision) {
+  configuration_operator by(system.InstanceAt(index).admin, "sala");
+  const auto fleet = by.Get("/v1/instances");
+  if (!fleet.has_value())
+    return false;
+  const http::json_array all = http::ArrayOf(fleet.value(), "processes");
+  for (unsigned i = 0; i < all->size(); ++i) {
+    const http::json_object one = all->getObject(i);
+    if (http::StringOf(one, "instance") == system.InstanceAt(index).id &&
+        http::IntegerOf(one, "revision") < revision) {
+      return false;
+    }
   }
+  return true;
+}
 
- private:
-  void Run() {
-    while (!stopping_) {
-      const auto fleet = by_.Get("/v1/instances");
-      if (fleet.has_value())
-        Look(http::ArrayOf(fleet.value(), "processes"));
-      std::this_thread::sleep_for(kPoll);
-    }
+/// Whether the log of a process shows that its revision went back. Logs hold
+/// every change, also those that a sampler would miss.
+bool WentBack(const std::filesystem::path& log) {
+  const std::string marker = "configuration: revision ";
+  std::ifstream lines(log);
+  std::string line;
+  std::int64_t highest = 0;
+  while (std::getline(lines, line)) {
+    const std::size_t at = line.find(marker);
+    if (at == std::string::npos)
+      continue;
+    const std::int64_t now = std::stoll(line.substr(at + marker.size()));
+    if (now < highest)
+      return true;
+    highest = now;
   }
+  BOOST_TEST(highest > 0, log.string() + " shows no revision");
+  return false;
+}
 
-  void Look(const http::json_array& all) {
-    for (unsigned i = 0; i < all->size(); ++i) {
-      const http::json_object one = all->getObject(i);
-      const std::string name =
-          http::StringOf(one, "instance") + http::StringOf(one, "daemon");
-      const std::int64_t now = http::IntegerOf(one, "revision");
-      if (now != 0 && now < highest_[name])
-        went_back_.insert(name);
-      highest_[name] = std::max(highest_[name], now);
+void CheckThatNoneWentBack(const deployment& system, int instances) {
+  for (int index = 0; index < instances; ++index) {
+    for (const std::string part : {"entry", "scheduler", "admin"}) {
+      const std::string name = system.InstanceAt(index).id + "-" + part;
+      BOOST_TEST(!WentBack(system.folder() / (name + ".log")), name);
     }
   }
-
-  configuration_operator by_;
-  std::map<std::string, std::int64_t> highest_;
-  std::set<std::string> went_back_;
-  std::atomic<bool> stopping_ = false;
-  std::thread thread_;
-};
+}
 
 }  // namespace
 
@@ -141,32 +151,33 @@
 BOOST_AUTO_TEST_CASE(StoreOutageDuringChangesLosesAndRevertsNothing) {
   deployment system(Instances(3));
   BOOST_REQUIRE(system.Start());
-  revision_monitor monitor(system.InstanceAt(2).admin);
-  auto changes = std::async(std::launch::async,
-                            [&] { return AddTeams(system, 0, "mere", 40); });
-  std::this_thread::sleep_for(kPoll);
+  auto changes = std::async(std::launch::async, [&] {
+    return AddTeams(system, 0, "mere", 100, kChangePause);
+  });
+  std::this_thread::sleep_for(10 * kChangePause);
   system.SetPlatformFaults(R"({"down":true})");
   std::this_thread::sleep_for(kOutage);
   system.SetPlatformFaults(R"({"stale_reads":0.2})");
-  BOOST_TEST(changes.get().size() == 40);
+  BOOST_TEST(changes.get().size() == 100);
   system.SetPlatformFaults("{}");
   configuration_operator reader(system.InstanceAt(2).admin, "sala");
-  BOOST_TEST(reader.Comments().size() == 40);
-  BOOST_TEST(reader.Teams(0).size() == 40);
-  BOOST_TEST(WaitUntil([&] { return reader.LowestInForce() == 40; }));
-  BOOST_TEST(monitor.Stop().size() == 0);
+  BOOST_TEST(reader.Comments().size() == 100);
+  BOOST_TEST(reader.Teams(0).size() == 100);
+  BOOST_TEST(
+      WaitUntil([&] { return reader.LowestInForce() == 100; }, kInForceLimit));
+  CheckThatNoneWentBack(system, 3);
 }
 
 BOOST_AUTO_TEST_CASE(InstanceStartedInAnOutageIsReadyOnlyWithTheNewest) {
   deployment system(Instances(3));
   BOOST_REQUIRE(system.Start());
-  AddTeams(system, 0, "mere", 3);
+  AddTeams(system, 0, "mere", 3, kNoPause);
   system.KillInstance(1);
   system.SetPlatformFaults(R"({"down":true})");
   system.StartInstance(1);
   BOOST_TEST(!system.WaitUntilReady(1, kOutage));
   configuration_operator other(system.InstanceAt(0).admin, "sala");
-  BOOST_TEST(other.Get("/v1/instances").has_value());
+  BOOST_TEST(other.LowestInForce() == 0);
   // The first read of the restarted instance may be stale.
   system.SetPlatformFaults(R"({"stale_reads":1})");
   BOOST_REQUIRE(system.WaitUntilReady(1, kLimit));
@@ -174,19 +185,22 @@
 }
 
 BOOST_AUTO_TEST_CASE(InstancePausedPastItsLeaseCatchesUp) {
-  deployment system(Instances(3));
+  deployment_options options = Instances(3);
+  options.failure_domains = {"viti-suva"};
+  deployment system(options);
   BOOST_REQUIRE(system.Start());
-  revision_monitor monitor(system.InstanceAt(2).admin);
-  // The first instance watches the store for its failure domain.
+  // Only this instance watches the store; the others hear from each other.
   for (child_process* process : system.ProcessesOf(0))
     process->Signal(SIGSTOP);
-  AddTeams(system, 1, "jone", 5);
+  AddTeams(system, 1, "jone", 5, kNoPause);
+  BOOST_TEST(
+      WaitUntil([&] { return HasInForce(system, 2, 5); }, kInForceLimit));
   std::this_thread::sleep_for(kOutage);
   for (child_process* process : system.ProcessesOf(0))
     process->Signal(SIGCONT);
   configuration_operator reader(system.InstanceAt(2).admin, "sala");
   BOOST_TEST(WaitUntil([&] { return reader.LowestInForce() == 5; }));
-  BOOST_TEST(monitor.Stop().size() == 0);
+  CheckThatNoneWentBack(system, 3);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
