--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -157,7 +157,7 @@
   std::this_thread::sleep_for(10 * kChangePause);
   system.SetPlatformFaults(R"({"down":true})");
   std::this_thread::sleep_for(kOutage);
-  system.SetPlatformFaults(R"({"stale_reads":0.2})");
+  system.SetPlatformFaults(R"({"stale_reads":0.5})");
   BOOST_TEST(changes.get().size() == 100);
   system.SetPlatformFaults("{}");
   configuration_operator reader(system.InstanceAt(2).admin, "sala");
