--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -53,6 +53,13 @@
   }
 }
 
+bool AnyOvercommitted(const std::vector<http::json_object>& accounts) {
+  return std::any_of(accounts.begin(), accounts.end(),
+                     [](const http::json_object& account) {
+                       return http::BooleanOf(account, "overcommitted");
+                     });
+}
+
 bool IsReady(const settings::endpoint& status) {
   http::client client(status);
   const auto answer = client.Call({"GET", "/readyz", {}, ""}, kCallTimeout);
@@ -79,6 +86,8 @@
 }
 
 void deployment::DescribeInstances() {
+  std::vector<settings::endpoint> peers;
+  std::vector<std::string> domains;
   for (int index = 0; index < options_.instances; ++index) {
     const std::string host = network_.Host(kInstanceGroup, index + 1);
     instance_addresses at;
@@ -94,9 +103,14 @@
     at.admin_status = {host, 7401};
     at.platform = platform_;
     at.index = index;
-    at.count = options_.instances;
+    peers.push_back({host, 8082});
+    domains.push_back(at.failure_domain);
     instances_.push_back({at, true, nullptr, nullptr, nullptr});
   }
+  for (system_instance& instance : instances_) {
+    instance.at.entry_peers = peers;
+    instance.at.peer_domains = domains;
+  }
 }
 
 void deployment::DescribeWorkers() {
@@ -329,15 +343,10 @@
 std::vector<std::string> deployment::OvercommittedWorkers() {
   std::vector<std::string> found;
   for (worker_instance& worker : workers_) {
-    std::vector<http::json_object> accounts = ServiceAccounts(worker);
-    const std::vector<http::json_object> tasks = TaskAccounts(worker);
-    accounts.insert(accounts.end(), tasks.begin(), tasks.end());
-    const bool overcommitted =
-        std::any_of(accounts.begin(), accounts.end(), [](const auto& account) {
-          return http::BooleanOf(account, "overcommitted");
-        });
-    if (overcommitted)
-      found.push_back(worker.listed.id);
+    if (AnyOvercommitted(ServiceAccounts(worker)))
+      found.push_back("slots of " + worker.listed.id);
+    if (AnyOvercommitted(TaskAccounts(worker)))
+      found.push_back("resources of " + worker.listed.id);
   }
   return found;
 }
