Store calls go through budgets, a circuit and a read-back

Cause: nothing bounded the store calls of a process or counted them by class.

Change: platform::guarded_store wraps the store in the three daemons: a budget for each class, a circuit after five failures in a row (ownership and leases pass it, since a lease that is not renewed at once is lost), retries of reads with jitter, a bound on waiting watches, a read-back of writes whose answer was lost, and prometheus metrics by class. Traffic between processes is counted.

Tests: 5 calls reach a store that is down out of 50; a lost answer is settled by a read; the budget delays, then refuses.

--- a/apps/chivecrank_admin/admin_settings.cc
+++ b/apps/chivecrank_admin/admin_settings.cc
@@ -1,6 +1,7 @@
 #include "admin_settings.h"
 
 #include "chivecrank/membership/peer_settings.h"
+#include "chivecrank/platform/guard_reader.h"
 #include "chivecrank/security/token.h"
 
 namespace chivecrank {
@@ -39,10 +40,11 @@
   if (read.listen.port != 0 && read.listen == read.status)
     root.Reject("status", "is the same address as listen",
                 "give the two different ports");
-  settings::section platform = root.Table("platform");
-  read.platform = platform.Endpoint("address");
-  read.store_timeout = platform.MillisecondsOr(
-      "timeout_ms", kTimeoutMilliseconds, read.store_timeout);
+  settings::section store = root.Table("platform");
+  read.platform = store.Endpoint("address");
+  read.guard = platform::ReadGuardSettings(store);
+  read.store_timeout = store.MillisecondsOr("timeout_ms", kTimeoutMilliseconds,
+                                            read.store_timeout);
   for (settings::section& entry : root.Tables("operators"))
     read.operators.push_back(ReadOperator(entry));
   if (read.operators.empty())
--- a/apps/chivecrank_admin/admin_settings.h
+++ b/apps/chivecrank_admin/admin_settings.h
@@ -7,6 +7,7 @@
 
 #include "chivecrank/membership/types.h"
 #include "chivecrank/operators/types.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/settings/section.h"
 
 namespace chivecrank {
@@ -22,6 +23,7 @@
   /// Age up to which a read of the instance list is used again.
   std::chrono::milliseconds list_age{500};
   membership::peer_ports peers;
+  platform::guard_settings guard;
   std::vector<operators::operator_account> operators;
 };
 
--- a/apps/chivecrank_admin/main.cc
+++ b/apps/chivecrank_admin/main.cc
@@ -10,6 +10,7 @@
 #include "chivecrank/http/server.h"
 #include "chivecrank/operators/admin_api.h"
 #include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -34,7 +35,11 @@
 
 process::exit_code Run(const admin_settings& settings) {
   base::system_clock clock;
-  platform::http_store store(settings.platform, settings.store_timeout);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  platform::http_store store_calls(settings.platform, settings.store_timeout);
+  platform::store_metrics store_metrics(*registry);
+  platform::guarded_store store(store_calls, clock, store_metrics,
+                                settings.guard);
   configuration::repository accepted(store, clock, NewWriteId);
   const operators::operator_directory directory(settings.operators);
   platform::http_instance_list list_calls(settings.platform,
@@ -45,7 +50,7 @@
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kAdmin, settings.listen.host, settings.peers),
-      clock, store, instances);
+      clock, store, instances, *registry);
   operators::admin_api api(accepted, directory,
                            {[&](const configuration::snapshot& newest) {
                               configured.Publish(newest);
@@ -56,9 +61,9 @@
   http::server server(settings.listen, {}, [&](const http::request& message) {
     return api.Answer(message);
   });
-  process::status_server status(
-      settings.status, std::make_shared<prometheus::Registry>(),
-      [&] { return Readiness(stopping, configured); });
+  process::status_server status(settings.status, registry, [&] {
+    return Readiness(stopping, configured);
+  });
   for (const auto& started :
        {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
--- a/apps/chivecrank_entry/entry_settings.cc
+++ b/apps/chivecrank_entry/entry_settings.cc
@@ -1,6 +1,7 @@
 #include "entry_settings.h"
 
 #include "chivecrank/membership/peer_settings.h"
+#include "chivecrank/platform/guard_reader.h"
 
 namespace chivecrank {
 namespace {
@@ -75,12 +76,13 @@
     root.Reject("status", "is the same address as listen",
                 "give the two different ports");
   read.peers = membership::ReadPeerPorts(root);
-  settings::section platform = root.Table("platform");
-  read.platform = platform.Endpoint("address");
-  read.store_timeout = platform.MillisecondsOr(
-      "timeout_ms", kTimeoutMilliseconds, read.store_timeout);
+  settings::section store = root.Table("platform");
+  read.platform = store.Endpoint("address");
+  read.guard = platform::ReadGuardSettings(store);
+  read.store_timeout = store.MillisecondsOr("timeout_ms", kTimeoutMilliseconds,
+                                            read.store_timeout);
   read.refresh =
-      platform.MillisecondsOr("refresh_ms", kTimeoutMilliseconds, read.refresh);
+      store.MillisecondsOr("refresh_ms", kTimeoutMilliseconds, read.refresh);
   settings::section scheduler = root.Table("scheduler");
   read.scheduler = scheduler.Endpoint("address");
   read.scheduler_timeout = scheduler.MillisecondsOr(
--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -7,6 +7,7 @@
 
 #include "chivecrank/http/types.h"
 #include "chivecrank/membership/types.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -25,6 +26,7 @@
   /// Age up to which a read of the instance list is used again.
   std::chrono::milliseconds list_age{500};
   membership::peer_ports peers;
+  platform::guard_settings guard;
   std::chrono::milliseconds scheduler_timeout{5000};
   std::chrono::milliseconds refresh{1000};
   /// Time between "not ready" and the end of listening on a planned stop.
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -13,6 +13,7 @@
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -52,7 +53,11 @@
 
 process::exit_code Run(const entry_settings& settings) {
   base::system_clock clock;
-  platform::http_store store(settings.platform, settings.store_timeout);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  platform::http_store store_calls(settings.platform, settings.store_timeout);
+  platform::store_metrics store_metrics(*registry);
+  platform::guarded_store store(store_calls, clock, store_metrics,
+                                settings.guard);
   platform::http_instance_list list_calls(settings.platform,
                                           settings.store_timeout);
   platform::cached_instance_list instances(list_calls, clock,
@@ -61,7 +66,7 @@
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kEntry, settings.listen.host, settings.peers),
-      clock, store, instances);
+      clock, store, instances, *registry);
   instances::scheduler_client jobs(settings.scheduler,
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
@@ -71,7 +76,6 @@
   entries::entry_server peers(
       settings.places[static_cast<std::size_t>(settings.share.index)], slots);
   callers::request_service requests(clock, slots, upstreams);
-  const auto registry = std::make_shared<prometheus::Registry>();
   objectives::request_metrics metrics(*registry);
   entries::slot_metrics slot_gauges(*registry);
   callers::caller_api api(
--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -7,6 +7,7 @@
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/instances/scheduler_server.h"
 #include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -39,7 +40,11 @@
 
 process::exit_code Run(const scheduler_settings& settings) {
   base::system_clock clock;
-  platform::http_store store(settings.platform, settings.store_timeout);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  platform::http_store store_calls(settings.platform, settings.store_timeout);
+  platform::store_metrics store_metrics(*registry);
+  platform::guarded_store store(store_calls, clock, store_metrics,
+                                settings.guard);
   platform::http_instance_list list_calls(settings.platform,
                                           settings.store_timeout);
   platform::cached_instance_list instances(list_calls, clock,
@@ -49,7 +54,7 @@
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kScheduler, settings.listen.host, settings.peers),
-      clock, store, instances);
+      clock, store, instances, *registry);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
       settings.shards, settings.session, clock, store, instances, agents);
@@ -58,9 +63,9 @@
   std::atomic<bool> stopping = false;
 
   instances::scheduler_server server(settings.listen, jobs);
-  process::status_server status(
-      settings.status, std::make_shared<prometheus::Registry>(),
-      [&] { return Readiness(stopping, configured, manager); });
+  process::status_server status(settings.status, registry, [&] {
+    return Readiness(stopping, configured, manager);
+  });
   for (const auto& started :
        {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
--- a/apps/chivecrank_scheduler/scheduler_settings.cc
+++ b/apps/chivecrank_scheduler/scheduler_settings.cc
@@ -1,6 +1,7 @@
 #include "scheduler_settings.h"
 
 #include "chivecrank/membership/peer_settings.h"
+#include "chivecrank/platform/guard_reader.h"
 
 namespace chivecrank {
 namespace {
@@ -23,10 +24,11 @@
     root.Reject("status", "is the same address as listen",
                 "give the two different ports");
   read.peers = membership::ReadPeerPorts(root);
-  settings::section platform = root.Table("platform");
-  read.platform = platform.Endpoint("address");
-  read.store_timeout = platform.MillisecondsOr(
-      "timeout_ms", kTimeoutMilliseconds, read.store_timeout);
+  settings::section store = root.Table("platform");
+  read.platform = store.Endpoint("address");
+  read.guard = platform::ReadGuardSettings(store);
+  read.store_timeout = store.MillisecondsOr("timeout_ms", kTimeoutMilliseconds,
+                                            read.store_timeout);
   settings::section timeouts = root.TableOr("timeouts");
   read.agent_timeout = timeouts.MillisecondsOr("agent_ms", kTimeoutMilliseconds,
                                                read.agent_timeout);
--- a/src/configuration/include/chivecrank/configuration/replica.h
+++ b/src/configuration/include/chivecrank/configuration/replica.h
@@ -40,7 +40,8 @@
   replica(replica_settings settings,
           base::clock& clock,
           platform::store& store,
-          platform::instance_list& instances);
+          platform::instance_list& instances,
+          prometheus::Registry& registry);
   ~replica() override;
 
   /// kUnavailable when the gossip server can't listen.
@@ -62,6 +63,7 @@
  private:
   const membership::peer self_;
   held_configuration held_;
+  membership::peer_metrics metrics_;
   membership::thrift_transport transport_;
   membership::gossip gossip_;
   membership::peer_server server_;
--- a/src/configuration/internal/replica.cc
+++ b/src/configuration/internal/replica.cc
@@ -36,10 +36,12 @@
 replica::replica(replica_settings settings,
                  base::clock& clock,
                  platform::store& store,
-                 platform::instance_list& instances)
+                 platform::instance_list& instances,
+                 prometheus::Registry& registry)
     : self_(settings.self),
       held_(clock),
-      transport_(settings.transport),
+      metrics_(registry),
+      transport_(settings.transport, metrics_),
       gossip_(settings.self,
               Incarnation(clock),
               settings.gossip,
@@ -51,7 +53,7 @@
                 BOOST_OUTCOME_TRY(listed, instances.List());
                 return membership::PeersOf(listed, ports);
               }),
-      server_(settings.self.address, gossip_),
+      server_(settings.self.address, gossip_, metrics_),
       watcher_(store,
                clock,
                held_,
--- a/src/membership/include/chivecrank/membership/peer_server.h
+++ b/src/membership/include/chivecrank/membership/peer_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/membership/peer_metrics.h"
 #include "chivecrank/membership/transport.h"
 
 namespace chivecrank::membership {
@@ -11,7 +12,9 @@
 /// Offers a peer handler to the other processes over Thrift.
 class peer_server {
  public:
-  peer_server(settings::endpoint address, peer_handler& handler);
+  peer_server(settings::endpoint address,
+              peer_handler& handler,
+              peer_metrics& metrics);
   ~peer_server();
   peer_server(const peer_server&) = delete;
   peer_server& operator=(const peer_server&) = delete;
--- a/src/membership/include/chivecrank/membership/thrift_transport.h
+++ b/src/membership/include/chivecrank/membership/thrift_transport.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_MEMBERSHIP_THRIFT_TRANSPORT_H_
 #define CHIVECRANK_MEMBERSHIP_THRIFT_TRANSPORT_H_
 
+#include "chivecrank/membership/peer_metrics.h"
 #include "chivecrank/membership/transport.h"
 
 namespace chivecrank::membership {
@@ -15,7 +16,7 @@
 /// Calls other processes over Thrift, a connection for each call.
 class thrift_transport final : public transport {
  public:
-  explicit thrift_transport(transport_settings limits);
+  thrift_transport(transport_settings limits, peer_metrics& metrics);
 
   base::result<digest> Exchange(const settings::endpoint& to,
                                 const digest& mine) override;
@@ -26,6 +27,7 @@
 
  private:
   const transport_settings limits_;
+  peer_metrics& metrics_;
 };
 
 }  // namespace chivecrank::membership
--- a/src/membership/internal/peer_server.cc
+++ b/src/membership/internal/peer_server.cc
@@ -3,12 +3,12 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TServerSocket.h>
 
 #include <future>
 #include <thread>
 
 #include "gossip_peer.h"
+#include "internal/counted_socket.h"
 #include "internal/digest_codec.h"
 
 namespace chivecrank::membership {
@@ -63,11 +63,13 @@
 
 class peer_server::implementation {
  public:
-  implementation(const settings::endpoint& address, peer_handler& handler)
+  implementation(const settings::endpoint& address,
+                 peer_handler& handler,
+                 peer_metrics& metrics)
       : address_(address),
-        socket_(
-            std::make_shared<thrift::transport::TServerSocket>(address.host,
-                                                               address.port)),
+        socket_(std::make_shared<internal::counted_server_socket>(address.host,
+                                                                  address.port,
+                                                                  metrics)),
         server_(std::make_shared<wire::gossip_peerProcessor>(
                     std::make_shared<call_handler>(handler)),
                 socket_,
@@ -110,8 +112,11 @@
   std::thread thread_;
 };
 
-peer_server::peer_server(settings::endpoint address, peer_handler& handler)
-    : implementation_(std::make_unique<implementation>(address, handler)) {}
+peer_server::peer_server(settings::endpoint address,
+                         peer_handler& handler,
+                         peer_metrics& metrics)
+    : implementation_(
+          std::make_unique<implementation>(address, handler, metrics)) {}
 
 peer_server::~peer_server() {
   Stop();
--- a/src/membership/internal/thrift_transport.cc
+++ b/src/membership/internal/thrift_transport.cc
@@ -2,9 +2,9 @@
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TSocket.h>
 
 #include "gossip_peer.h"
+#include "internal/counted_socket.h"
 #include "internal/digest_codec.h"
 
 namespace chivecrank::membership {
@@ -23,9 +23,11 @@
 template <class Answer, class Call>
 base::result<Answer> Run(const settings::endpoint& address,
                          std::chrono::milliseconds limit,
+                         peer_metrics& metrics,
                          const Call& call) {
-  auto socket =
-      std::make_shared<thrift::transport::TSocket>(address.host, address.port);
+  auto socket = std::make_shared<internal::counted_socket>(
+      address.host, address.port, metrics);
+  metrics.Called();
   const int timeout = static_cast<int>(limit.count());
   socket->setConnTimeout(timeout);
   socket->setRecvTimeout(timeout);
@@ -47,23 +49,25 @@
 
 }  // namespace
 
-thrift_transport::thrift_transport(transport_settings limits)
-    : limits_(limits) {}
+thrift_transport::thrift_transport(transport_settings limits,
+                                   peer_metrics& metrics)
+    : limits_(limits), metrics_(metrics) {}
 
 base::result<digest> thrift_transport::Exchange(const settings::endpoint& to,
                                                 const digest& mine) {
-  return Run<digest>(to, limits_.exchange, [&](wire::gossip_peerClient& peer) {
-    wire::digest answer;
-    peer.Exchange(answer, internal::ToWire(mine));
-    return internal::FromWire(answer);
-  });
+  return Run<digest>(to, limits_.exchange, metrics_,
+                     [&](wire::gossip_peerClient& peer) {
+                       wire::digest answer;
+                       peer.Exchange(answer, internal::ToWire(mine));
+                       return internal::FromWire(answer);
+                     });
 }
 
 base::result<std::string> thrift_transport::Fetch(
     const settings::endpoint& from,
     std::uint64_t version) {
   return Run<std::string>(
-      from, limits_.fetch, [&](wire::gossip_peerClient& peer) {
+      from, limits_.fetch, metrics_, [&](wire::gossip_peerClient& peer) {
         std::string text;
         peer.Fetch(text, static_cast<std::int64_t>(version));
         return text;
@@ -72,9 +76,10 @@
 
 base::result<bool> thrift_transport::Relay(const settings::endpoint& through,
                                            const settings::endpoint& target) {
-  return Run<bool>(through, limits_.relay, [&](wire::gossip_peerClient& peer) {
-    return peer.Relay(target.host, target.port);
-  });
+  return Run<bool>(through, limits_.relay, metrics_,
+                   [&](wire::gossip_peerClient& peer) {
+                     return peer.Relay(target.host, target.port);
+                   });
 }
 
 }  // namespace chivecrank::membership
--- /dev/null
+++ b/src/platform/internal/guard_reader.cc
@@ -0,0 +1,37 @@
+#include "chivecrank/platform/guard_reader.h"
+
+namespace chivecrank::platform {
+namespace {
+
+constexpr settings::integer_range kCallsPerSecond{1, 2000};
+constexpr settings::integer_range kWatches{1, 1000};
+/// Seconds of its rate that a class may use at once.
+constexpr double kBurstSeconds = 2;
+
+call_rate ReadRate(settings::section& budget,
+                   call_class purpose,
+                   const call_rate& fallback) {
+  const auto rate = static_cast<double>(
+      budget.IntegerOr(CallClassName(purpose), kCallsPerSecond,
+                       static_cast<std::int64_t>(fallback.per_second)));
+  return {rate, rate * kBurstSeconds};
+}
+
+}  // namespace
+
+guard_settings ReadGuardSettings(settings::section& platform_table) {
+  settings::section budget = platform_table.TableOr("budget");
+  guard_settings read;
+  read.ownership = ReadRate(budget, call_class::kOwnership, read.ownership);
+  read.journal = ReadRate(budget, call_class::kJournal, read.journal);
+  read.intent = ReadRate(budget, call_class::kIntent, read.intent);
+  read.configuration =
+      ReadRate(budget, call_class::kConfiguration, read.configuration);
+  read.watch = ReadRate(budget, call_class::kWatch, read.watch);
+  read.waiting_watches = static_cast<std::size_t>(
+      budget.IntegerOr("waiting_watches", kWatches,
+                       static_cast<std::int64_t>(read.waiting_watches)));
+  return read;
+}
+
+}  // namespace chivecrank::platform
