--- a/src/configuration/include/chivecrank/configuration/head_watcher.h
+++ b/src/configuration/include/chivecrank/configuration/head_watcher.h
@@ -62,6 +62,8 @@
   void Run();
   void StartUp();
   void Watch();
+  /// Takes over the head that a watch told.
+  void TakeChange(const platform::store_change& change, base::time_point asked);
   void PauseAfterFailure();
   bool Impatient();
   void DrawPatience();
--- a/src/configuration/internal/head_watcher.cc
+++ b/src/configuration/internal/head_watcher.cc
@@ -1,5 +1,7 @@
 #include "chivecrank/configuration/head_watcher.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -97,19 +99,37 @@
     PauseAfterFailure();
     return;
   }
-  const bool changed =
-      anew || !answer.value().changes.empty() || answer.value().gap;
-  if (changed && !Refresh().has_value()) {
+  const bool read_anew = anew || answer.value().gap;
+  if (read_anew && !Refresh().has_value()) {
     seen_ = 0;
     PauseAfterFailure();
     return;
   }
-  if (!changed)
+  for (const platform::store_change& change : answer.value().changes)
+    TakeChange(change, asked);
+  if (answer.value().changes.empty() && !read_anew)
     held_.Confirm(held_.Version(), asked);
   seen_ = answer.value().revision;
   pause_ = settings_.retry_pause;
 }
 
+void head_watcher::TakeChange(const platform::store_change& change,
+                              base::time_point asked) {
+  if (change.kind != platform::change_kind::kPut ||
+      change.entry.key != kHeadKey)
+    return;
+  auto accepted = DecodeSnapshot(change.entry.value);
+  if (!accepted.has_value()) {
+    LOG(ERROR) << "configuration: the head in the store is broken: "
+               << base::Describe(accepted.error()) << ".";
+    return;
+  }
+  const revision number = accepted.value().revision;
+  if (held_.Offer(std::move(accepted.value())))
+    surroundings_.on_newer();
+  held_.Confirm(number, asked);
+}
+
 void head_watcher::PauseAfterFailure() {
   std::uniform_int_distribution<std::int64_t> jittered(pause_.count() / 2,
                                                        pause_.count());
--- a/src/membership/include/chivecrank/membership/gossip.h
+++ b/src/membership/include/chivecrank/membership/gossip.h
@@ -22,7 +22,7 @@
   /// Mean time between two exchanges that this process begins.
   std::chrono::milliseconds period{500};
   /// How often the instance list is looked at.
-  std::chrono::milliseconds list_period{1000};
+  std::chrono::milliseconds list_period{3000};
   /// How often the thread looks whether a peer told of something newer.
   std::chrono::milliseconds poll{25};
   /// Peers that are told at once of a new version.
--- a/tests/standin_platform/main.cc
+++ b/tests/standin_platform/main.cc
@@ -20,7 +20,7 @@
   standin::platform_service service(clock, absl::GetFlag(FLAGS_seed));
   http::server_limits limits;
   limits.body_bytes = std::size_t{4} << 20;
-  limits.threads = 400;
+  limits.threads = 2000;
   http::server server(
       {absl::GetFlag(FLAGS_host), absl::GetFlag(FLAGS_port)}, limits,
       [&](const http::request& message) { return service.Answer(message); });
--- a/tests/standin_platform/platform_service.cc
+++ b/tests/standin_platform/platform_service.cc
@@ -195,7 +195,11 @@
 
 void platform_service::Count(const std::string& operation,
                              const json_object& body) {
-  const std::string purpose = http::StringOf(body, "class");
+  std::string purpose = http::StringOf(body, "class");
+  if (operation == "watch") {
+    const std::string prefix = http::StringOf(body, "prefix");
+    purpose = prefix.substr(0, prefix.find('/'));
+  }
   std::lock_guard lock(mutex_);
   ++calls_[purpose.empty() ? operation : operation + "/" + purpose];
 }
