Administration API: dry run, difference, rollback, drains, state and a status page

Drained workers count as leaving for the schedulers and entries, so they get nothing new and what runs on them finishes.

--- a/apps/chivecrank_admin/main.cc
+++ b/apps/chivecrank_admin/main.cc
@@ -8,7 +8,9 @@
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/configuration/repository.h"
 #include "chivecrank/http/server.h"
+#include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/operators/admin_api.h"
+#include "chivecrank/ownership/shard_registry.h"
 #include "chivecrank/platform/cached_instance_list.h"
 #include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
@@ -33,6 +35,33 @@
   return {true, ""};
 }
 
+base::result<std::vector<ownership::owner>> ReadOwners(platform::store& store) {
+  BOOST_OUTCOME_TRY(all, ownership::shard_registry(store).Owners());
+  return all.owners;
+}
+
+/// Asks the first scheduler that answers; it passes the call on to the owner.
+base::result<instances::job_report> DescribeJob(
+    platform::instance_list& listed,
+    const instances::job_reference& job,
+    std::chrono::milliseconds timeout) {
+  BOOST_OUTCOME_TRY(all, listed.List());
+  base::error last{base::error_kind::kUnavailable, "no scheduler is listed",
+                   "try again later"};
+  for (const platform::instance& one : all) {
+    if (one.kind != platform::instance_kind::kSystem)
+      continue;
+    instances::scheduler_client scheduler(one.scheduler, timeout);
+    auto report = scheduler.Describe(job, instances::call_origin::kEntry);
+    if (report.has_value() ||
+        report.error().kind == base::error_kind::kNotFound) {
+      return report;
+    }
+    last = report.error();
+  }
+  return last;
+}
+
 process::exit_code Run(const admin_settings& settings) {
   base::system_clock clock;
   const auto registry = std::make_shared<prometheus::Registry>();
@@ -44,18 +73,22 @@
   const operators::operator_directory directory(settings.operators);
   platform::http_instance_list list_calls(settings.platform,
                                           settings.store_timeout);
-  platform::cached_instance_list instances(list_calls, clock,
-                                           settings.list_age);
+  platform::cached_instance_list listed(list_calls, clock, settings.list_age);
   configuration::replica configured(
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kAdmin, settings.listen.host, settings.peers),
-      clock, store, instances, *registry);
-  operators::admin_api api(accepted, directory,
-                           {[&](const configuration::snapshot& newest) {
-                              configured.Publish(newest);
-                            },
-                            [&] { return configured.Fleet(); }});
+      clock, store, listed, *registry);
+  const operators::fleet_api fleet(
+      listed, configured,
+      {[&] { return configured.Fleet(); }, [&] { return ReadOwners(store); },
+       [&](const instances::job_reference& job) {
+         return DescribeJob(listed, job, settings.store_timeout);
+       }});
+  operators::admin_api api(accepted, directory, fleet,
+                           [&](const configuration::snapshot& newest) {
+                             configured.Publish(newest);
+                           });
   std::atomic<bool> stopping = false;
 
   http::server server(settings.listen, {}, [&](const http::request& message) {
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -4,6 +4,7 @@
 
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/callers/caller_api.h"
+#include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/entries/entry_server.h"
 #include "chivecrank/entries/slot_metrics.h"
@@ -81,8 +82,9 @@
   callers::caller_api api(
       clock, configured, requests, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
+  configuration::drained_instance_list drained(instances, configured);
   upstream_refresher refresher(
-      clock, instances, settings.refresh,
+      clock, drained, settings.refresh,
       [&](const auto& listed) { slots.Update(listed); });
   upstream_prober prober(
       clock, slots,
--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -4,6 +4,7 @@
 #include <atomic>
 
 #include "chivecrank/base/system_clock.h"
+#include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/instances/scheduler_server.h"
 #include "chivecrank/platform/cached_instance_list.h"
@@ -55,9 +56,10 @@
           settings.instance, settings.failure_domain,
           membership::daemon::kScheduler, settings.listen.host, settings.peers),
       clock, store, instances, *registry);
+  configuration::drained_instance_list drained(instances, configured);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
-      settings.shards, settings.session, clock, store, instances, agents);
+      settings.shards, settings.session, clock, store, drained, agents);
   ownership::home_registry homes(store);
   shards::job_router jobs(manager, homes, configured, settings.peer_timeout);
   std::atomic<bool> stopping = false;
--- /dev/null
+++ b/src/operators/include/chivecrank/operators/fleet_api.h
@@ -0,0 +1,63 @@
+#ifndef CHIVECRANK_OPERATORS_FLEET_API_H_
+#define CHIVECRANK_OPERATORS_FLEET_API_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/configuration/fleet.h"
+#include "chivecrank/configuration/view.h"
+#include "chivecrank/http/json.h"
+#include "chivecrank/instances/types.h"
+#include "chivecrank/ownership/types.h"
+#include "chivecrank/platform/instance_list.h"
+
+namespace chivecrank::operators {
+
+/// Where the state of the running system is asked for.
+struct fleet_sources {
+  /// All processes with the revisions that they have in force.
+  std::function<std::vector<configuration::process_state>()> processes;
+  std::function<base::result<std::vector<ownership::owner>>()> owners;
+  /// Asks a scheduler for a job of an account.
+  std::function<base::result<instances::job_report>(
+      const instances::job_reference&)>
+      describe_job;
+};
+
+/// Reads the state of the running system for operators. Safe to use from
+/// several threads.
+class fleet_api {
+ public:
+  fleet_api(platform::instance_list& listed,
+            const configuration::view& configured,
+            fleet_sources sources);
+
+  using answer = base::result<http::json_object>;
+
+  /// Processes with the revision that each has in force.
+  answer Instances() const;
+  /// Workers with place, capacity, state and whether they are drained.
+  answer Workers() const;
+  /// Teams with their quotas.
+  answer Teams() const;
+  /// Shards with their owners.
+  answer Shards() const;
+  /// Whether a revision is in force everywhere, and where it is not.
+  answer Status(configuration::revision number) const;
+  /// A job of an account.
+  answer Job(const instances::job_reference& reference) const;
+
+  /// The same as a page for browsers.
+  std::string Page() const;
+
+ private:
+  platform::instance_list& listed_;
+  const configuration::view& configured_;
+  const fleet_sources sources_;
+};
+
+}  // namespace chivecrank::operators
+
+#endif  // CHIVECRANK_OPERATORS_FLEET_API_H_
--- /dev/null
+++ b/src/operators/internal/status_page.h
@@ -0,0 +1,25 @@
+#ifndef CHIVECRANK_OPERATORS_INTERNAL_STATUS_PAGE_H_
+#define CHIVECRANK_OPERATORS_INTERNAL_STATUS_PAGE_H_
+
+#include <string>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/configuration/types.h"
+#include "chivecrank/http/json.h"
+
+namespace chivecrank::operators::internal {
+
+/// What the status page shows; a part that can't be read shows its error.
+struct page_parts {
+  configuration::revision revision = 0;
+  base::result<http::json_object> workers;
+  base::result<http::json_object> processes;
+  base::result<http::json_object> shards;
+};
+
+/// A plain HTML page that needs no other file.
+std::string StatusPage(const page_parts& parts);
+
+}  // namespace chivecrank::operators::internal
+
+#endif  // CHIVECRANK_OPERATORS_INTERNAL_STATUS_PAGE_H_
