--- a/cmake/chivecrank_module.cmake
+++ b/cmake/chivecrank_module.cmake
@@ -43,7 +43,7 @@
   if(TEST_UNIT)
     set_tests_properties(${name} PROPERTIES LABELS unit TIMEOUT 300)
   else()
-    set_tests_properties(${name} PROPERTIES LABELS integration TIMEOUT 600 RUN_SERIAL TRUE)
+    set_tests_properties(${name} PROPERTIES LABELS integration TIMEOUT 900 PROCESSORS 3)
   endif()
 endfunction()
 
