--- a/src/journal/internal/record_codec.cc
+++ b/src/journal/internal/record_codec.cc
@@ -1,5 +1,14 @@
 #include "chivecrank/journal/record_codec.h"
 
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/StreamCopier.h>
+
+#include <sstream>
+
 #include "chivecrank/http/json.h"
 #include "chivecrank/scheduling/event_codec.h"
 
@@ -13,6 +22,38 @@
           "run the program version that wrote it, or restore the record"};
 }
 
+/// Stands before text that is deflated and in Base64.
+constexpr char kDeflated = 'z';
+
+/// Events repeat their member names, so this saves most of the bytes.
+std::string Deflate(const std::string& text) {
+  std::ostringstream packed;
+  Poco::Base64Encoder encoder(packed, Poco::BASE64_NO_PADDING);
+  encoder.rdbuf()->setLineLength(0);
+  Poco::DeflatingOutputStream deflater(encoder,
+                                       Poco::DeflatingStreamBuf::STREAM_ZLIB);
+  deflater << text;
+  deflater.close();
+  encoder.close();
+  return kDeflated + packed.str();
+}
+
+base::result<std::string> Inflate(std::string_view text) {
+  std::istringstream packed{std::string(text.substr(1))};
+  Poco::Base64Decoder decoder(packed, Poco::BASE64_NO_PADDING);
+  Poco::InflatingInputStream inflater(decoder,
+                                      Poco::InflatingStreamBuf::STREAM_ZLIB);
+  std::string plain;
+  try {
+    Poco::StreamCopier::copyToString(inflater, plain);
+  } catch (const Poco::Exception& failure) {
+    return Corrupt("can't be inflated: " + failure.displayText());
+  }
+  return plain;
+}
+
+base::result<record> DecodeText(std::string_view text);
+
 }  // namespace
 
 std::string EncodeRecord(const record& written) {
@@ -25,10 +66,19 @@
   encoded->set("epoch", written.epoch);
   encoded->set("writer", written.writer);
   encoded->set("events", events);
-  return http::ToText(encoded);
+  return Deflate(http::ToText(encoded));
 }
 
 base::result<record> DecodeRecord(std::string_view text) {
+  if (text.empty() || text.front() != kDeflated)
+    return Corrupt("has an unknown form");
+  BOOST_OUTCOME_TRY(plain, Inflate(text));
+  return DecodeText(plain);
+}
+
+namespace {
+
+base::result<record> DecodeText(std::string_view text) {
   const auto parsed = http::ParseObject(text);
   if (!parsed.has_value())
     return Corrupt("is not JSON");
@@ -50,4 +100,6 @@
   return read;
 }
 
+}  // namespace
+
 }  // namespace chivecrank::journal
--- a/src/journal/tests/shard_journal_test.cc
+++ b/src/journal/tests/shard_journal_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
+#include "chivecrank/journal/record_codec.h"
 #include "chivecrank/platform/memory_store.h"
 
 namespace chivecrank::journal {
@@ -43,7 +44,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RingIsUsedAgainAfterSnapshots) {
-  const journal_limits limits{16, 8, 200};
+  const journal_limits limits{16, 8, 400};
   shard_journal first(store, "s", "one", limits);
   BOOST_REQUIRE(first.Open(1).has_value());
   std::vector<scheduling::event> all;
@@ -75,6 +76,17 @@
       shard_journal(store, "s", "two", {16, 8, 900'000}).Open(2).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(DamagedRecordIsRefused) {
+  const std::string whole =
+      EncodeRecord({1, 1, "one", {Cancelled("a"), Cancelled("b")}});
+  BOOST_TEST(DecodeRecord(whole).has_value());
+  for (std::size_t size = 0; size + 4 < whole.size(); ++size)
+    BOOST_TEST(!DecodeRecord(whole.substr(0, size)).has_value());
+  std::string changed = whole;
+  changed[whole.size() / 2] = changed[whole.size() / 2] == 'A' ? 'B' : 'A';
+  BOOST_TEST(!DecodeRecord(changed).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MissingRecordIsRefused) {
   shard_journal first(store, "s", "one");
   BOOST_REQUIRE(first.Open(1).has_value());
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -78,6 +78,7 @@
   worker_entry& EntryOf(const std::string& worker_id);
   void StageLost();
   void StageStarts();
+  void AskForWrite();
   base::result<std::uint64_t> Stage(std::vector<scheduling::event> events);
   base::result<void> AwaitConfirmed(std::unique_lock<std::mutex>& lock,
                                     std::uint64_t position);
@@ -109,6 +110,7 @@
   std::unique_ptr<internal::shard_ledger> ledger_;
   std::map<std::string, worker_entry> workers_;
   bool plan_due_ = true;
+  base::time_point next_commit_{};
   bool fenced_ = false;
   bool closing_ = false;
   int calls_in_progress_ = 0;
--- a/src/shards/include/chivecrank/shards/types.h
+++ b/src/shards/include/chivecrank/shards/types.h
@@ -27,6 +27,8 @@
   std::chrono::milliseconds sync_interval{1000};
   /// How long leases are renewed while the store can't be reached.
   std::chrono::milliseconds ride{60'000};
+  /// How long starts and ends wait for others to share a write, unless urgent.
+  std::chrono::milliseconds commit_window{500};
   journal::journal_limits journal;
 };
 
--- a/src/shards/internal/shard_ledger.cc
+++ b/src/shards/internal/shard_ledger.cc
@@ -13,6 +13,14 @@
   return !std::holds_alternative<scheduling::attempt_confirmed>(recorded);
 }
 
+/// Whether a caller or urgent work may wait for the event; the others go out
+/// together once in a while.
+bool IsAwaited(const scheduling::event& recorded) {
+  return std::holds_alternative<scheduling::task_accepted>(recorded) ||
+         std::holds_alternative<scheduling::task_cancelled>(recorded) ||
+         std::holds_alternative<scheduling::checkpoint_ordered>(recorded);
+}
+
 }  // namespace
 
 const std::string& TaskOf(const scheduling::event& recorded) {
@@ -54,8 +62,11 @@
     std::vector<scheduling::event> events) {
   for (scheduling::event& recorded : events) {
     BOOST_OUTCOME_TRY(state_.Apply(recorded));
+    if (const auto* start = std::get_if<scheduling::attempt_started>(&recorded))
+      LinkOf(start->worker_id).AddPlanned({start->task_id, start->attempt});
     unconfirmed_[TaskOf(recorded)] = ++staged_end_;
-    write_due_ |= IsWorthAWrite(recorded);
+    write_due_ |= IsAwaited(recorded);
+    worth_writing_ |= IsWorthAWrite(recorded);
     staged_.push_back(std::move(recorded));
   }
   return staged_end_;
@@ -71,6 +82,7 @@
                 std::make_move_iterator(end));
   staged_.erase(staged_.begin(), end);
   write_due_ = !staged_.empty();
+  worth_writing_ = false;
   return batch_;
 }
 
--- a/src/shards/internal/shard_ledger.h
+++ b/src/shards/internal/shard_ledger.h
@@ -39,7 +39,10 @@
 
   /// Whether something waits for a write.
   bool NeedsWrite() const { return write_due_ || !batch_.empty(); }
+  /// Asks for a write of all that is staged.
   void AskForWrite() { write_due_ |= !staged_.empty(); }
+  /// Whether something is staged that should not wait for long.
+  bool IsWorthWriting() const { return worth_writing_; }
 
   /// The next sync of a worker. Starts are only sent when `may_start`.
   workers::sync_command NextSync(const std::string& worker_id, bool may_start);
@@ -77,6 +80,7 @@
   event_position staged_end_ = 0;
   event_position confirmed_ = 0;
   bool write_due_ = false;
+  bool worth_writing_ = false;
   /// Positions of the newest unconfirmed events of tasks.
   std::map<std::string, event_position> unconfirmed_;
   std::map<std::string, std::vector<scheduling::event>> history_;
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -113,6 +113,7 @@
       StageLost();
       StageStarts();
     }
+    AskForWrite();
   }
   Dispatch();
   std::lock_guard lock(mutex_);
@@ -243,10 +244,24 @@
     }
   }
   const auto starts = scheduling::PlanStarts(ledger_->state(), ready);
+  const bool urgent =
+      std::any_of(starts.begin(), starts.end(), [this](const auto& start) {
+        return ledger_->state().Find(start.task_id)->request.urgent;
+      });
+  if (urgent)
+    next_commit_ = {};
   static_cast<void>(Stage({starts.begin(), starts.end()}));
   plan_due_ = false;
 }
 
+void shard_runner::AskForWrite() {
+  const base::time_point now = clock_.Now();
+  if (now < next_commit_ || !ledger_->IsWorthWriting())
+    return;
+  ledger_->AskForWrite();
+  next_commit_ = now + settings_.commit_window;
+}
+
 base::result<std::uint64_t> shard_runner::Stage(
     std::vector<scheduling::event> events) {
   plan_due_ |= !events.empty();
@@ -369,12 +384,14 @@
   plan_due_ |= !ledger_->LinkOf(worker_id).IsIntroduced() ||
                entry.failures > 0 || !answer.value().attempts.empty();
   entry.failures = 0;
+  const std::uint64_t staged_before = ledger_->staged_end();
   const auto taken =
       ledger_->OnReport(worker_id, command, answer.value(), clock_.Now());
   if (!taken.has_value()) {
     LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(taken.error())
                << ".";
   }
+  plan_due_ |= ledger_->staged_end() != staged_before;
 }
 
 void shard_runner::WriteStaged() {
--- a/src/shards/internal/worker_link.cc
+++ b/src/shards/internal/worker_link.cc
@@ -133,7 +133,8 @@
   for (const std::string& id : state.OpenOn(worker_id_)) {
     const task& known = *state.Find(id);
     const workers::attempt_id attempt{id, known.attempt};
-    if (!reported.contains(attempt) && !starts_.contains(attempt))
+    const bool coming = starts_.contains(attempt) || planned_.contains(attempt);
+    if (!reported.contains(attempt) && !coming)
       lost.push_back(Lost(id, known));
   }
   return lost;
@@ -145,7 +146,12 @@
   unstaged_.clear();
 }
 
+void worker_link::AddPlanned(const workers::attempt_id& attempt) {
+  planned_.insert(attempt);
+}
+
 void worker_link::AddStart(const workers::attempt_id& attempt) {
+  planned_.erase(attempt);
   starts_.insert(attempt);
 }
 
@@ -155,6 +161,8 @@
   };
   std::string text =
       lease_.Fingerprint() + incarnation_ + "@" + std::to_string(reported_);
+  for (const workers::attempt_id& attempt : planned_)
+    text += "p" + text_of(attempt);
   for (const workers::attempt_id& attempt : starts_)
     text += "s" + text_of(attempt);
   for (const workers::attempt_id& attempt : unwanted_)
@@ -171,6 +179,7 @@
   if (!lease_.IsOver(now))
     return lost;
   starts_.clear();
+  planned_.clear();
   for (const std::string& id : state.OpenOn(worker_id_))
     lost.push_back(Lost(id, *state.Find(id)));
   return lost;
--- a/src/shards/internal/worker_link.h
+++ b/src/shards/internal/worker_link.h
@@ -41,6 +41,9 @@
   /// acknowledged once the journal confirmed it.
   void OnStaged(event_position position);
 
+  /// A start waits for the journal, so the worker can't know of it yet.
+  void AddPlanned(const workers::attempt_id& attempt);
+
   /// A start that the journal confirmed goes out with the next sync.
   void AddStart(const workers::attempt_id& attempt);
 
@@ -66,6 +69,7 @@
   protocol::lease_terms terms_;
   std::string incarnation_;
   std::uint64_t reported_ = 0;
+  std::set<workers::attempt_id> planned_;
   /// Confirmed starts that the worker has not reported yet.
   std::set<workers::attempt_id> starts_;
   /// Attempts that run at the worker but should not.
--- a/src/shards/tests/shard_runner_test.cc
+++ b/src/shards/tests/shard_runner_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 #include "chivecrank/base/manual_clock.h"
 #include "chivecrank/platform/memory_store.h"
@@ -217,6 +218,28 @@
   BOOST_TEST(agents.starts == starts);
 }
 
+BOOST_AUTO_TEST_CASE(StartThatWaitsForTheJournalIsNotLost) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  // Its writes wait until the test runs them, while syncs go on.
+  std::vector<std::function<void()>> writes;
+  shard_runner slow("s", 2, settings, clock, store, agents, "run", held,
+                    {RunInline, RunInline, [&](std::function<void()> job) {
+                       writes.push_back(std::move(job));
+                     }});
+  BOOST_REQUIRE(slow.Open().has_value());
+  RunRounds(slow);
+  RunRounds(slow);
+  BOOST_TEST(agents.starts == 0);
+  for (const auto& write : std::exchange(writes, {}))
+    write();
+  RunRounds(slow);
+  BOOST_TEST(agents.starts == 1);
+  BOOST_TEST(agents.started.at(0).attempt.attempt == 1);
+  for (const auto& write : std::exchange(writes, {}))
+    write();
+}
+
 BOOST_AUTO_TEST_CASE(CancelSurvivesATakeover) {
   BOOST_REQUIRE(runner->Open().has_value());
   BOOST_REQUIRE(runner->Submit(Request()).has_value());
--- a/tests/harness/settings_files.cc
+++ b/tests/harness/settings_files.cc
@@ -50,7 +50,7 @@
        << "status = " << Quoted(at.scheduler_status) << "\n"
        << "[platform]\naddress = " << Quoted(at.platform) << "\n"
        << "[leases]\nsession_ms = 2000\nclock_margin_ms = 300\n"
-       << "task_ms = 2000\n";
+       << "task_ms = 2000\nride_ms = 20000\nsync_ms = 400\n";
   return text.str();
 }
 
--- a/tests/standin_worker/task_agent.h
+++ b/tests/standin_worker/task_agent.h
@@ -72,7 +72,8 @@
   std::condition_variable thawed_;
   bool frozen_ = false;
   protocol::worker_fence fence_;
-  std::uint64_t position_ = 0;
+  /// 0 would ask for a full report each time.
+  std::uint64_t position_ = 1;
   std::map<std::string, running_task> tasks_;
   std::vector<run_record> records_;
   platform::resources highest_use_;
