Writes to a store that is down wait between tries

A failed write was tried again at once, thousands of times a second, seen in the integration test of a store outage. The next try waits for a round; only the first failure is logged.

--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -111,6 +111,8 @@
   std::map<std::string, worker_entry> workers_;
   bool plan_due_ = true;
   base::time_point next_commit_{};
+  /// After a failed write the next one waits.
+  base::time_point next_write_{};
   bool fenced_ = false;
   bool closing_ = false;
   int calls_in_progress_ = 0;
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -342,7 +342,7 @@
 }
 
 bool shard_runner::TakeWrite() {
-  if (writing_ || !ledger_->NeedsWrite())
+  if (writing_ || !ledger_->NeedsWrite() || clock_.Now() < next_write_)
     return false;
   writing_ = true;
   return true;
@@ -436,7 +436,11 @@
   fenced_ |= failure.kind == base::error_kind::kFenced;
   ++failed_writes_;
   ++failures_seen_;
-  LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure) << ".";
+  next_write_ = clock_.Now() + settings_.round;
+  if (failed_writes_ == 1) {
+    LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure)
+                 << ".";
+  }
   return false;
 }
 
--- a/src/shards/tests/faulty_store.h
+++ b/src/shards/tests/faulty_store.h
@@ -37,6 +37,7 @@
   base::result<platform::version> Put(
       platform::call_class purpose,
       const platform::put_request& write) override {
+    ++puts_;
     LandLate();
     if (Happens(faults_.unavailable))
       return Unavailable();
@@ -82,6 +83,9 @@
     return real_.RevokeLease(lease);
   }
 
+  /// Writes that were asked for.
+  int puts() const { return puts_; }
+
  private:
   bool Happens(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
@@ -104,6 +108,7 @@
   platform::store& real_;
   std::mt19937_64& random_;
   store_faults faults_;
+  int puts_ = 0;
   std::vector<std::pair<platform::call_class, platform::put_request>> late_;
 };
 
--- a/src/shards/tests/shard_runner_test.cc
+++ b/src/shards/tests/shard_runner_test.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <random>
 #include <utility>
 
 #include "chivecrank/base/manual_clock.h"
 #include "chivecrank/platform/memory_store.h"
 #include "chivecrank/protocol/worker_fence.h"
+#include "tests/faulty_store.h"
 
 namespace chivecrank::shards {
 namespace {
@@ -240,6 +242,23 @@
     write();
 }
 
+BOOST_AUTO_TEST_CASE(WritesToAStoreThatIsDownWaitBetweenTries) {
+  std::mt19937_64 random(1);
+  faulty_store failing(store, random);
+  shard_runner owner("s", 1, settings, clock, failing, agents, "run", held,
+                     {RunInline, RunInline, RunInline});
+  BOOST_REQUIRE(owner.Open().has_value());
+  failing.SetFaults({1.0, 0, 0});
+  const int before = failing.puts();
+  BOOST_TEST(!owner.Submit(Request()).has_value());
+  BOOST_REQUIRE(owner.RunRound(workers).has_value());
+  BOOST_TEST(failing.puts() == before + 1);
+  failing.SetFaults({});
+  clock.Advance(settings.round);
+  BOOST_REQUIRE(owner.RunRound(workers).has_value());
+  BOOST_TEST((State(owner) == scheduling::task_state::kPending));
+}
+
 BOOST_AUTO_TEST_CASE(CancelSurvivesATakeover) {
   BOOST_REQUIRE(runner->Open().has_value());
   BOOST_REQUIRE(runner->Submit(Request()).has_value());
