Stopped and dead owners hand over though the instance list still shows them

Claims followed the lagging instance list, so the shards of a stopped instance stayed without an owner until the list dropped it: seen in the new test, where it never does. Only instances whose ownership lease holds are proposed now, a stopping scheduler releases its shards, and shards move back only to such an instance. Gauges of shards, workers, tasks and journals on /metrics.

--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -50,17 +50,22 @@
           settings.instance, settings.failure_domain,
           membership::daemon::kScheduler, settings.listen.host, settings.peers),
       clock, store, instances);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  shards::shard_metrics metrics(*registry);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
-      settings.shards, settings.session, clock, store, instances, agents);
+      settings.shards, settings.session, clock, store, instances, agents,
+      [&metrics](const shards::shard_totals& totals) {
+        metrics.Update(totals);
+      });
   ownership::home_registry homes(store);
   shards::job_router jobs(manager, homes, configured, settings.peer_timeout);
   std::atomic<bool> stopping = false;
 
   instances::scheduler_server server(settings.listen, jobs);
-  process::status_server status(
-      settings.status, std::make_shared<prometheus::Registry>(),
-      [&] { return Readiness(stopping, configured, manager); });
+  process::status_server status(settings.status, registry, [&] {
+    return Readiness(stopping, configured, manager);
+  });
   for (const auto& started :
        {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
--- a/src/ownership/include/chivecrank/ownership/session.h
+++ b/src/ownership/include/chivecrank/ownership/session.h
@@ -28,7 +28,8 @@
   session(platform::store& store,
           base::clock& clock,
           session_settings settings,
-          std::string run);
+          std::string run,
+          std::string instance);
 
   /// Takes or renews the lease. After kNotFound everything held is lost.
   base::result<void> Renew();
@@ -52,6 +53,7 @@
   base::clock& clock_;
   session_settings settings_;
   std::string run_;
+  std::string instance_;
   std::string holder_key_;
   std::uint64_t generation_ = 0;
   platform::lease_id lease_ = 0;
--- a/src/ownership/include/chivecrank/ownership/shard_registry.h
+++ b/src/ownership/include/chivecrank/ownership/shard_registry.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_OWNERSHIP_SHARD_REGISTRY_H_
 #define CHIVECRANK_OWNERSHIP_SHARD_REGISTRY_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
   /// The records written after a revision.
   base::result<owner_changes> ChangesAfter(platform::revision known);
 
+  /// Instances whose ownership lease holds.
+  base::result<std::set<std::string>> Holders();
+
   /// Claims a shard whose holder is gone, or is the claimant, which then must
   /// have dropped what it led under the old epoch; returns the new epoch.
   /// kConflict: it is held, or another instance was quicker.
--- a/src/ownership/internal/session.cc
+++ b/src/ownership/internal/session.cc
@@ -7,8 +7,13 @@
 session::session(platform::store& store,
                  base::clock& clock,
                  session_settings settings,
-                 std::string run)
-    : store_(store), clock_(clock), settings_(settings), run_(std::move(run)) {}
+                 std::string run,
+                 std::string instance)
+    : store_(store),
+      clock_(clock),
+      settings_(settings),
+      run_(std::move(run)),
+      instance_(std::move(instance)) {}
 
 base::result<void> session::Renew() {
   if (lease_ == 0)
@@ -34,7 +39,7 @@
   ++generation_;
   holder_key_ = "holders/" + run_ + "-" + std::to_string(generation_);
   BOOST_OUTCOME_TRY(store_.Put(platform::call_class::kOwnership,
-                               {holder_key_, run_, 0, granted}));
+                               {holder_key_, instance_, 0, granted}));
   lease_ = granted;
   held_ = std::make_shared<protocol::tenure>(settings_.ride);
   held_->Extend(sent + settings_.term - settings_.margin);
--- a/src/ownership/internal/shard_registry.cc
+++ b/src/ownership/internal/shard_registry.cc
@@ -7,6 +7,7 @@
 
 constexpr platform::call_class kClass = platform::call_class::kOwnership;
 constexpr char kOwnersPrefix[] = "owners/";
+constexpr char kHoldersPrefix[] = "holders/";
 
 base::error Held(const owner& record) {
   return {base::error_kind::kConflict,
@@ -44,6 +45,14 @@
   return changes;
 }
 
+base::result<std::set<std::string>> shard_registry::Holders() {
+  BOOST_OUTCOME_TRY(listing, store_.List(kClass, kHoldersPrefix));
+  std::set<std::string> instances;
+  for (const platform::store_entry& entry : listing.entries)
+    instances.insert(entry.value);
+  return instances;
+}
+
 base::result<void> shard_registry::Release(const std::string& shard,
                                            std::uint64_t epoch) {
   const std::string key = kOwnersPrefix + shard;
--- a/src/ownership/tests/shard_registry_test.cc
+++ b/src/ownership/tests/shard_registry_test.cc
@@ -14,8 +14,8 @@
   base::manual_clock clock;
   platform::memory_store store{clock};
   session_settings settings;
-  session first{store, clock, settings, "one"};
-  session second{store, clock, settings, "two"};
+  session first{store, clock, settings, "one", "i-1"};
+  session second{store, clock, settings, "two", "i-2"};
   shard_registry registry{store};
 
   base::result<std::uint64_t> Claim(const session& by) {
--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,7 +32,8 @@
                 base::clock& clock,
                 platform::store& store,
                 platform::instance_list& instances,
-                workers::agent& agents);
+                workers::agent& agents,
+                std::function<void(const shard_totals&)> report);
   ~shard_manager();
   shard_manager(const shard_manager&) = delete;
   shard_manager& operator=(const shard_manager&) = delete;
@@ -69,6 +71,7 @@
   void Claim(const std::string& shard);
   void GiveUpUnproposed(const std::vector<std::string>& live);
   void RunRounds();
+  void Report();
   void Drop(const std::string& shard);
   std::shared_ptr<const protocol::tenure> Held() const;
   void CloseRunners();
@@ -82,6 +85,7 @@
   platform::store& store_;
   platform::instance_list& instances_;
   workers::agent& agents_;
+  const std::function<void(const shard_totals&)> report_;
   ownership::shard_registry registry_;
 
   /// Used by the thread that renews it, and on Stop after that has ended.
@@ -90,6 +94,8 @@
   mutable std::mutex mutex_;
   std::vector<platform::instance> known_instances_;
   std::map<std::string, ownership::owner> owners_;
+  /// Instances with a lease; the instance list lags behind.
+  std::set<std::string> holders_;
   platform::revision owners_revision_ = 0;
   bool owners_known_ = false;
   std::map<std::string, held_shard> runners_;
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -13,6 +13,7 @@
 #include "chivecrank/platform/types.h"
 #include "chivecrank/protocol/tenure.h"
 #include "chivecrank/scheduling/shard_state.h"
+#include "chivecrank/shards/shard_metrics.h"
 #include "chivecrank/shards/types.h"
 #include "chivecrank/workers/agent.h"
 
@@ -63,6 +64,8 @@
   /// Cancels all that have not ended, in one record.
   base::result<void> CancelAll(const std::vector<std::string>& task_ids);
 
+  shard_totals Totals();
+
   /// Starts no more calls and waits for those in progress.
   void Close();
 
--- a/src/shards/internal/shard_manager.cc
+++ b/src/shards/internal/shard_manager.cc
@@ -29,7 +29,8 @@
                              base::clock& clock,
                              platform::store& store,
                              platform::instance_list& instances,
-                             workers::agent& agents)
+                             workers::agent& agents,
+                             std::function<void(const shard_totals&)> report)
     : self_(std::move(self)),
       settings_(settings),
       renewal_(session.term / kRenewalsPerTerm),
@@ -37,8 +38,9 @@
       store_(store),
       instances_(instances),
       agents_(agents),
+      report_(std::move(report)),
       registry_(store),
-      session_(store, clock, session, self_.run),
+      session_(store, clock, session, self_.run, self_.instance),
       worker_calls_(kWorkerThreads),
       silent_worker_calls_(kSilentWorkerThreads),
       store_calls_(kStoreThreads) {}
@@ -125,6 +127,7 @@
         held->At(clock_.Now()) == protocol::authority::kFull) {
       ClaimProposed();
     }
+    Report();
     SleepUnlessStopping(reached ? kRefresh : settings_.round);
   }
 }
@@ -143,6 +146,11 @@
 }
 
 base::result<void> shard_manager::RefreshOwners() {
+  BOOST_OUTCOME_TRY(holders, registry_.Holders());
+  {
+    std::lock_guard lock(mutex_);
+    holders_ = std::move(holders);
+  }
   if (!owners_known_)
     return ListOwners();
   BOOST_OUTCOME_TRY(changes, registry_.ChangesAfter(owners_revision_));
@@ -174,7 +182,8 @@
     std::lock_guard lock(mutex_);
     for (const platform::instance& entry : known_instances_) {
       if (entry.kind == platform::instance_kind::kSystem &&
-          entry.state == platform::instance_state::kLive) {
+          entry.state == platform::instance_state::kLive &&
+          holders_.contains(entry.id)) {
         live.push_back(entry.id);
       }
     }
@@ -281,6 +290,18 @@
   }
 }
 
+void shard_manager::Report() {
+  std::map<std::string, held_shard> runners;
+  {
+    std::lock_guard lock(mutex_);
+    runners = runners_;
+  }
+  shard_totals totals;
+  for (const auto& [shard, led] : runners)
+    Add(led.runner->Totals(), totals);
+  report_(totals);
+}
+
 void shard_manager::Drop(const std::string& shard) {
   // Destroyed after the lock is free, since that may wait for calls.
   held_shard dropped;
@@ -303,8 +324,11 @@
     std::lock_guard lock(mutex_);
     runners.swap(runners_);
   }
-  for (const auto& [shard, led] : runners)
+  for (const auto& [shard, led] : runners) {
     led.runner->Close();
+    // Without calls in progress nothing of ours can follow the release.
+    static_cast<void>(registry_.Release(shard, led.runner->epoch()));
+  }
 }
 
 }  // namespace chivecrank::shards
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -180,6 +180,23 @@
   return AwaitConfirmed(lock, position);
 }
 
+shard_totals shard_runner::Totals() {
+  std::lock_guard lock(mutex_);
+  shard_totals totals;
+  totals.shards = 1;
+  for (const auto& [id, entry] : workers_) {
+    if (entry.failures == 0)
+      ++totals.answering_workers;
+    else
+      ++totals.silent_workers;
+  }
+  totals.unconfirmed_events = ledger_->staged_end() - ledger_->confirmed();
+  totals.failing_journals = failed_writes_ > 0 ? 1 : 0;
+  for (const auto& [id, known] : ledger_->state().tasks())
+    ++totals.tasks[known.state];
+  return totals;
+}
+
 base::result<void> shard_runner::CheckFull() const {
   BOOST_OUTCOME_TRY(CheckNotFenced());
   if (!closing_ && held_->At(clock_.Now()) == protocol::authority::kFull)
--- /dev/null
+++ b/src/shards/tests/shard_manager_test.cc
@@ -0,0 +1,80 @@
+#include "chivecrank/shards/shard_manager.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+
+#include "chivecrank/base/system_clock.h"
+#include "chivecrank/platform/memory_store.h"
+#include "tests/fenced_workers.h"
+
+namespace chivecrank::shards {
+namespace {
+
+constexpr std::chrono::seconds kLimit{20};
+
+/// A list that goes on showing everything.
+class fixed_list final : public platform::instance_list {
+ public:
+  base::result<std::vector<platform::instance>> List() override {
+    platform::instance worker;
+    worker.id = "w-1";
+    worker.failure_domain = "d";
+    worker.rack = "r";
+    worker.agent = {"127.0.0.1", 1};
+    std::vector<platform::instance> all = {worker};
+    for (const char* id : {"i-1", "i-2"}) {
+      platform::instance system;
+      system.id = id;
+      system.kind = platform::instance_kind::kSystem;
+      all.push_back(system);
+    }
+    return all;
+  }
+};
+
+struct fixture {
+  base::system_clock clock;
+  platform::memory_store store{clock};
+  fixed_list list;
+  fenced_workers workers{clock};
+
+  std::unique_ptr<shard_manager> Manager(const std::string& id) {
+    ownership::session_settings session;
+    session.term = std::chrono::hours(1);
+    return std::make_unique<shard_manager>(
+        scheduler_identity{id, id + "-run", {"127.0.0.1", 2}}, shard_settings{},
+        session, clock, store, list, workers, [](const shard_totals&) {});
+  }
+
+  bool WaitUntil(const std::function<bool()>& holds) {
+    const base::time_point end = clock.Now() + kLimit;
+    while (clock.Now() < end && !holds())
+      clock.SleepUntil(clock.Now() + std::chrono::milliseconds(20));
+    return holds();
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(shard_manager_suite, fixture)
+
+BOOST_AUTO_TEST_CASE(StoppedOwnerHandsOverThoughItIsListed) {
+  const auto leads = [](const std::unique_ptr<shard_manager>& manager) {
+    return manager->RunnerOf("d.r") != nullptr;
+  };
+  auto first = Manager("i-1");
+  auto second = Manager("i-2");
+  first->Start();
+  second->Start();
+  BOOST_REQUIRE(WaitUntil([&] { return leads(first) || leads(second); }));
+  auto& owner = leads(first) ? first : second;
+  auto& other = leads(first) ? second : first;
+  owner->Stop();
+  // The lease would last for an hour.
+  BOOST_TEST(WaitUntil([&] { return leads(other); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::shards
--- a/src/shards/tests/takeover_test.cc
+++ b/src/shards/tests/takeover_test.cc
@@ -128,7 +128,7 @@
     if (!life.session) {
       life.session = std::make_unique<ownership::session>(
           store_, clock_, session_settings_,
-          "run-" + std::to_string(++last_run_));
+          "run-" + std::to_string(++last_run_), "i");
     }
     static_cast<void>(life.session->Renew());
     if (life.session->Holds() && life.held != life.session->held())
--- a/tests/bench/control/main.cc
+++ b/tests/bench/control/main.cc
@@ -19,9 +19,9 @@
 namespace {
 
 /// Ownership of a daemon: four renewals in a term of 6 s, one look at the
-/// owners a second.
+/// owners and one at the holders a second.
 constexpr double kRenewalsPerSecond = 4.0 / 6.0;
-constexpr double kRefreshesPerSecond = 1.0;
+constexpr double kRefreshesPerSecond = 2.0;
 
 void Print(const control_load& load, const control_cost& cost) {
   const double seconds = static_cast<double>(load.measured.count());
--- a/tests/integration/tasks_faults_test.cc
+++ b/tests/integration/tasks_faults_test.cc
@@ -112,6 +112,14 @@
   Check();
 }
 
+BOOST_AUTO_TEST_CASE(OwnerIsStopped) {
+  system().StopInstance(0);
+  Check();
+  // The next owner renewed the leases in time.
+  for (const task_run& run : system().TaskRuns())
+    BOOST_TEST(run.state == "done", run.task_id);
+}
+
 BOOST_AUTO_TEST_CASE(OwnersArePausedPastTheirLeases) {
   PauseInstance(0, kPastTheLease);
   PauseInstance(1, kPastTheLease);
