--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -1,18 +1,24 @@
+#include <Poco/UUIDGenerator.h>
 #include <glog/logging.h>
 
 #include <atomic>
 
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/callers/caller_api.h"
+#include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/entries/entry_server.h"
 #include "chivecrank/entries/slot_metrics.h"
 #include "chivecrank/entries/slot_pool.h"
 #include "chivecrank/entries/slot_sharer.h"
 #include "chivecrank/http/server.h"
+#include "chivecrank/idempotency/home_router.h"
+#include "chivecrank/instances/entry_client.h"
+#include "chivecrank/instances/entry_server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -34,6 +40,15 @@
       .has_value();
 }
 
+/// Longest time for a call to another entry.
+constexpr std::chrono::milliseconds kPeerTimeout{300};
+/// Longest time to tell other entries how requests ended before stopping.
+constexpr std::chrono::milliseconds kReportLimit{2000};
+
+std::string NewRun() {
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
 process::readiness Readiness(bool stopping,
                              const configuration::view& configured,
                              const upstream_refresher& refresher,
@@ -52,7 +67,11 @@
 
 process::exit_code Run(const entry_settings& settings) {
   base::system_clock clock;
-  platform::http_store store(settings.platform, settings.store_timeout);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  platform::http_store store_calls(settings.platform, settings.store_timeout);
+  platform::store_metrics store_metrics(*registry);
+  platform::guarded_store store(store_calls, clock, store_metrics,
+                                settings.guard);
   platform::http_instance_list list_calls(settings.platform,
                                           settings.store_timeout);
   platform::cached_instance_list instances(list_calls, clock,
@@ -61,7 +80,7 @@
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kEntry, settings.listen.host, settings.peers),
-      clock, store, instances);
+      clock, store, instances, *registry);
   instances::scheduler_client jobs(settings.scheduler,
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
@@ -71,15 +90,25 @@
   entries::entry_server peers(
       settings.places[static_cast<std::size_t>(settings.share.index)], slots);
   callers::request_service requests(clock, slots, upstreams);
-  const auto registry = std::make_shared<prometheus::Registry>();
+  const idempotency::entry_identity self{settings.instance, NewRun()};
+  instances::entry_client homes_client(kPeerTimeout);
+  idempotency::home_keeper homes(self, settings.homes, clock, store,
+                                 homes_client);
+  idempotency::home_router gate(self, settings.homes, clock, homes,
+                                homes_client);
+  instances::entry_server peer_server(settings.peer, homes);
+  callers::once_service once(clock, requests, gate);
   objectives::request_metrics metrics(*registry);
   entries::slot_metrics slot_gauges(*registry);
   callers::caller_api api(
-      clock, configured, requests, jobs,
+      clock, configured, once, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
-  upstream_refresher refresher(
-      clock, instances, settings.refresh,
-      [&](const auto& listed) { slots.Update(listed); });
+  configuration::drained_instance_list drained(instances, configured);
+  upstream_refresher refresher(clock, drained, settings.refresh,
+                               [&](const auto& listed) {
+                                 slots.Update(listed);
+                                 homes.Update(listed);
+                               });
   upstream_prober prober(
       clock, slots,
       [&](const auto& upstream) { return Probe(upstreams, upstream); },
@@ -93,7 +122,8 @@
     return Readiness(stopping, configured, refresher, slots);
   });
   for (const auto& started :
-       {status.Start(), peers.Start(), server.Start(), configured.Start()}) {
+       {status.Start(), peers.Start(), peer_server.Start(), server.Start(),
+        configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
       return process::exit_code::kFailed;
@@ -102,6 +132,7 @@
   refresher.Start();
   sharer.Start();
   prober.Start();
+  homes.Start();
   LOG(INFO) << "entry: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
   process::WaitForStopSignal();
@@ -112,6 +143,9 @@
   prober.Stop();
   sharer.Stop();
   peers.Stop();
+  gate.Stop(kReportLimit);
+  homes.Stop();
+  peer_server.Stop();
   refresher.Stop();
   configured.Stop();
   status.Stop();
--- a/src/configuration/internal/head_watcher.cc
+++ b/src/configuration/internal/head_watcher.cc
@@ -1,5 +1,7 @@
 #include "chivecrank/configuration/head_watcher.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,7 +22,9 @@
       surroundings_(std::move(surroundings)),
       random_(settings.seed),
       pause_(settings.retry_pause),
-      patience_(settings.patience) {}
+      patience_(settings.patience) {
+  DrawPatience();
+}
 
 head_watcher::~head_watcher() {
   Stop();
@@ -95,19 +99,37 @@
     PauseAfterFailure();
     return;
   }
-  const bool changed =
-      anew || !answer.value().changes.empty() || answer.value().gap;
-  if (changed && !Refresh().has_value()) {
+  const bool read_anew = anew || answer.value().gap;
+  if (read_anew && !Refresh().has_value()) {
     seen_ = 0;
     PauseAfterFailure();
     return;
   }
-  if (!changed)
+  for (const platform::store_change& change : answer.value().changes)
+    TakeChange(change, asked);
+  if (answer.value().changes.empty() && !read_anew)
     held_.Confirm(held_.Version(), asked);
   seen_ = answer.value().revision;
   pause_ = settings_.retry_pause;
 }
 
+void head_watcher::TakeChange(const platform::store_change& change,
+                              base::time_point asked) {
+  if (change.kind != platform::change_kind::kPut ||
+      change.entry.key != kHeadKey)
+    return;
+  auto accepted = DecodeSnapshot(change.entry.value);
+  if (!accepted.has_value()) {
+    LOG(ERROR) << "configuration: the head in the store is broken: "
+               << base::Describe(accepted.error()) << ".";
+    return;
+  }
+  const revision number = accepted.value().revision;
+  if (held_.Offer(std::move(accepted.value())))
+    surroundings_.on_newer();
+  held_.Confirm(number, asked);
+}
+
 void head_watcher::PauseAfterFailure() {
   std::uniform_int_distribution<std::int64_t> jittered(pause_.count() / 2,
                                                        pause_.count());
@@ -121,10 +143,14 @@
 bool head_watcher::Impatient() {
   if (clock_.Now() - held_.ConfirmedAt() < patience_)
     return false;
+  DrawPatience();
+  return true;
+}
+
+void head_watcher::DrawPatience() {
   std::uniform_int_distribution<std::int64_t> added(0,
                                                     settings_.patience.count());
   patience_ = settings_.patience + std::chrono::milliseconds(added(random_));
-  return true;
 }
 
 }  // namespace chivecrank::configuration
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -9,6 +9,7 @@
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/platform/types.h"
+#include "chivecrank/routing/latency_spread.h"
 #include "chivecrank/routing/slot_borrower.h"
 #include "chivecrank/routing/slot_layout.h"
 #include "chivecrank/routing/slot_lender.h"
@@ -63,6 +64,8 @@
 
   /// Learned time from sending to the whole answer: of the median upstream.
   std::chrono::milliseconds TypicalLatency() const;
+  /// A latency that few requests exceed.
+  std::chrono::milliseconds HighLatency() const;
   /// Slots that this entry could fill at once, as of a few milliseconds ago.
   std::int64_t Capacity(base::time_point now);
   router_totals Totals(base::time_point now) const;
@@ -73,6 +76,9 @@
     upstream_health health;
     bool takes_requests = false;
     std::int64_t in_use = 0;
+    /// When it got the first request that it has left unanswered while it
+    /// answered no other.
+    std::optional<base::time_point> silent_since;
   };
   struct peer_state {
     bool asked = false;
@@ -89,13 +95,20 @@
                  base::time_point now);
   /// Whether it is so much slower than the others that waiting may be better.
   bool IsSlow(const upstream_state& at) const;
+  /// Whether it has answered nothing for much longer than answers take.
+  bool IsSilent(const upstream_state& at, base::time_point now) const;
+  bool IsAvoided(const upstream_state& at, base::time_point now) const;
+  void JudgeSilence(base::time_point now);
   double Cost(const upstream_state& at) const;
   void LearnTypicalLatency(base::time_point now);
   void EjectFailing(upstream_state& at, base::time_point now);
   std::int64_t FreeSlots(base::time_point now) const;
   std::int64_t InUse() const;
   std::int64_t Reserve() const;
-  std::int64_t ChooseLender(base::time_point now) const;
+  /// Slots to ask for, by the lender's place.
+  std::map<std::int64_t, std::int64_t> DivideAmongLenders(
+      std::int64_t slots,
+      base::time_point now) const;
   void LendTo(const exchange_request& request,
               std::int64_t slots,
               exchange_answer& answer,
@@ -110,9 +123,13 @@
   bool has_list_ = false;
   std::int64_t in_use_ = 0;
   double typical_ms_ = 0;
+  latency_spread spread_;
   base::time_point next_typical_{};
+  /// Silence counts only while few upstreams are silent.
+  bool silence_counts_ = false;
   std::int64_t capacity_ = 0;
   base::time_point next_capacity_{};
+  base::time_point next_ask_{};
 };
 
 }  // namespace chivecrank::routing
--- a/src/routing/include/chivecrank/routing/types.h
+++ b/src/routing/include/chivecrank/routing/types.h
@@ -32,13 +32,15 @@
   std::chrono::milliseconds lease{1000};
   /// A request on a lent slot ends at most this long after the lease.
   std::chrono::milliseconds longest_request{2000};
-  /// Longest time that an upstream works on a request after the request was
-  /// given up on, or after the entry that sent it has died.
+  /// Longest time that an upstream works on a request after the request's
+  /// deadline, after its connection was closed or after its sender has died.
   std::chrono::milliseconds run_limit{2000};
   /// Allowance for clocks that run at different speeds.
   std::chrono::milliseconds clock_margin{100};
-  /// Most slots asked for in one message.
-  std::int64_t largest_request = 8;
+  /// Slots that a peer is asked for at least, when more are lacking.
+  std::int64_t smallest_request = 16;
+  /// Shortest time between two requests for slots, whoever is asked.
+  std::chrono::milliseconds ask_pause{20};
   /// Pause before a peer that had nothing to lend is asked again.
   std::chrono::milliseconds refusal_pause{20};
 
--- a/src/shards/internal/shard_ledger.cc
+++ b/src/shards/internal/shard_ledger.cc
@@ -49,8 +49,12 @@
 
 shard_ledger::shard_ledger(std::uint64_t epoch,
                            protocol::lease_terms terms,
-                           base::time_point opened)
-    : epoch_(epoch), terms_(terms), opened_(opened) {}
+                           base::time_point opened,
+                           applied_hook on_applied)
+    : epoch_(epoch),
+      terms_(terms),
+      opened_(opened),
+      on_applied_(std::move(on_applied)) {}
 
 base::result<void> shard_ledger::Replay(const scheduling::event& recorded) {
   BOOST_OUTCOME_TRY(state_.Apply(recorded));
@@ -64,6 +68,8 @@
     BOOST_OUTCOME_TRY(state_.Apply(recorded));
     if (const auto* start = std::get_if<scheduling::attempt_started>(&recorded))
       LinkOf(start->worker_id).AddPlanned({start->task_id, start->attempt});
+    if (on_applied_)
+      on_applied_(recorded, state_);
     unconfirmed_[TaskOf(recorded)] = ++staged_end_;
     write_due_ |= IsAwaited(recorded);
     worth_writing_ |= IsWorthAWrite(recorded);
--- a/tests/harness/caller.cc
+++ b/tests/harness/caller.cc
@@ -1,5 +1,6 @@
 #include "harness/caller.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -46,35 +47,18 @@
   call_record record;
   record.identifier = options_.account + "/" + key;
   const clock::time_point start = clock::now();
-  const std::string body = "callout " + key;
-  while (true) {
-    const auto remaining = options_.timeout - Since(start);
-    if (remaining.count() <= 0)
-      break;
-    const http::request message{
-        "POST",
-        "/v1/services/" + options_.service + "/callouts",
-        {{"Authorization", "Bearer " + options_.token},
-         {callers::kKeyHeader, key},
-         {callers::kIdempotentHeader, "false"},
-         {callers::kTimeoutHeader, std::to_string(remaining.count())}},
-        body};
-    const std::size_t chosen = ChooseEntry();
-    record.entry = addresses_[chosen];
-    const auto answer = entries_[chosen]->Call(message, remaining + kTravel);
-    record.cut_off = !answer.has_value() &&
-                     answer.error().kind == base::error_kind::kOutcomeUnknown;
-    record.outcome = callers::request_outcome::kUnknown;
-    if (answer.has_value()) {
-      record.outcome = OutcomeOf(answer.value());
-      record.wrong_answer =
-          record.outcome == callers::request_outcome::kCompleted &&
-          answer.value().body != "answer to " + body;
-    } else if (answer.error().kind == base::error_kind::kUnavailable) {
-      record.outcome = callers::request_outcome::kNotRun;
-    }
-    if (record.outcome != callers::request_outcome::kNotRun)
+  bool first_send = true;
+  while (Since(start) < options_.timeout) {
+    const auto left = options_.timeout - Since(start);
+    const bool repeats = options_.repeat_after.count() > 0;
+    SendOnce(key, repeats ? std::min(left, options_.repeat_after) : left,
+             first_send, record);
+    const bool not_run = record.outcome == callers::request_outcome::kNotRun;
+    const bool unknown = record.outcome == callers::request_outcome::kUnknown;
+    if (!not_run && !(unknown && repeats))
       break;
+    // "Not run" also holds for what was sent before.
+    first_send = not_run;
     std::this_thread::sleep_for(kPause);
   }
   record.latency = Since(start);
@@ -85,6 +69,39 @@
   return record;
 }
 
+void caller::SendOnce(const std::string& key,
+                      std::chrono::milliseconds limit,
+                      bool first_send,
+                      call_record& record) {
+  const std::string body = "callout " + key;
+  const http::request message{
+      "POST",
+      "/v1/services/" + options_.service + "/callouts",
+      {{"Authorization", "Bearer " + options_.token},
+       {callers::kKeyHeader, key},
+       {callers::kIdempotentHeader, "false"},
+       {callers::kFirstSendHeader, first_send ? "true" : "false"},
+       {callers::kTimeoutHeader, std::to_string(limit.count())}},
+      body};
+  const std::size_t chosen = ChooseEntry();
+  record.entry = addresses_[chosen];
+  const auto answer = entries_[chosen]->Call(message, limit + kTravel);
+  record.cut_off = !answer.has_value() &&
+                   answer.error().kind == base::error_kind::kOutcomeUnknown;
+  if (answer.has_value()) {
+    record.outcome = OutcomeOf(answer.value());
+    record.wrong_answer =
+        record.outcome == callers::request_outcome::kCompleted &&
+        answer.value().body != "answer to " + body;
+    return;
+  }
+  // A repeat that was not sent leaves open what became of the key.
+  const bool unsent =
+      first_send && answer.error().kind == base::error_kind::kUnavailable;
+  record.outcome = unsent ? callers::request_outcome::kNotRun
+                          : callers::request_outcome::kUnknown;
+}
+
 std::string caller::SubmitJob(const std::string& template_name,
                               const std::string& key) {
   http::json_object body = new Poco::JSON::Object;
