--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -57,9 +57,13 @@
           membership::daemon::kScheduler, settings.listen.host, settings.peers),
       clock, store, instances, *registry);
   configuration::drained_instance_list drained(instances, configured);
+  shards::shard_metrics metrics(*registry);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
-      settings.shards, settings.session, clock, store, drained, agents);
+      settings.shards, settings.session, clock, store, drained, agents,
+      [&metrics](const shards::shard_totals& totals) {
+        metrics.Update(totals);
+      });
   ownership::home_registry homes(store);
   shards::job_router jobs(manager, homes, configured, clock,
                           settings.peer_timeout);
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -124,6 +124,7 @@
       StageLost();
       StagePlanned();
     }
+    AskForWrite();
   }
   Dispatch();
   std::lock_guard lock(mutex_);
@@ -190,6 +191,23 @@
   return AwaitConfirmed(lock, position);
 }
 
+shard_totals shard_runner::Totals() {
+  std::lock_guard lock(mutex_);
+  shard_totals totals;
+  totals.shards = 1;
+  for (const auto& [id, entry] : workers_) {
+    if (entry.failures == 0)
+      ++totals.answering_workers;
+    else
+      ++totals.silent_workers;
+  }
+  totals.unconfirmed_events = ledger_->staged_end() - ledger_->confirmed();
+  totals.failing_journals = failed_writes_ > 0 ? 1 : 0;
+  for (const auto& [id, known] : ledger_->state().tasks())
+    ++totals.tasks[known.state];
+  return totals;
+}
+
 base::result<void> shard_runner::CheckFull() const {
   BOOST_OUTCOME_TRY(CheckNotFenced());
   if (!closing_ && held_->At(clock_.Now()) == protocol::authority::kFull)
@@ -261,15 +279,32 @@
                        entry.listed.failure_domain});
     }
   }
-  static_cast<void>(
-      Stage(planner_->Plan(ledger_->state(), ready, clock_.WallNow())));
+  auto planned = planner_->Plan(ledger_->state(), ready, clock_.WallNow());
+  const bool urgent =
+      std::any_of(planned.begin(), planned.end(),
+                  [this](const scheduling::event& recorded) {
+                    const scheduling::task* known =
+                        ledger_->state().Find(internal::TaskOf(recorded));
+                    return known != nullptr && known->request.urgent;
+                  });
+  if (urgent)
+    next_commit_ = {};
+  static_cast<void>(Stage(std::move(planned)));
   plan_due_ = false;
 }
 
+void shard_runner::AskForWrite() {
+  const base::time_point now = clock_.Now();
+  if (now < next_commit_ || !ledger_->IsWorthWriting())
+    return;
+  ledger_->AskForWrite();
+  next_commit_ = now + settings_.commit_window;
+}
+
 base::result<std::uint64_t> shard_runner::Stage(
     std::vector<scheduling::event> events) {
   plan_due_ |= !events.empty();
-  const auto staged = ledger_->Stage(std::move(events));
+  auto staged = ledger_->Stage(std::move(events));
   if (!staged.has_value()) {
     LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(staged.error())
                << ".";
@@ -346,7 +381,7 @@
 }
 
 bool shard_runner::TakeWrite() {
-  if (writing_ || !ledger_->NeedsWrite())
+  if (writing_ || !ledger_->NeedsWrite() || clock_.Now() < next_write_)
     return false;
   writing_ = true;
   return true;
@@ -388,12 +423,14 @@
   plan_due_ |= !ledger_->LinkOf(worker_id).IsIntroduced() ||
                entry.failures > 0 || !answer.value().attempts.empty();
   entry.failures = 0;
+  const std::uint64_t staged_before = ledger_->staged_end();
   const auto taken =
       ledger_->OnReport(worker_id, command, answer.value(), clock_.Now());
   if (!taken.has_value()) {
     LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(taken.error())
                << ".";
   }
+  plan_due_ |= ledger_->staged_end() != staged_before;
 }
 
 void shard_runner::WriteStaged() {
@@ -438,7 +475,11 @@
   fenced_ |= failure.kind == base::error_kind::kFenced;
   ++failed_writes_;
   ++failures_seen_;
-  LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure) << ".";
+  next_write_ = clock_.Now() + settings_.round;
+  if (failed_writes_ == 1) {
+    LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure)
+                 << ".";
+  }
   return false;
 }
 
