--- a/src/scheduling/internal/start_planner.cc
+++ b/src/scheduling/internal/start_planner.cc
@@ -78,17 +78,21 @@
 
 start_planner::rank start_planner::RankOf(const queue_cursor& queue) const {
   const queue_key& key = *queue.key;
+  const queue_entry& head = *queue.next;
   if (key.of != work_class::kBatch)
-    return {key.of, false, 0, 0, *queue.next};
+    return {key.of, false, 0, 0, head.due, head.since, head.task_id};
   std::optional<platform::resources> quota;
   if (context_.hooks.quota_of)
     quota = context_.hooks.quota_of(key.team);
   const double weight =
       context_.hooks.weight_of ? context_.hooks.weight_of(key.account) : 1.0;
-  return {key.of, !queue.at_risk,
+  return {key.of,
+          !queue.at_risk,
           DominantShare(TeamUse(key.team), quota.value_or(fleet_.total)),
           DominantShare(AccountUse(key.account), fleet_.total) / weight,
-          *queue.next};
+          head.due,
+          head.since,
+          head.task_id};
 }
 
 double start_planner::TimeForDueWork() const {
--- a/src/scheduling/internal/start_planner.h
+++ b/src/scheduling/internal/start_planner.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -38,7 +39,13 @@
     int unplaced = 0;
   };
   /// Order among queues; the smallest is served first.
-  using rank = std::tuple<work_class, bool, double, double, queue_entry>;
+  using rank = std::tuple<work_class,
+                          bool,
+                          double,
+                          double,
+                          base::wall_time,
+                          base::wall_time,
+                          std::string_view>;
 
   void OpenQueues();
   queue_cursor* BestQueue();
