--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -1,3 +1,4 @@
+#include <Poco/UUIDGenerator.h>
 #include <glog/logging.h>
 
 #include <atomic>
@@ -10,6 +11,9 @@
 #include "chivecrank/entries/slot_pool.h"
 #include "chivecrank/entries/slot_sharer.h"
 #include "chivecrank/http/server.h"
+#include "chivecrank/idempotency/home_router.h"
+#include "chivecrank/instances/entry_client.h"
+#include "chivecrank/instances/entry_server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/cached_instance_list.h"
@@ -34,6 +38,15 @@
       .has_value();
 }
 
+/// Longest time for a call to another entry.
+constexpr std::chrono::milliseconds kPeerTimeout{300};
+/// Longest time to tell other entries how requests ended before stopping.
+constexpr std::chrono::milliseconds kReportLimit{2000};
+
+std::string NewRun() {
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
 process::readiness Readiness(bool stopping,
                              const configuration::view& configured,
                              const upstream_refresher& refresher,
@@ -71,15 +84,25 @@
   entries::entry_server peers(
       settings.places[static_cast<std::size_t>(settings.share.index)], slots);
   callers::request_service requests(clock, slots, upstreams);
+  const idempotency::entry_identity self{settings.instance, NewRun()};
+  instances::entry_client homes_client(kPeerTimeout);
+  idempotency::home_keeper homes(self, settings.homes, clock, store,
+                                 homes_client);
+  idempotency::home_router gate(self, settings.homes, clock, homes,
+                                homes_client);
+  instances::entry_server peer_server(settings.peer, homes);
+  callers::once_service once(clock, requests, gate);
   const auto registry = std::make_shared<prometheus::Registry>();
   objectives::request_metrics metrics(*registry);
   entries::slot_metrics slot_gauges(*registry);
   callers::caller_api api(
-      clock, configured, requests, jobs,
+      clock, configured, once, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
-  upstream_refresher refresher(
-      clock, instances, settings.refresh,
-      [&](const auto& listed) { slots.Update(listed); });
+  upstream_refresher refresher(clock, instances, settings.refresh,
+                               [&](const auto& listed) {
+                                 slots.Update(listed);
+                                 homes.Update(listed);
+                               });
   upstream_prober prober(
       clock, slots,
       [&](const auto& upstream) { return Probe(upstreams, upstream); },
@@ -93,7 +116,8 @@
     return Readiness(stopping, configured, refresher, slots);
   });
   for (const auto& started :
-       {status.Start(), peers.Start(), server.Start(), configured.Start()}) {
+       {status.Start(), peers.Start(), peer_server.Start(), server.Start(),
+        configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
       return process::exit_code::kFailed;
@@ -102,6 +126,7 @@
   refresher.Start();
   sharer.Start();
   prober.Start();
+  homes.Start();
   LOG(INFO) << "entry: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
   process::WaitForStopSignal();
@@ -112,6 +137,9 @@
   prober.Stop();
   sharer.Stop();
   peers.Stop();
+  gate.Stop(kReportLimit);
+  homes.Stop();
+  peer_server.Stop();
   refresher.Stop();
   configured.Stop();
   status.Stop();
--- a/src/http/include/chivecrank/http/client.h
+++ b/src/http/include/chivecrank/http/client.h
@@ -12,14 +12,15 @@
 #include "chivecrank/http/types.h"
 #include "chivecrank/settings/types.h"
 
-namespace Poco::Net {
-class HTTPClientSession;
-}
-
 namespace chivecrank::http {
 
+namespace internal {
+class kept_session;
+}
+
 /// Calls one server over a few kept connections. Safe to use from several
-/// threads. A connection on which anything went wrong is never used again.
+/// threads. A connection on which anything went wrong is never used again, nor
+/// one that the server closed or sent something on while nothing was asked.
 class client {
  public:
   explicit client(settings::endpoint address);
@@ -28,6 +29,7 @@
   /// Sends a request and reads the whole answer.
   /// kUnavailable: the request was certainly not sent in full.
   /// kOutcomeUnknown: it was sent, but no whole answer came within `timeout`.
+  /// An answer whose length is not declared is not known to be whole.
   base::result<response> Call(const request& message,
                               std::chrono::milliseconds timeout);
 
@@ -38,12 +40,12 @@
                                      std::chrono::milliseconds timeout);
 
  private:
-  std::unique_ptr<Poco::Net::HTTPClientSession> Take();
-  void Keep(std::unique_ptr<Poco::Net::HTTPClientSession> session);
+  std::unique_ptr<internal::kept_session> Take();
+  void Keep(std::unique_ptr<internal::kept_session> session);
 
   settings::endpoint address_;
   std::mutex mutex_;
-  std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> idle_;
+  std::vector<std::unique_ptr<internal::kept_session>> idle_;
 };
 
 }  // namespace chivecrank::http
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -81,7 +81,7 @@
       run_on_(std::move(run_on)),
       planner_(NewPlanner()),
       ledger_(NewLedger()),
-      journal_(store, shard_, std::move(run)),
+      journal_(store, shard_, std::move(run), settings_.journal),
       batch_limit_(kEventsPerRecord) {}
 
 shard_runner::~shard_runner() {
