--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -13,6 +13,7 @@
 #include "chivecrank/process/status_server.h"
 #include "chivecrank/process/stop_signal.h"
 #include "chivecrank/shards/job_router.h"
+#include "chivecrank/shards/task_metrics.h"
 #include "chivecrank/workers/http_agent.h"
 #include "scheduler_settings.h"
 
@@ -50,18 +51,23 @@
           settings.instance, settings.failure_domain,
           membership::daemon::kScheduler, settings.listen.host, settings.peers),
       clock, store, instances);
+  const auto metrics = std::make_shared<prometheus::Registry>();
+  shards::task_metrics task_events(*metrics);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
-      settings.shards, settings.session, clock, store, instances, agents);
+      settings.shards, settings.session, clock, store, instances, agents,
+      [&task_events](const scheduling::event& recorded) {
+        task_events.Count(recorded);
+      });
   ownership::home_registry homes(store);
   shards::job_router jobs(manager, homes, configured, clock,
                           settings.peer_timeout);
   std::atomic<bool> stopping = false;
 
   instances::scheduler_server server(settings.listen, jobs);
-  process::status_server status(
-      settings.status, std::make_shared<prometheus::Registry>(),
-      [&] { return Readiness(stopping, configured, manager); });
+  process::status_server status(settings.status, metrics, [&] {
+    return Readiness(stopping, configured, manager);
+  });
   for (const auto& started :
        {status.Start(), server.Start(), configured.Start()}) {
     if (!started.has_value()) {
--- a/src/scheduling/internal/relief.cc
+++ b/src/scheduling/internal/relief.cc
@@ -123,8 +123,9 @@
   double highest = 0;
   double highest_throttled = 0;
   for (const auto& [id, open] : context.book.On(worker_id)) {
-    if (open.request.kind != task_kind::kBatch || round.IsStopping(open) ||
-        !IsRunning(context, open) || IsNearlyDone(context, open, sizes)) {
+    if (open.request.kind != task_kind::kBatch || open.request.urgent ||
+        round.IsStopping(open) || !IsRunning(context, open) ||
+        IsNearlyDone(context, open, sizes)) {
       continue;
     }
     const double added = ContributionOf(
--- a/src/scheduling/internal/start_planner.cc
+++ b/src/scheduling/internal/start_planner.cc
@@ -1,6 +1,7 @@
 #include "internal/start_planner.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "chivecrank/scheduling/resources.h"
 #include "internal/preemption.h"
@@ -207,8 +208,16 @@
 placement_request start_planner::RequestFor(const task& waiting,
                                             bool at_risk) const {
   return {&waiting, GrantFor(waiting.request),
-          at_risk ? context_.settings.place_at_risk_below
-                  : context_.settings.place_below};
+          InflationLimit(waiting.request, at_risk)};
+}
+
+double start_planner::InflationLimit(const task_request& request,
+                                     bool at_risk) const {
+  // Urgent work waits for nothing but room; it still goes where it harms least.
+  if (request.urgent)
+    return std::numeric_limits<double>::infinity();
+  return at_risk ? context_.settings.place_at_risk_below
+                 : context_.settings.place_below;
 }
 
 platform::resources start_planner::GrantFor(const task_request& request) const {
--- a/src/scheduling/internal/start_planner.h
+++ b/src/scheduling/internal/start_planner.h
@@ -63,6 +63,7 @@
   std::vector<placement_request> RequestsOf(const task& head,
                                             bool at_risk) const;
   placement_request RequestFor(const task& waiting, bool at_risk) const;
+  double InflationLimit(const task_request& request, bool at_risk) const;
   platform::resources GrantFor(const task_request& request) const;
   bool IsWithinQuota(const std::vector<placement_request>& members) const;
   bool Place(const std::vector<placement_request>& members);
--- a/src/scheduling/tests/interference_test.cc
+++ b/src/scheduling/tests/interference_test.cc
@@ -122,6 +122,18 @@
   BOOST_TEST((State("d") == task_state::kPending));
 }
 
+BOOST_AUTO_TEST_CASE(UrgentWorkStartsBesideASufferingService) {
+  Run("a", "noisy");
+  Learn(2.0);
+  End("a", attempt_outcome::kDone);
+  task_request urgent = Request("urgent", 1000);
+  urgent.template_name = "noisy";
+  urgent.urgent = true;
+  Accept(urgent);
+  Round();
+  BOOST_TEST((State("urgent") == task_state::kRunning));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::scheduling
--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -31,7 +31,8 @@
                 base::clock& clock,
                 platform::store& store,
                 platform::instance_list& instances,
-                workers::agent& agents);
+                workers::agent& agents,
+                event_hook on_event);
   ~shard_manager();
   shard_manager(const shard_manager&) = delete;
   shard_manager& operator=(const shard_manager&) = delete;
@@ -85,6 +86,7 @@
   platform::store& store_;
   platform::instance_list& instances_;
   workers::agent& agents_;
+  const event_hook on_event_;
   ownership::shard_registry registry_;
 
   /// Used by the thread that renews it, and on Stop after that has ended.
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -39,7 +39,8 @@
                workers::agent& agents,
                std::string run,
                std::shared_ptr<const protocol::tenure> held,
-               executors run_on);
+               executors run_on,
+               event_hook on_event = {});
   /// Waits for the calls in progress.
   ~shard_runner();
   shard_runner(const shard_runner&) = delete;
@@ -105,6 +106,7 @@
   workers::agent& agents_;
   const std::shared_ptr<const protocol::tenure> held_;
   const executors run_on_;
+  const event_hook on_event_;
 
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/src/shards/include/chivecrank/shards/types.h
+++ b/src/shards/include/chivecrank/shards/types.h
@@ -9,6 +9,7 @@
 #include "chivecrank/journal/types.h"
 #include "chivecrank/platform/types.h"
 #include "chivecrank/protocol/types.h"
+#include "chivecrank/scheduling/types.h"
 #include "chivecrank/settings/types.h"
 
 /// Running the shards that a scheduler owns.
@@ -36,6 +37,9 @@
 /// Runs a function some time, on any thread.
 using executor = std::function<void(std::function<void()>)>;
 
+/// Called with each event of a shard, under the shard's lock.
+using event_hook = std::function<void(const scheduling::event& recorded)>;
+
 /// Where the calls of shards run. They are apart so that neither silent
 /// workers nor a slow store hold up the syncs of the others.
 struct executors {
--- a/src/shards/internal/shard_manager.cc
+++ b/src/shards/internal/shard_manager.cc
@@ -29,7 +29,8 @@
                              base::clock& clock,
                              platform::store& store,
                              platform::instance_list& instances,
-                             workers::agent& agents)
+                             workers::agent& agents,
+                             event_hook on_event)
     : self_(std::move(self)),
       settings_(settings),
       renewal_(session.term / kRenewalsPerTerm),
@@ -37,6 +38,7 @@
       store_(store),
       instances_(instances),
       agents_(agents),
+      on_event_(std::move(on_event)),
       registry_(store),
       session_(store, clock, session, self_.run),
       worker_calls_(kWorkerThreads),
@@ -243,9 +245,9 @@
       registry_.Claim({shard, 0, self_.instance, holder_key, self_.address});
   if (!epoch.has_value())
     return;
-  auto runner = std::make_shared<shard_runner>(shard, epoch.value(), settings_,
-                                               clock_, store_, agents_,
-                                               self_.run, held, Executors());
+  auto runner = std::make_shared<shard_runner>(
+      shard, epoch.value(), settings_, clock_, store_, agents_, self_.run, held,
+      Executors(), on_event_);
   const auto opened = runner->Open();
   if (!opened.has_value()) {
     LOG(ERROR) << "shards: can't open " << shard << ": "
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -71,7 +71,8 @@
                            workers::agent& agents,
                            std::string run,
                            std::shared_ptr<const protocol::tenure> held,
-                           executors run_on)
+                           executors run_on,
+                           event_hook on_event)
     : shard_(std::move(shard)),
       epoch_(epoch),
       settings_(settings),
@@ -79,6 +80,7 @@
       agents_(agents),
       held_(std::move(held)),
       run_on_(std::move(run_on)),
+      on_event_(std::move(on_event)),
       planner_(NewPlanner()),
       ledger_(NewLedger()),
       journal_(store, shard_, std::move(run), settings_.journal),
@@ -245,6 +247,8 @@
       [this](const scheduling::event& recorded,
              const scheduling::shard_state& after) {
         planner_->Observe(recorded, after, clock_.WallNow());
+        if (on_event_)
+          on_event_(recorded);
       });
 }
 
@@ -269,7 +273,7 @@
 base::result<std::uint64_t> shard_runner::Stage(
     std::vector<scheduling::event> events) {
   plan_due_ |= !events.empty();
-  const auto staged = ledger_->Stage(std::move(events));
+  auto staged = ledger_->Stage(std::move(events));
   if (!staged.has_value()) {
     LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(staged.error())
                << ".";
