--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -5,6 +5,7 @@
 
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/callers/caller_api.h"
+#include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/entries/entry_server.h"
 #include "chivecrank/entries/slot_metrics.h"
@@ -17,6 +18,7 @@
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -65,7 +67,11 @@
 
 process::exit_code Run(const entry_settings& settings) {
   base::system_clock clock;
-  platform::http_store store(settings.platform, settings.store_timeout);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  platform::http_store store_calls(settings.platform, settings.store_timeout);
+  platform::store_metrics store_metrics(*registry);
+  platform::guarded_store store(store_calls, clock, store_metrics,
+                                settings.guard);
   platform::http_instance_list list_calls(settings.platform,
                                           settings.store_timeout);
   platform::cached_instance_list instances(list_calls, clock,
@@ -74,7 +80,7 @@
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kEntry, settings.listen.host, settings.peers),
-      clock, store, instances);
+      clock, store, instances, *registry);
   instances::scheduler_client jobs(settings.scheduler,
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
@@ -92,13 +98,13 @@
                                 homes_client);
   instances::entry_server peer_server(settings.peer, homes);
   callers::once_service once(clock, requests, gate);
-  const auto registry = std::make_shared<prometheus::Registry>();
   objectives::request_metrics metrics(*registry);
   entries::slot_metrics slot_gauges(*registry);
   callers::caller_api api(
       clock, configured, once, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
-  upstream_refresher refresher(clock, instances, settings.refresh,
+  configuration::drained_instance_list drained(instances, configured);
+  upstream_refresher refresher(clock, drained, settings.refresh,
                                [&](const auto& listed) {
                                  slots.Update(listed);
                                  homes.Update(listed);
--- a/tests/bench/placement/main.cc
+++ b/tests/bench/placement/main.cc
@@ -11,6 +11,10 @@
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of arrivals, noise and random choices");
 ABSL_FLAG(bool, json, false, "one JSON object a line in place of a table");
 ABSL_FLAG(std::string, scenario, "", "run only this scenario");
+ABSL_FLAG(int,
+          racks_per_domain,
+          2,
+          "racks of six workers in each of 4 domains");
 ABSL_FLAG(std::string, policy, "", "run only this policy");
 
 namespace chivecrank::bench {
@@ -72,7 +76,8 @@
   for (const std::string& name : ScenarioNames()) {
     if (!only_scenario.empty() && name != only_scenario)
       continue;
-    const scenario played = MakeScenario(name, absl::GetFlag(FLAGS_seed));
+    const scenario played = MakeScenario(name, absl::GetFlag(FLAGS_seed),
+                                         absl::GetFlag(FLAGS_racks_per_domain));
     for (const std::string& policy : PolicyNames()) {
       if (only_policy.empty() || policy == only_policy)
         RunOne(played, policy);
