--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -80,7 +80,10 @@
   worker_entry& EntryOf(const std::string& worker_id);
   void StageLost();
   void StagePlanned();
+  /// Whether others wait for a planned event, so that its write can't.
+  bool IsUrgent(const scheduling::event& planned) const;
   std::unique_ptr<internal::shard_ledger> NewLedger();
+  void AskForWrite();
   base::result<std::uint64_t> Stage(std::vector<scheduling::event> events);
   base::result<void> AwaitConfirmed(std::unique_lock<std::mutex>& lock,
                                     std::uint64_t position);
@@ -115,6 +118,9 @@
   std::map<std::string, worker_entry> workers_;
   bool plan_due_ = true;
   base::time_point next_plan_{};
+  base::time_point next_commit_{};
+  /// After a failed write the next one waits.
+  base::time_point next_write_{};
   bool fenced_ = false;
   bool closing_ = false;
   int calls_in_progress_ = 0;
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -126,6 +126,7 @@
       StageLost();
       StagePlanned();
     }
+    AskForWrite();
   }
   Dispatch();
   std::lock_guard lock(mutex_);
@@ -252,6 +253,14 @@
       });
 }
 
+bool shard_runner::IsUrgent(const scheduling::event& planned) const {
+  if (std::holds_alternative<scheduling::checkpoint_ordered>(planned))
+    return true;
+  const auto* start = std::get_if<scheduling::attempt_started>(&planned);
+  return start != nullptr &&
+         ledger_->state().Find(start->task_id)->request.urgent;
+}
+
 void shard_runner::StagePlanned() {
   const base::time_point now = clock_.Now();
   if ((!plan_due_ && now < next_plan_) || failed_writes_ > 0)
@@ -265,11 +274,24 @@
                        entry.listed.failure_domain});
     }
   }
-  static_cast<void>(
-      Stage(planner_->Plan(ledger_->state(), ready, clock_.WallNow())));
+  auto planned = planner_->Plan(ledger_->state(), ready, clock_.WallNow());
+  const bool urgent =
+      std::any_of(planned.begin(), planned.end(),
+                  [this](const auto& next) { return IsUrgent(next); });
+  if (urgent)
+    next_commit_ = {};
+  static_cast<void>(Stage(std::move(planned)));
   plan_due_ = false;
 }
 
+void shard_runner::AskForWrite() {
+  const base::time_point now = clock_.Now();
+  if (now < next_commit_ || !ledger_->IsWorthWriting())
+    return;
+  ledger_->AskForWrite();
+  next_commit_ = now + settings_.commit_window;
+}
+
 base::result<std::uint64_t> shard_runner::Stage(
     std::vector<scheduling::event> events) {
   plan_due_ |= !events.empty();
@@ -350,7 +372,7 @@
 }
 
 bool shard_runner::TakeWrite() {
-  if (writing_ || !ledger_->NeedsWrite())
+  if (writing_ || !ledger_->NeedsWrite() || clock_.Now() < next_write_)
     return false;
   writing_ = true;
   return true;
@@ -392,12 +414,14 @@
   plan_due_ |= !ledger_->LinkOf(worker_id).IsIntroduced() ||
                entry.failures > 0 || !answer.value().attempts.empty();
   entry.failures = 0;
+  const std::uint64_t staged_before = ledger_->staged_end();
   const auto taken =
       ledger_->OnReport(worker_id, command, answer.value(), clock_.Now());
   if (!taken.has_value()) {
     LOG(ERROR) << "shard " << shard_ << ": " << base::Describe(taken.error())
                << ".";
   }
+  plan_due_ |= ledger_->staged_end() != staged_before;
 }
 
 void shard_runner::WriteStaged() {
@@ -442,7 +466,11 @@
   fenced_ |= failure.kind == base::error_kind::kFenced;
   ++failed_writes_;
   ++failures_seen_;
-  LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure) << ".";
+  next_write_ = clock_.Now() + settings_.round;
+  if (failed_writes_ == 1) {
+    LOG(WARNING) << "shard " << shard_ << ": " << base::Describe(failure)
+                 << ".";
+  }
   return false;
 }
 
