--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -15,6 +15,7 @@
 #include "chivecrank/process/status_server.h"
 #include "chivecrank/process/stop_signal.h"
 #include "chivecrank/shards/job_router.h"
+#include "chivecrank/shards/task_metrics.h"
 #include "chivecrank/workers/http_agent.h"
 #include "scheduler_settings.h"
 
@@ -58,11 +59,15 @@
       clock, store, instances, *registry);
   configuration::drained_instance_list drained(instances, configured);
   shards::shard_metrics metrics(*registry);
+  shards::task_metrics task_events(*registry);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
       settings.shards, settings.session, clock, store, drained, agents,
       [&metrics](const shards::shard_totals& totals) {
         metrics.Update(totals);
+      },
+      [&task_events](const scheduling::event& recorded) {
+        task_events.Count(recorded);
       });
   ownership::home_registry homes(store);
   shards::job_router jobs(manager, homes, configured, clock,
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -40,7 +40,8 @@
                workers::agent& agents,
                std::string run,
                std::shared_ptr<const protocol::tenure> held,
-               executors run_on);
+               executors run_on,
+               event_hook on_event = {});
   /// Waits for the calls in progress.
   ~shard_runner();
   shard_runner(const shard_runner&) = delete;
@@ -82,8 +83,10 @@
   worker_entry& EntryOf(const std::string& worker_id);
   void StageLost();
   void StagePlanned();
-  void AskForWrite();
+  /// Whether others wait for a planned event, so that its write can't.
+  bool IsUrgent(const scheduling::event& planned) const;
   std::unique_ptr<internal::shard_ledger> NewLedger();
+  void AskForWrite();
   base::result<std::uint64_t> Stage(std::vector<scheduling::event> events);
   base::result<void> AwaitConfirmed(std::unique_lock<std::mutex>& lock,
                                     std::uint64_t position);
@@ -109,6 +112,7 @@
   workers::agent& agents_;
   const std::shared_ptr<const protocol::tenure> held_;
   const executors run_on_;
+  const event_hook on_event_;
 
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -71,7 +71,8 @@
                            workers::agent& agents,
                            std::string run,
                            std::shared_ptr<const protocol::tenure> held,
-                           executors run_on)
+                           executors run_on,
+                           event_hook on_event)
     : shard_(std::move(shard)),
       epoch_(epoch),
       settings_(settings),
@@ -79,6 +80,7 @@
       agents_(agents),
       held_(std::move(held)),
       run_on_(std::move(run_on)),
+      on_event_(std::move(on_event)),
       planner_(NewPlanner()),
       ledger_(NewLedger()),
       journal_(store, shard_, std::move(run), settings_.journal),
@@ -263,9 +265,19 @@
       [this](const scheduling::event& recorded,
              const scheduling::shard_state& after) {
         planner_->Observe(recorded, after, clock_.WallNow());
+        if (on_event_)
+          on_event_(recorded);
       });
 }
 
+bool shard_runner::IsUrgent(const scheduling::event& planned) const {
+  if (std::holds_alternative<scheduling::checkpoint_ordered>(planned))
+    return true;
+  const auto* start = std::get_if<scheduling::attempt_started>(&planned);
+  return start != nullptr &&
+         ledger_->state().Find(start->task_id)->request.urgent;
+}
+
 void shard_runner::StagePlanned() {
   const base::time_point now = clock_.Now();
   if ((!plan_due_ && now < next_plan_) || failed_writes_ > 0)
@@ -282,11 +294,7 @@
   auto planned = planner_->Plan(ledger_->state(), ready, clock_.WallNow());
   const bool urgent =
       std::any_of(planned.begin(), planned.end(),
-                  [this](const scheduling::event& recorded) {
-                    const scheduling::task* known =
-                        ledger_->state().Find(internal::TaskOf(recorded));
-                    return known != nullptr && known->request.urgent;
-                  });
+                  [this](const auto& next) { return IsUrgent(next); });
   if (urgent)
     next_commit_ = {};
   static_cast<void>(Stage(std::move(planned)));
--- a/tests/bench/placement/scenario.h
+++ b/tests/bench/placement/scenario.h
@@ -68,6 +68,8 @@
   std::string bad_template;
   /// Times at which a part of the waiting and running batch is cancelled.
   std::vector<elapsed> cancellations;
+  /// Workers in it; arrivals and replicas grow with them.
+  int racks_per_domain = 0;
   /// Load of services swings by this much, with sudden steps.
   bool load_shifts = false;
 };
@@ -76,13 +78,16 @@
 inline constexpr std::chrono::minutes kNight{60};
 
 std::vector<std::string> ScenarioNames();
-scenario MakeScenario(const std::string& name, std::uint64_t seed);
+/// A rack has six workers.
+scenario MakeScenario(const std::string& name,
+                      std::uint64_t seed,
+                      int racks_per_domain);
 
 /// Load of a service's replicas at a time, 0 to 1.
 double LoadAt(const scenario& in, const std::string& service, elapsed at);
 
 /// Workers in racks of four failure domains.
-std::vector<scheduling::worker_view> MakeWorkers();
+std::vector<scheduling::worker_view> MakeWorkers(int racks_per_domain);
 
 const batch_truth* FindBatch(const scenario& in, const std::string& name);
 const service_truth* FindService(const scenario& in, const std::string& name);
