A planned stop gives borrowed slots back by message

Before, they came back to their owners 5.1 s later, when their leases had passed, and were then held back until their upstreams had answered.

--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kProbeTimeout{300};
+/// Longest time for giving borrowed slots back on a planned stop.
+constexpr std::chrono::milliseconds kReturnTime{1000};
 
 bool Probe(upstreams::upstream_client& client,
            const platform::instance& upstream) {
@@ -110,6 +112,7 @@
   clock.SleepUntil(clock.Now() + settings.drain);
   server.Stop();
   prober.Stop();
+  slots.ReturnBorrowed(kReturnTime);
   sharer.Stop();
   peers.Stop();
   refresher.Stop();
--- a/src/admission/tests/request_queue_test.cc
+++ b/src/admission/tests/request_queue_test.cc
@@ -99,11 +99,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(KeepsTimeForASlowAnswerOfWhatHasWaited) {
-  constexpr service_capacity kSpread{10, milliseconds(20), milliseconds(90)};
+  const service_capacity spread{10, milliseconds(20), milliseconds(90)};
   request_queue queue({});
-  queue.Admit(Request(1, "a", milliseconds(50)), kSpread, kNow);
-  BOOST_TEST(queue.TakeLate(kSpread, kNow).empty());
-  BOOST_TEST(queue.TakeLate(kSpread, kNow + milliseconds(1)).size() == 1);
+  queue.Admit(Request(1, "a", milliseconds(50)), spread, kNow);
+  BOOST_TEST(queue.TakeLate(spread, kNow).empty());
+  BOOST_TEST(queue.TakeLate(spread, kNow + milliseconds(1)).size() == 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/entries/include/chivecrank/entries/slot_pool.h
+++ b/src/entries/include/chivecrank/entries/slot_pool.h
@@ -48,6 +48,10 @@
   /// Waits until a request lacks a slot, `longest` at most.
   void WaitForShortage(std::chrono::milliseconds longest);
 
+  /// Gives back what is borrowed, waiting `longest` at most. Call it when no
+  /// request is left and while the pool's messages are still carried.
+  void ReturnBorrowed(std::chrono::milliseconds longest);
+
   /// Whether own slots may be used already.
   bool IsUsable() const;
   pool_totals Totals();
--- a/src/entries/internal/slot_pool.cc
+++ b/src/entries/internal/slot_pool.cc
@@ -180,6 +180,16 @@
     shortage_.wait_for(lock, longest);
 }
 
+void slot_pool::ReturnBorrowed(std::chrono::milliseconds longest) {
+  const base::time_point end = clock_.Now() + longest;
+  {
+    std::lock_guard lock(mutex_);
+    router_.StopBorrowing(clock_.Now());
+  }
+  while (clock_.Now() < end && Totals().router.borrowed > 0)
+    clock_.SleepUntil(clock_.Now() + kWaitStep);
+}
+
 bool slot_pool::IsUsable() const {
   return clock_.Now() >= usable_from_;
 }
--- a/src/entries/tests/entry_server_test.cc
+++ b/src/entries/tests/entry_server_test.cc
@@ -44,9 +44,17 @@
   slot_wait wait;
   wait.account = "hotel";
   wait.deadline = clock.Now() + std::chrono::milliseconds(2000);
-  for (int i = 0; i < 5; ++i)
-    BOOST_TEST(borrower.Acquire(wait).slot.has_value());
+  std::vector<held_slot> held;
+  for (int i = 0; i < 5; ++i) {
+    const slot_answer answer = borrower.Acquire(wait);
+    BOOST_REQUIRE(answer.slot.has_value());
+    held.push_back(*answer.slot);
+  }
   BOOST_TEST(lender.Totals().router.lent > 0);
+  for (const held_slot& slot : held)
+    borrower.Release(slot, routing::slot_outcome::kAnswered);
+  borrower.ReturnBorrowed(kTimeout);
+  BOOST_TEST(lender.Totals().router.lent == 0);
   sharer.Stop();
   server.Stop();
 }
--- a/src/routing/include/chivecrank/routing/slot_borrower.h
+++ b/src/routing/include/chivecrank/routing/slot_borrower.h
@@ -43,6 +43,9 @@
   /// ones now, the others as their requests end.
   void Recall(std::int64_t lender, std::int64_t slots);
 
+  /// Ends every lease, so that all slots go back as they fall free.
+  void EndAll(base::time_point now);
+
   /// Adds the returns and renewals that are due for a lender.
   void Fill(std::int64_t lender,
             exchange_request& request,
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -50,6 +50,9 @@
   /// Upstreams whose slots are held back until they answer a probe.
   std::vector<platform::instance> ToProbe() const;
 
+  /// Borrows nothing more and gives back all that is borrowed.
+  void StopBorrowing(base::time_point now);
+
   /// Messages for other entries. `waiting` requests have no slot.
   std::vector<outgoing_exchange> Exchanges(std::int64_t waiting,
                                            base::time_point now);
@@ -130,6 +133,7 @@
   std::int64_t capacity_ = 0;
   base::time_point next_capacity_{};
   base::time_point next_ask_{};
+  bool borrowing_ = true;
 };
 
 }  // namespace chivecrank::routing
--- a/src/routing/internal/slot_borrower.cc
+++ b/src/routing/internal/slot_borrower.cc
@@ -88,6 +88,13 @@
   }
 }
 
+void slot_borrower::EndAll(base::time_point now) {
+  for (auto& [key, grant] : grants_) {
+    grant.use_until = std::min(grant.use_until, now);
+    grant.ending = true;
+  }
+}
+
 void slot_borrower::Recall(std::int64_t lender, std::int64_t slots) {
   for (auto& [key, grant] : grants_) {
     if (key.lender != lender || slots <= 0)
@@ -190,7 +197,7 @@
 std::int64_t slot_borrower::borrowed() const {
   std::int64_t total = 0;
   for (const auto& [key, grant] : grants_)
-    total += grant.slots - grant.returned;
+    total += grant.slots - grant.confirmed;
   return total;
 }
 
--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -251,6 +251,11 @@
   typical_ms_ = *middle;
 }
 
+void slot_router::StopBorrowing(base::time_point now) {
+  borrowing_ = false;
+  borrower_.EndAll(now);
+}
+
 std::vector<outgoing_exchange> slot_router::Exchanges(std::int64_t waiting,
                                                       base::time_point now) {
   std::vector<outgoing_exchange> messages;
@@ -265,7 +270,7 @@
     borrower_.Shrink(excess, now);
   const std::int64_t lacking = waiting + Reserve() - free;
   std::map<std::int64_t, std::int64_t> wanted;
-  if (lacking > 0 && now >= next_ask_)
+  if (borrowing_ && lacking > 0 && now >= next_ask_)
     wanted = DivideAmongLenders(lacking, now);
   if (!wanted.empty())
     next_ask_ = now + options_.sharing.ask_pause;
