--- a/apps/chivecrank_entry/entry_settings.cc
+++ b/apps/chivecrank_entry/entry_settings.cc
@@ -1,6 +1,7 @@
 #include "entry_settings.h"
 
 #include "chivecrank/membership/peer_settings.h"
+#include "chivecrank/platform/guard_reader.h"
 
 namespace chivecrank {
 namespace {
@@ -8,6 +9,7 @@
 constexpr settings::integer_range kTimeoutMilliseconds{10, 60'000};
 constexpr settings::integer_range kDrainMilliseconds{0, 60'000};
 constexpr settings::integer_range kLeaseMilliseconds{50, 60'000};
+constexpr settings::integer_range kRememberMilliseconds{60'000, 86'400'000};
 constexpr settings::integer_range kEntryIndex{0, 999};
 constexpr settings::integer_range kThreads{4, 2000};
 constexpr settings::integer_range kBodyBytes{1024, 64LL << 20};
@@ -71,22 +73,27 @@
   read.failure_domain = root.String("failure_domain");
   read.listen = root.Endpoint("listen");
   read.status = root.Endpoint("status");
+  read.peer = root.Endpoint("peer");
   if (read.listen.port != 0 && read.listen == read.status)
     root.Reject("status", "is the same address as listen",
                 "give the two different ports");
   read.peers = membership::ReadPeerPorts(root);
-  settings::section platform = root.Table("platform");
-  read.platform = platform.Endpoint("address");
-  read.store_timeout = platform.MillisecondsOr(
-      "timeout_ms", kTimeoutMilliseconds, read.store_timeout);
+  settings::section store = root.Table("platform");
+  read.platform = store.Endpoint("address");
+  read.guard = platform::ReadGuardSettings(store);
+  read.store_timeout = store.MillisecondsOr("timeout_ms", kTimeoutMilliseconds,
+                                            read.store_timeout);
   read.refresh =
-      platform.MillisecondsOr("refresh_ms", kTimeoutMilliseconds, read.refresh);
+      store.MillisecondsOr("refresh_ms", kTimeoutMilliseconds, read.refresh);
   settings::section scheduler = root.Table("scheduler");
   read.scheduler = scheduler.Endpoint("address");
   read.scheduler_timeout = scheduler.MillisecondsOr(
       "timeout_ms", kTimeoutMilliseconds, read.scheduler_timeout);
   ReadShare(root, read);
   ReadLimits(root, read.limits);
+  settings::section requests = root.TableOr("requests");
+  read.homes.retention = requests.MillisecondsOr(
+      "remember_ms", kRememberMilliseconds, read.homes.retention);
   read.drain = root.MillisecondsOr("drain_ms", kDrainMilliseconds, read.drain);
   return read;
 }
--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -6,7 +6,9 @@
 #include <vector>
 
 #include "chivecrank/http/types.h"
+#include "chivecrank/idempotency/types.h"
 #include "chivecrank/membership/types.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -18,6 +20,8 @@
   std::string failure_domain;
   settings::endpoint listen;
   settings::endpoint status;
+  /// Thrift, for the other entries.
+  settings::endpoint peer;
   settings::endpoint platform;
   /// The scheduler of the same instance.
   settings::endpoint scheduler;
@@ -25,6 +29,7 @@
   /// Age up to which a read of the instance list is used again.
   std::chrono::milliseconds list_age{500};
   membership::peer_ports peers;
+  platform::guard_settings guard;
   std::chrono::milliseconds scheduler_timeout{5000};
   std::chrono::milliseconds refresh{1000};
   /// Time between "not ready" and the end of listening on a planned stop.
@@ -36,6 +41,7 @@
   std::vector<settings::endpoint> places;
   std::chrono::milliseconds peer_timeout{250};
   http::server_limits limits;
+  idempotency::home_settings homes;
 };
 
 /// Reads all settings; faults are recorded in the document.
--- a/src/callers/internal/request_service.cc
+++ b/src/callers/internal/request_service.cc
@@ -15,7 +15,7 @@
   if (!type.empty())
     message.headers.push_back({"Content-Type", std::string(type)});
   message.headers.push_back(
-      {kRequestIdHeader, request.account + "/" + request.key});
+      {upstreams::kRequestIdHeader, request.account + "/" + request.key});
   // An upstream stops at the deadline, so that its slot is free again.
   message.headers.push_back(
       {kTimeoutHeader, std::to_string(remaining.count())});
