--- a/tests/integration/settings_files_test.cc
+++ b/tests/integration/settings_files_test.cc
@@ -44,6 +44,10 @@
     {"entry", "[platform]",
      "[limits]\nread_timeout_ms = 5000\nrequest_timeout_ms = 100\n[platform]",
      "limits.request_timeout_ms: is shorter than read_timeout_ms; give"},
+    {"entry", "index = 0", "index = 2",
+     "share.index: is not below the number of share.entries; list every entry"},
+    {"entry", "index = 0", "index = 1",
+     "share.index: names a place in failure domain viti-nadi; give the place"},
     {"scheduler", "session_ms = 2000", "session_ms = \"2 s\"",
      "leases.session_ms: has the wrong type; give an integer here"},
     {"scheduler", "session_ms = 2000", "session_ms = 1",
@@ -106,6 +110,8 @@
     at.admin = {"127.0.0.1", 7400};
     at.admin_status = {"127.0.0.1", 7401};
     at.platform = {"127.0.0.1", 7100};
+    at.entry_peers = {{"127.0.0.1", 8082}, {"127.0.0.2", 8082}};
+    at.peer_domains = {"viti-suva", "viti-nadi"};
     if (part == "entry")
       return EntrySettingsText(at);
     return part == "scheduler" ? SchedulerSettingsText(at)
@@ -134,7 +140,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(WrongFilesGiveTheirMessageAndExitCodeTwo) {
-  BOOST_TEST(kWrongFiles.size() == 20);
+  BOOST_TEST(kWrongFiles.size() == 22);
   for (const wrong_file& wrong : kWrongFiles) {
     const std::string text = Replaced(ValidText(wrong.part), wrong);
     const check_result result = Check(wrong.part, Write(text));
