--- a/tests/integration/slot_sharing_test.cc
+++ b/tests/integration/slot_sharing_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::chrono::seconds kStep{2};
+constexpr std::chrono::seconds kLeavingLimit{3};
 constexpr int kCallers = 44;
 const std::string kConfiguration =
     std::string(CHIVECRANK_SOURCE_DIR) + "/config/tanoa.toml";
@@ -50,6 +51,14 @@
   std::vector<std::thread> callers_;
 };
 
+std::int64_t ToMs(std::chrono::system_clock::duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+std::int64_t WallMs() {
+  return ToMs(std::chrono::system_clock::now().time_since_epoch());
+}
+
 child_process& EntryOf(deployment& system, int index) {
   return *system.ProcessesOf(index).front();
 }
@@ -108,6 +117,26 @@
   CheckAccounts(system, callers);
 }
 
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNothingNewAfterThreeSeconds) {
+  deployment_options options;
+  options.instances = 7;
+  options.workers = 6;
+  options.service_ms = 30;
+  deployment system(options);
+  BOOST_REQUIRE(system.Start());
+  BOOST_REQUIRE(system.Apply(kConfiguration) == 0);
+  load callers(system);
+  std::this_thread::sleep_for(kStep);
+  system.SetLeaving(0, true);
+  const std::int64_t marked = WallMs();
+  std::this_thread::sleep_for(kLeavingLimit + kStep);
+  BOOST_TEST(system.LastStartAt(0) > 0);
+  BOOST_TEST(system.LastStartAt(0) <= marked + ToMs(kLeavingLimit));
+  BOOST_TEST(system.LastStartAt(1) > marked + ToMs(kLeavingLimit));
+  callers.Stop();
+  CheckAccounts(system, callers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::harness
