--- a/src/routing/include/chivecrank/routing/types.h
+++ b/src/routing/include/chivecrank/routing/types.h
@@ -40,7 +40,7 @@
   /// Slots that a peer is asked for at least, when more are lacking.
   std::int64_t smallest_request = 16;
   /// Shortest time between two requests for slots, whoever is asked.
-  std::chrono::milliseconds ask_pause{20};
+  std::chrono::milliseconds ask_pause{80};
   /// Pause before a peer that had nothing to lend is asked again.
   std::chrono::milliseconds refusal_pause{20};
 
--- a/src/routing/tests/sharing_property_test.cc
+++ b/src/routing/tests/sharing_property_test.cc
@@ -38,6 +38,8 @@
     options_.sharing.longest_request = milliseconds(400);
     options_.sharing.run_limit = milliseconds(300);
     options_.sharing.clock_margin = milliseconds(20);
+    // The shorter the pause, the more slots are lent.
+    options_.sharing.ask_pause = milliseconds(10);
     for (int i = 0; i < kUpstreams; ++i) {
       platform::instance upstream;
       upstream.id = "w-" + std::to_string(i);
