--- a/src/admission/include/chivecrank/admission/request_queue.h
+++ b/src/admission/include/chivecrank/admission/request_queue.h
@@ -40,8 +40,6 @@
   std::optional<request_number> Pop(base::time_point now);
   /// A popped request of an account has ended.
   void Finish(const std::string& account);
-  /// Takes a waiting request out, such as one whose caller is gone.
-  void Remove(request_number number);
 
   /// Takes out the requests that can't be answered in time any more.
   std::vector<refusal> TakeLate(const service_capacity& capacity,
--- a/src/admission/internal/request_queue.cc
+++ b/src/admission/internal/request_queue.cc
@@ -148,15 +148,6 @@
   --found->second.in_flight;
 }
 
-void request_queue::Remove(request_number number) {
-  for (auto& [name, account] : accounts_) {
-    waiting_ -= static_cast<std::int64_t>(
-        std::erase_if(account.queue, [number](const auto& waiting) {
-          return waiting.first.second == number;
-        }));
-  }
-}
-
 std::vector<refusal> request_queue::TakeLate(const service_capacity& capacity,
                                              base::time_point now) {
   std::vector<refusal> late;
--- a/src/routing/include/chivecrank/routing/slot_borrower.h
+++ b/src/routing/include/chivecrank/routing/slot_borrower.h
@@ -29,7 +29,6 @@
                                     base::time_point now) const;
   /// Free slots of an upstream.
   std::int64_t Free(const std::string& upstream_id, base::time_point now) const;
-  std::int64_t InUse(const std::string& upstream_id) const;
 
   void Take(const grant_key& key);
   void GiveBack(const grant_key& key, base::time_point now);
--- a/src/routing/include/chivecrank/routing/slot_lender.h
+++ b/src/routing/include/chivecrank/routing/slot_lender.h
@@ -26,8 +26,6 @@
 
   /// Slots that a request may take now.
   std::int64_t Free(const std::string& upstream_id, base::time_point now) const;
-  /// Slots in use or held back by this entry's own requests.
-  std::int64_t InUse(const std::string& upstream_id) const;
 
   void Take(const std::string& upstream_id);
   void GiveBack(const std::string& upstream_id);
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -106,7 +106,6 @@
   void LearnTypicalLatency(base::time_point now);
   void EjectFailing(upstream_state& at, base::time_point now);
   std::int64_t FreeSlots(base::time_point now) const;
-  std::int64_t InUse() const;
   std::int64_t Reserve() const;
   /// Slots to ask for, by the lender's place.
   std::map<std::int64_t, std::int64_t> DivideAmongLenders(
--- a/src/routing/include/chivecrank/routing/upstream_health.h
+++ b/src/routing/include/chivecrank/routing/upstream_health.h
@@ -17,9 +17,6 @@
   /// Learns from a request that ended.
   void Learn(slot_outcome outcome, base::duration latency);
 
-  /// Learns that a request has been unanswered for `age` so far.
-  void LearnUnanswered(base::duration age);
-
   /// Ejects the upstream, each time for longer.
   void Eject(base::time_point now);
   /// Takes it back now, whatever its failures were.
@@ -46,6 +43,8 @@
   double LatencyMs() const { return latency_ms_; }
 
  private:
+  void LearnUnanswered(base::duration age);
+
   const health_options options_;
   double latency_ms_ = 0;
   std::int64_t samples_ = 0;
--- a/src/routing/internal/slot_borrower.cc
+++ b/src/routing/internal/slot_borrower.cc
@@ -64,13 +64,6 @@
   return free;
 }
 
-std::int64_t slot_borrower::InUse(const std::string& upstream_id) const {
-  std::int64_t used = 0;
-  for (const grant_key& key : KeysOf(upstream_id))
-    used += grants_.at(key).in_use;
-  return used;
-}
-
 void slot_borrower::Take(const grant_key& key) {
   ++grants_[key].in_use;
 }
--- a/src/routing/internal/slot_lender.cc
+++ b/src/routing/internal/slot_lender.cc
@@ -28,13 +28,6 @@
       0, own.total - own.in_use - own.lent - std::ssize(own.held));
 }
 
-std::int64_t slot_lender::InUse(const std::string& upstream_id) const {
-  const auto found = own_.find(upstream_id);
-  if (found == own_.end())
-    return 0;
-  return found->second.in_use + std::ssize(found->second.held);
-}
-
 void slot_lender::Take(const std::string& upstream_id) {
   ++own_[upstream_id].in_use;
 }
--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -396,12 +396,8 @@
   return free;
 }
 
-std::int64_t slot_router::InUse() const {
-  return in_use_;
-}
-
 std::int64_t slot_router::Reserve() const {
-  return std::max(kSmallestReserve, InUse() / kReserveDivisor);
+  return std::max(kSmallestReserve, in_use_ / kReserveDivisor);
 }
 
 std::chrono::milliseconds slot_router::TypicalLatency() const {
@@ -414,7 +410,7 @@
 
 std::int64_t slot_router::Capacity(base::time_point now) {
   if (now >= next_capacity_) {
-    capacity_ = FreeSlots(now) + InUse();
+    capacity_ = FreeSlots(now) + in_use_;
     next_capacity_ = now + kCapacityPeriod;
   }
   return capacity_;
@@ -423,7 +419,7 @@
 router_totals slot_router::Totals(base::time_point now) const {
   router_totals totals;
   totals.free = FreeSlots(now);
-  totals.in_use = InUse();
+  totals.in_use = in_use_;
   totals.lent = lender_.lent();
   totals.borrowed = borrower_.borrowed();
   totals.held_back = lender_.held_back();
--- a/tests/integration/settings_files_test.cc
+++ b/tests/integration/settings_files_test.cc
@@ -94,7 +94,7 @@
   }
 
   std::string Write(const std::string& text) const {
-    const std::string path = (folder / "settings.toml").string();
+    std::string path = (folder / "settings.toml").string();
     std::ofstream(path) << text;
     return path;
   }
