--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -251,6 +251,11 @@
   typical_ms_ = *middle;
 }
 
+void slot_router::StopBorrowing(base::time_point now) {
+  borrowing_ = false;
+  borrower_.EndAll(now);
+}
+
 std::vector<outgoing_exchange> slot_router::Exchanges(std::int64_t waiting,
                                                       base::time_point now) {
   std::vector<outgoing_exchange> messages;
@@ -265,7 +270,7 @@
     borrower_.Shrink(excess, now);
   const std::int64_t lacking = waiting + Reserve() - free;
   std::map<std::int64_t, std::int64_t> wanted;
-  if (lacking > 0 && now >= next_ask_)
+  if (borrowing_ && lacking > 0 && now >= next_ask_)
     wanted = DivideAmongLenders(lacking, now);
   if (!wanted.empty())
     next_ask_ = now + options_.sharing.ask_pause;
@@ -391,12 +396,8 @@
   return free;
 }
 
-std::int64_t slot_router::InUse() const {
-  return in_use_;
-}
-
 std::int64_t slot_router::Reserve() const {
-  return std::max(kSmallestReserve, InUse() / kReserveDivisor);
+  return std::max(kSmallestReserve, in_use_ / kReserveDivisor);
 }
 
 std::chrono::milliseconds slot_router::TypicalLatency() const {
@@ -409,7 +410,7 @@
 
 std::int64_t slot_router::Capacity(base::time_point now) {
   if (now >= next_capacity_) {
-    capacity_ = FreeSlots(now) + InUse();
+    capacity_ = FreeSlots(now) + in_use_;
     next_capacity_ = now + kCapacityPeriod;
   }
   return capacity_;
@@ -418,7 +419,7 @@
 router_totals slot_router::Totals(base::time_point now) const {
   router_totals totals;
   totals.free = FreeSlots(now);
-  totals.in_use = InUse();
+  totals.in_use = in_use_;
   totals.lent = lender_.lent();
   totals.borrowed = borrower_.borrowed();
   totals.held_back = lender_.held_back();
