--- a/apps/chivecrankctl/commands.cc
+++ b/apps/chivecrankctl/commands.cc
@@ -4,106 +4,105 @@
 #include <iostream>
 #include <string_view>
 
+#include "change_commands.h"
 #include "chivecrank/security/token.h"
-#include "configuration_file.h"
+#include "output.h"
 
 namespace chivecrank::ctl {
 namespace {
 
-using http::json_object;
-using arguments_list = std::vector<std::string>;
-
-constexpr unsigned kIndent = 2;
-
-exit_code ExitCodeOf(const base::error& failure) {
-  switch (failure.kind) {
-    case base::error_kind::kInvalidArgument:
-    case base::error_kind::kNotFound:
-    case base::error_kind::kPermissionDenied:
-    case base::error_kind::kUnauthenticated:
-      return exit_code::kRefused;
-    case base::error_kind::kConflict:
-      return exit_code::kConflict;
-    case base::error_kind::kUnavailable:
-    case base::error_kind::kOutcomeUnknown:
-    case base::error_kind::kTimeout:
-      return exit_code::kUnavailable;
-    default:
-      return exit_code::kFailed;
+exit_code Show(command_context& context,
+               const std::string& target,
+               const std::string& key,
+               const std::vector<std::string>& columns) {
+  const auto body = context.admin.Get(target);
+  if (!body.has_value())
+    return Report(body.error());
+  PrintList(context, body.value(), key, columns);
+  return exit_code::kOk;
+}
+
+exit_code Get(command_context& context, const arguments_list& arguments) {
+  std::string target = "/v1/configuration";
+  if (!arguments.empty())
+    target += "?revision=" + arguments[0];
+  const auto body = context.admin.Get(target);
+  if (!body.has_value())
+    return Report(body.error());
+  PrintJson(body.value());
+  return exit_code::kOk;
+}
+
+exit_code Diff(command_context& context, const arguments_list& arguments) {
+  if (arguments.size() == 1) {
+    context.dry_run = true;
+    return Apply(context, arguments);
   }
+  return Show(context,
+              "/v1/difference?from=" + arguments[0] + "&to=" + arguments[1],
+              "differences", {"change", "section", "name"});
 }
 
-exit_code Report(const base::error& failure) {
-  std::cerr << base::Describe(failure) << "\n";
-  return ExitCodeOf(failure);
+exit_code History(command_context& context, const arguments_list&) {
+  return Show(context, "/v1/history", "revisions",
+              {"revision", "author", "accepted_at_ms", "comment"});
 }
 
-void PrintJson(const json_object& body) {
-  body->stringify(std::cout, kIndent);
-  std::cout << "\n";
+exit_code Instances(command_context& context, const arguments_list&) {
+  return Show(context, "/v1/instances", "processes",
+              {"failure_domain", "instance", "daemon", "status", "reached",
+               "revision"});
 }
 
-exit_code Apply(command_context& context, const arguments_list& arguments) {
-  const auto content = ReadConfigurationFile(arguments[0]);
-  if (!content.has_value())
-    return Report(content.error());
-  const auto head = context.admin.Get("/v1/configuration");
-  if (!head.has_value())
-    return Report(head.error());
-  json_object change = new Poco::JSON::Object;
-  change->set("base", http::IntegerOf(head.value(), "revision"));
-  change->set("comment", context.comment);
-  change->set("content", content.value());
-  const auto accepted = context.admin.Post("/v1/configuration", change);
-  if (!accepted.has_value())
-    return Report(accepted.error());
-  if (context.format == output_format::kJson)
-    PrintJson(accepted.value());
-  else
-    std::cout << "accepted revision "
-              << http::IntegerOf(accepted.value(), "revision") << "\n";
-  return exit_code::kOk;
+exit_code Workers(command_context& context, const arguments_list&) {
+  return Show(context, "/v1/workers", "workers",
+              {"failure_domain", "rack", "worker", "state", "drained", "slots",
+               "processors_milli", "memory_mib", "accelerators"});
 }
 
-exit_code Get(command_context& context, const arguments_list& arguments) {
-  std::string target = "/v1/configuration";
-  if (!arguments.empty())
-    target += "?revision=" + arguments[0];
-  const auto body = context.admin.Get(target);
+exit_code Teams(command_context& context, const arguments_list&) {
+  return Show(context, "/v1/teams", "teams", {"name", "quota"});
+}
+
+exit_code Shards(command_context& context, const arguments_list&) {
+  return Show(context, "/v1/shards", "shards", {"shard", "owner", "epoch"});
+}
+
+exit_code Job(command_context& context, const arguments_list& arguments) {
+  const auto body = context.admin.Get("/v1/jobs?account=" + arguments[0] +
+                                      "&job=" + arguments[1]);
   if (!body.has_value())
     return Report(body.error());
   PrintJson(body.value());
   return exit_code::kOk;
 }
 
-exit_code History(command_context& context,
-                  const arguments_list& /*arguments*/) {
-  const auto body = context.admin.Get("/v1/history");
+exit_code Status(command_context& context, const arguments_list&) {
+  const auto body = context.admin.Get("/v1/status");
   if (!body.has_value())
     return Report(body.error());
-  if (context.format == output_format::kJson) {
-    PrintJson(body.value());
-    return exit_code::kOk;
+  const bool everywhere = http::BooleanOf(body.value(), "in_force_everywhere");
+  if (context.format == output_format::kTable) {
+    std::cout << "revision " << http::IntegerOf(body.value(), "revision")
+              << (everywhere ? " is in force everywhere\n"
+                             : " is not in force everywhere; behind:\n");
   }
-  const http::json_array revisions = http::ArrayOf(body.value(), "revisions");
-  std::cout << "REVISION\tAUTHOR\tCOMMENT\n";
-  for (unsigned i = 0; i < revisions->size(); ++i) {
-    const json_object item = revisions->getObject(i);
-    std::cout << http::IntegerOf(item, "revision") << "\t"
-              << http::StringOf(item, "author") << "\t"
-              << http::StringOf(item, "comment") << "\n";
+  if (!everywhere || context.format == output_format::kJson) {
+    PrintList(context, body.value(), "behind",
+              {"instance", "daemon", "status", "reached", "revision"});
   }
-  return exit_code::kOk;
+  return everywhere ? exit_code::kOk : exit_code::kNotInForce;
 }
 
-exit_code HashToken(command_context& /*context*/,
-                    const arguments_list& /*arguments*/) {
+exit_code HashToken(command_context&, const arguments_list&) {
   std::string token;
   std::getline(std::cin, token);
   std::cout << security::HashToken(token) << "\n";
   return exit_code::kOk;
 }
 
+exit_code Completion(command_context& context, const arguments_list& arguments);
+
 struct command {
   std::string_view name;
   std::string_view usage;
@@ -113,10 +112,23 @@
 };
 
 constexpr std::array kCommands = {
-    command{"apply", "apply FILE.toml", 1, 1, Apply},
+    command{"apply", "apply FILE.toml [--dry_run] [--wait]", 1, 1, Apply},
+    command{"diff", "diff FILE.toml | diff FROM TO", 1, 2, Diff},
     command{"get", "get [REVISION]", 0, 1, Get},
     command{"history", "history", 0, 0, History},
+    command{"rollback", "rollback REVISION [--wait]", 1, 1, Rollback},
+    command{"drain", "drain worker|rack|failure_domain NAME [--wait]", 2, 2,
+            Drain},
+    command{"undrain", "undrain worker|rack|failure_domain NAME [--wait]", 2, 2,
+            Undrain},
+    command{"job", "job ACCOUNT JOB", 2, 2, Job},
+    command{"workers", "workers", 0, 0, Workers},
+    command{"teams", "teams", 0, 0, Teams},
+    command{"instances", "instances", 0, 0, Instances},
+    command{"shards", "shards", 0, 0, Shards},
+    command{"status", "status", 0, 0, Status},
     command{"hash-token", "hash-token < TOKEN", 0, 0, HashToken},
+    command{"completion", "completion bash", 1, 1, Completion},
 };
 
 exit_code BadUsage() {
@@ -126,10 +138,21 @@
   return exit_code::kBadUsage;
 }
 
+exit_code Completion(command_context&, const arguments_list& arguments) {
+  if (arguments[0] != "bash")
+    return BadUsage();
+  std::cout << "complete -o default -W '";
+  for (const command& known : kCommands)
+    std::cout << known.name << " ";
+  std::cout << "--admin= --token= --output=table --output=json --comment= "
+               "--dry_run --wait --wait_seconds=' chivecrankctl\n";
+  return exit_code::kOk;
+}
+
 }  // namespace
 
 exit_code RunCommand(command_context& context,
-                     const std::vector<std::string>& arguments) {
+                     const arguments_list& arguments) {
   if (arguments.empty())
     return BadUsage();
   for (const command& known : kCommands) {
--- a/apps/chivecrankctl/main.cc
+++ b/apps/chivecrankctl/main.cc
@@ -17,6 +17,9 @@
           "operator token; CHIVECRANK_TOKEN in the environment by default");
 ABSL_FLAG(std::string, output, "table", "table or json");
 ABSL_FLAG(std::string, comment, "", "why, for the audit history");
+ABSL_FLAG(bool, dry_run, false, "check and compare, but change nothing");
+ABSL_FLAG(bool, wait, false, "return when a change is in force everywhere");
+ABSL_FLAG(int, wait_seconds, 60, "how long --wait waits at most");
 
 namespace chivecrank::ctl {
 namespace {
@@ -45,8 +48,12 @@
   }
   admin_client admin(address, Token());
   command_context context{
-      admin, output == "json" ? output_format::kJson : output_format::kTable,
-      absl::GetFlag(FLAGS_comment)};
+      admin,
+      output == "json" ? output_format::kJson : output_format::kTable,
+      absl::GetFlag(FLAGS_comment),
+      absl::GetFlag(FLAGS_dry_run),
+      absl::GetFlag(FLAGS_wait),
+      std::chrono::seconds(absl::GetFlag(FLAGS_wait_seconds))};
   return static_cast<int>(RunCommand(context, arguments));
 }
 
--- a/src/configuration/include/chivecrank/configuration/head_watcher.h
+++ b/src/configuration/include/chivecrank/configuration/head_watcher.h
@@ -23,7 +23,7 @@
   std::chrono::milliseconds poll{100};
   /// A process that heard of no confirmation for this long reads the head
   /// itself; up to the same again is added at random.
-  std::chrono::milliseconds patience{15'000};
+  std::chrono::milliseconds patience{20'000};
   std::uint64_t seed = 1;
 };
 
--- a/src/configuration/internal/fleet.cc
+++ b/src/configuration/internal/fleet.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kCallsAtATime = 8;
+constexpr std::chrono::hours kNeverConfirmed{24};
 
 }  // namespace
 
@@ -18,7 +19,10 @@
   const auto ask = [&] {
     for (std::size_t i = next++; i < all.size(); i = next++) {
       states[i].process = all[i];
-      const auto answer = calls.Exchange(all[i].who.address, {});
+      // A digest without a sender tells nothing; its age is never the youngest.
+      membership::digest question;
+      question.confirmed_age = kNeverConfirmed;
+      const auto answer = calls.Exchange(all[i].who.address, question);
       states[i].reached = answer.has_value();
       if (answer.has_value())
         states[i].in_force = answer.value().in_force;
--- a/src/membership/include/chivecrank/membership/thrift_transport.h
+++ b/src/membership/include/chivecrank/membership/thrift_transport.h
@@ -8,9 +8,9 @@
 
 /// Time limits of the calls between processes.
 struct transport_settings {
-  std::chrono::milliseconds exchange{300};
+  std::chrono::milliseconds exchange{700};
   std::chrono::milliseconds fetch{1500};
-  std::chrono::milliseconds relay{800};
+  std::chrono::milliseconds relay{1600};
 };
 
 /// Calls other processes over Thrift, a connection for each call.
--- a/src/membership/internal/gossip.cc
+++ b/src/membership/internal/gossip.cc
@@ -113,6 +113,8 @@
     if (pending_.size() < kPendingLimit)
       pending_[theirs.sender] = theirs;
   }
+  document_.HearConfirmation(theirs.version,
+                             clock_.Now() - theirs.confirmed_age);
   return MyDigest(theirs.sender);
 }
 
--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -8,12 +8,17 @@
 #include <thread>
 
 #include "configuration_operator.h"
+#include "harness/caller.h"
 #include "harness/deployment.h"
 
 namespace chivecrank::harness {
 namespace {
 
+const std::string kConfiguration =
+    std::string(CHIVECRANK_SOURCE_DIR) + "/config/tanoa.toml";
 constexpr std::chrono::seconds kLimit{60};
+/// An upstream that leaves gets nothing new after this time.
+constexpr std::chrono::seconds kLeavingLimit{3};
 constexpr std::chrono::milliseconds kPoll{50};
 /// Longer than the lease of a scheduler.
 constexpr std::chrono::seconds kOutage{5};
@@ -203,6 +208,67 @@
   CheckThatNoneWentBack(system, 3);
 }
 
+BOOST_AUTO_TEST_CASE(CtlCommandsReturnTheirExitCodes) {
+  deployment system(Instances(2));
+  BOOST_REQUIRE(system.Start());
+  BOOST_TEST(system.RunCtl({"--dry_run", "apply", kConfiguration}) == 0);
+  BOOST_TEST(system.RunCtl({"get", "1"}) == 3);
+  BOOST_TEST(system.RunCtl({"--wait", "apply", kConfiguration}) == 0);
+  BOOST_TEST(system.RunCtl({"status"}) == 0);
+  BOOST_TEST(system.RunCtl({"--wait", "drain", "rack", "r1"}) == 0);
+  BOOST_TEST(system.RunCtl({"drain", "shelf", "r1"}) == 3);
+  BOOST_TEST(system.RunCtl({"diff", "1", "2"}) == 0);
+  BOOST_TEST(system.RunCtl({"--wait", "rollback", "1"}) == 0);
+  for (const std::string shown :
+       {"history", "instances", "workers", "teams", "shards"}) {
+    BOOST_TEST(system.RunCtl({shown}) == 0, shown);
+    BOOST_TEST(system.RunCtl({"--output=json", shown}) == 0, shown);
+  }
+  BOOST_TEST(system.RunCtl({"completion", "bash"}) == 0);
+  BOOST_TEST(system.RunCtl({"no-such-command"}) == 2);
+  configuration_operator reader(system.InstanceAt(0).admin, "sala");
+  BOOST_TEST(reader.Comments().size() == 3);
+  for (child_process* process : system.ProcessesOf(1))
+    process->Signal(SIGSTOP);
+  BOOST_TEST(system.RunCtl(
+                 {"--wait", "--wait_seconds=1", "undrain", "rack", "r1"}) == 6);
+  system.SetPlatformFaults(R"({"down":true})");
+  BOOST_TEST(system.RunCtl({"history"}) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(DrainedWorkersGetNothingNew) {
+  deployment_options options = Instances(2);
+  options.workers = 2;
+  options.failure_domains = {"viti-suva"};
+  deployment system(options);
+  BOOST_REQUIRE(system.Start());
+  BOOST_REQUIRE(system.RunCtl({"--wait", "apply", kConfiguration}) == 0);
+  caller by(system.Entries(), {}, 1);
+  const auto completed = [&](const std::string& key) {
+    return by.SendCallout(key).outcome == callers::request_outcome::kCompleted;
+  };
+  int sent = 0;
+  BOOST_TEST(
+      WaitUntil([&] { return completed("a-" + std::to_string(++sent)); }));
+  BOOST_REQUIRE(
+      system.RunCtl({"--wait", "drain", "failure_domain", "viti-suva"}) == 0);
+  std::this_thread::sleep_for(kLeavingLimit);
+  BOOST_TEST(!completed("b"));
+  BOOST_REQUIRE(
+      system.RunCtl({"--wait", "undrain", "failure_domain", "viti-suva"}) == 0);
+  BOOST_TEST(
+      WaitUntil([&] { return completed("c-" + std::to_string(++sent)); }));
+  const std::string drained = system.WorkerAt(0).id;
+  BOOST_REQUIRE(system.RunCtl({"--wait", "drain", "worker", drained}) == 0);
+  std::this_thread::sleep_for(kLeavingLimit);
+  for (const std::string key : {"n-1", "n-2", "n-3", "n-4"}) {
+    const std::string job = by.SubmitJob("round-plan", key);
+    BOOST_TEST(WaitUntil([&] { return by.JobState(job) == "done"; }), key);
+  }
+  for (const task_run& run : system.TaskRuns())
+    BOOST_TEST(run.worker_id != drained);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::harness
