--- a/apps/chivecrankctl/commands.cc
+++ b/apps/chivecrankctl/commands.cc
@@ -61,7 +61,8 @@
 }
 
 exit_code Teams(command_context& context, const arguments_list&) {
-  return Show(context, "/v1/teams", "teams", {"name", "quota"});
+  return Show(context, "/v1/teams", "teams",
+              {"name", "processors_milli", "memory_mib", "accelerators"});
 }
 
 exit_code Shards(command_context& context, const arguments_list&) {
--- a/src/configuration/internal/difference.cc
+++ b/src/configuration/internal/difference.cc
@@ -29,8 +29,8 @@
 }  // namespace
 
 std::string_view DifferenceKindName(difference_kind value) {
-  constexpr std::array kNames = {"added", "removed", "changed"};
-  return kNames.at(static_cast<std::size_t>(value));
+  constexpr std::array names = {"added", "removed", "changed"};
+  return names.at(static_cast<std::size_t>(value));
 }
 
 std::vector<difference> Compare(const content& from, const content& to) {
--- a/src/operators/internal/admin_api.cc
+++ b/src/operators/internal/admin_api.cc
@@ -105,7 +105,7 @@
 }
 
 admin_api::answer admin_api::Route(const http::request& message) {
-  static constexpr std::array kRoutes = {
+  static constexpr std::array routes = {
       route{"GET", "/v1/configuration", &admin_api::GetConfiguration},
       route{"POST", "/v1/configuration", &admin_api::PostConfiguration},
       route{"GET", "/v1/history", &admin_api::GetHistory},
@@ -121,7 +121,7 @@
       route{"GET", "/v1/jobs", &admin_api::GetJob},
   };
   const std::string_view path = message.Path();
-  for (const route& known : kRoutes) {
+  for (const route& known : routes) {
     if (known.path == path && known.method == message.method)
       return (this->*known.run)(message);
   }
--- a/src/platform/internal/store_metrics.cc
+++ b/src/platform/internal/store_metrics.cc
@@ -23,9 +23,9 @@
 }
 
 const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
-  static const prometheus::Histogram::BucketBoundaries kSeconds = {
+  static const prometheus::Histogram::BucketBoundaries seconds = {
       0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
-  return kSeconds;
+  return seconds;
 }
 
 }  // namespace
