--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "chivecrank/http/types.h"
+#include "chivecrank/idempotency/types.h"
 #include "chivecrank/membership/types.h"
 #include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/routing/types.h"
@@ -19,6 +20,8 @@
   std::string failure_domain;
   settings::endpoint listen;
   settings::endpoint status;
+  /// Thrift, for the other entries.
+  settings::endpoint peer;
   settings::endpoint platform;
   /// The scheduler of the same instance.
   settings::endpoint scheduler;
@@ -38,6 +41,7 @@
   std::vector<settings::endpoint> places;
   std::chrono::milliseconds peer_timeout{250};
   http::server_limits limits;
+  idempotency::home_settings homes;
 };
 
 /// Reads all settings; faults are recorded in the document.
--- a/src/routing/tests/slot_router_test.cc
+++ b/src/routing/tests/slot_router_test.cc
@@ -29,9 +29,10 @@
 void Exchange(slot_router& from,
               slot_router& to,
               std::int64_t waiting,
-              base::time_point now) {
+              base::time_point now,
+              std::int64_t waiting_there = 0) {
   for (const outgoing_exchange& sent : from.Exchanges(waiting, now))
-    from.Accept(sent, to.Answer(sent.request, 0, now), now);
+    from.Accept(sent, to.Answer(sent.request, waiting_there, now), now);
 }
 
 }  // namespace
@@ -120,6 +121,26 @@
   BOOST_TEST(Fill(lender, later) == 5);
 }
 
+BOOST_AUTO_TEST_CASE(LenderThatLacksSlotsGetsItsOwnBackFirst) {
+  slot_router lender({0, 2}, {}, kStart);
+  slot_router borrower({1, 2}, {}, kStart);
+  for (slot_router* router : {&lender, &borrower})
+    router->Update({Upstream("w-1"), Upstream("w-2")}, kStart);
+  Fill(borrower, kStart);
+  Exchange(borrower, lender, 4, kStart);
+  const auto used = borrower.Acquire({kStart + milliseconds(100)}, kStart);
+  BOOST_REQUIRE(used.has_value());
+  Fill(lender, kStart);
+  Exchange(lender, borrower, 6, kStart);
+  BOOST_TEST(Fill(borrower, kStart) == 0);
+  Exchange(borrower, lender, 0, kStart + milliseconds(30), 6);
+  BOOST_TEST(lender.Totals(kStart).lent == 1);
+  borrower.Release(*used, slot_outcome::kAnswered, kStart);
+  BOOST_TEST(Fill(borrower, kStart) == 0);
+  Exchange(borrower, lender, 0, kStart + milliseconds(60), 6);
+  BOOST_TEST(lender.Totals(kStart).lent == 0);
+}
+
 BOOST_AUTO_TEST_CASE(LentSlotsOfADeadBorrowerReturnAfterTheirLease) {
   slot_router lender({0, 2}, {}, kStart);
   slot_router borrower({1, 2}, {}, kStart);
@@ -202,6 +223,45 @@
   BOOST_TEST(Fill(router, kStart + health_options().slow_start) == 7);
 }
 
+BOOST_AUTO_TEST_CASE(SilentUpstreamIsAvoidedBeforeItsRequestsTimeOut) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("a"), Upstream("b"), Upstream("silent")}, kStart);
+  base::time_point now = kStart;
+  std::vector<slot_ticket> taken;
+  const auto run = [&](bool all_answer) {
+    while (const auto ticket = router.Acquire(kRequest, now))
+      taken.push_back(*ticket);
+    now += milliseconds(60);
+    std::erase_if(taken, [&](const slot_ticket& ticket) {
+      const bool answers = all_answer || ticket.upstream.id != "silent";
+      if (answers)
+        router.Release(ticket, slot_outcome::kAnswered, now);
+      return answers;
+    });
+  };
+  run(true);
+  BOOST_TEST(router.Capacity(now) == 24);
+  for (int i = 0; i < 6; ++i)
+    run(false);
+  BOOST_TEST(router.Totals(now).free == 16);
+  BOOST_TEST(taken.size() == 8);
+}
+
+BOOST_AUTO_TEST_CASE(SilenceOfMostUpstreamsIsNotHeldAgainstThem) {
+  slot_router router({0, 1}, {}, kStart);
+  router.Update({Upstream("a"), Upstream("b")}, kStart);
+  base::time_point now = kStart;
+  for (int i = 0; i < 16; ++i) {
+    const auto ticket = router.Acquire(kRequest, now);
+    now += milliseconds(20);
+    router.Release(*ticket, slot_outcome::kAnswered, now);
+  }
+  for (int i = 0; i < 4; ++i)
+    BOOST_TEST(router.Acquire(kRequest, now).has_value());
+  now += std::chrono::seconds(10);
+  BOOST_TEST(Fill(router, now) == 12);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::routing
--- a/src/shards/internal/worker_link.cc
+++ b/src/shards/internal/worker_link.cc
@@ -13,7 +13,7 @@
   if (state == workers::attempt_state::kDone)
     return attempt_outcome::kDone;
   if (state == workers::attempt_state::kFailed)
-    return attempt_outcome::kFailed;
+    return attempt_outcome::kCrashed;
   return attempt_outcome::kStopped;
 }
 
@@ -52,6 +52,10 @@
         known.state == task_state::kCheckpointing) {
       command.stops.push_back(
           {attempt, known.state == task_state::kCheckpointing});
+      // Its start won't be sent any more. A full report tells whether an
+      // earlier sync brought it.
+      if (starts_.erase(attempt) > 0)
+        command.position = 0;
     } else if (may_start && starts_.contains(attempt)) {
       command.starts.push_back({attempt, known.request.template_name,
                                 known.granted, known.request.run_time,
@@ -149,6 +153,21 @@
   starts_.insert(attempt);
 }
 
+std::string worker_link::Fingerprint() const {
+  const auto text_of = [](const workers::attempt_id& attempt) {
+    return attempt.task_id + "#" + std::to_string(attempt.attempt) + ",";
+  };
+  std::string text =
+      lease_.Fingerprint() + incarnation_ + "@" + std::to_string(reported_);
+  for (const workers::attempt_id& attempt : starts_)
+    text += "s" + text_of(attempt);
+  for (const workers::attempt_id& attempt : unwanted_)
+    text += "u" + text_of(attempt);
+  for (const auto& [attempt, position] : ended_)
+    text += "e" + std::to_string(position) + text_of(attempt);
+  return text;
+}
+
 std::vector<scheduling::event> worker_link::TakeLost(
     const scheduling::shard_state& state,
     base::time_point now) {
