--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -98,7 +98,7 @@
                                  options_.failure_domains.size()];
     at.entry = {host, 8080};
     at.entry_status = {host, 8081};
-    at.entry_peer = {host, 8082};
+    at.entry_peer = {host, 8083};
     at.scheduler = {host, 9090};
     at.scheduler_status = {host, 9091};
     at.admin = {host, 7400};
@@ -265,6 +265,13 @@
       client.Call({"POST", "/control/faults", {}, json}, kCallTimeout));
 }
 
+std::string deployment::PlatformCalls() {
+  http::client client(platform_);
+  const auto answer =
+      client.Call({"POST", "/control/calls", {}, "{}"}, kCallTimeout);
+  return answer.has_value() ? answer.value().body : "";
+}
+
 void deployment::PublishInstances() {
   http::json_array listed = new Poco::JSON::Array;
   for (const system_instance& instance : instances_) {
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -64,6 +64,8 @@
   /// Sets the faults between entries and upstreams; see tests/fault_proxy.
   void SetProxyFaults(const std::string& json);
   void SetPlatformFaults(const std::string& json);
+  /// How many calls of each kind the platform has had, as JSON.
+  std::string PlatformCalls();
   /// Tells the platform's list which instances are there now.
   void PublishInstances();
 
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -64,6 +64,7 @@
     load.Stop();
     load_account account = load.Account(system.RequestRuns());
     BOOST_TEST_MESSAGE(Describe(account));
+    BOOST_TEST_MESSAGE(system.PlatformCalls());
     BOOST_TEST(account.completed > 0);
     BOOST_TEST(account.run_twice == 0);
     BOOST_TEST(account.wrong_answers == 0);
