--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "chivecrank/http/types.h"
 #include "chivecrank/idempotency/types.h"
 #include "chivecrank/membership/types.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -27,11 +29,17 @@
   /// Age up to which a read of the instance list is used again.
   std::chrono::milliseconds list_age{500};
   membership::peer_ports peers;
+  platform::guard_settings guard;
   std::chrono::milliseconds scheduler_timeout{5000};
   std::chrono::milliseconds refresh{1000};
   /// Time between "not ready" and the end of listening on a planned stop.
   std::chrono::milliseconds drain{1000};
+  /// This entry's place among those that share slots.
   routing::entry_share share;
+  routing::sharing_options sharing;
+  /// Thrift address of each place.
+  std::vector<settings::endpoint> places;
+  std::chrono::milliseconds peer_timeout{250};
   http::server_limits limits;
   idempotency::home_settings homes;
 };
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -5,7 +5,12 @@
 
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/callers/caller_api.h"
+#include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
+#include "chivecrank/entries/entry_server.h"
+#include "chivecrank/entries/slot_metrics.h"
+#include "chivecrank/entries/slot_pool.h"
+#include "chivecrank/entries/slot_sharer.h"
 #include "chivecrank/http/server.h"
 #include "chivecrank/idempotency/home_router.h"
 #include "chivecrank/instances/entry_client.h"
@@ -13,6 +18,7 @@
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
 #include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/platform/http_instance_list.h"
 #include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
@@ -20,11 +26,20 @@
 #include "chivecrank/process/stop_signal.h"
 #include "chivecrank/upstreams/http_upstream_client.h"
 #include "entry_settings.h"
+#include "upstream_prober.h"
 #include "upstream_refresher.h"
 
 namespace chivecrank {
 namespace {
 
+constexpr std::chrono::milliseconds kProbeTimeout{300};
+
+bool Probe(upstreams::upstream_client& client,
+           const platform::instance& upstream) {
+  return client.Send(upstream.service, {"GET", "/probe", {}, ""}, kProbeTimeout)
+      .has_value();
+}
+
 /// Longest time for a call to another entry.
 constexpr std::chrono::milliseconds kPeerTimeout{300};
 /// Longest time to tell other entries how requests ended before stopping.
@@ -36,7 +51,8 @@
 
 process::readiness Readiness(bool stopping,
                              const configuration::view& configured,
-                             const upstream_refresher& refresher) {
+                             const upstream_refresher& refresher,
+                             const entries::slot_pool& slots) {
   if (stopping)
     return {false, "stopping"};
   const auto current = configured.Current();
@@ -44,12 +60,18 @@
     return {false, "the configuration is not known yet"};
   if (!refresher.HasList())
     return {false, "the instance list is not known yet"};
+  if (!slots.IsUsable())
+    return {false, "slots may still be busy for an earlier process"};
   return {true, "", current->revision};
 }
 
 process::exit_code Run(const entry_settings& settings) {
   base::system_clock clock;
-  platform::http_store store(settings.platform, settings.store_timeout);
+  const auto registry = std::make_shared<prometheus::Registry>();
+  platform::http_store store_calls(settings.platform, settings.store_timeout);
+  platform::store_metrics store_metrics(*registry);
+  platform::guarded_store store(store_calls, clock, store_metrics,
+                                settings.guard);
   platform::http_instance_list list_calls(settings.platform,
                                           settings.store_timeout);
   platform::cached_instance_list instances(list_calls, clock,
@@ -58,43 +80,58 @@
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
           membership::daemon::kEntry, settings.listen.host, settings.peers),
-      clock, store, instances);
+      clock, store, instances, *registry);
   instances::scheduler_client jobs(settings.scheduler,
                                    settings.scheduler_timeout);
   upstreams::http_upstream_client upstreams;
-  callers::request_service requests(clock, settings.share, upstreams);
+  entries::slot_pool slots(clock, settings.share, {settings.sharing, {}}, true);
+  entries::slot_sharer sharer(clock, slots, settings.places,
+                              settings.share.index, settings.peer_timeout);
+  entries::entry_server peers(
+      settings.places[static_cast<std::size_t>(settings.share.index)], slots);
+  callers::request_service requests(clock, slots, upstreams);
   const idempotency::entry_identity self{settings.instance, NewRun()};
-  instances::entry_client peers(kPeerTimeout);
-  idempotency::home_keeper homes(self, settings.homes, clock, store, peers);
-  idempotency::home_router gate(self, settings.homes, clock, homes, peers);
+  instances::entry_client homes_client(kPeerTimeout);
+  idempotency::home_keeper homes(self, settings.homes, clock, store,
+                                 homes_client);
+  idempotency::home_router gate(self, settings.homes, clock, homes,
+                                homes_client);
   instances::entry_server peer_server(settings.peer, homes);
   callers::once_service once(clock, requests, gate);
-  const auto registry = std::make_shared<prometheus::Registry>();
   objectives::request_metrics metrics(*registry);
+  entries::slot_metrics slot_gauges(*registry);
   callers::caller_api api(
       clock, configured, once, jobs,
       [&](const auto& answered) { metrics.Observe(answered); });
-  upstream_refresher refresher(clock, instances, settings.refresh,
+  configuration::drained_instance_list drained(instances, configured);
+  upstream_refresher refresher(clock, drained, settings.refresh,
                                [&](const auto& listed) {
-                                 requests.UpdateUpstreams(listed);
+                                 slots.Update(listed);
                                  homes.Update(listed);
                                });
+  upstream_prober prober(
+      clock, slots,
+      [&](const auto& upstream) { return Probe(upstreams, upstream); },
+      [&](const auto& totals) { slot_gauges.Show(totals); });
   std::atomic<bool> stopping = false;
 
   http::server server(
       settings.listen, settings.limits,
       [&](const http::request& message) { return api.Answer(message); });
   process::status_server status(settings.status, registry, [&] {
-    return Readiness(stopping, configured, refresher);
+    return Readiness(stopping, configured, refresher, slots);
   });
-  for (const auto& started : {status.Start(), peer_server.Start(),
-                              server.Start(), configured.Start()}) {
+  for (const auto& started :
+       {status.Start(), peers.Start(), peer_server.Start(), server.Start(),
+        configured.Start()}) {
     if (!started.has_value()) {
       LOG(ERROR) << "entry: " << base::Describe(started.error());
       return process::exit_code::kFailed;
     }
   }
   refresher.Start();
+  sharer.Start();
+  prober.Start();
   homes.Start();
   LOG(INFO) << "entry: " << settings.instance << " listening on "
             << settings::ToString(settings.listen) << ".";
@@ -103,6 +140,9 @@
   // The balancer sees "not ready" and sends nothing new before the port shuts.
   clock.SleepUntil(clock.Now() + settings.drain);
   server.Stop();
+  prober.Stop();
+  sharer.Stop();
+  peers.Stop();
   gate.Stop(kReportLimit);
   homes.Stop();
   peer_server.Stop();
--- a/src/callers/internal/caller_request.cc
+++ b/src/callers/internal/caller_request.cc
@@ -79,7 +79,10 @@
                         idempotent,
                         first_send,
                         now + timeout,
-                        message};
+                        message,
+                        account.weight,
+                        account.request_limit,
+                        service->queue_limit};
 }
 
 }  // namespace chivecrank::callers::internal
--- a/src/callers/tests/once_service_test.cc
+++ b/src/callers/tests/once_service_test.cc
@@ -30,8 +30,8 @@
   fixture() {
     platform::instance listed;
     listed.id = "w-1";
-    listed.slots = 1;
-    requests.UpdateUpstreams({listed});
+    listed.slots = 8;
+    slots.Update({listed});
   }
 
   caller_answer Serve(verdict decided) {
@@ -47,7 +47,8 @@
   base::manual_clock clock;
   fake_upstream upstream;
   fake_gate gate;
-  request_service requests{clock, {0, 1}, upstream};
+  entries::slot_pool slots{clock, {0, 1}, {}, false};
+  request_service requests{clock, slots, upstream};
   once_service service{clock, requests, gate};
 };
 
--- a/src/scheduling/internal/event_codec.cc
+++ b/src/scheduling/internal/event_codec.cc
@@ -20,8 +20,9 @@
 constexpr char kCancelled[] = "task_cancelled";
 
 constexpr std::array kOutcomes = {
-    attempt_outcome::kDone, attempt_outcome::kFailed, attempt_outcome::kLost,
-    attempt_outcome::kStopped, attempt_outcome::kCrashed};
+    attempt_outcome::kDone,    attempt_outcome::kFailed,
+    attempt_outcome::kLost,    attempt_outcome::kStopped,
+    attempt_outcome::kCrashed, attempt_outcome::kOutgrown};
 
 base::error Corrupt(const std::string& detail) {
   return {base::error_kind::kCorrupt, "a journal event " + detail,
@@ -107,7 +108,10 @@
 }
 
 json_object Encode(const checkpoint_ordered& recorded) {
-  return NewObject(kCheckpoint, recorded.task_id, recorded.attempt);
+  json_object encoded =
+      NewObject(kCheckpoint, recorded.task_id, recorded.attempt);
+  encoded->set("grace_ms", static_cast<Poco::Int64>(recorded.grace.count()));
+  return encoded;
 }
 
 json_object Encode(const attempt_ended& recorded) {
@@ -198,8 +202,11 @@
     return event(attempt_throttled{task_id, AttemptOf(encoded),
                                    http::BooleanOf(encoded, "throttled")});
   }
-  if (kind == kCheckpoint)
-    return event(checkpoint_ordered{task_id, AttemptOf(encoded)});
+  if (kind == kCheckpoint) {
+    return event(checkpoint_ordered{
+        task_id, AttemptOf(encoded),
+        std::chrono::milliseconds(http::IntegerOf(encoded, "grace_ms"))});
+  }
   if (kind == kEnded)
     return DecodeEnded(encoded);
   if (kind == kParked)
--- a/src/scheduling/internal/shard_state.cc
+++ b/src/scheduling/internal/shard_state.cc
@@ -88,6 +88,8 @@
       recorded.outcome == attempt_outcome::kCrashed) {
     CountFailure(*ended);
   }
+  if (recorded.outcome == attempt_outcome::kOutgrown)
+    ++ended->outgrown;
   ended->saved = std::max(ended->saved, recorded.saved);
   CloseAttempt(*ended);
   if (IsFinal(ended->state))
@@ -111,6 +113,7 @@
     return Impossible(recorded.task_id, "released");
   found->second.failures = 0;
   found->second.failed_on.clear();
+  found->second.outgrown = 0;
   found->second.parked_reason.clear();
   return base::Success();
 }
@@ -141,6 +144,11 @@
   return found == workers_.end() ? none : found->second.open;
 }
 
+std::int64_t shard_state::EndedInGang(const std::string& gang) const {
+  const auto found = ended_in_gang_.find(gang);
+  return found == ended_in_gang_.end() ? 0 : found->second;
+}
+
 task* shard_state::FindAttempt(const std::string& task_id,
                                std::int32_t attempt) {
   const auto found = tasks_.find(task_id);
@@ -154,6 +162,8 @@
   if (!next)
     return false;
   moved.state = *next;
+  if (IsFinal(moved.state) && !moved.request.gang.empty())
+    ++ended_in_gang_[moved.request.gang];
   if (IsWaiting(moved.state))
     waiting_.insert(moved.request.id);
   else
