Ports of the entries' two servers differ; harness names what is not ready

Change: slot sharing listens on 8082, homes on 8083; a deployment that does not become ready prints the daemons' reasons.

--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -62,11 +62,15 @@
                      });
 }
 
-bool IsReady(const settings::endpoint& status) {
+/// Why a daemon is not ready; empty when it is.
+std::string NotReadyReason(const settings::endpoint& status) {
   http::client client(status);
   const auto answer = client.Call({"GET", "/readyz", {}, ""}, kCallTimeout);
-  return answer.has_value() &&
-         answer.value().code == static_cast<int>(http::status::kOk);
+  if (!answer.has_value())
+    return answer.error().message + "\n";
+  if (answer.value().code == static_cast<int>(http::status::kOk))
+    return "";
+  return settings::ToString(status) + ": " + answer.value().body;
 }
 
 }  // namespace
@@ -107,7 +111,7 @@
     at.admin_status = {host, 7401};
     at.platform = platform_;
     at.index = index;
-    peers.push_back({host, 8083});
+    peers.push_back({host, 8082});
     domains.push_back(at.failure_domain);
     instances_.push_back({at, true, nullptr, nullptr, nullptr});
   }
@@ -306,13 +310,18 @@
 bool deployment::WaitUntilReady(int index, std::chrono::seconds limit) {
   const instance_addresses& at = InstanceAt(index);
   const auto end = std::chrono::steady_clock::now() + limit;
-  while (!IsReady(at.entry_status) || !IsReady(at.scheduler_status) ||
-         !IsReady(at.admin_status)) {
-    if (std::chrono::steady_clock::now() > end)
+  while (true) {
+    const std::string reasons = NotReadyReason(at.entry_status) +
+                                NotReadyReason(at.scheduler_status) +
+                                NotReadyReason(at.admin_status);
+    if (reasons.empty())
+      return true;
+    if (std::chrono::steady_clock::now() > end) {
+      std::cerr << "not ready: " << reasons;
       return false;
+    }
     std::this_thread::sleep_for(kPoll);
   }
-  return true;
 }
 
 std::vector<settings::endpoint> deployment::Entries() const {
