--- a/tests/campaign/campaign.cc
+++ b/tests/campaign/campaign.cc
@@ -268,9 +268,10 @@
     if (runs.size() > 1)
       table_.AddCases(promise::kEvictedResumesOnce, 1);
     if (done > 1) {
-      table_.AddViolation(
-          promise::kEvictedResumesOnce,
-          task + " finished " + std::to_string(done) + " times");
+      std::string seen = task + " finished more than once:";
+      for (const task_run& run : runs)
+        seen += " " + RunText(run);
+      table_.AddViolation(promise::kEvictedResumesOnce, std::move(seen));
     }
   }
   for (const std::string& worker : system_.OvercommittedWorkers())
