Relief moves work that would miss its due time instead of throttling it

Cause: a nightly task throttled late in the night ran at a quarter of its speed past the morning. Change: such work is moved if another worker takes it, and not throttled. The new test fails without the change.

--- a/src/scheduling/internal/relief.cc
+++ b/src/scheduling/internal/relief.cc
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::chrono::minutes kMoveWindow{1};
+/// Run time of throttled work relative to work that is not.
+constexpr double kThrottledRunTime = 4;
+/// Kept between the expected end of throttled work and its due time.
+constexpr std::chrono::minutes kDueMargin{1};
 
 double ContributionOf(const planning_context& context,
                       const open_attempt& open,
@@ -34,6 +38,28 @@
          left < context.settings.nearly_done;
 }
 
+bool MayRelieve(const planning_context& context,
+                const placement_round& round,
+                const open_attempt& open,
+                const size_learner& sizes) {
+  return open.request.kind == task_kind::kBatch && !open.request.urgent &&
+         !round.IsStopping(open) && IsRunning(context, open) &&
+         !IsNearlyDone(context, open, sizes);
+}
+
+/// Whether the attempt, throttled from now on, would end after its due time.
+bool WouldMissDueTime(const planning_context& context,
+                      const open_attempt& open,
+                      const size_learner& sizes) {
+  if (open.request.due == base::wall_time{})
+    return false;
+  const auto ran = context.now - open.started + open.saved;
+  const std::chrono::duration<double> left =
+      sizes.RunTimeOf(open.request) - ran;
+  const std::chrono::duration<double> time = open.request.due - context.now;
+  return left * kThrottledRunTime + kDueMargin > time;
+}
+
 const service_outlook* WorstOf(const std::vector<service_outlook>& services) {
   const auto worst = std::max_element(
       services.begin(), services.end(),
@@ -118,34 +144,31 @@
                                      const std::string& worker_id,
                                      const service_outlook& suffering,
                                      const size_learner& sizes) {
-  const open_attempt* worst = nullptr;
-  const open_attempt* worst_throttled = nullptr;
-  double highest = 0;
-  double highest_throttled = 0;
+  const open_attempt* to_throttle = nullptr;
+  const open_attempt* to_move = nullptr;
+  double highest_to_throttle = 0;
+  double highest_to_move = 0;
   for (const auto& [id, open] : context.book.On(worker_id)) {
-    if (open.request.kind != task_kind::kBatch || open.request.urgent ||
-        round.IsStopping(open) || !IsRunning(context, open) ||
-        IsNearlyDone(context, open, sizes)) {
+    if (!MayRelieve(context, round, open, sizes))
       continue;
-    }
+    const bool may_throttle =
+        !open.throttled && !WouldMissDueTime(context, open, sizes);
     const double added = ContributionOf(
         context, open, suffering.service_template, open.throttled);
-    if (!open.throttled && added > highest) {
-      highest = added;
-      worst = &open;
-    }
-    if (open.throttled && added > highest_throttled) {
-      highest_throttled = added;
-      worst_throttled = &open;
-    }
+    double& highest = may_throttle ? highest_to_throttle : highest_to_move;
+    if (added <= highest)
+      continue;
+    highest = added;
+    (may_throttle ? to_throttle : to_move) = &open;
   }
-  if (worst != nullptr) {
-    throttled_since_.try_emplace(worst->request.id, context.now);
-    return attempt_throttled{worst->request.id, worst->attempt, true};
+  if (to_throttle != nullptr) {
+    throttled_since_.try_emplace(to_throttle->request.id, context.now);
+    return attempt_throttled{to_throttle->request.id, to_throttle->attempt,
+                             true};
   }
-  if (worst_throttled == nullptr)
+  if (to_move == nullptr)
     return std::nullopt;
-  return Move(context, round, *worst_throttled);
+  return Move(context, round, *to_move);
 }
 
 std::optional<event> relief::Restore(
--- a/src/scheduling/tests/interference_test.cc
+++ b/src/scheduling/tests/interference_test.cc
@@ -134,6 +134,21 @@
   BOOST_TEST((State("urgent") == task_state::kRunning));
 }
 
+BOOST_AUTO_TEST_CASE(WorkThatWouldMissItsDueTimeIsMovedNotThrottled) {
+  task_request due = Request("a", 2000);
+  due.template_name = "noisy";
+  due.due = now + std::chrono::minutes(10);
+  Accept(due);
+  Round();
+  Learn(2.0);
+  BOOST_TEST(Round().empty());
+  workers.push_back({"w-2", {4000, 8000, 0}, "r-2", "d-2"});
+  Pass(std::chrono::seconds(1));
+  const auto acts = Round();
+  BOOST_REQUIRE(acts.size() == 1);
+  BOOST_TEST(std::holds_alternative<checkpoint_ordered>(acts[0]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::scheduling
