--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -58,10 +58,14 @@
           membership::daemon::kScheduler, settings.listen.host, settings.peers),
       clock, store, instances, *registry);
   configuration::drained_instance_list drained(instances, configured);
+  shards::shard_metrics metrics(*registry);
   shards::task_metrics task_events(*registry);
   shards::shard_manager manager(
       {settings.instance, NewRun(settings.instance), settings.listen},
       settings.shards, settings.session, clock, store, drained, agents,
+      [&metrics](const shards::shard_totals& totals) {
+        metrics.Update(totals);
+      },
       [&task_events](const scheduling::event& recorded) {
         task_events.Count(recorded);
       });
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -50,6 +50,9 @@
   /// Upstreams whose slots are held back until they answer a probe.
   std::vector<platform::instance> ToProbe() const;
 
+  /// Borrows nothing more and gives back all that is borrowed.
+  void StopBorrowing(base::time_point now);
+
   /// Messages for other entries. `waiting` requests have no slot.
   std::vector<outgoing_exchange> Exchanges(std::int64_t waiting,
                                            base::time_point now);
@@ -103,7 +106,6 @@
   void LearnTypicalLatency(base::time_point now);
   void EjectFailing(upstream_state& at, base::time_point now);
   std::int64_t FreeSlots(base::time_point now) const;
-  std::int64_t InUse() const;
   std::int64_t Reserve() const;
   /// Slots to ask for, by the lender's place.
   std::map<std::int64_t, std::int64_t> DivideAmongLenders(
@@ -130,6 +132,7 @@
   std::int64_t capacity_ = 0;
   base::time_point next_capacity_{};
   base::time_point next_ask_{};
+  bool borrowing_ = true;
 };
 
 }  // namespace chivecrank::routing
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -14,6 +14,7 @@
 #include "chivecrank/protocol/tenure.h"
 #include "chivecrank/scheduling/planner.h"
 #include "chivecrank/scheduling/shard_state.h"
+#include "chivecrank/shards/shard_metrics.h"
 #include "chivecrank/shards/types.h"
 #include "chivecrank/workers/agent.h"
 
@@ -65,6 +66,8 @@
   /// Cancels all that have not ended, in one record.
   base::result<void> CancelAll(const std::vector<std::string>& task_ids);
 
+  shard_totals Totals();
+
   /// Starts no more calls and waits for those in progress.
   void Close();
 
@@ -117,10 +120,10 @@
   std::unique_ptr<internal::shard_ledger> ledger_;
   std::map<std::string, worker_entry> workers_;
   bool plan_due_ = true;
-  base::time_point next_plan_{};
   base::time_point next_commit_{};
   /// After a failed write the next one waits.
   base::time_point next_write_{};
+  base::time_point next_plan_{};
   bool fenced_ = false;
   bool closing_ = false;
   int calls_in_progress_ = 0;
--- a/src/shards/internal/shard_ledger.cc
+++ b/src/shards/internal/shard_ledger.cc
@@ -66,10 +66,10 @@
     std::vector<scheduling::event> events) {
   for (scheduling::event& recorded : events) {
     BOOST_OUTCOME_TRY(state_.Apply(recorded));
-    if (on_applied_)
-      on_applied_(recorded, state_);
     if (const auto* start = std::get_if<scheduling::attempt_started>(&recorded))
       LinkOf(start->worker_id).AddPlanned({start->task_id, start->attempt});
+    if (on_applied_)
+      on_applied_(recorded, state_);
     unconfirmed_[TaskOf(recorded)] = ++staged_end_;
     write_due_ |= IsAwaited(recorded);
     worth_writing_ |= IsWorthAWrite(recorded);
