--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -34,7 +34,7 @@
                 platform::instance_list& instances,
                 workers::agent& agents,
                 std::function<void(const shard_totals&)> report,
-                event_hook on_event);
+                event_hook on_event = {});
   ~shard_manager();
   shard_manager(const shard_manager&) = delete;
   shard_manager& operator=(const shard_manager&) = delete;
