--- a/src/routing/include/chivecrank/routing/slot_borrower.h
+++ b/src/routing/include/chivecrank/routing/slot_borrower.h
@@ -29,7 +29,6 @@
                                     base::time_point now) const;
   /// Free slots of an upstream.
   std::int64_t Free(const std::string& upstream_id, base::time_point now) const;
-  std::int64_t InUse(const std::string& upstream_id) const;
 
   void Take(const grant_key& key);
   void GiveBack(const grant_key& key, base::time_point now);
@@ -43,6 +42,9 @@
   /// ones now, the others as their requests end.
   void Recall(std::int64_t lender, std::int64_t slots);
 
+  /// Ends every lease, so that all slots go back as they fall free.
+  void EndAll(base::time_point now);
+
   /// Adds the returns and renewals that are due for a lender.
   void Fill(std::int64_t lender,
             exchange_request& request,
--- a/src/scheduling/internal/start_planner.cc
+++ b/src/scheduling/internal/start_planner.cc
@@ -1,6 +1,7 @@
 #include "internal/start_planner.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "chivecrank/scheduling/resources.h"
 #include "internal/preemption.h"
@@ -78,17 +79,21 @@
 
 start_planner::rank start_planner::RankOf(const queue_cursor& queue) const {
   const queue_key& key = *queue.key;
+  const queue_entry& head = *queue.next;
   if (key.of != work_class::kBatch)
-    return {key.of, false, 0, 0, *queue.next};
+    return {key.of, false, 0, 0, head.due, head.since, head.task_id};
   std::optional<platform::resources> quota;
   if (context_.hooks.quota_of)
     quota = context_.hooks.quota_of(key.team);
   const double weight =
       context_.hooks.weight_of ? context_.hooks.weight_of(key.account) : 1.0;
-  return {key.of, !queue.at_risk,
+  return {key.of,
+          !queue.at_risk,
           DominantShare(TeamUse(key.team), quota.value_or(fleet_.total)),
           DominantShare(AccountUse(key.account), fleet_.total) / weight,
-          *queue.next};
+          head.due,
+          head.since,
+          head.task_id};
 }
 
 double start_planner::TimeForDueWork() const {
@@ -203,8 +208,16 @@
 placement_request start_planner::RequestFor(const task& waiting,
                                             bool at_risk) const {
   return {&waiting, GrantFor(waiting.request),
-          at_risk ? context_.settings.place_at_risk_below
-                  : context_.settings.place_below};
+          InflationLimit(waiting.request, at_risk)};
+}
+
+double start_planner::InflationLimit(const task_request& request,
+                                     bool at_risk) const {
+  // Urgent work waits for nothing but room; it still goes where it harms least.
+  if (request.urgent)
+    return std::numeric_limits<double>::infinity();
+  return at_risk ? context_.settings.place_at_risk_below
+                 : context_.settings.place_below;
 }
 
 platform::resources start_planner::GrantFor(const task_request& request) const {
--- a/src/scheduling/internal/start_planner.h
+++ b/src/scheduling/internal/start_planner.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -38,7 +39,13 @@
     int unplaced = 0;
   };
   /// Order among queues; the smallest is served first.
-  using rank = std::tuple<work_class, bool, double, double, queue_entry>;
+  using rank = std::tuple<work_class,
+                          bool,
+                          double,
+                          double,
+                          base::wall_time,
+                          base::wall_time,
+                          std::string_view>;
 
   void OpenQueues();
   queue_cursor* BestQueue();
@@ -56,6 +63,7 @@
   std::vector<placement_request> RequestsOf(const task& head,
                                             bool at_risk) const;
   placement_request RequestFor(const task& waiting, bool at_risk) const;
+  double InflationLimit(const task_request& request, bool at_risk) const;
   platform::resources GrantFor(const task_request& request) const;
   bool IsWithinQuota(const std::vector<placement_request>& members) const;
   bool Place(const std::vector<placement_request>& members);
--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -33,7 +33,8 @@
                 platform::store& store,
                 platform::instance_list& instances,
                 workers::agent& agents,
-                std::function<void(const shard_totals&)> report);
+                std::function<void(const shard_totals&)> report,
+                event_hook on_event);
   ~shard_manager();
   shard_manager(const shard_manager&) = delete;
   shard_manager& operator=(const shard_manager&) = delete;
@@ -89,6 +90,7 @@
   platform::instance_list& instances_;
   workers::agent& agents_;
   const std::function<void(const shard_totals&)> report_;
+  const event_hook on_event_;
   ownership::shard_registry registry_;
 
   /// Used by the thread that renews it, and on Stop after that has ended.
--- a/src/shards/internal/shard_manager.cc
+++ b/src/shards/internal/shard_manager.cc
@@ -30,7 +30,8 @@
                              platform::store& store,
                              platform::instance_list& instances,
                              workers::agent& agents,
-                             std::function<void(const shard_totals&)> report)
+                             std::function<void(const shard_totals&)> report,
+                             event_hook on_event)
     : self_(std::move(self)),
       settings_(settings),
       renewal_(session.term / kRenewalsPerTerm),
@@ -39,6 +40,7 @@
       instances_(instances),
       agents_(agents),
       report_(std::move(report)),
+      on_event_(std::move(on_event)),
       registry_(store),
       session_(store, clock, session, self_.run, self_.instance),
       worker_calls_(kWorkerThreads),
@@ -252,9 +254,9 @@
       registry_.Claim({shard, 0, self_.instance, holder_key, self_.address});
   if (!epoch.has_value())
     return;
-  auto runner = std::make_shared<shard_runner>(shard, epoch.value(), settings_,
-                                               clock_, store_, agents_,
-                                               self_.run, held, Executors());
+  auto runner = std::make_shared<shard_runner>(
+      shard, epoch.value(), settings_, clock_, store_, agents_, self_.run, held,
+      Executors(), on_event_);
   const auto opened = runner->Open();
   if (!opened.has_value()) {
     LOG(ERROR) << "shards: can't open " << shard << ": "
--- a/tests/bench/placement/scenario.cc
+++ b/tests/bench/placement/scenario.cc
@@ -11,7 +11,8 @@
 using std::chrono::seconds;
 
 constexpr int kDomains = 4;
-constexpr int kRacksPerDomain = 2;
+/// The fleet that the numbers below are meant for.
+constexpr int kUsualRacksPerDomain = 2;
 constexpr int kWorkersPerRack = 6;
 constexpr platform::resources kWorkerSize{16'000, 61'440, 0};
 constexpr platform::resources kAcceleratorWorkerSize{16'000, 61'440, 4};
@@ -70,6 +71,10 @@
           {"broken", {1000, 2048, 0}, seconds(60)}};
 }
 
+int Grown(int usual, int racks_per_domain) {
+  return usual * racks_per_domain / kUsualRacksPerDomain;
+}
+
 std::string TeamOf(int number) {
   return "team-" + std::to_string(number % kTeams);
 }
@@ -91,14 +96,18 @@
   const std::vector<std::string> nightly = {"scan", "render", "reconcile",
                                             "index"};
   std::uniform_int_distribution<std::size_t> pick(0, nightly.size() - 1);
-  for (int task = 0; task < kNightlyTasks; ++task) {
+  for (int task = 0; task < Grown(kNightlyTasks, in.racks_per_domain); ++task) {
     in.arrivals.push_back(
         {elapsed(0), nightly[pick(random)], false, true, TeamOf(task)});
   }
-  AddEvery(in, kSteadyInterval, random, [&](elapsed at) {
-    const auto team = static_cast<int>(pick(random));
-    return arrival{at, nightly[pick(random)], false, false, TeamOf(team)};
-  });
+  AddEvery(
+      in,
+      std::chrono::milliseconds(kSteadyInterval) * kUsualRacksPerDomain /
+          in.racks_per_domain,
+      random, [&](elapsed at) {
+        const auto team = static_cast<int>(pick(random));
+        return arrival{at, nightly[pick(random)], false, false, TeamOf(team)};
+      });
   AddEvery(in, kUrgentInterval, random, [&](elapsed at) {
     return arrival{at, "urgent", true, false, TeamOf(0)};
   });
@@ -126,11 +135,16 @@
           "failing_workers", "cancellation_wave", "rack_lost",   "domain_lost"};
 }
 
-scenario MakeScenario(const std::string& name, std::uint64_t seed) {
+scenario MakeScenario(const std::string& name,
+                      std::uint64_t seed,
+                      int racks_per_domain) {
   std::mt19937_64 random(seed);
   scenario made;
   made.name = name;
+  made.racks_per_domain = racks_per_domain;
   made.services = Services();
+  for (service_truth& service : made.services)
+    service.replicas = Grown(service.replicas, racks_per_domain);
   made.batches = Batches();
   AddMix(made, random);
   if (name == "load_shift")
@@ -169,10 +183,10 @@
   return (minute + phase) / 10 % 2 == 0 ? 0.35 : 0.9;
 }
 
-std::vector<scheduling::worker_view> MakeWorkers() {
+std::vector<scheduling::worker_view> MakeWorkers(int racks_per_domain) {
   std::vector<scheduling::worker_view> workers;
   for (int domain = 0; domain < kDomains; ++domain) {
-    for (int rack = 0; rack < kRacksPerDomain; ++rack) {
+    for (int rack = 0; rack < racks_per_domain; ++rack) {
       for (int number = 0; number < kWorkersPerRack; ++number) {
         const std::string domain_name = "d" + std::to_string(domain);
         const std::string rack_name = domain_name + "-r" + std::to_string(rack);
--- a/tests/bench/placement/simulation.cc
+++ b/tests/bench/placement/simulation.cc
@@ -46,7 +46,8 @@
                        std::unique_ptr<scheduling::planner> policy,
                        std::uint64_t seed)
     : scenario_(played), planner_(std::move(policy)), random_(seed) {
-  for (const scheduling::worker_view& view : MakeWorkers()) {
+  for (const scheduling::worker_view& view :
+       MakeWorkers(scenario_.racks_per_domain)) {
     const auto& bad = scenario_.bad_workers;
     const bool is_bad = std::find(bad.begin(), bad.end(), view.id) != bad.end();
     links_.emplace(view.id, link{fake_worker(view, is_bad)});
