--- a/src/shards/tests/shard_manager_test.cc
+++ b/src/shards/tests/shard_manager_test.cc
@@ -44,7 +44,8 @@
     session.term = std::chrono::hours(1);
     return std::make_unique<shard_manager>(
         scheduler_identity{id, id + "-run", {"127.0.0.1", 2}}, shard_settings{},
-        session, clock, store, list, workers, [](const shard_totals&) {}, {});
+        session, clock, store, list, workers, [](const shard_totals&) {},
+        event_hook());
   }
 
   bool WaitUntil(const std::function<bool()>& holds) {
