Tests of faults while tasks run act on the owner

Cause: four cases killed or paused instance 1 of 3, which owned no shard, so they proved little. Change: the cases ask rendezvous hashing who owns the first worker's shard; the pause past the lease goes over all instances.

--- a/tests/integration/tasks_faults_test.cc
+++ b/tests/integration/tasks_faults_test.cc
@@ -1,9 +1,12 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <functional>
 #include <set>
 #include <thread>
 
+#include "chivecrank/ownership/rendezvous.h"
+#include "chivecrank/shards/types.h"
 #include "harness/account_book.h"
 #include "harness/caller.h"
 #include "harness/deployment.h"
@@ -16,6 +19,7 @@
 
 constexpr seconds kLimit{120};
 constexpr int kJobs = 12;
+constexpr int kInstances = 3;
 /// Longer than the leases of shards and tasks in a deployment.
 constexpr seconds kPastTheLease{4};
 const std::string kConfiguration =
@@ -36,6 +40,18 @@
 
   deployment& system() { return system_; }
 
+  /// The instance that owns the shard of the first worker: while all are
+  /// live, ownership goes where rendezvous hashing proposes.
+  int Owner() const {
+    std::vector<std::string> nodes;
+    for (int index = 0; index < kInstances; ++index)
+      nodes.push_back(system_.InstanceAt(index).id);
+    const std::string shard = shards::ShardOf(system_.WorkerAt(0));
+    const std::string owner = ownership::ProposeNode(shard, nodes);
+    const auto place = std::find(nodes.begin(), nodes.end(), owner);
+    return static_cast<int>(place - nodes.begin());
+  }
+
   void PauseInstance(int index, seconds time) {
     for (child_process* process : system_.ProcessesOf(index))
       process->Signal(SIGSTOP);
@@ -75,7 +91,7 @@
  private:
   static deployment_options Options() {
     deployment_options options;
-    options.instances = 3;
+    options.instances = kInstances;
     return options;
   }
 
@@ -108,12 +124,12 @@
 BOOST_FIXTURE_TEST_SUITE(tasks_faults_suite, job_run)
 
 BOOST_AUTO_TEST_CASE(OwnerIsKilled) {
-  system().KillInstance(0);
+  system().KillInstance(Owner());
   Check();
 }
 
 BOOST_AUTO_TEST_CASE(OwnerIsStopped) {
-  system().StopInstance(0);
+  system().StopInstance(Owner());
   Check();
   // The next owner renewed the leases in time.
   for (const task_run& run : system().TaskRuns())
@@ -121,8 +137,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(OwnersArePausedPastTheirLeases) {
-  PauseInstance(0, kPastTheLease);
-  PauseInstance(1, kPastTheLease);
+  for (int index = 0; index < kInstances; ++index)
+    PauseInstance(index, kPastTheLease);
   Check();
 }
 
@@ -145,21 +161,21 @@
 }
 
 BOOST_AUTO_TEST_CASE(WorkerIsCutOffWhileItsOwnerIsKilled) {
-  system().KillInstance(0);
+  system().KillInstance(Owner());
   PauseWorker(0, kPastTheLease);
   Check();
 }
 
 BOOST_AUTO_TEST_CASE(OwnerIsPausedWhileTheStoreLosesAnswers) {
   system().SetPlatformFaults(R"({"lost_answers": 0.4})");
-  PauseInstance(0, kPastTheLease);
+  PauseInstance(Owner(), kPastTheLease);
   system().SetPlatformFaults("{}");
   Check();
 }
 
 BOOST_AUTO_TEST_CASE(OwnerIsKilledWhileTheStoreIsDown) {
   system().SetPlatformFaults(R"({"down": true})");
-  system().KillInstance(1);
+  system().KillInstance(Owner());
   std::this_thread::sleep_for(kPastTheLease);
   system().SetPlatformFaults("{}");
   Check();
