--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -104,7 +104,7 @@
                                  options_.failure_domains.size()];
     at.entry = {host, 8080};
     at.entry_status = {host, 8081};
-    at.entry_peer = {host, 8082};
+    at.entry_peer = {host, 8083};
     at.scheduler = {host, 9090};
     at.scheduler_status = {host, 9091};
     at.admin = {host, 7400};
