--- a/src/membership/tests/gossip_test.cc
+++ b/src/membership/tests/gossip_test.cc
@@ -80,11 +80,11 @@
   }
 
   void Run(std::chrono::milliseconds time) {
-    constexpr std::chrono::milliseconds kStep{25};
-    for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
+    constexpr std::chrono::milliseconds step{25};
+    for (std::chrono::milliseconds passed{0}; passed < time; passed += step) {
       for (const auto& node : nodes)
         node->RunOnce();
-      clock.Advance(kStep);
+      clock.Advance(step);
     }
   }
 
--- a/src/membership/tests/member_table_test.cc
+++ b/src/membership/tests/member_table_test.cc
@@ -65,6 +65,7 @@
 
 BOOST_AUTO_TEST_CASE(DigestStaysBoundedAsMembersGrow) {
   std::vector<peer> many;
+  many.reserve(600);
   for (int i = 0; i < 600; ++i)
     many.push_back(Scheduler("n-" + std::to_string(i)));
   table.SetListed(many, clock.Now());
--- a/src/objectives/tests/request_metrics_test.cc
+++ b/src/objectives/tests/request_metrics_test.cc
@@ -13,13 +13,13 @@
 BOOST_AUTO_TEST_CASE(CountsEveryRequestByItsLabels) {
   prometheus::Registry registry;
   request_metrics metrics(registry);
-  constexpr int kThreads = 4;
-  constexpr int kEach = 50;
+  constexpr int thread_count = 4;
+  constexpr int count_each = 50;
   std::vector<std::thread> threads;
-  threads.reserve(kThreads);
-  for (int i = 0; i < kThreads; ++i) {
+  threads.reserve(thread_count);
+  for (int i = 0; i < thread_count; ++i) {
     threads.emplace_back([&] {
-      for (int j = 0; j < kEach; ++j)
+      for (int j = 0; j < count_each; ++j)
         metrics.Observe({"dispatch", "hotel", "completed",
                          std::chrono::microseconds(20'000), true});
     });
--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -104,14 +104,14 @@
                                  options_.failure_domains.size()];
     at.entry = {host, 8080};
     at.entry_status = {host, 8081};
-    at.entry_peer = {host, 8083};
+    at.entry_peer = {host, 8082};
     at.scheduler = {host, 9090};
     at.scheduler_status = {host, 9091};
     at.admin = {host, 7400};
     at.admin_status = {host, 7401};
     at.platform = platform_;
     at.index = index;
-    peers.push_back({host, 8082});
+    peers.push_back({host, 8083});
     domains.push_back(at.failure_domain);
     instances_.push_back({at, true, nullptr, nullptr, nullptr});
   }
--- a/tests/integration/tasks_faults_test.cc
+++ b/tests/integration/tasks_faults_test.cc
@@ -44,6 +44,7 @@
   /// live, ownership goes where rendezvous hashing proposes.
   int Owner() const {
     std::vector<std::string> nodes;
+    nodes.reserve(kInstances);
     for (int index = 0; index < kInstances; ++index)
       nodes.push_back(system_.InstanceAt(index).id);
     const std::string shard = shards::ShardOf(system_.WorkerAt(0));
