One Thrift server for all services between our processes

Cause: instances, entries and membership each had the same server around TThreadedServer, with its start, stop and listen errors. Change: module rpc; the membership passes its counting socket and the compact protocol.

--- a/src/entries/internal/entry_server.cc
+++ b/src/entries/internal/entry_server.cc
@@ -1,25 +1,14 @@
 #include "chivecrank/entries/entry_server.h"
 
-#include <thrift/protocol/TBinaryProtocol.h>
-#include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TServerSocket.h>
-
-#include <future>
-#include <thread>
 #include <utility>
 
+#include "chivecrank/rpc/rpc_server.h"
 #include "entry_peer.h"
 #include "internal/wire_codec.h"
 
 namespace chivecrank::entries {
 namespace {
 
-namespace thrift = apache::thrift;
-
-/// A connection that says nothing for this long is closed.
-constexpr int kIdleMilliseconds = 30'000;
-
 class call_handler final : public wire::entry_peerIf {
  public:
   explicit call_handler(slot_pool& pool) : pool_(pool) {}
@@ -33,67 +22,20 @@
   slot_pool& pool_;
 };
 
-/// Reports that the server listens.
-class listen_observer final : public thrift::server::TServerEventHandler {
- public:
-  explicit listen_observer(std::promise<base::result<void>>& listening)
-      : listening_(listening) {}
-
-  void preServe() override { listening_.set_value(base::Success()); }
-
- private:
-  std::promise<base::result<void>>& listening_;
-};
-
 }  // namespace
 
 class entry_server::implementation {
  public:
   implementation(const settings::endpoint& address, slot_pool& pool)
-      : address_(address),
-        socket_(
-            std::make_shared<thrift::transport::TServerSocket>(address.host,
-                                                               address.port)),
-        server_(std::make_shared<wire::entry_peerProcessor>(
-                    std::make_shared<call_handler>(pool)),
-                socket_,
-                std::make_shared<thrift::transport::TFramedTransportFactory>(),
-                std::make_shared<thrift::protocol::TBinaryProtocolFactory>()) {
-    socket_->setRecvTimeout(kIdleMilliseconds);
-    socket_->setSendTimeout(kIdleMilliseconds);
-  }
+      : server_(address,
+                std::make_shared<wire::entry_peerProcessor>(
+                    std::make_shared<call_handler>(pool))) {}
 
-  base::result<void> Start() {
-    std::promise<base::result<void>> listening;
-    server_.setServerEventHandler(std::make_shared<listen_observer>(listening));
-    thread_ = std::thread([this, &listening] {
-      try {
-        server_.serve();
-      } catch (const thrift::TException& failure) {
-        listening.set_value(CannotListen(failure.what()));
-      }
-    });
-    return listening.get_future().get();
-  }
-
-  void Stop() {
-    if (!thread_.joinable())
-      return;
-    server_.stop();
-    thread_.join();
-  }
+  base::result<void> Start() { return server_.Start(); }
+  void Stop() { server_.Stop(); }
 
  private:
-  base::error CannotListen(const std::string& detail) const {
-    return {base::error_kind::kUnavailable,
-            "can't listen on " + settings::ToString(address_) + ": " + detail,
-            "free the address or choose another in the settings"};
-  }
-
-  settings::endpoint address_;
-  std::shared_ptr<thrift::transport::TServerSocket> socket_;
-  thrift::server::TThreadedServer server_;
-  std::thread thread_;
+  rpc::rpc_server server_;
 };
 
 entry_server::entry_server(settings::endpoint address, slot_pool& pool)
--- a/src/instances/internal/entry_server.cc
+++ b/src/instances/internal/entry_server.cc
@@ -1,8 +1,8 @@
 #include "chivecrank/instances/entry_server.h"
 
+#include "chivecrank/rpc/rpc_server.h"
 #include "entry_peer.h"
 #include "internal/entry_codec.h"
-#include "internal/rpc_server.h"
 #include "internal/wire_error.h"
 
 namespace chivecrank::instances {
@@ -56,7 +56,7 @@
   void Stop() { server_.Stop(); }
 
  private:
-  internal::rpc_server server_;
+  rpc::rpc_server server_;
 };
 
 entry_server::entry_server(const settings::endpoint& address,
--- a/src/instances/internal/scheduler_server.cc
+++ b/src/instances/internal/scheduler_server.cc
@@ -1,6 +1,6 @@
 #include "chivecrank/instances/scheduler_server.h"
 
-#include "internal/rpc_server.h"
+#include "chivecrank/rpc/rpc_server.h"
 #include "internal/wire_error.h"
 #include "scheduler_peer.h"
 
@@ -65,7 +65,7 @@
   void Stop() { server_.Stop(); }
 
  private:
-  internal::rpc_server server_;
+  rpc::rpc_server server_;
 };
 
 scheduler_server::scheduler_server(settings::endpoint address,
--- a/src/membership/internal/peer_server.cc
+++ b/src/membership/internal/peer_server.cc
@@ -1,12 +1,8 @@
 #include "chivecrank/membership/peer_server.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
-
-#include <future>
-#include <thread>
 
+#include "chivecrank/rpc/rpc_server.h"
 #include "gossip_peer.h"
 #include "internal/counted_socket.h"
 #include "internal/digest_codec.h"
@@ -17,7 +13,15 @@
 namespace thrift = apache::thrift;
 
 /// A connection that says nothing for this long is closed.
-constexpr int kIdleMilliseconds = 3000;
+constexpr std::chrono::milliseconds kIdle{3000};
+
+rpc::server_options Options() {
+  rpc::server_options options;
+  options.protocol =
+      std::make_shared<thrift::protocol::TCompactProtocolFactory>();
+  options.idle = kIdle;
+  return options;
+}
 
 /// Passes calls from the wire on to a peer handler.
 class call_handler final : public wire::gossip_peerIf {
@@ -47,18 +51,6 @@
   peer_handler& handler_;
 };
 
-/// Reports that the server listens.
-class listen_observer final : public thrift::server::TServerEventHandler {
- public:
-  explicit listen_observer(std::promise<base::result<void>>& listening)
-      : listening_(listening) {}
-
-  void preServe() override { listening_.set_value(base::Success()); }
-
- private:
-  std::promise<base::result<void>>& listening_;
-};
-
 }  // namespace
 
 class peer_server::implementation {
@@ -66,50 +58,19 @@
   implementation(const settings::endpoint& address,
                  peer_handler& handler,
                  peer_metrics& metrics)
-      : address_(address),
-        socket_(std::make_shared<internal::counted_server_socket>(address.host,
-                                                                  address.port,
-                                                                  metrics)),
-        server_(std::make_shared<wire::gossip_peerProcessor>(
+      : server_(address,
+                std::make_shared<wire::gossip_peerProcessor>(
                     std::make_shared<call_handler>(handler)),
-                socket_,
-                std::make_shared<thrift::transport::TFramedTransportFactory>(),
-                std::make_shared<thrift::protocol::TCompactProtocolFactory>()) {
-    socket_->setRecvTimeout(kIdleMilliseconds);
-    socket_->setSendTimeout(kIdleMilliseconds);
-  }
-
-  base::result<void> Start() {
-    std::promise<base::result<void>> listening;
-    server_.setServerEventHandler(std::make_shared<listen_observer>(listening));
-    thread_ = std::thread([this, &listening] {
-      try {
-        server_.serve();
-      } catch (const thrift::TException& failure) {
-        listening.set_value(CannotListen(failure.what()));
-      }
-    });
-    return listening.get_future().get();
-  }
+                std::make_shared<internal::counted_server_socket>(address.host,
+                                                                  address.port,
+                                                                  metrics),
+                Options()) {}
 
-  void Stop() {
-    if (!thread_.joinable())
-      return;
-    server_.stop();
-    thread_.join();
-  }
+  base::result<void> Start() { return server_.Start(); }
+  void Stop() { server_.Stop(); }
 
  private:
-  base::error CannotListen(const std::string& detail) const {
-    return {base::error_kind::kUnavailable,
-            "can't listen on " + settings::ToString(address_) + ": " + detail,
-            "free the address or choose another port in [peers]"};
-  }
-
-  settings::endpoint address_;
-  std::shared_ptr<thrift::transport::TServerSocket> socket_;
-  thrift::server::TThreadedServer server_;
-  std::thread thread_;
+  rpc::rpc_server server_;
 };
 
 peer_server::peer_server(settings::endpoint address,
--- a/src/instances/internal/rpc_server.h
+++ b/src/rpc/include/chivecrank/rpc/rpc_server.h
@@ -1,23 +1,39 @@
-#ifndef CHIVECRANK_INSTANCES_INTERNAL_RPC_SERVER_H_
-#define CHIVECRANK_INSTANCES_INTERNAL_RPC_SERVER_H_
+#ifndef CHIVECRANK_RPC_RPC_SERVER_H_
+#define CHIVECRANK_RPC_RPC_SERVER_H_
 
 #include <thrift/TProcessor.h>
+#include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TServerSocket.h>
 
+#include <chrono>
 #include <memory>
 #include <thread>
 
 #include "chivecrank/base/result.h"
 #include "chivecrank/settings/types.h"
 
-namespace chivecrank::instances::internal {
+/// Thrift servers between the processes of this project.
+namespace chivecrank::rpc {
+
+/// How a server speaks.
+struct server_options {
+  std::shared_ptr<apache::thrift::protocol::TProtocolFactory> protocol =
+      std::make_shared<apache::thrift::protocol::TBinaryProtocolFactory>();
+  /// A connection that says nothing for this long is closed.
+  std::chrono::milliseconds idle{30'000};
+};
 
 /// Offers a Thrift service on an address, with a thread for each connection.
 class rpc_server {
  public:
   rpc_server(const settings::endpoint& address,
              const std::shared_ptr<apache::thrift::TProcessor>& processor);
+  /// Listens on a socket of the caller's, which is bound to `address`.
+  rpc_server(const settings::endpoint& address,
+             const std::shared_ptr<apache::thrift::TProcessor>& processor,
+             std::shared_ptr<apache::thrift::transport::TServerSocket> socket,
+             const server_options& options);
   ~rpc_server();
   rpc_server(const rpc_server&) = delete;
   rpc_server& operator=(const rpc_server&) = delete;
@@ -36,6 +52,6 @@
   std::thread thread_;
 };
 
-}  // namespace chivecrank::instances::internal
+}  // namespace chivecrank::rpc
 
-#endif  // CHIVECRANK_INSTANCES_INTERNAL_RPC_SERVER_H_
+#endif  // CHIVECRANK_RPC_RPC_SERVER_H_
--- a/src/instances/internal/rpc_server.cc
+++ b/src/rpc/internal/rpc_server.cc
@@ -1,18 +1,15 @@
-#include "internal/rpc_server.h"
+#include "chivecrank/rpc/rpc_server.h"
 
-#include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
 #include <future>
+#include <utility>
 
-namespace chivecrank::instances::internal {
+namespace chivecrank::rpc {
 namespace {
 
 namespace thrift = apache::thrift;
 
-/// A connection that says nothing for this long is closed.
-constexpr int kIdleMilliseconds = 30'000;
-
 /// Reports that the server listens.
 class listen_observer final : public thrift::server::TServerEventHandler {
  public:
@@ -29,15 +26,26 @@
 
 rpc_server::rpc_server(const settings::endpoint& address,
                        const std::shared_ptr<thrift::TProcessor>& processor)
+    : rpc_server(
+          address,
+          processor,
+          std::make_shared<thrift::transport::TServerSocket>(address.host,
+                                                             address.port),
+          server_options{}) {}
+
+rpc_server::rpc_server(const settings::endpoint& address,
+                       const std::shared_ptr<thrift::TProcessor>& processor,
+                       std::shared_ptr<thrift::transport::TServerSocket> socket,
+                       const server_options& options)
     : address_(address),
-      socket_(std::make_shared<thrift::transport::TServerSocket>(address.host,
-                                                                 address.port)),
+      socket_(std::move(socket)),
       server_(processor,
               socket_,
               std::make_shared<thrift::transport::TFramedTransportFactory>(),
-              std::make_shared<thrift::protocol::TBinaryProtocolFactory>()) {
-  socket_->setRecvTimeout(kIdleMilliseconds);
-  socket_->setSendTimeout(kIdleMilliseconds);
+              options.protocol) {
+  const int idle = static_cast<int>(options.idle.count());
+  socket_->setRecvTimeout(idle);
+  socket_->setSendTimeout(idle);
 }
 
 rpc_server::~rpc_server() {
@@ -70,4 +78,4 @@
           "free the address or choose another in the settings"};
 }
 
-}  // namespace chivecrank::instances::internal
+}  // namespace chivecrank::rpc
