A planned stop closes each connection with its last answer

Change: while it drains the entry answers with Connection: close; the harness has a balancer that sends nothing to an entry that says it is not ready (one that says nothing still gets requests).

--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -139,6 +139,7 @@
             << settings::ToString(settings.listen) << ".";
   process::WaitForStopSignal();
   stopping = true;
+  server.Drain();
   // The balancer sees "not ready" and sends nothing new before the port shuts.
   clock.SleepUntil(clock.Now() + settings.drain);
   server.Stop();
--- a/src/http/include/chivecrank/http/server.h
+++ b/src/http/include/chivecrank/http/server.h
@@ -19,6 +19,9 @@
 
   /// Listens and answers. kUnavailable when the address can't be bound.
   base::result<void> Start();
+  /// Closes each connection with its next answer, so that callers have gone
+  /// elsewhere when the server stops.
+  void Drain();
   /// Stops listening and waits until the requests in flight are answered.
   void Stop();
 
--- a/src/http/internal/server.cc
+++ b/src/http/internal/server.cc
@@ -10,6 +10,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 
+#include <atomic>
 #include <optional>
 #include <utility>
 
@@ -45,8 +46,10 @@
 /// Reads one request, answers it, and closes connections that broke a limit.
 class request_handler final : public net::HTTPRequestHandler {
  public:
-  request_handler(const server_limits& limits, const handler& handle)
-      : limits_(limits), handle_(handle) {}
+  request_handler(const server_limits& limits,
+                  const handler& handle,
+                  const std::atomic<bool>& draining)
+      : limits_(limits), handle_(handle), draining_(draining) {}
 
   void handleRequest(net::HTTPServerRequest& source,
                      net::HTTPServerResponse& target) override {
@@ -77,26 +80,33 @@
       Send(refusal, target);
       return;
     }
-    Send(handle_(Convert(source, std::move(body.value()))), target);
+    const response answer = handle_(Convert(source, std::move(body.value())));
+    if (draining_)
+      target.setKeepAlive(false);
+    Send(answer, target);
   }
 
   const server_limits& limits_;
   const handler& handle_;
+  const std::atomic<bool>& draining_;
 };
 
 class handler_factory final : public net::HTTPRequestHandlerFactory {
  public:
-  handler_factory(const server_limits& limits, const handler& handle)
-      : limits_(limits), handle_(handle) {}
+  handler_factory(const server_limits& limits,
+                  const handler& handle,
+                  const std::atomic<bool>& draining)
+      : limits_(limits), handle_(handle), draining_(draining) {}
 
   net::HTTPRequestHandler* createRequestHandler(
       const net::HTTPServerRequest&) override {
-    return new request_handler(limits_, handle_);
+    return new request_handler(limits_, handle_, draining_);
   }
 
  private:
   const server_limits& limits_;
   const handler& handle_;
+  const std::atomic<bool>& draining_;
 };
 
 }  // namespace
@@ -117,8 +127,8 @@
       socket.bind(net::SocketAddress(address_.host, address_.port), true,
                   false);
       socket.listen(kBacklog);
-      server_.emplace(new handler_factory(limits_, handle_), threads_, socket,
-                      Parameters());
+      server_.emplace(new handler_factory(limits_, handle_, draining_),
+                      threads_, socket, Parameters());
       server_->start();
     } catch (const Poco::Exception& failure) {
       return base::error{base::error_kind::kUnavailable,
@@ -129,6 +139,8 @@
     return base::Success();
   }
 
+  void Drain() { draining_ = true; }
+
   void Stop() {
     if (!server_)
       return;
@@ -151,6 +163,7 @@
   settings::endpoint address_;
   server_limits limits_;
   handler handle_;
+  std::atomic<bool> draining_ = false;
   Poco::ThreadPool threads_;
   std::optional<net::HTTPServer> server_;
 };
@@ -168,6 +181,10 @@
   return implementation_->Start();
 }
 
+void server::Drain() {
+  implementation_->Drain();
+}
+
 void server::Stop() {
   implementation_->Stop();
 }
--- a/tests/campaign/campaign.h
+++ b/tests/campaign/campaign.h
@@ -35,6 +35,9 @@
 
   const promise_table& Table() const { return table_; }
 
+  /// Outcomes and latencies of all requests, in one line.
+  std::string RequestSummary();
+
  private:
   /// A planned stop without another fault beside it.
   struct planned_stop {
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,9 +49,14 @@
 /// and keeps its own account of the answers. Safe to use from several threads.
 class caller {
  public:
+  /// Whether the balancer sends requests to an entry now.
+  using entry_filter = std::function<bool(const settings::endpoint&)>;
+
+  /// Without a filter every entry gets requests.
   caller(std::vector<settings::endpoint> entries,
          caller_options options,
-         std::uint64_t seed);
+         std::uint64_t seed,
+         entry_filter takes_requests = {});
 
   /// Sends one non-idempotent request with a key of its own and records what
   /// became of it. Not-run answers are sent again until the deadline.
@@ -77,6 +83,7 @@
 
   const caller_options options_;
   const std::vector<settings::endpoint> addresses_;
+  const entry_filter takes_requests_;
   std::vector<std::unique_ptr<http::client>> entries_;
   std::mutex mutex_;
   std::mt19937_64 random_;
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -72,6 +72,8 @@
   bool WaitUntilReady(int index, std::chrono::seconds limit);
 
   std::vector<settings::endpoint> Entries() const;
+  /// Addresses of all instances, for a balancer.
+  std::vector<instance_addresses> Instances() const;
   const instance_addresses& InstanceAt(int index) const;
   const platform::instance& WorkerAt(int index) const;
   /// Process identifiers of an instance, for signals.
