--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -15,6 +15,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CASE_COUNT = re.compile(r"Running (\d+) test cases?")
+# CTest cuts longer outputs, and with them the line that counts the cases.
+OUTPUT_BYTES = str(64 << 20)
 FAILED_CASE = re.compile(r'error: in "([^"]+)"')
 
 
@@ -33,7 +35,9 @@
     junit.unlink(missing_ok=True)
     command = ["ctest", "--test-dir", str(build), "-j",
                os.environ.get("JOBS", str(os.cpu_count())),
-               "--output-junit", str(junit), "--quiet"]
+               "--output-junit", str(junit), "--quiet",
+               "--test-output-size-passed", OUTPUT_BYTES,
+               "--test-output-size-failed", OUTPUT_BYTES]
     if label:
         command += ["-L", label]
     subprocess.run(command, check=False)
@@ -60,8 +64,9 @@
         unknown = broken - known
         for name in sorted(broken & known):
             print(f"known red: {name}")
-        # A program that failed without naming a case crashed or timed out.
-        crashed = not clean and not broken
+        # A program that failed without naming a case crashed or timed out; one
+        # that counted no cases ran none.
+        crashed = (not clean and not broken) or not counted
         if unknown or crashed:
             print(f"--- {program} failed\n{output}")
         failed += len(unknown) + (1 if crashed else 0)
