One test of overlapping runs for the campaign and the demo

Cause: the campaign and the account book each had the same function. Change: account_book.h offers Overlap; the campaign calls it. Behaviour and checks are as before.

--- a/tests/campaign/campaign.cc
+++ b/tests/campaign/campaign.cc
@@ -9,6 +9,7 @@
 
 #include "chivecrank/http/client.h"
 #include "chivecrank/http/json.h"
+#include "harness/account_book.h"
 
 namespace chivecrank::harness {
 namespace {
@@ -64,12 +65,6 @@
   return static_cast<std::uint64_t>(http::IntegerOf(accepted, "revision"));
 }
 
-bool Overlap(const task_run& left, const task_run& right) {
-  const std::int64_t left_to = left.to == 0 ? INT64_MAX : left.to;
-  const std::int64_t right_to = right.to == 0 ? INT64_MAX : right.to;
-  return left.from < right_to && right.from < left_to;
-}
-
 std::string RunText(const task_run& run) {
   return run.worker_id + " attempt " + std::to_string(run.attempt) + " [" +
          std::to_string(run.from) + ", " + std::to_string(run.to) + "] " +
--- a/tests/harness/account_book.cc
+++ b/tests/harness/account_book.cc
@@ -32,12 +32,6 @@
   }
 }
 
-bool Overlap(const task_run& left, const task_run& right) {
-  const std::int64_t left_to = left.to == 0 ? INT64_MAX : left.to;
-  const std::int64_t right_to = right.to == 0 ? INT64_MAX : right.to;
-  return left.from < right_to && right.from < left_to;
-}
-
 bool RanTwice(const std::vector<task_run>& runs) {
   const auto done =
       std::count_if(runs.begin(), runs.end(),
@@ -55,6 +49,12 @@
 
 }  // namespace
 
+bool Overlap(const task_run& left, const task_run& right) {
+  const std::int64_t left_to = left.to == 0 ? INT64_MAX : left.to;
+  const std::int64_t right_to = right.to == 0 ? INT64_MAX : right.to;
+  return left.from < right_to && right.from < left_to;
+}
+
 std::string Describe(const account_totals& totals) {
   std::ostringstream text;
   text << "demo: requests=" << totals.requests
--- a/tests/harness/account_book.h
+++ b/tests/harness/account_book.h
@@ -12,6 +12,9 @@
 
 namespace chivecrank::harness {
 
+/// Whether two runs of a task ran at the same time.
+bool Overlap(const task_run& left, const task_run& right);
+
 /// Totals of a run, from the callers' and the workers' accounts.
 struct account_totals {
   std::int64_t requests = 0;
