--- a/apps/chivecrank_admin/admin_settings.h
+++ b/apps/chivecrank_admin/admin_settings.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/coordination/guarded_store.h"
 #include "chivecrank/membership/types.h"
 #include "chivecrank/operators/types.h"
-#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/settings/section.h"
 
 namespace chivecrank {
@@ -23,7 +23,7 @@
   /// Age up to which a read of the instance list is used again.
   std::chrono::milliseconds list_age{500};
   membership::peer_ports peers;
-  platform::guard_settings guard;
+  coordination::guard_settings guard;
   std::vector<operators::operator_account> operators;
 };
 
--- a/apps/chivecrank_admin/main.cc
+++ b/apps/chivecrank_admin/main.cc
@@ -7,14 +7,14 @@
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/configuration/replica.h"
 #include "chivecrank/configuration/repository.h"
+#include "chivecrank/coordination/cached_instance_list.h"
+#include "chivecrank/coordination/guarded_store.h"
+#include "chivecrank/coordination/http_instance_list.h"
+#include "chivecrank/coordination/http_store.h"
 #include "chivecrank/http/server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/operators/admin_api.h"
 #include "chivecrank/ownership/shard_registry.h"
-#include "chivecrank/platform/cached_instance_list.h"
-#include "chivecrank/platform/guarded_store.h"
-#include "chivecrank/platform/http_instance_list.h"
-#include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
 #include "chivecrank/process/status_server.h"
 #include "chivecrank/process/stop_signal.h"
@@ -35,21 +35,22 @@
   return {true, ""};
 }
 
-base::result<std::vector<ownership::owner>> ReadOwners(platform::store& store) {
+base::result<std::vector<ownership::owner>> ReadOwners(
+    coordination::store& store) {
   BOOST_OUTCOME_TRY(all, ownership::shard_registry(store).Owners());
   return all.owners;
 }
 
 /// Asks the first scheduler that answers; it passes the call on to the owner.
 base::result<instances::job_report> DescribeJob(
-    platform::instance_list& listed,
+    coordination::instance_list& listed,
     const instances::job_reference& job,
     std::chrono::milliseconds timeout) {
   BOOST_OUTCOME_TRY(all, listed.List());
   base::error last{base::error_kind::kUnavailable, "no scheduler is listed",
                    "try again later"};
-  for (const platform::instance& one : all) {
-    if (one.kind != platform::instance_kind::kSystem)
+  for (const coordination::instance& one : all) {
+    if (one.kind != coordination::instance_kind::kSystem)
       continue;
     instances::scheduler_client scheduler(one.scheduler, timeout);
     auto report = scheduler.Describe(job, instances::call_origin::kEntry);
@@ -65,15 +66,17 @@
 process::exit_code Run(const admin_settings& settings) {
   base::system_clock clock;
   const auto registry = std::make_shared<prometheus::Registry>();
-  platform::http_store store_calls(settings.platform, settings.store_timeout);
-  platform::store_metrics store_metrics(*registry);
-  platform::guarded_store store(store_calls, clock, store_metrics,
-                                settings.guard);
+  coordination::http_store store_calls(settings.platform,
+                                       settings.store_timeout);
+  coordination::store_metrics store_metrics(*registry);
+  coordination::guarded_store store(store_calls, clock, store_metrics,
+                                    settings.guard);
   configuration::repository accepted(store, clock, NewWriteId);
   const operators::operator_directory directory(settings.operators);
-  platform::http_instance_list list_calls(settings.platform,
-                                          settings.store_timeout);
-  platform::cached_instance_list listed(list_calls, clock, settings.list_age);
+  coordination::http_instance_list list_calls(settings.platform,
+                                              settings.store_timeout);
+  coordination::cached_instance_list listed(list_calls, clock,
+                                            settings.list_age);
   configuration::replica configured(
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
--- a/apps/chivecrank_entry/entry_settings.cc
+++ b/apps/chivecrank_entry/entry_settings.cc
@@ -1,7 +1,7 @@
 #include "entry_settings.h"
 
+#include "chivecrank/coordination/guard_reader.h"
 #include "chivecrank/membership/peer_settings.h"
-#include "chivecrank/platform/guard_reader.h"
 
 namespace chivecrank {
 namespace {
@@ -80,7 +80,7 @@
   read.peers = membership::ReadPeerPorts(root);
   settings::section store = root.Table("platform");
   read.platform = store.Endpoint("address");
-  read.guard = platform::ReadGuardSettings(store);
+  read.guard = coordination::ReadGuardSettings(store);
   read.store_timeout = store.MillisecondsOr("timeout_ms", kTimeoutMilliseconds,
                                             read.store_timeout);
   read.refresh =
--- a/apps/chivecrank_entry/entry_settings.h
+++ b/apps/chivecrank_entry/entry_settings.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/coordination/guarded_store.h"
 #include "chivecrank/http/types.h"
 #include "chivecrank/idempotency/types.h"
 #include "chivecrank/membership/types.h"
-#include "chivecrank/platform/guarded_store.h"
 #include "chivecrank/routing/types.h"
 #include "chivecrank/settings/section.h"
 
@@ -29,7 +29,7 @@
   /// Age up to which a read of the instance list is used again.
   std::chrono::milliseconds list_age{500};
   membership::peer_ports peers;
-  platform::guard_settings guard;
+  coordination::guard_settings guard;
   std::chrono::milliseconds scheduler_timeout{5000};
   std::chrono::milliseconds refresh{1000};
   /// Time between "not ready" and the end of listening on a planned stop.
--- a/apps/chivecrank_entry/main.cc
+++ b/apps/chivecrank_entry/main.cc
@@ -7,6 +7,10 @@
 #include "chivecrank/callers/caller_api.h"
 #include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
+#include "chivecrank/coordination/cached_instance_list.h"
+#include "chivecrank/coordination/guarded_store.h"
+#include "chivecrank/coordination/http_instance_list.h"
+#include "chivecrank/coordination/http_store.h"
 #include "chivecrank/entries/entry_server.h"
 #include "chivecrank/entries/slot_metrics.h"
 #include "chivecrank/entries/slot_pool.h"
@@ -17,10 +21,6 @@
 #include "chivecrank/instances/entry_server.h"
 #include "chivecrank/instances/scheduler_client.h"
 #include "chivecrank/objectives/request_metrics.h"
-#include "chivecrank/platform/cached_instance_list.h"
-#include "chivecrank/platform/guarded_store.h"
-#include "chivecrank/platform/http_instance_list.h"
-#include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
 #include "chivecrank/process/status_server.h"
 #include "chivecrank/process/stop_signal.h"
@@ -37,7 +37,7 @@
 constexpr std::chrono::milliseconds kReturnTime{1000};
 
 bool Probe(upstreams::upstream_client& client,
-           const platform::instance& upstream) {
+           const coordination::instance& upstream) {
   return client.Send(upstream.service, {"GET", "/probe", {}, ""}, kProbeTimeout)
       .has_value();
 }
@@ -70,14 +70,15 @@
 process::exit_code Run(const entry_settings& settings) {
   base::system_clock clock;
   const auto registry = std::make_shared<prometheus::Registry>();
-  platform::http_store store_calls(settings.platform, settings.store_timeout);
-  platform::store_metrics store_metrics(*registry);
-  platform::guarded_store store(store_calls, clock, store_metrics,
-                                settings.guard);
-  platform::http_instance_list list_calls(settings.platform,
-                                          settings.store_timeout);
-  platform::cached_instance_list instances(list_calls, clock,
-                                           settings.list_age);
+  coordination::http_store store_calls(settings.platform,
+                                       settings.store_timeout);
+  coordination::store_metrics store_metrics(*registry);
+  coordination::guarded_store store(store_calls, clock, store_metrics,
+                                    settings.guard);
+  coordination::http_instance_list list_calls(settings.platform,
+                                              settings.store_timeout);
+  coordination::cached_instance_list instances(list_calls, clock,
+                                               settings.list_age);
   configuration::replica configured(
       configuration::MakeReplicaSettings(
           settings.instance, settings.failure_domain,
--- a/apps/chivecrank_entry/upstream_prober.cc
+++ b/apps/chivecrank_entry/upstream_prober.cc
@@ -36,7 +36,7 @@
   while (!stopping_) {
     const base::time_point next = clock_.Now() + kPeriod;
     show_(pool_.Totals());
-    for (const platform::instance& upstream : pool_.ToProbe()) {
+    for (const coordination::instance& upstream : pool_.ToProbe()) {
       const base::time_point sent = clock_.Now();
       if (!stopping_ && send_(upstream))
         pool_.ConfirmAlive(upstream.id, sent);
--- a/apps/chivecrank_entry/upstream_prober.h
+++ b/apps/chivecrank_entry/upstream_prober.h
@@ -16,7 +16,7 @@
 class upstream_prober {
  public:
   /// Sends a probe; whether the upstream answered.
-  using probe = std::function<bool(const platform::instance&)>;
+  using probe = std::function<bool(const coordination::instance&)>;
   using observer = std::function<void(const entries::pool_totals&)>;
 
   upstream_prober(base::clock& clock,
--- a/apps/chivecrank_entry/upstream_refresher.cc
+++ b/apps/chivecrank_entry/upstream_refresher.cc
@@ -7,7 +7,7 @@
 namespace chivecrank {
 
 upstream_refresher::upstream_refresher(base::clock& clock,
-                                       platform::instance_list& instances,
+                                       coordination::instance_list& instances,
                                        std::chrono::milliseconds period,
                                        consumer consume)
     : clock_(clock),
--- a/apps/chivecrank_entry/upstream_refresher.h
+++ b/apps/chivecrank_entry/upstream_refresher.h
@@ -8,17 +8,18 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/instance_list.h"
+#include "chivecrank/coordination/instance_list.h"
 
 namespace chivecrank {
 
 /// Reads the instance list again and again and hands it on.
 class upstream_refresher {
  public:
-  using consumer = std::function<void(const std::vector<platform::instance>&)>;
+  using consumer =
+      std::function<void(const std::vector<coordination::instance>&)>;
 
   upstream_refresher(base::clock& clock,
-                     platform::instance_list& instances,
+                     coordination::instance_list& instances,
                      std::chrono::milliseconds period,
                      consumer consume);
   ~upstream_refresher();
@@ -35,7 +36,7 @@
   void Run();
 
   base::clock& clock_;
-  platform::instance_list& instances_;
+  coordination::instance_list& instances_;
   const std::chrono::milliseconds period_;
   const consumer consume_;
   std::atomic<bool> has_list_ = false;
--- a/apps/chivecrank_scheduler/main.cc
+++ b/apps/chivecrank_scheduler/main.cc
@@ -6,11 +6,11 @@
 #include "chivecrank/base/system_clock.h"
 #include "chivecrank/configuration/drained_instance_list.h"
 #include "chivecrank/configuration/replica.h"
+#include "chivecrank/coordination/cached_instance_list.h"
+#include "chivecrank/coordination/guarded_store.h"
+#include "chivecrank/coordination/http_instance_list.h"
+#include "chivecrank/coordination/http_store.h"
 #include "chivecrank/instances/scheduler_server.h"
-#include "chivecrank/platform/cached_instance_list.h"
-#include "chivecrank/platform/guarded_store.h"
-#include "chivecrank/platform/http_instance_list.h"
-#include "chivecrank/platform/http_store.h"
 #include "chivecrank/process/program.h"
 #include "chivecrank/process/status_server.h"
 #include "chivecrank/process/stop_signal.h"
@@ -43,14 +43,15 @@
 process::exit_code Run(const scheduler_settings& settings) {
   base::system_clock clock;
   const auto registry = std::make_shared<prometheus::Registry>();
-  platform::http_store store_calls(settings.platform, settings.store_timeout);
-  platform::store_metrics store_metrics(*registry);
-  platform::guarded_store store(store_calls, clock, store_metrics,
-                                settings.guard);
-  platform::http_instance_list list_calls(settings.platform,
-                                          settings.store_timeout);
-  platform::cached_instance_list instances(list_calls, clock,
-                                           settings.list_age);
+  coordination::http_store store_calls(settings.platform,
+                                       settings.store_timeout);
+  coordination::store_metrics store_metrics(*registry);
+  coordination::guarded_store store(store_calls, clock, store_metrics,
+                                    settings.guard);
+  coordination::http_instance_list list_calls(settings.platform,
+                                              settings.store_timeout);
+  coordination::cached_instance_list instances(list_calls, clock,
+                                               settings.list_age);
   workers::http_agent agents(settings.agent_timeout);
   configuration::replica configured(
       configuration::MakeReplicaSettings(
--- a/src/callers/tests/caller_api_test.cc
+++ b/src/callers/tests/caller_api_test.cc
@@ -63,7 +63,7 @@
     accepted->content.accounts[0].name = "hotel";
     accepted->content.accounts[0].token_hash = security::HashToken("secret");
     configured.current = accepted;
-    platform::instance listed;
+    coordination::instance listed;
     listed.id = "w-1";
     listed.slots = 1;
     slots.Update({listed});
--- a/src/callers/tests/once_service_test.cc
+++ b/src/callers/tests/once_service_test.cc
@@ -28,7 +28,7 @@
 
 struct fixture {
   fixture() {
-    platform::instance listed;
+    coordination::instance listed;
     listed.id = "w-1";
     listed.slots = 8;
     slots.Update({listed});
--- a/src/configuration/include/chivecrank/configuration/drained_instance_list.h
+++ b/src/configuration/include/chivecrank/configuration/drained_instance_list.h
@@ -4,25 +4,25 @@
 #include <vector>
 
 #include "chivecrank/configuration/view.h"
-#include "chivecrank/platform/instance_list.h"
+#include "chivecrank/coordination/instance_list.h"
 
 namespace chivecrank::configuration {
 
 /// Whether a worker is drained, by itself or by its rack or failure domain.
-bool IsDrained(const content& all, const platform::instance& worker);
+bool IsDrained(const content& all, const coordination::instance& worker);
 
 /// An instance list in which drained workers count as leaving: they get
 /// nothing new, and what runs on them finishes. kUnavailable until the
 /// configuration is known.
-class drained_instance_list final : public platform::instance_list {
+class drained_instance_list final : public coordination::instance_list {
  public:
-  drained_instance_list(platform::instance_list& source,
+  drained_instance_list(coordination::instance_list& source,
                         const view& configured);
 
-  base::result<std::vector<platform::instance>> List() override;
+  base::result<std::vector<coordination::instance>> List() override;
 
  private:
-  platform::instance_list& source_;
+  coordination::instance_list& source_;
   const view& configured_;
 };
 
--- a/src/configuration/include/chivecrank/configuration/head_watcher.h
+++ b/src/configuration/include/chivecrank/configuration/head_watcher.h
@@ -8,7 +8,7 @@
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/configuration/held_configuration.h"
-#include "chivecrank/platform/store.h"
+#include "chivecrank/coordination/store.h"
 
 namespace chivecrank::configuration {
 
@@ -41,7 +41,7 @@
     std::function<void()> on_newer;
   };
 
-  head_watcher(platform::store& store,
+  head_watcher(coordination::store& store,
                base::clock& clock,
                held_configuration& held,
                head_watcher_settings settings,
@@ -63,12 +63,13 @@
   void StartUp();
   void Watch();
   /// Takes over the head that a watch told.
-  void TakeChange(const platform::store_change& change, base::time_point asked);
+  void TakeChange(const coordination::store_change& change,
+                  base::time_point asked);
   void PauseAfterFailure();
   bool Impatient();
   void DrawPatience();
 
-  platform::store& store_;
+  coordination::store& store_;
   base::clock& clock_;
   held_configuration& held_;
   const head_watcher_settings settings_;
@@ -76,7 +77,7 @@
   std::mt19937_64 random_;
   bool started_up_ = false;
   /// Last store revision that a watch told; 0 to begin anew.
-  platform::revision seen_ = 0;
+  coordination::revision seen_ = 0;
   std::chrono::milliseconds pause_;
   std::chrono::milliseconds patience_;
   std::atomic<bool> stopping_ = false;
--- a/src/configuration/include/chivecrank/configuration/replica.h
+++ b/src/configuration/include/chivecrank/configuration/replica.h
@@ -8,11 +8,11 @@
 #include "chivecrank/configuration/fleet.h"
 #include "chivecrank/configuration/head_watcher.h"
 #include "chivecrank/configuration/held_configuration.h"
+#include "chivecrank/coordination/instance_list.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/membership/gossip.h"
 #include "chivecrank/membership/peer_server.h"
 #include "chivecrank/membership/thrift_transport.h"
-#include "chivecrank/platform/instance_list.h"
-#include "chivecrank/platform/store.h"
 
 namespace chivecrank::configuration {
 
@@ -39,8 +39,8 @@
  public:
   replica(replica_settings settings,
           base::clock& clock,
-          platform::store& store,
-          platform::instance_list& instances,
+          coordination::store& store,
+          coordination::instance_list& instances,
           prometheus::Registry& registry);
   ~replica() override;
 
--- a/src/configuration/include/chivecrank/configuration/repository.h
+++ b/src/configuration/include/chivecrank/configuration/repository.h
@@ -10,7 +10,7 @@
 #include "chivecrank/base/clock.h"
 #include "chivecrank/base/result.h"
 #include "chivecrank/configuration/types.h"
-#include "chivecrank/platform/store.h"
+#include "chivecrank/coordination/store.h"
 
 namespace chivecrank::configuration {
 
@@ -42,7 +42,7 @@
 class repository {
  public:
   /// `new_write_id` returns an identifier that no other write has.
-  repository(platform::store& store,
+  repository(coordination::store& store,
              base::clock& clock,
              std::function<std::string()> new_write_id,
              settle_settings settling = {});
@@ -67,11 +67,12 @@
   base::result<snapshot> AcceptedBefore(const proposal& change,
                                         const snapshot& head);
   base::result<snapshot> Settle(const snapshot& written,
-                                platform::version expected);
-  std::optional<base::result<snapshot>> TryToSettle(const snapshot& written,
-                                                    platform::version expected);
+                                coordination::version expected);
+  std::optional<base::result<snapshot>> TryToSettle(
+      const snapshot& written,
+      coordination::version expected);
 
-  platform::store& store_;
+  coordination::store& store_;
   base::clock& clock_;
   std::function<std::string()> new_write_id_;
   const settle_settings settling_;
--- a/src/configuration/include/chivecrank/configuration/types.h
+++ b/src/configuration/include/chivecrank/configuration/types.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
 /// What operators configure: templates, client accounts, teams and drains.
 namespace chivecrank::configuration {
@@ -50,7 +50,7 @@
 /// A batch job.
 struct job_template {
   std::string name;
-  platform::resources demand;
+  coordination::resources demand;
   /// Expected run time.
   std::chrono::milliseconds run_time{60'000};
   /// Time from submission by which the job should be done.
@@ -89,7 +89,7 @@
 /// A team with its quota of batch resources.
 struct team {
   std::string name;
-  platform::resources quota;
+  coordination::resources quota;
 };
 
 /// What a drain empties.
--- a/src/configuration/internal/codec.cc
+++ b/src/configuration/internal/codec.cc
@@ -110,13 +110,14 @@
   return service;
 }
 
-void EncodeResources(const platform::resources& amount, json_object& target) {
+void EncodeResources(const coordination::resources& amount,
+                     json_object& target) {
   target->set("processors_milli", amount.processors_milli);
   target->set("memory_mib", amount.memory_mib);
   target->set("accelerators", amount.accelerators);
 }
 
-platform::resources DecodeResources(object_reader& reader) {
+coordination::resources DecodeResources(object_reader& reader) {
   return {reader.IntegerOr("processors_milli", 0),
           reader.IntegerOr("memory_mib", 0),
           reader.IntegerOr("accelerators", 0)};
--- a/src/configuration/internal/drained_instance_list.cc
+++ b/src/configuration/internal/drained_instance_list.cc
@@ -5,7 +5,8 @@
 namespace chivecrank::configuration {
 namespace {
 
-const std::string& NameIn(drain_scope scope, const platform::instance& worker) {
+const std::string& NameIn(drain_scope scope,
+                          const coordination::instance& worker) {
   switch (scope) {
     case drain_scope::kWorker:
       return worker.id;
@@ -19,18 +20,20 @@
 
 }  // namespace
 
-bool IsDrained(const content& all, const platform::instance& worker) {
+bool IsDrained(const content& all, const coordination::instance& worker) {
   return std::any_of(all.drains.begin(), all.drains.end(),
                      [&](const drain& order) {
                        return NameIn(order.scope, worker) == order.name;
                      });
 }
 
-drained_instance_list::drained_instance_list(platform::instance_list& source,
-                                             const view& configured)
+drained_instance_list::drained_instance_list(
+    coordination::instance_list& source,
+    const view& configured)
     : source_(source), configured_(configured) {}
 
-base::result<std::vector<platform::instance>> drained_instance_list::List() {
+base::result<std::vector<coordination::instance>>
+drained_instance_list::List() {
   const shared_snapshot current = configured_.Current();
   if (!current) {
     return base::error{base::error_kind::kUnavailable,
@@ -38,10 +41,10 @@
                        "wait until the process is ready"};
   }
   BOOST_OUTCOME_TRY(listed, source_.List());
-  for (platform::instance& one : listed) {
-    if (one.kind == platform::instance_kind::kWorker &&
+  for (coordination::instance& one : listed) {
+    if (one.kind == coordination::instance_kind::kWorker &&
         IsDrained(current->content, one)) {
-      one.state = platform::instance_state::kLeaving;
+      one.state = coordination::instance_state::kLeaving;
     }
   }
   return listed;
--- a/src/configuration/internal/head_watcher.cc
+++ b/src/configuration/internal/head_watcher.cc
@@ -10,7 +10,7 @@
 
 namespace chivecrank::configuration {
 
-head_watcher::head_watcher(platform::store& store,
+head_watcher::head_watcher(coordination::store& store,
                            base::clock& clock,
                            held_configuration& held,
                            head_watcher_settings settings,
@@ -42,8 +42,8 @@
 
 base::result<void> head_watcher::Refresh() {
   const base::time_point asked = clock_.Now();
-  BOOST_OUTCOME_TRY(found,
-                    store_.Get(platform::call_class::kConfiguration, kHeadKey));
+  BOOST_OUTCOME_TRY(
+      found, store_.Get(coordination::call_class::kConfiguration, kHeadKey));
   snapshot head;
   if (found) {
     BOOST_OUTCOME_TRY(accepted, DecodeSnapshot(found->value));
@@ -105,7 +105,7 @@
     PauseAfterFailure();
     return;
   }
-  for (const platform::store_change& change : answer.value().changes)
+  for (const coordination::store_change& change : answer.value().changes)
     TakeChange(change, asked);
   if (answer.value().changes.empty() && !read_anew)
     held_.Confirm(held_.Version(), asked);
@@ -113,9 +113,9 @@
   pause_ = settings_.retry_pause;
 }
 
-void head_watcher::TakeChange(const platform::store_change& change,
+void head_watcher::TakeChange(const coordination::store_change& change,
                               base::time_point asked) {
-  if (change.kind != platform::change_kind::kPut ||
+  if (change.kind != coordination::change_kind::kPut ||
       change.entry.key != kHeadKey)
     return;
   auto accepted = DecodeSnapshot(change.entry.value);
--- a/src/configuration/internal/replica.cc
+++ b/src/configuration/internal/replica.cc
@@ -35,8 +35,8 @@
 
 replica::replica(replica_settings settings,
                  base::clock& clock,
-                 platform::store& store,
-                 platform::instance_list& instances,
+                 coordination::store& store,
+                 coordination::instance_list& instances,
                  prometheus::Registry& registry)
     : self_(settings.self),
       held_(clock),
--- a/src/configuration/internal/repository.cc
+++ b/src/configuration/internal/repository.cc
@@ -9,7 +9,8 @@
 namespace chivecrank::configuration {
 namespace {
 
-constexpr platform::call_class kClass = platform::call_class::kConfiguration;
+constexpr coordination::call_class kClass =
+    coordination::call_class::kConfiguration;
 constexpr std::size_t kRevisionDigits = 12;
 constexpr std::size_t kLargestTextBytes = std::size_t{1} << 20;
 
@@ -42,10 +43,10 @@
 
 struct versioned_head {
   snapshot accepted;
-  platform::version version = 0;
+  coordination::version version = 0;
 };
 
-base::result<versioned_head> ReadHead(platform::store& store) {
+base::result<versioned_head> ReadHead(coordination::store& store) {
   BOOST_OUTCOME_TRY(found, store.Get(kClass, kHeadKey));
   if (!found)
     return versioned_head{};
@@ -55,7 +56,7 @@
 
 }  // namespace
 
-repository::repository(platform::store& store,
+repository::repository(coordination::store& store,
                        base::clock& clock,
                        std::function<std::string()> new_write_id,
                        settle_settings settling)
@@ -132,7 +133,7 @@
 }
 
 base::result<snapshot> repository::Settle(const snapshot& written,
-                                          platform::version expected) {
+                                          coordination::version expected) {
   const base::time_point end = clock_.Now() + settling_.limit;
   std::chrono::milliseconds pause = settling_.first_pause;
   while (true) {
@@ -152,7 +153,7 @@
 
 std::optional<base::result<snapshot>> repository::TryToSettle(
     const snapshot& written,
-    platform::version expected) {
+    coordination::version expected) {
   const auto read = ReadHead(store_);
   if (!read.has_value() || read.value().version < expected)
     return std::nullopt;
@@ -195,7 +196,7 @@
 base::result<std::vector<snapshot>> repository::History() {
   BOOST_OUTCOME_TRY(listing, store_.List(kClass, kHistoryPrefix));
   std::vector<snapshot> all;
-  for (const platform::store_entry& entry : listing.entries) {
+  for (const coordination::store_entry& entry : listing.entries) {
     BOOST_OUTCOME_TRY(past, DecodeSnapshot(entry.value));
     all.push_back(std::move(past));
   }
--- a/src/configuration/internal/validation.cc
+++ b/src/configuration/internal/validation.cc
@@ -77,7 +77,7 @@
   void CheckJob(const job_template& job) {
     const std::string place = "jobs." + job.name;
     CheckResources(place, job.demand);
-    if (job.demand == platform::resources{})
+    if (job.demand == coordination::resources{})
       Add(place, "no resources", "declare processors_milli or memory_mib");
     CheckAtLeast(place + ".run_time_ms", job.run_time.count(), 1);
     CheckAtLeast(place + ".finish_within_ms", job.finish_within.count(),
@@ -166,7 +166,7 @@
   }
 
   void CheckResources(const std::string& place,
-                      const platform::resources& amount) {
+                      const coordination::resources& amount) {
     CheckAtLeast(place + ".processors_milli", amount.processors_milli, 0);
     CheckAtLeast(place + ".memory_mib", amount.memory_mib, 0);
     CheckAtLeast(place + ".accelerators", amount.accelerators, 0);
--- a/src/configuration/tests/drained_instance_list_test.cc
+++ b/src/configuration/tests/drained_instance_list_test.cc
@@ -8,14 +8,14 @@
 namespace chivecrank::configuration {
 namespace {
 
-struct fixed_list final : platform::instance_list {
-  base::result<std::vector<platform::instance>> List() override {
-    std::vector<platform::instance> all(3);
+struct fixed_list final : coordination::instance_list {
+  base::result<std::vector<coordination::instance>> List() override {
+    std::vector<coordination::instance> all(3);
     all[0].id = "w-1";
     all[0].rack = "r1";
     all[1].id = "w-2";
     all[1].rack = "r2";
-    all[2].kind = platform::instance_kind::kSystem;
+    all[2].kind = coordination::instance_kind::kSystem;
     all[2].rack = "r1";
     return all;
   }
@@ -37,9 +37,9 @@
   accepted.content = SampleContent();
   configured.held = std::make_shared<const snapshot>(accepted);
   const auto listed = drained.List().value();
-  BOOST_TEST((listed[0].state == platform::instance_state::kLeaving));
-  BOOST_TEST((listed[1].state == platform::instance_state::kLive));
-  BOOST_TEST((listed[2].state == platform::instance_state::kLive));
+  BOOST_TEST((listed[0].state == coordination::instance_state::kLeaving));
+  BOOST_TEST((listed[1].state == coordination::instance_state::kLive));
+  BOOST_TEST((listed[2].state == coordination::instance_state::kLive));
 }
 
 BOOST_AUTO_TEST_CASE(DifferenceNamesEachElement) {
--- a/src/configuration/tests/head_watcher_test.cc
+++ b/src/configuration/tests/head_watcher_test.cc
@@ -5,14 +5,14 @@
 #include "chivecrank/base/manual_clock.h"
 #include "chivecrank/configuration/codec.h"
 #include "chivecrank/configuration/repository.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 
 namespace chivecrank::configuration {
 namespace {
 
 struct fixture {
   base::manual_clock clock;
-  platform::memory_store store{clock};
+  coordination::memory_store store{clock};
   held_configuration held{clock};
   bool watches = true;
   int asked = 0;
@@ -35,11 +35,11 @@
     held.Offer(told);
   }
 
-  platform::version Write(revision number, platform::version expected) {
+  coordination::version Write(revision number, coordination::version expected) {
     snapshot accepted;
     accepted.revision = number;
     return store
-        .Put(platform::call_class::kConfiguration,
+        .Put(coordination::call_class::kConfiguration,
              {kHeadKey, EncodeSnapshot(accepted), expected, 0})
         .value();
   }
@@ -50,10 +50,10 @@
 BOOST_FIXTURE_TEST_SUITE(head_watcher_suite, fixture)
 
 BOOST_AUTO_TEST_CASE(WatcherPutsChangesInForceAndNeverGoesBack) {
-  const platform::version first = Write(2, 0);
+  const coordination::version first = Write(2, 0);
   watcher.RunOnce();
   BOOST_TEST(held.Current()->revision == 2);
-  const platform::version second = Write(3, first);
+  const coordination::version second = Write(3, first);
   watcher.RunOnce();
   BOOST_TEST(held.Current()->revision == 3);
   Write(1, second);
--- a/src/configuration/tests/repository_test.cc
+++ b/src/configuration/tests/repository_test.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "chivecrank/base/manual_clock.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "tests/sample.h"
 
 namespace chivecrank::configuration {
@@ -14,13 +14,13 @@
 enum class head_fault { kNone, kAnswerLost, kArrivesLate, kNeverArrives };
 
 /// A store that loses the answer of one write of the head.
-class faulty_store final : public platform::memory_store {
+class faulty_store final : public coordination::memory_store {
  public:
   using memory_store::memory_store;
 
-  base::result<platform::version> Put(
-      platform::call_class purpose,
-      const platform::put_request& write) override {
+  base::result<coordination::version> Put(
+      coordination::call_class purpose,
+      const coordination::put_request& write) override {
     if (write.key != kHeadKey || fault == head_fault::kNone)
       return memory_store::Put(purpose, write);
     const head_fault now = std::exchange(fault, head_fault::kNone);
@@ -32,12 +32,12 @@
   }
 
   bool LateArrives() {
-    return memory_store::Put(platform::call_class::kConfiguration, late)
+    return memory_store::Put(coordination::call_class::kConfiguration, late)
         .has_value();
   }
 
   head_fault fault = head_fault::kNone;
-  platform::put_request late;
+  coordination::put_request late;
 };
 
 struct fixture {
--- a/src/platform/include/chivecrank/platform/cached_instance_list.h
+++ b/src/coordination/include/chivecrank/coordination/cached_instance_list.h
@@ -1,14 +1,14 @@
-#ifndef CHIVECRANK_PLATFORM_CACHED_INSTANCE_LIST_H_
-#define CHIVECRANK_PLATFORM_CACHED_INSTANCE_LIST_H_
+#ifndef CHIVECRANK_COORDINATION_CACHED_INSTANCE_LIST_H_
+#define CHIVECRANK_COORDINATION_CACHED_INSTANCE_LIST_H_
 
 #include <mutex>
 #include <optional>
 #include <vector>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/instance_list.h"
+#include "chivecrank/coordination/instance_list.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// Shares one instance list among the parts of a process: the platform is
 /// asked at most once per `max_age`, also while it fails. Safe to use from
@@ -37,6 +37,6 @@
   base::time_point asked_;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_CACHED_INSTANCE_LIST_H_
+#endif  // CHIVECRANK_COORDINATION_CACHED_INSTANCE_LIST_H_
--- a/src/platform/include/chivecrank/platform/call_budget.h
+++ b/src/coordination/include/chivecrank/coordination/call_budget.h
@@ -1,9 +1,9 @@
-#ifndef CHIVECRANK_PLATFORM_CALL_BUDGET_H_
-#define CHIVECRANK_PLATFORM_CALL_BUDGET_H_
+#ifndef CHIVECRANK_COORDINATION_CALL_BUDGET_H_
+#define CHIVECRANK_COORDINATION_CALL_BUDGET_H_
 
 #include "chivecrank/base/clock.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// Rate of the calls of one class in one process.
 struct call_rate {
@@ -27,6 +27,6 @@
   base::time_point counted_;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_CALL_BUDGET_H_
+#endif  // CHIVECRANK_COORDINATION_CALL_BUDGET_H_
--- a/src/platform/include/chivecrank/platform/circuit.h
+++ b/src/coordination/include/chivecrank/coordination/circuit.h
@@ -1,5 +1,5 @@
-#ifndef CHIVECRANK_PLATFORM_CIRCUIT_H_
-#define CHIVECRANK_PLATFORM_CIRCUIT_H_
+#ifndef CHIVECRANK_COORDINATION_CIRCUIT_H_
+#define CHIVECRANK_COORDINATION_CIRCUIT_H_
 
 #include <chrono>
 #include <cstdint>
@@ -7,7 +7,7 @@
 
 #include "chivecrank/base/clock.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// When calls are held back after failures.
 struct circuit_settings {
@@ -40,6 +40,6 @@
   base::time_point next_try_;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_CIRCUIT_H_
+#endif  // CHIVECRANK_COORDINATION_CIRCUIT_H_
--- a/src/platform/include/chivecrank/platform/guarded_store.h
+++ b/src/coordination/include/chivecrank/coordination/guarded_store.h
@@ -1,5 +1,5 @@
-#ifndef CHIVECRANK_PLATFORM_GUARDED_STORE_H_
-#define CHIVECRANK_PLATFORM_GUARDED_STORE_H_
+#ifndef CHIVECRANK_COORDINATION_GUARDED_STORE_H_
+#define CHIVECRANK_COORDINATION_GUARDED_STORE_H_
 
 #include <array>
 #include <functional>
@@ -7,12 +7,12 @@
 #include <string>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/call_budget.h"
-#include "chivecrank/platform/circuit.h"
-#include "chivecrank/platform/store.h"
-#include "chivecrank/platform/store_metrics.h"
+#include "chivecrank/coordination/call_budget.h"
+#include "chivecrank/coordination/circuit.h"
+#include "chivecrank/coordination/store.h"
+#include "chivecrank/coordination/store_metrics.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// Bounds of the store calls of one process.
 struct guard_settings {
@@ -84,6 +84,6 @@
   std::size_t waiting_watches_ = 0;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_GUARDED_STORE_H_
+#endif  // CHIVECRANK_COORDINATION_GUARDED_STORE_H_
--- a/src/platform/include/chivecrank/platform/http_instance_list.h
+++ b/src/coordination/include/chivecrank/coordination/http_instance_list.h
@@ -1,10 +1,10 @@
-#ifndef CHIVECRANK_PLATFORM_HTTP_INSTANCE_LIST_H_
-#define CHIVECRANK_PLATFORM_HTTP_INSTANCE_LIST_H_
+#ifndef CHIVECRANK_COORDINATION_HTTP_INSTANCE_LIST_H_
+#define CHIVECRANK_COORDINATION_HTTP_INSTANCE_LIST_H_
 
+#include "chivecrank/coordination/instance_list.h"
 #include "chivecrank/http/client.h"
-#include "chivecrank/platform/instance_list.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// The instance list behind the platform's HTTP/JSON interface.
 class http_instance_list final : public instance_list {
@@ -19,6 +19,6 @@
   std::chrono::milliseconds timeout_;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_HTTP_INSTANCE_LIST_H_
+#endif  // CHIVECRANK_COORDINATION_HTTP_INSTANCE_LIST_H_
--- a/src/platform/include/chivecrank/platform/http_store.h
+++ b/src/coordination/include/chivecrank/coordination/http_store.h
@@ -1,10 +1,10 @@
-#ifndef CHIVECRANK_PLATFORM_HTTP_STORE_H_
-#define CHIVECRANK_PLATFORM_HTTP_STORE_H_
+#ifndef CHIVECRANK_COORDINATION_HTTP_STORE_H_
+#define CHIVECRANK_COORDINATION_HTTP_STORE_H_
 
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/http/client.h"
-#include "chivecrank/platform/store.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// The store behind the platform's HTTP/JSON interface.
 class http_store final : public store {
@@ -34,6 +34,6 @@
   std::chrono::milliseconds timeout_;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_HTTP_STORE_H_
+#endif  // CHIVECRANK_COORDINATION_HTTP_STORE_H_
--- a/src/platform/include/chivecrank/platform/instance_list.h
+++ b/src/coordination/include/chivecrank/coordination/instance_list.h
@@ -1,12 +1,12 @@
-#ifndef CHIVECRANK_PLATFORM_INSTANCE_LIST_H_
-#define CHIVECRANK_PLATFORM_INSTANCE_LIST_H_
+#ifndef CHIVECRANK_COORDINATION_INSTANCE_LIST_H_
+#define CHIVECRANK_COORDINATION_INSTANCE_LIST_H_
 
 #include <vector>
 
 #include "chivecrank/base/result.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// The platform's lagging list of live and leaving instances.
 class instance_list {
@@ -17,6 +17,6 @@
   virtual base::result<std::vector<instance>> List() = 0;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_INSTANCE_LIST_H_
+#endif  // CHIVECRANK_COORDINATION_INSTANCE_LIST_H_
--- a/src/platform/include/chivecrank/platform/memory_store.h
+++ b/src/coordination/include/chivecrank/coordination/memory_store.h
@@ -1,5 +1,5 @@
-#ifndef CHIVECRANK_PLATFORM_MEMORY_STORE_H_
-#define CHIVECRANK_PLATFORM_MEMORY_STORE_H_
+#ifndef CHIVECRANK_COORDINATION_MEMORY_STORE_H_
+#define CHIVECRANK_COORDINATION_MEMORY_STORE_H_
 
 #include <cstddef>
 #include <deque>
@@ -7,9 +7,9 @@
 #include <mutex>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/store.h"
+#include "chivecrank/coordination/store.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// A store in the memory of this process: the core of the stand-in platform
 /// and the fake of unit tests. Watches never wait.
@@ -51,6 +51,6 @@
   lease_id last_lease_ = 0;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_MEMORY_STORE_H_
+#endif  // CHIVECRANK_COORDINATION_MEMORY_STORE_H_
--- a/src/platform/include/chivecrank/platform/store.h
+++ b/src/coordination/include/chivecrank/coordination/store.h
@@ -1,14 +1,14 @@
-#ifndef CHIVECRANK_PLATFORM_STORE_H_
-#define CHIVECRANK_PLATFORM_STORE_H_
+#ifndef CHIVECRANK_COORDINATION_STORE_H_
+#define CHIVECRANK_COORDINATION_STORE_H_
 
 #include <chrono>
 #include <optional>
 #include <string>
 
 #include "chivecrank/base/result.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// The platform's key-value store. Every call may fail with
 /// kUnavailable (certainly had no effect) or kOutcomeUnknown (a write may have
@@ -49,6 +49,6 @@
   virtual base::result<void> RevokeLease(lease_id lease) = 0;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_STORE_H_
+#endif  // CHIVECRANK_COORDINATION_STORE_H_
--- a/src/platform/include/chivecrank/platform/store_codec.h
+++ b/src/coordination/include/chivecrank/coordination/store_codec.h
@@ -1,12 +1,12 @@
-#ifndef CHIVECRANK_PLATFORM_STORE_CODEC_H_
-#define CHIVECRANK_PLATFORM_STORE_CODEC_H_
+#ifndef CHIVECRANK_COORDINATION_STORE_CODEC_H_
+#define CHIVECRANK_COORDINATION_STORE_CODEC_H_
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/http/json.h"
-#include "chivecrank/platform/types.h"
 
 /// JSON forms of the platform's messages; see docs/WIRE.md.
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 http::json_object EncodeEntry(const store_entry& entry);
 store_entry DecodeEntry(const http::json_object& encoded);
@@ -27,6 +27,6 @@
 /// kInvalidArgument for an instance without an id or with a bad endpoint.
 base::result<instance> DecodeInstance(const http::json_object& encoded);
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_STORE_CODEC_H_
+#endif  // CHIVECRANK_COORDINATION_STORE_CODEC_H_
--- a/src/platform/include/chivecrank/platform/store_metrics.h
+++ b/src/coordination/include/chivecrank/coordination/store_metrics.h
@@ -1,5 +1,5 @@
-#ifndef CHIVECRANK_PLATFORM_STORE_METRICS_H_
-#define CHIVECRANK_PLATFORM_STORE_METRICS_H_
+#ifndef CHIVECRANK_COORDINATION_STORE_METRICS_H_
+#define CHIVECRANK_COORDINATION_STORE_METRICS_H_
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -10,9 +10,9 @@
 #include <string>
 
 #include "chivecrank/base/error.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// Counts the store calls of a process by class.
 class store_metrics {
@@ -40,6 +40,6 @@
   prometheus::Gauge& waiting_watches_;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_STORE_METRICS_H_
+#endif  // CHIVECRANK_COORDINATION_STORE_METRICS_H_
--- a/src/platform/include/chivecrank/platform/types.h
+++ b/src/coordination/include/chivecrank/coordination/types.h
@@ -1,5 +1,5 @@
-#ifndef CHIVECRANK_PLATFORM_TYPES_H_
-#define CHIVECRANK_PLATFORM_TYPES_H_
+#ifndef CHIVECRANK_COORDINATION_TYPES_H_
+#define CHIVECRANK_COORDINATION_TYPES_H_
 
 #include <chrono>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include "chivecrank/settings/types.h"
 
 /// The platform's key-value store and instance list, as seen by this project.
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 /// What a store call serves. Each class has its own budget and metrics.
 enum class call_class {
@@ -35,7 +35,7 @@
 struct store_entry {
   std::string key;
   std::string value;
-  platform::version version = 0;
+  coordination::version version = 0;
   lease_id lease = 0;
 };
 
@@ -44,14 +44,14 @@
 struct put_request {
   std::string key;
   std::string value;
-  platform::version expected = 0;
+  coordination::version expected = 0;
   lease_id lease = 0;
 };
 
 /// All keys under a prefix, as of one revision.
 struct store_listing {
   std::vector<store_entry> entries;
-  platform::revision revision = 0;
+  coordination::revision revision = 0;
 };
 
 enum class change_kind { kPut, kDelete };
@@ -62,21 +62,21 @@
 struct store_change {
   change_kind kind = change_kind::kPut;
   store_entry entry;
-  platform::revision revision = 0;
+  coordination::revision revision = 0;
 };
 
 /// The changes after a revision. With `gap` set some were dropped: list the
 /// prefix again.
 struct watch_answer {
   std::vector<store_change> changes;
-  platform::revision revision = 0;
+  coordination::revision revision = 0;
   bool gap = false;
 };
 
 /// What a watch asks for.
 struct watch_request {
   std::string prefix;
-  platform::revision after = 0;
+  coordination::revision after = 0;
   /// How long the store may hold the call when nothing has changed.
   std::chrono::milliseconds wait{0};
 };
@@ -120,6 +120,6 @@
   settings::endpoint entry;
 };
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
 
-#endif  // CHIVECRANK_PLATFORM_TYPES_H_
+#endif  // CHIVECRANK_COORDINATION_TYPES_H_
--- a/src/platform/internal/cached_instance_list.cc
+++ b/src/coordination/internal/cached_instance_list.cc
@@ -1,6 +1,6 @@
-#include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/coordination/cached_instance_list.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 cached_instance_list::cached_instance_list(instance_list& source,
                                            base::clock& clock,
@@ -34,4 +34,4 @@
   return held_;
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/call_budget.cc
+++ b/src/coordination/internal/call_budget.cc
@@ -1,8 +1,8 @@
-#include "chivecrank/platform/call_budget.h"
+#include "chivecrank/coordination/call_budget.h"
 
 #include <algorithm>
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 call_budget::call_budget(call_rate rate) : rate_(rate), tokens_(rate.burst) {}
 
@@ -20,4 +20,4 @@
   return goes;
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/circuit.cc
+++ b/src/coordination/internal/circuit.cc
@@ -1,8 +1,8 @@
-#include "chivecrank/platform/circuit.h"
+#include "chivecrank/coordination/circuit.h"
 
 #include <algorithm>
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 circuit::circuit(circuit_settings settings, std::uint64_t seed)
     : settings_(settings), random_(seed), pause_(settings.first_pause) {}
@@ -35,4 +35,4 @@
   next_try_ = now + std::chrono::milliseconds(jittered(random_));
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/guard_reader.cc
+++ b/src/coordination/internal/guard_reader.cc
@@ -1,6 +1,6 @@
-#include "chivecrank/platform/guard_reader.h"
+#include "chivecrank/coordination/guard_reader.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 constexpr settings::integer_range kCallsPerSecond{1, 2000};
@@ -34,4 +34,4 @@
   return read;
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/guarded_store.cc
+++ b/src/coordination/internal/guarded_store.cc
@@ -1,8 +1,8 @@
-#include "chivecrank/platform/guarded_store.h"
+#include "chivecrank/coordination/guarded_store.h"
 
 #include <algorithm>
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 bool Unanswered(base::error_kind kind) {
@@ -169,4 +169,4 @@
              [&] { return inner_.RevokeLease(lease); });
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/http_instance_list.cc
+++ b/src/coordination/internal/http_instance_list.cc
@@ -1,10 +1,10 @@
-#include "chivecrank/platform/http_instance_list.h"
+#include "chivecrank/coordination/http_instance_list.h"
 
 #include <utility>
 
-#include "chivecrank/platform/store_codec.h"
+#include "chivecrank/coordination/store_codec.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 http_instance_list::http_instance_list(settings::endpoint address,
                                        std::chrono::milliseconds timeout)
@@ -22,4 +22,4 @@
   return instances;
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/http_store.cc
+++ b/src/coordination/internal/http_store.cc
@@ -1,10 +1,10 @@
-#include "chivecrank/platform/http_store.h"
+#include "chivecrank/coordination/http_store.h"
 
 #include <utility>
 
-#include "chivecrank/platform/store_codec.h"
+#include "chivecrank/coordination/store_codec.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 using http::json_object;
@@ -96,4 +96,4 @@
   return base::Success();
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/memory_store.cc
+++ b/src/coordination/internal/memory_store.cc
@@ -1,6 +1,6 @@
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 constexpr std::size_t kKeptChanges = 10'000;
@@ -155,4 +155,4 @@
   changes_.pop_front();
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/store_codec.cc
+++ b/src/coordination/internal/store_codec.cc
@@ -1,8 +1,8 @@
-#include "chivecrank/platform/store_codec.h"
+#include "chivecrank/coordination/store_codec.h"
 
 #include <string>
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 using http::json_object;
@@ -172,4 +172,4 @@
   return entry;
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/store_metrics.cc
+++ b/src/coordination/internal/store_metrics.cc
@@ -1,6 +1,6 @@
-#include "chivecrank/platform/store_metrics.h"
+#include "chivecrank/coordination/store_metrics.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 using counters = prometheus::Family<prometheus::Counter>;
@@ -80,4 +80,4 @@
   waiting_watches_.Set(static_cast<double>(count));
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/internal/types.cc
+++ b/src/coordination/internal/types.cc
@@ -1,6 +1,6 @@
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 std::string_view CallClassName(call_class value) {
   switch (value) {
@@ -30,4 +30,4 @@
   return value == instance_state::kLive ? "live" : "leaving";
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/tests/cached_instance_list_test.cc
+++ b/src/coordination/tests/cached_instance_list_test.cc
@@ -1,10 +1,10 @@
-#include "chivecrank/platform/cached_instance_list.h"
+#include "chivecrank/coordination/cached_instance_list.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 struct counting_list final : instance_list {
@@ -29,4 +29,4 @@
   BOOST_TEST(source.calls == 2);
 }
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/tests/guarded_store_test.cc
+++ b/src/coordination/tests/guarded_store_test.cc
@@ -1,11 +1,11 @@
-#include "chivecrank/platform/guarded_store.h"
+#include "chivecrank/coordination/guarded_store.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 constexpr call_class kClass = call_class::kConfiguration;
@@ -91,4 +91,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/tests/memory_store_test.cc
+++ b/src/coordination/tests/memory_store_test.cc
@@ -1,10 +1,10 @@
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 namespace {
 
 constexpr call_class kAny = call_class::kJournal;
@@ -55,4 +55,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/platform/tests/store_codec_test.cc
+++ b/src/coordination/tests/store_codec_test.cc
@@ -1,8 +1,8 @@
-#include "chivecrank/platform/store_codec.h"
+#include "chivecrank/coordination/store_codec.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace chivecrank::platform {
+namespace chivecrank::coordination {
 
 BOOST_AUTO_TEST_SUITE(store_codec_suite)
 
@@ -31,4 +31,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace chivecrank::platform
+}  // namespace chivecrank::coordination
--- a/src/entries/include/chivecrank/entries/slot_pool.h
+++ b/src/entries/include/chivecrank/entries/slot_pool.h
@@ -26,7 +26,7 @@
             const routing::router_options& options,
             bool predecessor);
 
-  void Update(const std::vector<platform::instance>& upstreams);
+  void Update(const std::vector<coordination::instance>& upstreams);
 
   /// Waits for a slot, or is refused as soon as it is clear that none comes
   /// in time.
@@ -37,7 +37,7 @@
   /// An upstream answered a probe that was sent at `sent`.
   void ConfirmAlive(const std::string& upstream_id, base::time_point sent);
   /// Upstreams whose slots are held back until they answer a probe.
-  std::vector<platform::instance> ToProbe();
+  std::vector<coordination::instance> ToProbe();
 
   /// Messages for other entries.
   std::vector<routing::outgoing_exchange> Exchanges();
--- a/src/entries/internal/slot_pool.cc
+++ b/src/entries/internal/slot_pool.cc
@@ -19,7 +19,7 @@
                                               : std::chrono::milliseconds{0})),
       router_(share, options, usable_from_) {}
 
-void slot_pool::Update(const std::vector<platform::instance>& upstreams) {
+void slot_pool::Update(const std::vector<coordination::instance>& upstreams) {
   std::lock_guard lock(mutex_);
   const base::time_point now = clock_.Now();
   router_.Update(upstreams, now);
@@ -141,7 +141,7 @@
   router_.ConfirmAlive(upstream_id, sent, clock_.Now());
 }
 
-std::vector<platform::instance> slot_pool::ToProbe() {
+std::vector<coordination::instance> slot_pool::ToProbe() {
   std::lock_guard lock(mutex_);
   return router_.ToProbe();
 }
--- a/src/entries/tests/entry_server_test.cc
+++ b/src/entries/tests/entry_server_test.cc
@@ -16,7 +16,7 @@
 
 struct fixture {
   fixture() {
-    platform::instance upstream;
+    coordination::instance upstream;
     upstream.id = "w-1";
     upstream.slots = 8;
     for (slot_pool* pool : {&lender, &borrower})
--- a/src/entries/tests/slot_pool_test.cc
+++ b/src/entries/tests/slot_pool_test.cc
@@ -11,8 +11,8 @@
 
 using std::chrono::milliseconds;
 
-platform::instance Upstream(std::int64_t slots) {
-  platform::instance upstream;
+coordination::instance Upstream(std::int64_t slots) {
+  coordination::instance upstream;
   upstream.id = "w-1";
   upstream.slots = slots;
   return upstream;
--- a/src/idempotency/include/chivecrank/idempotency/home_keeper.h
+++ b/src/idempotency/include/chivecrank/idempotency/home_keeper.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/idempotency/home_peer.h"
 #include "chivecrank/idempotency/partition_home.h"
-#include "chivecrank/platform/store.h"
 
 namespace chivecrank::idempotency {
 
@@ -43,7 +43,7 @@
   home_keeper(entry_identity self,
               home_settings settings,
               base::clock& clock,
-              platform::store& store,
+              coordination::store& store,
               home_peer& peers);
   ~home_keeper() override;
   home_keeper(const home_keeper&) = delete;
@@ -54,7 +54,7 @@
   void Stop();
 
   /// Takes over the platform's instance list.
-  void Update(const std::vector<platform::instance>& listed);
+  void Update(const std::vector<coordination::instance>& listed);
 
   home_location Locate(partition_id number) const;
 
@@ -78,7 +78,7 @@
   const entry_identity self_;
   const home_settings settings_;
   base::clock& clock_;
-  platform::store& store_;
+  coordination::store& store_;
   home_peer& peers_;
   mutable std::mutex mutex_;
   std::map<std::string, settings::endpoint> entries_;
--- a/src/idempotency/include/chivecrank/idempotency/partition_home.h
+++ b/src/idempotency/include/chivecrank/idempotency/partition_home.h
@@ -21,7 +21,7 @@
 /// several threads.
 class partition_home {
  public:
-  partition_home(platform::store& store,
+  partition_home(coordination::store& store,
                  base::clock& clock,
                  partition_id number,
                  const std::string& writer,
--- a/src/idempotency/include/chivecrank/idempotency/partition_log.h
+++ b/src/idempotency/include/chivecrank/idempotency/partition_log.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/idempotency/types.h"
-#include "chivecrank/platform/store.h"
 
 namespace chivecrank::idempotency {
 
@@ -30,7 +30,7 @@
 };
 
 /// Reads who owns a partition; nothing when nobody ever did.
-base::result<std::optional<log_owner>> ReadOwner(platform::store& store,
+base::result<std::optional<log_owner>> ReadOwner(coordination::store& store,
                                                  partition_id number);
 
 /// The log of one partition in the platform's store. Recent entries are in a
@@ -40,7 +40,7 @@
 class partition_log {
  public:
   /// `writer` names this process and is used by no other.
-  partition_log(platform::store& store,
+  partition_log(coordination::store& store,
                 base::clock& clock,
                 partition_id number,
                 std::string writer,
@@ -71,7 +71,7 @@
   base::result<void> ReadBack(const base::error& doubt);
   void SealWhenFull();
   void DropExpired();
-  void DeleteUnnamed(const platform::store_listing& listing,
+  void DeleteUnnamed(const coordination::store_listing& listing,
                      const std::vector<std::string>& named);
   base::result<std::vector<log_entry>> ReadSegments(
       const std::vector<std::string>& named);
@@ -83,13 +83,13 @@
     base::time_point since;
   };
 
-  platform::store& store_;
+  coordination::store& store_;
   base::clock& clock_;
   const std::string prefix_;
   const std::string writer_;
   const std::chrono::milliseconds retention_;
   std::unique_ptr<internal::log_head> head_;
-  platform::version version_ = 0;
+  coordination::version version_ = 0;
   std::uint64_t sealed_ = 0;
   std::vector<sealed_segment> segments_;
 };
--- a/src/idempotency/internal/home_keeper.cc
+++ b/src/idempotency/internal/home_keeper.cc
@@ -31,7 +31,7 @@
 home_keeper::home_keeper(entry_identity self,
                          home_settings settings,
                          base::clock& clock,
-                         platform::store& store,
+                         coordination::store& store,
                          home_peer& peers)
     : self_(std::move(self)),
       settings_(settings),
@@ -64,11 +64,11 @@
     thread.join();
 }
 
-void home_keeper::Update(const std::vector<platform::instance>& listed) {
+void home_keeper::Update(const std::vector<coordination::instance>& listed) {
   std::map<std::string, settings::endpoint> entries;
-  for (const platform::instance& instance : listed) {
-    if (instance.kind == platform::instance_kind::kSystem &&
-        instance.state == platform::instance_state::kLive) {
+  for (const coordination::instance& instance : listed) {
+    if (instance.kind == coordination::instance_kind::kSystem &&
+        instance.state == coordination::instance_state::kLive) {
       entries[instance.id] = instance.entry;
     }
   }
--- a/src/idempotency/internal/partition_home.cc
+++ b/src/idempotency/internal/partition_home.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-partition_home::partition_home(platform::store& store,
+partition_home::partition_home(coordination::store& store,
                                base::clock& clock,
                                partition_id number,
                                const std::string& writer,
--- a/src/idempotency/internal/partition_log.cc
+++ b/src/idempotency/internal/partition_log.cc
@@ -8,7 +8,7 @@
 namespace chivecrank::idempotency {
 namespace {
 
-using platform::call_class;
+using coordination::call_class;
 
 /// A head above this size is sealed into a segment.
 constexpr std::size_t kHeadBytes = std::size_t{16} * 1024;
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-base::result<std::optional<log_owner>> ReadOwner(platform::store& store,
+base::result<std::optional<log_owner>> ReadOwner(coordination::store& store,
                                                  partition_id number) {
   BOOST_OUTCOME_TRY(found,
                     store.Get(call_class::kIntent, PrefixOf(number) + "head"));
@@ -34,7 +34,7 @@
   return std::optional<log_owner>({head.writer, head.closed});
 }
 
-partition_log::partition_log(platform::store& store,
+partition_log::partition_log(coordination::store& store,
                              base::clock& clock,
                              partition_id number,
                              std::string writer,
@@ -181,7 +181,7 @@
   for (const std::string& name : named) {
     const auto found =
         std::find_if(listing.entries.begin(), listing.entries.end(),
-                     [&](const platform::store_entry& entry) {
+                     [&](const coordination::store_entry& entry) {
                        return entry.key == SegmentKey(name);
                      });
     // An expired segment goes before its name does.
@@ -194,9 +194,9 @@
   return entries;
 }
 
-void partition_log::DeleteUnnamed(const platform::store_listing& listing,
+void partition_log::DeleteUnnamed(const coordination::store_listing& listing,
                                   const std::vector<std::string>& named) {
-  for (const platform::store_entry& entry : listing.entries) {
+  for (const coordination::store_entry& entry : listing.entries) {
     const bool kept = std::any_of(
         named.begin(), named.end(),
         [&](const std::string& name) { return SegmentKey(name) == entry.key; });
--- a/src/idempotency/tests/faulty_store.h
+++ b/src/idempotency/tests/faulty_store.h
@@ -3,7 +3,7 @@
 
 #include <atomic>
 
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 
 namespace chivecrank::idempotency {
 
@@ -19,9 +19,9 @@
 };
 
 /// A store whose calls fail from a given write on.
-class faulty_store final : public platform::store {
+class faulty_store final : public coordination::store {
  public:
-  explicit faulty_store(platform::store& inner) : inner_(inner) {}
+  explicit faulty_store(coordination::store& inner) : inner_(inner) {}
 
   /// Writes meet `fault` after the next `after` ones.
   void Fail(write_fault fault, int after = 0) {
@@ -31,17 +31,17 @@
   int writes() const { return writes_; }
   int reads() const { return reads_; }
 
-  base::result<std::optional<platform::store_entry>> Get(
-      platform::call_class purpose,
+  base::result<std::optional<coordination::store_entry>> Get(
+      coordination::call_class purpose,
       const std::string& key) override {
     ++reads_;
     if (Failing())
       return Down();
     return inner_.Get(purpose, key);
   }
-  base::result<platform::version> Put(
-      platform::call_class purpose,
-      const platform::put_request& write) override {
+  base::result<coordination::version> Put(
+      coordination::call_class purpose,
+      const coordination::put_request& write) override {
     ++writes_;
     if (left_-- > 0 || fault_ == write_fault::kNone)
       return inner_.Put(purpose, write);
@@ -51,32 +51,32 @@
       static_cast<void>(inner_.Put(purpose, write));
     return base::error{base::error_kind::kOutcomeUnknown, "lost", "read back"};
   }
-  base::result<void> Delete(platform::call_class purpose,
+  base::result<void> Delete(coordination::call_class purpose,
                             const std::string& key,
-                            platform::version expected) override {
+                            coordination::version expected) override {
     ++writes_;
     return inner_.Delete(purpose, key, expected);
   }
-  base::result<platform::store_listing> List(
-      platform::call_class purpose,
+  base::result<coordination::store_listing> List(
+      coordination::call_class purpose,
       const std::string& prefix) override {
     ++reads_;
     if (Failing())
       return Down();
     return inner_.List(purpose, prefix);
   }
-  base::result<platform::watch_answer> Watch(
-      const platform::watch_request& request) override {
+  base::result<coordination::watch_answer> Watch(
+      const coordination::watch_request& request) override {
     return inner_.Watch(request);
   }
-  base::result<platform::lease_id> GrantLease(
+  base::result<coordination::lease_id> GrantLease(
       std::chrono::milliseconds term) override {
     return inner_.GrantLease(term);
   }
-  base::result<void> RenewLease(platform::lease_id lease) override {
+  base::result<void> RenewLease(coordination::lease_id lease) override {
     return inner_.RenewLease(lease);
   }
-  base::result<void> RevokeLease(platform::lease_id lease) override {
+  base::result<void> RevokeLease(coordination::lease_id lease) override {
     return inner_.RevokeLease(lease);
   }
 
@@ -86,7 +86,7 @@
     return {base::error_kind::kUnavailable, "down", "try again later"};
   }
 
-  platform::store& inner_;
+  coordination::store& inner_;
   std::atomic<write_fault> fault_ = write_fault::kNone;
   std::atomic<int> left_ = 0;
   std::atomic<int> writes_ = 0;
--- a/src/idempotency/tests/partition_home_test.cc
+++ b/src/idempotency/tests/partition_home_test.cc
@@ -50,7 +50,7 @@
   }
 
   base::system_clock clock;
-  platform::memory_store memory{clock};
+  coordination::memory_store memory{clock};
   faulty_store store{memory};
   int arrivals = 0;
 };
--- a/src/idempotency/tests/partition_log_test.cc
+++ b/src/idempotency/tests/partition_log_test.cc
@@ -24,7 +24,7 @@
   }
 
   base::manual_clock clock;
-  platform::memory_store memory{clock};
+  coordination::memory_store memory{clock};
   faulty_store store{memory};
   partition_log log = NewLog("x");
 };
@@ -87,7 +87,7 @@
   BOOST_TEST(next.Open().value().entries.size() == entries);
   clock.Advance(2 * kRetention);
   BOOST_REQUIRE(next.Append({Completed("last")}).has_value());
-  BOOST_TEST(memory.List(platform::call_class::kIntent, "requests/3/")
+  BOOST_TEST(memory.List(coordination::call_class::kIntent, "requests/3/")
                  .value()
                  .entries.size() <= 2);
 }
--- a/src/journal/include/chivecrank/journal/shard_journal.h
+++ b/src/journal/include/chivecrank/journal/shard_journal.h
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/journal/snapshot_store.h"
 #include "chivecrank/journal/types.h"
-#include "chivecrank/platform/store.h"
 
 namespace chivecrank::journal {
 
@@ -20,7 +20,7 @@
 class shard_journal {
  public:
   /// `writer` identifies this process run.
-  shard_journal(platform::store& store,
+  shard_journal(coordination::store& store,
                 const std::string& shard,
                 std::string writer,
                 journal_limits limits = {});
@@ -54,11 +54,11 @@
   base::result<std::vector<record>> Read(epoch owner_epoch);
   base::result<void> Write(const record& written);
   base::result<void> ReadBack(const record& written, const base::error& cause);
-  void Confirm(const record& written, platform::version at);
+  void Confirm(const record& written, coordination::version at);
   std::size_t SlotOf(sequence number) const;
   std::string KeyOf(sequence number) const;
 
-  platform::store& store_;
+  coordination::store& store_;
   std::string prefix_;
   std::string writer_;
   journal_limits limits_;
@@ -67,7 +67,7 @@
   sequence last_ = 0;
   bool opened_ = false;
   /// Versions of the slots' keys.
-  std::vector<platform::version> versions_;
+  std::vector<coordination::version> versions_;
   std::optional<record> pending_;
 };
 
--- a/src/journal/include/chivecrank/journal/snapshot_store.h
+++ b/src/journal/include/chivecrank/journal/snapshot_store.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/journal/types.h"
-#include "chivecrank/platform/store.h"
 
 namespace chivecrank::journal {
 
@@ -14,7 +14,7 @@
 /// the one in force. Not safe to use from several threads.
 class snapshot_store {
  public:
-  snapshot_store(platform::store& store,
+  snapshot_store(coordination::store& store,
                  const std::string& shard,
                  std::size_t value_bytes);
 
@@ -38,11 +38,11 @@
                                               std::size_t count);
   void DropOlder(const record& kept);
 
-  platform::store& store_;
+  coordination::store& store_;
   std::string head_key_;
   std::string prefix_;
   std::size_t value_bytes_;
-  platform::version head_version_ = 0;
+  coordination::version head_version_ = 0;
   sequence covered_ = 0;
 };
 
--- a/src/journal/internal/shard_journal.cc
+++ b/src/journal/internal/shard_journal.cc
@@ -8,7 +8,7 @@
 namespace chivecrank::journal {
 namespace {
 
-constexpr platform::call_class kClass = platform::call_class::kJournal;
+constexpr coordination::call_class kClass = coordination::call_class::kJournal;
 constexpr std::size_t kSlotDigits = 12;
 /// A former owner's last write may land while the journal is read.
 constexpr int kOpenTries = 4;
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-shard_journal::shard_journal(platform::store& store,
+shard_journal::shard_journal(coordination::store& store,
                              const std::string& shard,
                              std::string writer,
                              journal_limits limits)
@@ -86,7 +86,7 @@
   versions_.assign(limits_.slots, 0);
   std::vector<record> later;
   BOOST_OUTCOME_TRY(listing, store_.List(kClass, prefix_));
-  for (const platform::store_entry& entry : listing.entries) {
+  for (const coordination::store_entry& entry : listing.entries) {
     BOOST_OUTCOME_TRY(read, DecodeRecord(entry.value));
     if (read.epoch > owner_epoch)
       return Fenced(prefix_);
@@ -159,7 +159,7 @@
   const auto found = store_.Get(kClass, KeyOf(written.sequence));
   if (!found.has_value())
     return Pending(prefix_);
-  const platform::version now = found.value() ? found.value()->version : 0;
+  const coordination::version now = found.value() ? found.value()->version : 0;
   if (now == versions_[SlotOf(written.sequence)]) {
     // The write may still be under way: the slot takes it or a repeat, once.
     return cause.kind == base::error_kind::kOutcomeUnknown ? Pending(prefix_)
@@ -173,7 +173,7 @@
   return Fenced(prefix_);
 }
 
-void shard_journal::Confirm(const record& written, platform::version at) {
+void shard_journal::Confirm(const record& written, coordination::version at) {
   versions_[SlotOf(written.sequence)] = at;
   last_ = written.sequence;
   pending_.reset();
--- a/src/journal/internal/snapshot_store.cc
+++ b/src/journal/internal/snapshot_store.cc
@@ -12,7 +12,7 @@
 namespace chivecrank::journal {
 namespace {
 
-constexpr platform::call_class kClass = platform::call_class::kJournal;
+constexpr coordination::call_class kClass = coordination::call_class::kJournal;
 constexpr int kHeadFormat = 1;
 /// A snapshot may be replaced while it is read.
 constexpr int kReadTries = 3;
@@ -33,7 +33,7 @@
   auto Order() const { return std::pair(by, covered); }
 };
 
-base::result<head_record> DecodeHead(const platform::store_entry& entry) {
+base::result<head_record> DecodeHead(const coordination::store_entry& entry) {
   const auto parsed = http::ParseObject(entry.value);
   if (!parsed.has_value() ||
       http::IntegerOf(parsed.value(), "format") != kHeadFormat) {
@@ -97,7 +97,7 @@
 
 }  // namespace
 
-snapshot_store::snapshot_store(platform::store& store,
+snapshot_store::snapshot_store(coordination::store& store,
                                const std::string& shard,
                                std::size_t value_bytes)
     : store_(store),
@@ -200,7 +200,7 @@
   if (!listed.has_value())
     return;
   const head_record in_force{kept.sequence, kept.epoch, 0};
-  for (const platform::store_entry& entry : listed.value().entries) {
+  for (const coordination::store_entry& entry : listed.value().entries) {
     const auto snapshot = SnapshotOf(prefix_, entry.key);
     if (snapshot && snapshot->Order() < in_force.Order())
       static_cast<void>(store_.Delete(kClass, entry.key, entry.version));
--- a/src/journal/tests/shard_journal_test.cc
+++ b/src/journal/tests/shard_journal_test.cc
@@ -3,15 +3,15 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "chivecrank/journal/record_codec.h"
-#include "chivecrank/platform/memory_store.h"
 
 namespace chivecrank::journal {
 namespace {
 
 struct fixture {
   base::manual_clock clock;
-  platform::memory_store store{clock};
+  coordination::memory_store store{clock};
 };
 
 scheduling::event Cancelled(const std::string& id) {
@@ -93,9 +93,9 @@
   BOOST_REQUIRE(first.Append({Cancelled("a")}).has_value());
   BOOST_REQUIRE(first.Append({Cancelled("b")}).has_value());
   const std::string key = "shards/s/journal/000000000002";
-  const auto entry = store.Get(platform::call_class::kJournal, key).value();
+  const auto entry = store.Get(coordination::call_class::kJournal, key).value();
   BOOST_REQUIRE(
-      store.Delete(platform::call_class::kJournal, key, entry->version)
+      store.Delete(coordination::call_class::kJournal, key, entry->version)
           .has_value());
   BOOST_TEST((shard_journal(store, "s", "two").Open(2).error().kind ==
               base::error_kind::kCorrupt));
@@ -103,7 +103,7 @@
 
 BOOST_AUTO_TEST_CASE(CorruptRecordIsNotSkipped) {
   BOOST_REQUIRE(store
-                    .Put(platform::call_class::kJournal,
+                    .Put(coordination::call_class::kJournal,
                          {"shards/s/journal/000000000001", "{}", 0, 0})
                     .has_value());
   shard_journal first(store, "s", "one");
--- a/src/membership/include/chivecrank/membership/types.h
+++ b/src/membership/include/chivecrank/membership/types.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/settings/types.h"
 
 /// Which processes of the system live, and the gossip between them. It only
@@ -48,7 +48,7 @@
               const settings::endpoint& address);
 
 /// The peers that run on the system instances of a list.
-std::vector<peer> PeersOf(const std::vector<platform::instance>& listed,
+std::vector<peer> PeersOf(const std::vector<coordination::instance>& listed,
                           const peer_ports& ports);
 
 /// Ordered by precedence: of two statements with the same incarnation the
--- a/src/membership/internal/types.cc
+++ b/src/membership/internal/types.cc
@@ -34,11 +34,11 @@
           failure_domain, address};
 }
 
-std::vector<peer> PeersOf(const std::vector<platform::instance>& listed,
+std::vector<peer> PeersOf(const std::vector<coordination::instance>& listed,
                           const peer_ports& ports) {
   std::vector<peer> peers;
-  for (const platform::instance& instance : listed) {
-    if (instance.kind != platform::instance_kind::kSystem)
+  for (const coordination::instance& instance : listed) {
+    if (instance.kind != coordination::instance_kind::kSystem)
       continue;
     for (const daemon part : kDaemons) {
       peers.push_back(MakePeer(instance.id, instance.failure_domain, part,
--- a/src/operators/include/chivecrank/operators/fleet_api.h
+++ b/src/operators/include/chivecrank/operators/fleet_api.h
@@ -8,10 +8,10 @@
 #include "chivecrank/base/result.h"
 #include "chivecrank/configuration/fleet.h"
 #include "chivecrank/configuration/view.h"
+#include "chivecrank/coordination/instance_list.h"
 #include "chivecrank/http/json.h"
 #include "chivecrank/instances/types.h"
 #include "chivecrank/ownership/types.h"
-#include "chivecrank/platform/instance_list.h"
 
 namespace chivecrank::operators {
 
@@ -30,7 +30,7 @@
 /// several threads.
 class fleet_api {
  public:
-  fleet_api(platform::instance_list& listed,
+  fleet_api(coordination::instance_list& listed,
             const configuration::view& configured,
             fleet_sources sources);
 
@@ -53,7 +53,7 @@
   std::string Page() const;
 
  private:
-  platform::instance_list& listed_;
+  coordination::instance_list& listed_;
   const configuration::view& configured_;
   const fleet_sources sources_;
 };
--- a/src/operators/internal/fleet_api.cc
+++ b/src/operators/internal/fleet_api.cc
@@ -34,12 +34,13 @@
   return item;
 }
 
-json_object EncodeWorker(const platform::instance& worker, bool drained) {
+json_object EncodeWorker(const coordination::instance& worker, bool drained) {
   json_object item = NewObject();
   item->set("worker", worker.id);
   item->set("failure_domain", worker.failure_domain);
   item->set("rack", worker.rack);
-  item->set("state", std::string(platform::InstanceStateName(worker.state)));
+  item->set("state",
+            std::string(coordination::InstanceStateName(worker.state)));
   item->set("drained", drained);
   item->set("processors_milli", worker.capacity.processors_milli);
   item->set("memory_mib", worker.capacity.memory_mib);
@@ -55,7 +56,7 @@
 
 }  // namespace
 
-fleet_api::fleet_api(platform::instance_list& listed,
+fleet_api::fleet_api(coordination::instance_list& listed,
                      const configuration::view& configured,
                      fleet_sources sources)
     : listed_(listed), configured_(configured), sources_(std::move(sources)) {}
@@ -75,8 +76,8 @@
     return NotKnownYet();
   BOOST_OUTCOME_TRY(listed, listed_.List());
   json_array workers = NewArray();
-  for (const platform::instance& one : listed) {
-    if (one.kind == platform::instance_kind::kWorker) {
+  for (const coordination::instance& one : listed) {
+    if (one.kind == coordination::instance_kind::kWorker) {
       workers->add(
           EncodeWorker(one, configuration::IsDrained(current->content, one)));
     }
--- a/src/operators/tests/admin_api_test.cc
+++ b/src/operators/tests/admin_api_test.cc
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "chivecrank/security/token.h"
 
 namespace chivecrank::operators {
@@ -11,9 +11,9 @@
 
 constexpr char kChange[] = R"({"base":0,"content":{"teams":[{"name":"a"}]}})";
 
-struct no_instances final : platform::instance_list {
-  base::result<std::vector<platform::instance>> List() override {
-    platform::instance worker;
+struct no_instances final : coordination::instance_list {
+  base::result<std::vector<coordination::instance>> List() override {
+    coordination::instance worker;
     worker.id = "<w>";
     return std::vector{worker};
   }
@@ -27,7 +27,7 @@
 
 struct fixture {
   base::manual_clock clock;
-  platform::memory_store store{clock};
+  coordination::memory_store store{clock};
   configuration::repository accepted{store, clock, [] { return "w"; }};
   operator_directory directory{
       {{"mere", operator_role::kEditor, security::HashToken("edit")},
--- a/src/ownership/include/chivecrank/ownership/home_registry.h
+++ b/src/ownership/include/chivecrank/ownership/home_registry.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 
 #include "chivecrank/base/result.h"
-#include "chivecrank/platform/store.h"
+#include "chivecrank/coordination/store.h"
 
 namespace chivecrank::ownership {
 
@@ -15,7 +15,7 @@
 /// Safe to use from several threads.
 class home_registry {
  public:
-  explicit home_registry(platform::store& store);
+  explicit home_registry(coordination::store& store);
 
   /// The shard of a job: `proposed`, unless an earlier submission chose
   /// another. kUnavailable: it can't be told now; nothing was accepted.
@@ -29,7 +29,7 @@
   std::string Known(const std::string& identifier);
   void Remember(const std::string& identifier, const std::string& shard);
 
-  platform::store& store_;
+  coordination::store& store_;
   std::mutex mutex_;
   std::unordered_map<std::string, std::string> known_;
 };
--- a/src/ownership/include/chivecrank/ownership/session.h
+++ b/src/ownership/include/chivecrank/ownership/session.h
@@ -6,7 +6,7 @@
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/base/result.h"
-#include "chivecrank/platform/store.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/protocol/tenure.h"
 
 namespace chivecrank::ownership {
@@ -25,7 +25,7 @@
 class session {
  public:
   /// `run` identifies this process run.
-  session(platform::store& store,
+  session(coordination::store& store,
           base::clock& clock,
           session_settings settings,
           std::string run,
@@ -49,14 +49,14 @@
  private:
   base::result<void> Begin();
 
-  platform::store& store_;
+  coordination::store& store_;
   base::clock& clock_;
   session_settings settings_;
   std::string run_;
   std::string instance_;
   std::string holder_key_;
   std::uint64_t generation_ = 0;
-  platform::lease_id lease_ = 0;
+  coordination::lease_id lease_ = 0;
   std::shared_ptr<protocol::tenure> held_;
 };
 
--- a/src/ownership/include/chivecrank/ownership/shard_registry.h
+++ b/src/ownership/include/chivecrank/ownership/shard_registry.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/ownership/types.h"
-#include "chivecrank/platform/store.h"
 
 namespace chivecrank::ownership {
 
@@ -15,13 +15,13 @@
 /// Not safe to use from several threads.
 class shard_registry {
  public:
-  explicit shard_registry(platform::store& store);
+  explicit shard_registry(coordination::store& store);
 
   /// All owner records, also those whose holder is gone.
   base::result<owner_changes> Owners();
 
   /// The records written after a revision.
-  base::result<owner_changes> ChangesAfter(platform::revision known);
+  base::result<owner_changes> ChangesAfter(coordination::revision known);
 
   /// Instances whose ownership lease holds.
   base::result<std::set<std::string>> Holders();
@@ -38,7 +38,7 @@
  private:
   base::result<bool> IsHeld(const owner& record);
 
-  platform::store& store_;
+  coordination::store& store_;
 };
 
 }  // namespace chivecrank::ownership
--- a/src/ownership/include/chivecrank/ownership/types.h
+++ b/src/ownership/include/chivecrank/ownership/types.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/settings/types.h"
 
 /// Which scheduler owns which shard of workers.
@@ -25,7 +25,7 @@
 /// Owner records as of a revision of the store.
 struct owner_changes {
   std::vector<owner> owners;
-  platform::revision revision = 0;
+  coordination::revision revision = 0;
   /// Some changes are missing; read all records again.
   bool gap = false;
 };
--- a/src/ownership/internal/home_registry.cc
+++ b/src/ownership/internal/home_registry.cc
@@ -3,7 +3,7 @@
 namespace chivecrank::ownership {
 namespace {
 
-constexpr platform::call_class kClass = platform::call_class::kIntent;
+constexpr coordination::call_class kClass = coordination::call_class::kIntent;
 constexpr char kPrefix[] = "homes/";
 /// Homes kept in memory for repeats; the store has them all.
 constexpr std::size_t kKnownHomes = 10'000;
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-home_registry::home_registry(platform::store& store) : store_(store) {}
+home_registry::home_registry(coordination::store& store) : store_(store) {}
 
 base::result<std::string> home_registry::HomeOf(const std::string& identifier,
                                                 const std::string& proposed) {
--- a/src/ownership/internal/session.cc
+++ b/src/ownership/internal/session.cc
@@ -4,7 +4,7 @@
 
 namespace chivecrank::ownership {
 
-session::session(platform::store& store,
+session::session(coordination::store& store,
                  base::clock& clock,
                  session_settings settings,
                  std::string run,
@@ -38,7 +38,7 @@
   BOOST_OUTCOME_TRY(granted, store_.GrantLease(settings_.term));
   ++generation_;
   holder_key_ = "holders/" + run_ + "-" + std::to_string(generation_);
-  BOOST_OUTCOME_TRY(store_.Put(platform::call_class::kOwnership,
+  BOOST_OUTCOME_TRY(store_.Put(coordination::call_class::kOwnership,
                                {holder_key_, instance_, 0, granted}));
   lease_ = granted;
   held_ = std::make_shared<protocol::tenure>(settings_.ride);
--- a/src/ownership/internal/shard_registry.cc
+++ b/src/ownership/internal/shard_registry.cc
@@ -5,7 +5,8 @@
 namespace chivecrank::ownership {
 namespace {
 
-constexpr platform::call_class kClass = platform::call_class::kOwnership;
+constexpr coordination::call_class kClass =
+    coordination::call_class::kOwnership;
 constexpr char kOwnersPrefix[] = "owners/";
 constexpr char kHoldersPrefix[] = "holders/";
 
@@ -17,13 +18,13 @@
 
 }  // namespace
 
-shard_registry::shard_registry(platform::store& store) : store_(store) {}
+shard_registry::shard_registry(coordination::store& store) : store_(store) {}
 
 base::result<owner_changes> shard_registry::Owners() {
   BOOST_OUTCOME_TRY(listing, store_.List(kClass, kOwnersPrefix));
   owner_changes all;
   all.revision = listing.revision;
-  for (const platform::store_entry& entry : listing.entries) {
+  for (const coordination::store_entry& entry : listing.entries) {
     BOOST_OUTCOME_TRY(record, internal::DecodeOwner(entry.value));
     all.owners.push_back(std::move(record));
   }
@@ -31,13 +32,13 @@
 }
 
 base::result<owner_changes> shard_registry::ChangesAfter(
-    platform::revision known) {
+    coordination::revision known) {
   BOOST_OUTCOME_TRY(seen, store_.Watch({kOwnersPrefix, known, {}}));
   owner_changes changes;
   changes.revision = seen.revision;
   changes.gap = seen.gap;
-  for (const platform::store_change& change : seen.changes) {
-    if (change.kind != platform::change_kind::kPut)
+  for (const coordination::store_change& change : seen.changes) {
+    if (change.kind != coordination::change_kind::kPut)
       continue;
     BOOST_OUTCOME_TRY(record, internal::DecodeOwner(change.entry.value));
     changes.owners.push_back(std::move(record));
@@ -48,7 +49,7 @@
 base::result<std::set<std::string>> shard_registry::Holders() {
   BOOST_OUTCOME_TRY(listing, store_.List(kClass, kHoldersPrefix));
   std::set<std::string> instances;
-  for (const platform::store_entry& entry : listing.entries)
+  for (const coordination::store_entry& entry : listing.entries)
     instances.insert(entry.value);
   return instances;
 }
@@ -83,7 +84,7 @@
     }
     next.epoch = record.epoch + 1;
   }
-  const platform::version expected = found ? found->version : 0;
+  const coordination::version expected = found ? found->version : 0;
   const auto written =
       store_.Put(kClass, {key, internal::EncodeOwner(next), expected, 0});
   if (written.has_value())
--- a/src/ownership/tests/home_registry_test.cc
+++ b/src/ownership/tests/home_registry_test.cc
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 
 namespace chivecrank::ownership {
 
@@ -11,7 +11,7 @@
 
 BOOST_AUTO_TEST_CASE(RepeatMeetsTheFirstThoughRacksCame) {
   base::manual_clock clock;
-  platform::memory_store store(clock);
+  coordination::memory_store store(clock);
   home_registry first(store);
   home_registry second(store);
   BOOST_TEST(first.HomeOf("job", "r1").value() == "r1");
--- a/src/ownership/tests/shard_registry_test.cc
+++ b/src/ownership/tests/shard_registry_test.cc
@@ -3,16 +3,16 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivecrank/base/manual_clock.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "chivecrank/ownership/rendezvous.h"
 #include "chivecrank/ownership/session.h"
-#include "chivecrank/platform/memory_store.h"
 
 namespace chivecrank::ownership {
 namespace {
 
 struct fixture {
   base::manual_clock clock;
-  platform::memory_store store{clock};
+  coordination::memory_store store{clock};
   session_settings settings;
   session first{store, clock, settings, "one", "i-1"};
   session second{store, clock, settings, "two", "i-2"};
--- /dev/null
+++ b/src/reactor/internal/stream.cc
@@ -0,0 +1,128 @@
+#include "internal/stream.h"
+
+#include <Poco/Exception.h>
+
+#include <utility>
+
+namespace chivecrank::reactor::internal {
+namespace {
+
+constexpr int kReadBytes = 16 * 1024;
+constexpr int kReadModes =
+    Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR;
+constexpr int kAllModes = kReadModes | Poco::Net::PollSet::POLL_WRITE;
+
+}  // namespace
+
+stream::stream(event_loop& loop, Poco::Net::StreamSocket socket)
+    : loop_(loop), socket_(std::move(socket)) {}
+
+stream::~stream() {
+  Close();
+}
+
+void stream::Start(hooks handlers, bool connecting) {
+  hooks_ = std::move(handlers);
+  connecting_ = connecting;
+  polls_writes_ = connecting;
+  loop_.Add(socket_, connecting ? kAllModes : kReadModes,
+            [weak = weak_from_this()](int modes) {
+              if (const auto self = weak.lock())
+                self->OnReady(modes);
+            });
+}
+
+void stream::Send(const std::string& bytes) {
+  if (closed_)
+    return;
+  unsent_ += bytes;
+  if (!connecting_)
+    Flush();
+}
+
+void stream::Close() {
+  if (closed_)
+    return;
+  closed_ = true;
+  loop_.Remove(socket_);
+  try {
+    socket_.close();
+  } catch (const Poco::Exception&) {
+    // The descriptor is released either way.
+  }
+}
+
+void stream::CloseAfterSending() {
+  close_after_sending_ = true;
+  if (unsent_.empty())
+    Close();
+}
+
+void stream::OnReady(int modes) {
+  const auto self = shared_from_this();
+  if (connecting_) {
+    if (socket_.impl()->socketError() != 0)
+      return Broken();
+    connecting_ = false;
+  }
+  if ((modes & Poco::Net::PollSet::POLL_WRITE) != 0 || polls_writes_)
+    Flush();
+  if (closed_)
+    return;
+  if ((modes & kReadModes) != 0)
+    ReadAll();
+}
+
+void stream::ReadAll() {
+  char bytes[kReadBytes];
+  bool ended = false;
+  try {
+    while (true) {
+      const int count = socket_.receiveBytes(bytes, kReadBytes);
+      ended = count == 0;
+      if (count > 0)
+        unread_.append(bytes, static_cast<std::size_t>(count));
+      if (count < kReadBytes)
+        break;
+    }
+  } catch (const Poco::Exception&) {
+    ended = true;
+  }
+  if (!unread_.empty())
+    hooks_.on_bytes(unread_);
+  if (ended && !closed_)
+    Broken();
+}
+
+void stream::Flush() {
+  try {
+    while (!unsent_.empty()) {
+      const int count =
+          socket_.sendBytes(unsent_.data(), static_cast<int>(unsent_.size()));
+      if (count <= 0)
+        break;
+      unsent_.erase(0, static_cast<std::size_t>(count));
+    }
+  } catch (const Poco::Exception&) {
+    return Broken();
+  }
+  if (unsent_.empty() && close_after_sending_)
+    return Close();
+  const bool wants_writes = !unsent_.empty();
+  if (wants_writes == polls_writes_)
+    return;
+  polls_writes_ = wants_writes;
+  loop_.SetModes(socket_, wants_writes ? kAllModes : kReadModes);
+}
+
+void stream::Broken() {
+  if (closed_)
+    return;
+  Close();
+  // A copy, since the owner may drop the stream in the call.
+  const auto on_closed = hooks_.on_closed;
+  if (on_closed)
+    on_closed();
+}
+
+}  // namespace chivecrank::reactor::internal
--- /dev/null
+++ b/src/reactor/tests/http_test.cc
@@ -0,0 +1,157 @@
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <vector>
+
+#include "chivecrank/base/boot_clock.h"
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/reactor/http_caller.h"
+#include "chivecrank/reactor/http_server.h"
+#include "internal/message_codec.h"
+
+namespace chivecrank::reactor {
+namespace {
+
+constexpr base::milliseconds kStep{20};
+constexpr int kMostSteps = 500;
+
+/// A server that keeps the responders, and a caller on the same loop.
+struct fixture {
+  fixture() { BOOST_REQUIRE(server.Start(address)); }
+
+  template <class Condition>
+  void RunUntil(Condition holds) {
+    for (int step = 0; step < kMostSteps && !holds(); ++step)
+      loop.RunOnce(kStep);
+    BOOST_REQUIRE(holds());
+  }
+
+  base::boot_clock clock;
+  event_loop loop{clock};
+  settings::endpoint address{"127.0.0.1", 18431};
+  std::vector<http::request> seen;
+  std::vector<responder> responders;
+  http_server server{loop, {}, [this](http::request message, responder answer) {
+                       seen.push_back(std::move(message));
+                       responders.push_back(std::move(answer));
+                     }};
+  http_caller caller{loop, address, {.connections = 1}};
+};
+
+http::response Answer(std::string body) {
+  http::response answer;
+  answer.body = std::move(body);
+  return answer;
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_messages, fixture)
+
+BOOST_AUTO_TEST_CASE(CallsOnOneConnectionGetTheirOwnAnswers) {
+  std::vector<std::string> bodies;
+  for (const std::string name : {"one", "two"}) {
+    caller.Call({"POST", "/" + name, {}, name}, base::milliseconds(5000),
+                [&](base::result<http::response> answer) {
+                  BOOST_REQUIRE(answer);
+                  bodies.push_back(answer.value().body);
+                });
+  }
+  RunUntil([&] { return responders.size() == 1; });
+  BOOST_TEST(seen[0].body == "one");
+  responders[0](Answer("first"));
+  RunUntil([&] { return responders.size() == 2; });
+  BOOST_TEST(seen[1].body == "two");
+  responders[1](Answer("second"));
+  RunUntil([&] { return bodies.size() == 2; });
+  BOOST_TEST(bodies[0] == "first");
+  BOOST_TEST(bodies[1] == "second");
+  BOOST_TEST(caller.Opened() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ALateAnswerReachesNoOtherCall) {
+  std::optional<base::error_kind> first;
+  caller.Call({"GET", "/slow", {}, ""}, base::milliseconds(60),
+              [&](base::result<http::response> answer) {
+                BOOST_REQUIRE(!answer);
+                first = answer.error().kind;
+              });
+  RunUntil([&] { return first.has_value(); });
+  BOOST_TEST((*first == base::error_kind::kOutcomeUnknown));
+  std::string body;
+  caller.Call({"GET", "/next", {}, ""}, base::milliseconds(5000),
+              [&](base::result<http::response> answer) {
+                BOOST_REQUIRE(answer);
+                body = answer.value().body;
+              });
+  RunUntil([&] { return responders.size() == 2; });
+  responders[0](Answer("late"));
+  responders[1](Answer("own"));
+  RunUntil([&] { return !body.empty(); });
+  BOOST_TEST(body == "own");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusedConnectionSaysThatNothingWasSent) {
+  http_caller nobody(loop, {"127.0.0.1", 18432}, {});
+  std::optional<base::error_kind> kind;
+  nobody.Call({"GET", "/", {}, ""}, base::milliseconds(2000),
+              [&](base::result<http::response> answer) {
+                BOOST_REQUIRE(!answer);
+                kind = answer.error().kind;
+              });
+  RunUntil([&] { return kind.has_value(); });
+  BOOST_TEST((*kind == base::error_kind::kUnavailable));
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingServerClosesWithTheAnswer) {
+  bool answered = false;
+  caller.Call({"GET", "/", {}, ""}, base::milliseconds(5000),
+              [&](base::result<http::response> answer) {
+                BOOST_REQUIRE(answer);
+                BOOST_TEST(answer.value().Header("Connection") == "Close");
+                answered = true;
+              });
+  RunUntil([&] { return responders.size() == 1; });
+  server.Drain();
+  responders[0](Answer("x"));
+  RunUntil([&] { return answered && server.Connections() == 0; });
+  BOOST_TEST(server.InFlight() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(TimersRunInTheirOrderAndCancelledOnesDoNot) {
+  std::vector<int> order;
+  loop.After(base::milliseconds(30), [&] { order.push_back(2); });
+  loop.After(base::milliseconds(10), [&] { order.push_back(1); });
+  loop.Cancel(loop.After(base::milliseconds(5), [&] { order.push_back(0); }));
+  RunUntil([&] { return order.size() == 2; });
+  BOOST_TEST(order[0] == 1);
+  BOOST_TEST(order[1] == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestIsTakenOnlyWhenItIsWhole) {
+  std::string buffer = "POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\nab";
+  const internal::message_limits limits{1024, 1024};
+  auto partial = internal::TakeRequest(buffer, limits);
+  BOOST_REQUIRE(partial);
+  BOOST_TEST(!partial.value().has_value());
+  buffer += "cdGET";
+  auto whole = internal::TakeRequest(buffer, limits);
+  BOOST_REQUIRE(whole);
+  BOOST_REQUIRE(whole.value().has_value());
+  BOOST_TEST(whole.value()->message.body == "abcd");
+  BOOST_TEST(buffer == "GET");
+}
+
+BOOST_AUTO_TEST_CASE(AnOversizedOrMalformedRequestIsAnError) {
+  std::string large = "POST /a HTTP/1.1\r\nContent-Length: 4096\r\n\r\n";
+  BOOST_TEST(!internal::TakeRequest(large, {1024, 1024}));
+  std::string chunked =
+      "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  BOOST_TEST(!internal::TakeRequest(chunked, {1024, 1024}));
+  std::string endless(2048, 'x');
+  BOOST_TEST(!internal::TakeRequest(endless, {1024, 1024}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::reactor
--- a/src/routing/include/chivecrank/routing/slot_layout.h
+++ b/src/routing/include/chivecrank/routing/slot_layout.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/routing/types.h"
 
 namespace chivecrank::routing {
@@ -18,12 +18,13 @@
   explicit slot_layout(entry_share share);
 
   /// Slots of an upstream that belong to this entry.
-  std::int64_t OwnSlots(const platform::instance& upstream) const;
+  std::int64_t OwnSlots(const coordination::instance& upstream) const;
 
   const entry_share& share() const { return share_; }
 
  private:
-  std::vector<std::int64_t> PlacesFor(const platform::instance& upstream) const;
+  std::vector<std::int64_t> PlacesFor(
+      const coordination::instance& upstream) const;
 
   entry_share share_;
 };
--- a/src/routing/include/chivecrank/routing/slot_router.h
+++ b/src/routing/include/chivecrank/routing/slot_router.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/routing/latency_spread.h"
 #include "chivecrank/routing/slot_borrower.h"
 #include "chivecrank/routing/slot_layout.h"
@@ -31,7 +31,7 @@
 
   /// Takes over the list of upstreams. Leaving and missing ones get nothing
   /// new.
-  void Update(const std::vector<platform::instance>& upstreams,
+  void Update(const std::vector<coordination::instance>& upstreams,
               base::time_point now);
 
   /// Takes a slot; nothing when none is free or worth its latency.
@@ -48,7 +48,7 @@
                     base::time_point sent,
                     base::time_point now);
   /// Upstreams whose slots are held back until they answer a probe.
-  std::vector<platform::instance> ToProbe() const;
+  std::vector<coordination::instance> ToProbe() const;
 
   /// Borrows nothing more and gives back all that is borrowed.
   void StopBorrowing(base::time_point now);
@@ -75,7 +75,7 @@
 
  private:
   struct upstream_state {
-    platform::instance listed;
+    coordination::instance listed;
     upstream_health health;
     bool takes_requests = false;
     std::int64_t in_use = 0;
--- a/src/routing/include/chivecrank/routing/types.h
+++ b/src/routing/include/chivecrank/routing/types.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
 /// Which upstream a request goes to, and how the entries share the upstreams'
 /// slots. No threads, sockets or clocks inside.
@@ -114,7 +114,7 @@
 
 /// A slot that is held for one request.
 struct slot_ticket {
-  platform::instance upstream;
+  coordination::instance upstream;
   /// Number 0: a slot of this entry's own.
   grant_key grant;
   base::time_point taken;
--- a/src/routing/internal/slot_layout.cc
+++ b/src/routing/internal/slot_layout.cc
@@ -9,7 +9,8 @@
 
 slot_layout::slot_layout(entry_share share) : share_(std::move(share)) {}
 
-std::int64_t slot_layout::OwnSlots(const platform::instance& upstream) const {
+std::int64_t slot_layout::OwnSlots(
+    const coordination::instance& upstream) const {
   const std::vector<std::int64_t> places = PlacesFor(upstream);
   const auto own = std::find(places.begin(), places.end(), share_.index);
   if (own == places.end())
@@ -25,7 +26,7 @@
 }
 
 std::vector<std::int64_t> slot_layout::PlacesFor(
-    const platform::instance& upstream) const {
+    const coordination::instance& upstream) const {
   std::vector<std::int64_t> near;
   std::vector<std::int64_t> all;
   for (std::int64_t place = 0; place < share_.count; ++place) {
--- a/src/routing/internal/slot_router.cc
+++ b/src/routing/internal/slot_router.cc
@@ -34,18 +34,18 @@
   }
 }
 
-void slot_router::Update(const std::vector<platform::instance>& upstreams,
+void slot_router::Update(const std::vector<coordination::instance>& upstreams,
                          base::time_point now) {
   for (auto& [id, known] : upstreams_)
     known.takes_requests = false;
-  for (const platform::instance& listed : upstreams) {
-    if (listed.kind != platform::instance_kind::kWorker)
+  for (const coordination::instance& listed : upstreams) {
+    if (listed.kind != coordination::instance_kind::kWorker)
       continue;
     const auto [place, is_new] = upstreams_.try_emplace(
         listed.id, upstream_state{listed, upstream_health(options_.health)});
     upstream_state& known = place->second;
     known.listed = listed;
-    known.takes_requests = listed.state == platform::instance_state::kLive;
+    known.takes_requests = listed.state == coordination::instance_state::kLive;
     lender_.SetOwn(listed.id, layout_.OwnSlots(listed));
     // Upstreams of the first list have been there before this entry.
     if (is_new && has_list_)
@@ -224,8 +224,8 @@
   lender_.ConfirmAnswer(upstream_id, sent, now);
 }
 
-std::vector<platform::instance> slot_router::ToProbe() const {
-  std::vector<platform::instance> found;
+std::vector<coordination::instance> slot_router::ToProbe() const {
+  std::vector<coordination::instance> found;
   for (const std::string& id : lender_.AwaitingAnswer()) {
     const auto known = upstreams_.find(id);
     if (known != upstreams_.end() && known->second.takes_requests)
--- a/src/routing/tests/sharing_property_test.cc
+++ b/src/routing/tests/sharing_property_test.cc
@@ -41,7 +41,7 @@
     // The shorter the pause, the more slots are lent.
     options_.sharing.ask_pause = milliseconds(10);
     for (int i = 0; i < kUpstreams; ++i) {
-      platform::instance upstream;
+      coordination::instance upstream;
       upstream.id = "w-" + std::to_string(i);
       upstream.slots = kSlots;
       listed_.push_back(upstream);
@@ -166,7 +166,7 @@
           std::min(now_ + work, deadline + options_.sharing.run_limit);
       running_.push_back({entry, *ticket, end, deadline});
     }
-    for (const platform::instance& upstream : router.ToProbe())
+    for (const coordination::instance& upstream : router.ToProbe())
       router.ConfirmAlive(upstream.id, now_, now_);
     for (outgoing_exchange& sent : router.Exchanges(waiting, now_)) {
       messages_.push_back(
@@ -210,7 +210,7 @@
   std::mt19937_64 random_;
   router_options options_;
   base::time_point now_{std::chrono::seconds(1000)};
-  std::vector<platform::instance> listed_;
+  std::vector<coordination::instance> listed_;
   std::vector<entry_state> entries_ = std::vector<entry_state>(kEntries);
   std::vector<running_request> running_;
   std::vector<message> messages_;
--- a/src/routing/tests/slot_router_test.cc
+++ b/src/routing/tests/slot_router_test.cc
@@ -10,8 +10,8 @@
 constexpr base::time_point kStart{std::chrono::seconds(1000)};
 const slot_request kRequest{kStart + std::chrono::hours(1)};
 
-platform::instance Upstream(const std::string& id) {
-  platform::instance upstream;
+coordination::instance Upstream(const std::string& id) {
+  coordination::instance upstream;
   upstream.id = id;
   upstream.slots = 8;
   return upstream;
@@ -42,7 +42,7 @@
 BOOST_AUTO_TEST_CASE(OwnSlotsOfAllEntriesAddUpToTheSlots) {
   const std::vector<std::string> domains = {"a", "b", "c", "d", "a", "b", "c"};
   for (int i = 0; i < 50; ++i) {
-    platform::instance upstream = Upstream("w-" + std::to_string(i));
+    coordination::instance upstream = Upstream("w-" + std::to_string(i));
     for (const std::string domain : {"a", "d", "elsewhere"}) {
       upstream.failure_domain = domain;
       std::int64_t total = 0;
@@ -55,10 +55,10 @@
 
 BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNothingNew) {
   slot_router router({0, 1}, {}, kStart);
-  platform::instance upstream = Upstream("w-1");
+  coordination::instance upstream = Upstream("w-1");
   router.Update({upstream}, kStart);
   BOOST_TEST(router.Acquire(kRequest, kStart).has_value());
-  upstream.state = platform::instance_state::kLeaving;
+  upstream.state = coordination::instance_state::kLeaving;
   router.Update({upstream}, kStart);
   BOOST_TEST(!router.Acquire(kRequest, kStart).has_value());
 }
@@ -152,7 +152,7 @@
   BOOST_TEST(Fill(lender, end - milliseconds(1)) == 3);
   BOOST_TEST(Fill(lender, end) == 0);
   // They may still be busy: only a later answer frees them.
-  for (const platform::instance& upstream : lender.ToProbe())
+  for (const coordination::instance& upstream : lender.ToProbe())
     lender.ConfirmAlive(upstream.id, end + milliseconds(1), end);
   BOOST_TEST(Fill(lender, end + sharing_options().run_limit) == 5);
 }
@@ -172,7 +172,7 @@
 
 BOOST_AUTO_TEST_CASE(FailingUpstreamsAreEjectedButNeverAll) {
   slot_router router({0, 1}, {}, kStart);
-  std::vector<platform::instance> listed;
+  std::vector<coordination::instance> listed;
   listed.reserve(10);
   for (int i = 0; i < 10; ++i)
     listed.push_back(Upstream("w-" + std::to_string(i)));
--- a/src/scheduling/include/chivecrank/scheduling/attempt_book.h
+++ b/src/scheduling/include/chivecrank/scheduling/attempt_book.h
@@ -16,7 +16,7 @@
   task_request request;
   std::int32_t attempt = 0;
   std::string worker_id;
-  platform::resources granted;
+  coordination::resources granted;
   bool throttled = false;
   /// Whether its end was ordered.
   bool stopping = false;
@@ -42,7 +42,7 @@
 
   /// Capacity of a worker, for the shares that attempts take of it.
   void SetCapacity(const std::string& worker_id,
-                   const platform::resources& capacity);
+                   const coordination::resources& capacity);
 
   /// The open attempt of a task, or null.
   const open_attempt* Find(const std::string& task_id) const;
@@ -60,14 +60,14 @@
   }
 
   /// What batch attempts of a team or of a client account are granted.
-  platform::resources UsedByTeam(const std::string& team) const;
-  platform::resources UsedByAccount(const std::string& account) const;
+  coordination::resources UsedByTeam(const std::string& team) const;
+  coordination::resources UsedByAccount(const std::string& account) const;
 
   const residency_log& residency() const { return residency_; }
 
   /// Share of a worker's processors that an attempt takes.
   double ShareOf(const std::string& worker_id,
-                 const platform::resources& granted,
+                 const coordination::resources& granted,
                  bool throttled) const;
 
  private:
@@ -80,9 +80,9 @@
   std::map<std::string, std::string> worker_of_;
   std::map<std::string, std::map<std::string, open_attempt>> workers_;
   std::map<std::string, std::map<std::string, std::int32_t>> gangs_;
-  std::map<std::string, platform::resources> teams_;
-  std::map<std::string, platform::resources> accounts_;
-  std::map<std::string, platform::resources> capacities_;
+  std::map<std::string, coordination::resources> teams_;
+  std::map<std::string, coordination::resources> accounts_;
+  std::map<std::string, coordination::resources> capacities_;
   residency_log residency_;
 };
 
--- a/src/scheduling/include/chivecrank/scheduling/planner.h
+++ b/src/scheduling/include/chivecrank/scheduling/planner.h
@@ -23,7 +23,7 @@
 /// A worker kept for a task until it starts there.
 struct held_worker {
   std::string worker_id;
-  platform::resources size;
+  coordination::resources size;
   base::wall_time until;
 };
 
@@ -32,9 +32,9 @@
 
 /// The sizes of all workers that were seen.
 struct fleet_sizes {
-  platform::resources total;
+  coordination::resources total;
   /// The largest of each dimension.
-  platform::resources largest;
+  coordination::resources largest;
 };
 
 /// Decides what the tasks of a shard do next. Deterministic: the same events,
@@ -85,7 +85,7 @@
   size_learner sizes_;
   worker_health health_;
   const std::unique_ptr<relief> relief_;
-  std::map<std::string, platform::resources> capacities_;
+  std::map<std::string, coordination::resources> capacities_;
   fleet_sizes fleet_;
   base::wall_time next_relief_;
   held_workers held_;
--- a/src/scheduling/include/chivecrank/scheduling/planning_types.h
+++ b/src/scheduling/include/chivecrank/scheduling/planning_types.h
@@ -57,7 +57,7 @@
 /// A worker that a task could start on.
 struct placement_candidate {
   const worker_view* worker = nullptr;
-  platform::resources committed;
+  coordination::resources committed;
 };
 
 /// Behaviour that varies; each may be empty.
@@ -65,7 +65,7 @@
   /// The true interference of pairings, if it is known.
   interference_hook known_interference;
   /// This shard's part of a team's quota.
-  std::function<std::optional<platform::resources>(const std::string& team)>
+  std::function<std::optional<coordination::resources>(const std::string& team)>
       quota_of;
   /// Weight of a client account in fair shares.
   std::function<double(const std::string& account)> weight_of;
--- a/src/scheduling/include/chivecrank/scheduling/resources.h
+++ b/src/scheduling/include/chivecrank/scheduling/resources.h
@@ -1,31 +1,31 @@
 #ifndef CHIVECRANK_SCHEDULING_RESOURCES_H_
 #define CHIVECRANK_SCHEDULING_RESOURCES_H_
 
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
 namespace chivecrank::scheduling {
 
-platform::resources Plus(const platform::resources& left,
-                         const platform::resources& right);
-platform::resources Minus(const platform::resources& left,
-                          const platform::resources& right);
+coordination::resources Plus(const coordination::resources& left,
+                             const coordination::resources& right);
+coordination::resources Minus(const coordination::resources& left,
+                              const coordination::resources& right);
 /// The larger of each dimension.
-platform::resources Larger(const platform::resources& left,
-                           const platform::resources& right);
+coordination::resources Larger(const coordination::resources& left,
+                               const coordination::resources& right);
 
 /// Whether `demand` is within `limit` in each dimension.
-bool IsWithin(const platform::resources& demand,
-              const platform::resources& limit);
+bool IsWithin(const coordination::resources& demand,
+              const coordination::resources& limit);
 
 /// Whether `demand` fits into `capacity` beside `committed`.
-bool Fits(const platform::resources& demand,
-          const platform::resources& committed,
-          const platform::resources& capacity);
+bool Fits(const coordination::resources& demand,
+          const coordination::resources& committed,
+          const coordination::resources& capacity);
 
 /// The largest share of `total` that `used` takes in any dimension; a
 /// dimension that `total` lacks is left out.
-double DominantShare(const platform::resources& used,
-                     const platform::resources& total);
+double DominantShare(const coordination::resources& used,
+                     const coordination::resources& total);
 
 }  // namespace chivecrank::scheduling
 
--- a/src/scheduling/include/chivecrank/scheduling/shard_state.h
+++ b/src/scheduling/include/chivecrank/scheduling/shard_state.h
@@ -30,7 +30,7 @@
 
   /// What the open attempts on a worker have been promised. An attempt stays
   /// open until its end is recorded, whatever state its task is in.
-  platform::resources CommittedOn(const std::string& worker_id) const;
+  coordination::resources CommittedOn(const std::string& worker_id) const;
 
   /// Identifiers of the tasks with an open attempt on a worker.
   const std::set<std::string>& OpenOn(const std::string& worker_id) const;
@@ -40,7 +40,7 @@
 
  private:
   struct worker_use {
-    platform::resources committed;
+    coordination::resources committed;
     std::set<std::string> open;
   };
 
--- a/src/scheduling/include/chivecrank/scheduling/size_learner.h
+++ b/src/scheduling/include/chivecrank/scheduling/size_learner.h
@@ -11,7 +11,7 @@
 /// The highest use that a worker saw of one attempt.
 struct usage_sample {
   std::string template_name;
-  platform::resources peak;
+  coordination::resources peak;
   /// Whether its limit held the attempt back or ended it, so that it may need
   /// more than `peak`.
   bool processors_limited = false;
@@ -28,7 +28,7 @@
 
   /// What an attempt should be granted: the larger of what was declared and
   /// what was measured.
-  platform::resources SizeOf(const task_request& request) const;
+  coordination::resources SizeOf(const task_request& request) const;
 
   /// The measured run time once a few tasks were done, else the declared one.
   std::chrono::milliseconds RunTimeOf(const task_request& request) const;
@@ -36,10 +36,10 @@
  private:
   struct record {
     /// Highest peaks seen, with a margin.
-    platform::resources peak;
+    coordination::resources peak;
     /// Sizes to try next, after attempts that ran into their limits; 0 once an
     /// attempt stayed below its limit.
-    platform::resources probe;
+    coordination::resources probe;
     double mean_run_time_ms = 0;
     int runs = 0;
   };
--- a/src/scheduling/include/chivecrank/scheduling/submission_check.h
+++ b/src/scheduling/include/chivecrank/scheduling/submission_check.h
@@ -12,14 +12,14 @@
 /// Whether `gang_size` tasks of this size would fit together into the workers
 /// if these were empty. kInvalidArgument when they would not; the remedy names
 /// the sizes that would.
-base::result<void> CheckSubmission(const platform::resources& demand,
+base::result<void> CheckSubmission(const coordination::resources& demand,
                                    std::int64_t gang_size,
                                    const std::vector<worker_view>& workers);
 
 /// Tasks of this size that fit into one empty worker of this capacity, at most
 /// `limit`.
-std::int64_t TasksThatFit(const platform::resources& demand,
-                          const platform::resources& capacity,
+std::int64_t TasksThatFit(const coordination::resources& demand,
+                          const coordination::resources& capacity,
                           std::int64_t limit);
 
 }  // namespace chivecrank::scheduling
--- a/src/scheduling/include/chivecrank/scheduling/types.h
+++ b/src/scheduling/include/chivecrank/scheduling/types.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 
 /// Deterministic decisions about tasks: state, event and time in, actions out.
 namespace chivecrank::scheduling {
@@ -75,7 +75,7 @@
   std::string account;
   std::string team;
   std::string template_name;
-  platform::resources demand;
+  coordination::resources demand;
   std::chrono::milliseconds run_time{0};
   bool urgent = false;
   std::int64_t attempt_limit = 1;
@@ -100,7 +100,7 @@
   /// Where the newest attempt runs; empty once its end is confirmed.
   std::string worker_id;
   /// What the open attempt was promised.
-  platform::resources granted;
+  coordination::resources granted;
   /// Run time that the newest checkpoint holds.
   std::chrono::milliseconds saved{0};
   /// Distinct workers on which attempts failed by themselves, oldest first.
@@ -124,7 +124,7 @@
   std::int32_t attempt = 0;
   std::string worker_id;
   /// What the attempt is promised; unset stands for the declared demand.
-  std::optional<platform::resources> granted;
+  std::optional<coordination::resources> granted;
 };
 
 /// The worker reported that the attempt runs.
@@ -187,7 +187,7 @@
 /// A worker that takes tasks of this shard.
 struct worker_view {
   std::string id;
-  platform::resources capacity;
+  coordination::resources capacity;
   std::string rack;
   std::string failure_domain;
 };
--- a/src/scheduling/internal/attempt_book.cc
+++ b/src/scheduling/internal/attempt_book.cc
@@ -61,7 +61,7 @@
 }
 
 void attempt_book::SetCapacity(const std::string& worker_id,
-                               const platform::resources& capacity) {
+                               const coordination::resources& capacity) {
   capacities_[worker_id] = capacity;
 }
 
@@ -81,17 +81,18 @@
   return FindOrEmpty(gangs_, gang);
 }
 
-platform::resources attempt_book::UsedByTeam(const std::string& team) const {
+coordination::resources attempt_book::UsedByTeam(
+    const std::string& team) const {
   return FindOrEmpty(teams_, team);
 }
 
-platform::resources attempt_book::UsedByAccount(
+coordination::resources attempt_book::UsedByAccount(
     const std::string& account) const {
   return FindOrEmpty(accounts_, account);
 }
 
 double attempt_book::ShareOf(const std::string& worker_id,
-                             const platform::resources& granted,
+                             const coordination::resources& granted,
                              bool throttled) const {
   const auto capacity = capacities_.find(worker_id);
   if (capacity == capacities_.end() || capacity->second.processors_milli <= 0)
--- a/src/scheduling/internal/event_codec.cc
+++ b/src/scheduling/internal/event_codec.cc
@@ -55,13 +55,13 @@
   return encoded;
 }
 
-void SetResources(json_object& encoded, const platform::resources& of) {
+void SetResources(json_object& encoded, const coordination::resources& of) {
   encoded->set("processors_milli", of.processors_milli);
   encoded->set("memory_mib", of.memory_mib);
   encoded->set("accelerators", of.accelerators);
 }
 
-platform::resources ResourcesOf(const json_object& encoded) {
+coordination::resources ResourcesOf(const json_object& encoded) {
   return {http::IntegerOf(encoded, "processors_milli"),
           http::IntegerOf(encoded, "memory_mib"),
           http::IntegerOf(encoded, "accelerators")};
--- a/src/scheduling/internal/placement.cc
+++ b/src/scheduling/internal/placement.cc
@@ -9,7 +9,7 @@
 
 struct candidate {
   const worker_view* worker = nullptr;
-  platform::resources committed;
+  coordination::resources committed;
 };
 
 std::vector<candidate> Candidates(const shard_state& state,
@@ -33,7 +33,7 @@
 }
 
 candidate* LeastCommitted(std::vector<candidate>& candidates,
-                          const platform::resources& demand) {
+                          const coordination::resources& demand) {
   candidate* best = nullptr;
   for (candidate& known : candidates) {
     if (!Fits(demand, known.committed, known.worker->capacity))
--- a/src/scheduling/internal/placement_round.cc
+++ b/src/scheduling/internal/placement_round.cc
@@ -77,7 +77,7 @@
 
 void placement_round::Reserve(const std::string& worker_id,
                               const std::string& task_id,
-                              const platform::resources& size) {
+                              const coordination::resources& size) {
   for (round_worker& known : workers_) {
     if (known.view->id == worker_id)
       known.reservations.push_back({task_id, size});
@@ -149,15 +149,15 @@
                           !context_.book.On(on.view->id).empty())) {
     return false;
   }
-  const platform::resources taken =
+  const coordination::resources taken =
       Plus(on.committed, ReservedForOthers(worker, wanted.id));
   return Fits(request.granted, taken, on.view->capacity);
 }
 
-platform::resources placement_round::ReservedForOthers(
+coordination::resources placement_round::ReservedForOthers(
     std::size_t worker,
     const std::string& task_id) const {
-  platform::resources reserved;
+  coordination::resources reserved;
   for (const reservation& known : workers_[worker].reservations) {
     if (known.task_id != task_id)
       reserved = Plus(reserved, known.size);
@@ -244,7 +244,7 @@
 
 double placement_round::PackingCost(const placement_request& request,
                                     const round_worker& on) const {
-  const platform::resources& capacity = on.view->capacity;
+  const coordination::resources& capacity = on.view->capacity;
   const double used =
       DominantShare(Plus(on.committed, request.granted), capacity);
   double cost = kPackingWeight * (1 - used);
--- a/src/scheduling/internal/placement_round.h
+++ b/src/scheduling/internal/placement_round.h
@@ -29,7 +29,7 @@
 /// A task to place with the sizes it is granted.
 struct placement_request {
   const task* placed = nullptr;
-  platform::resources granted;
+  coordination::resources granted;
   /// Highest inflation that its neighbours may reach.
   double inflation_limit = 0;
 };
@@ -62,7 +62,7 @@
   /// Keeps capacity of a worker for one task.
   void Reserve(const std::string& worker_id,
                const std::string& task_id,
-               const platform::resources& size);
+               const coordination::resources& size);
 
   /// The best worker for the request, or nothing.
   std::optional<std::size_t> Choose(const placement_request& request);
@@ -77,8 +77,8 @@
   bool Admits(const placement_request& request, std::size_t worker) const;
 
   /// Capacity of the worker that is kept for other tasks.
-  platform::resources ReservedForOthers(std::size_t worker,
-                                        const std::string& task_id) const;
+  coordination::resources ReservedForOthers(std::size_t worker,
+                                            const std::string& task_id) const;
 
   /// Notes that an attempt's end is ordered in this round.
   void MarkStopping(const std::string& task_id) { stopping_.insert(task_id); }
@@ -90,7 +90,7 @@
   const worker_view& view(std::size_t worker) const {
     return *workers_[worker].view;
   }
-  const platform::resources& committed(std::size_t worker) const {
+  const coordination::resources& committed(std::size_t worker) const {
     return workers_[worker].committed;
   }
 
@@ -100,11 +100,11 @@
 
   struct reservation {
     std::string task_id;
-    platform::resources size;
+    coordination::resources size;
   };
   struct round_worker {
     const worker_view* view = nullptr;
-    platform::resources committed;
+    coordination::resources committed;
     bool usable = true;
     bool on_probation = false;
     std::vector<reservation> reservations;
--- a/src/scheduling/internal/planner.cc
+++ b/src/scheduling/internal/planner.cc
@@ -120,7 +120,7 @@
 
 void planner::UpdateCapacities(const std::vector<worker_view>& workers) {
   for (const worker_view& worker : workers) {
-    platform::resources& known = capacities_[worker.id];
+    coordination::resources& known = capacities_[worker.id];
     if (known == worker.capacity)
       continue;
     fleet_.total = Plus(Minus(fleet_.total, known), worker.capacity);
--- a/src/scheduling/internal/preemption.cc
+++ b/src/scheduling/internal/preemption.cc
@@ -41,7 +41,7 @@
     return std::nullopt;
   }
   std::vector<const open_attempt*> victims;
-  platform::resources committed =
+  coordination::resources committed =
       Plus(round.committed(worker),
            round.ReservedForOthers(worker, request.placed->request.id));
   for (const auto& [id, open] : context.book.On(view.id)) {
--- a/src/scheduling/internal/resources.cc
+++ b/src/scheduling/internal/resources.cc
@@ -13,42 +13,42 @@
 
 }  // namespace
 
-platform::resources Plus(const platform::resources& left,
-                         const platform::resources& right) {
+coordination::resources Plus(const coordination::resources& left,
+                             const coordination::resources& right) {
   return {left.processors_milli + right.processors_milli,
           left.memory_mib + right.memory_mib,
           left.accelerators + right.accelerators};
 }
 
-platform::resources Minus(const platform::resources& left,
-                          const platform::resources& right) {
+coordination::resources Minus(const coordination::resources& left,
+                              const coordination::resources& right) {
   return {left.processors_milli - right.processors_milli,
           left.memory_mib - right.memory_mib,
           left.accelerators - right.accelerators};
 }
 
-platform::resources Larger(const platform::resources& left,
-                           const platform::resources& right) {
+coordination::resources Larger(const coordination::resources& left,
+                               const coordination::resources& right) {
   return {std::max(left.processors_milli, right.processors_milli),
           std::max(left.memory_mib, right.memory_mib),
           std::max(left.accelerators, right.accelerators)};
 }
 
-bool IsWithin(const platform::resources& demand,
-              const platform::resources& limit) {
+bool IsWithin(const coordination::resources& demand,
+              const coordination::resources& limit) {
   return demand.processors_milli <= limit.processors_milli &&
          demand.memory_mib <= limit.memory_mib &&
          demand.accelerators <= limit.accelerators;
 }
 
-bool Fits(const platform::resources& demand,
-          const platform::resources& committed,
-          const platform::resources& capacity) {
+bool Fits(const coordination::resources& demand,
+          const coordination::resources& committed,
+          const coordination::resources& capacity) {
   return IsWithin(Plus(demand, committed), capacity);
 }
 
-double DominantShare(const platform::resources& used,
-                     const platform::resources& total) {
+double DominantShare(const coordination::resources& used,
+                     const coordination::resources& total) {
   return std::max({ShareOf(used.processors_milli, total.processors_milli),
                    ShareOf(used.memory_mib, total.memory_mib),
                    ShareOf(used.accelerators, total.accelerators)});
--- a/src/scheduling/internal/shard_state.cc
+++ b/src/scheduling/internal/shard_state.cc
@@ -130,10 +130,10 @@
   return found == tasks_.end() ? nullptr : &found->second;
 }
 
-platform::resources shard_state::CommittedOn(
+coordination::resources shard_state::CommittedOn(
     const std::string& worker_id) const {
   const auto found = workers_.find(worker_id);
-  return found == workers_.end() ? platform::resources{}
+  return found == workers_.end() ? coordination::resources{}
                                  : found->second.committed;
 }
 
--- a/src/scheduling/internal/size_learner.cc
+++ b/src/scheduling/internal/size_learner.cc
@@ -53,7 +53,8 @@
   known.mean_run_time_ms += weight * (newest - known.mean_run_time_ms);
 }
 
-platform::resources size_learner::SizeOf(const task_request& request) const {
+coordination::resources size_learner::SizeOf(
+    const task_request& request) const {
   const auto found = templates_.find(request.template_name);
   if (found == templates_.end())
     return request.demand;
--- a/src/scheduling/internal/start_planner.cc
+++ b/src/scheduling/internal/start_planner.cc
@@ -25,11 +25,11 @@
          entries.begin()->due != base::wall_time::max();
 }
 
-platform::resources FindOrNone(
-    const std::map<std::string, platform::resources>& in,
+coordination::resources FindOrNone(
+    const std::map<std::string, coordination::resources>& in,
     const std::string& key) {
   const auto found = in.find(key);
-  return found == in.end() ? platform::resources{} : found->second;
+  return found == in.end() ? coordination::resources{} : found->second;
 }
 
 }  // namespace
@@ -82,7 +82,7 @@
   const queue_entry& head = *queue.next;
   if (key.of != work_class::kBatch)
     return {key.of, false, 0, 0, head.due, head.since, head.task_id};
-  std::optional<platform::resources> quota;
+  std::optional<coordination::resources> quota;
   if (context_.hooks.quota_of)
     quota = context_.hooks.quota_of(key.team);
   const double weight =
@@ -220,10 +220,11 @@
                  : context_.settings.place_below;
 }
 
-platform::resources start_planner::GrantFor(const task_request& request) const {
-  const platform::resources learned = sizes_.SizeOf(request);
-  const platform::resources& largest = fleet_.largest;
-  const platform::resources possible{
+coordination::resources start_planner::GrantFor(
+    const task_request& request) const {
+  const coordination::resources learned = sizes_.SizeOf(request);
+  const coordination::resources& largest = fleet_.largest;
+  const coordination::resources possible{
       std::min(learned.processors_milli, largest.processors_milli),
       std::min(learned.memory_mib, largest.memory_mib),
       std::min(learned.accelerators, largest.accelerators)};
@@ -238,7 +239,7 @@
   const auto quota = context_.hooks.quota_of(wanted.team);
   if (!quota)
     return true;
-  platform::resources used = TeamUse(wanted.team);
+  coordination::resources used = TeamUse(wanted.team);
   for (const placement_request& member : members)
     used = Plus(used, member.granted);
   return IsWithin(used, *quota);
@@ -308,8 +309,9 @@
   std::optional<std::size_t> emptiest;
   double lowest = 0;
   for (std::size_t worker = 0; worker < round_.size(); ++worker) {
-    const platform::resources& capacity = round_.view(worker).capacity;
-    const platform::resources reserved = round_.ReservedForOthers(worker, id);
+    const coordination::resources& capacity = round_.view(worker).capacity;
+    const coordination::resources reserved =
+        round_.ReservedForOthers(worker, id);
     if (!Fits(request.granted, reserved, capacity))
       continue;
     const double used = DominantShare(round_.committed(worker), capacity);
@@ -325,12 +327,12 @@
   round_.Reserve(worker_id, id, request.granted);
 }
 
-platform::resources start_planner::TeamUse(const std::string& team) const {
+coordination::resources start_planner::TeamUse(const std::string& team) const {
   return Plus(context_.book.UsedByTeam(team),
               FindOrNone(started_by_team_, team));
 }
 
-platform::resources start_planner::AccountUse(
+coordination::resources start_planner::AccountUse(
     const std::string& account) const {
   return Plus(context_.book.UsedByAccount(account),
               FindOrNone(started_by_account_, account));
--- a/src/scheduling/internal/start_planner.h
+++ b/src/scheduling/internal/start_planner.h
@@ -64,15 +64,15 @@
                                             bool at_risk) const;
   placement_request RequestFor(const task& waiting, bool at_risk) const;
   double InflationLimit(const task_request& request, bool at_risk) const;
-  platform::resources GrantFor(const task_request& request) const;
+  coordination::resources GrantFor(const task_request& request) const;
   bool IsWithinQuota(const std::vector<placement_request>& members) const;
   bool Place(const std::vector<placement_request>& members);
   void CountStart(const placement_request& started, std::size_t worker);
   void MakeRoom(const placement_request& request);
   void HoldForLater(const placement_request& request);
 
-  platform::resources TeamUse(const std::string& team) const;
-  platform::resources AccountUse(const std::string& account) const;
+  coordination::resources TeamUse(const std::string& team) const;
+  coordination::resources AccountUse(const std::string& account) const;
 
   const planning_context& context_;
   const waiting_queues& queues_;
@@ -83,8 +83,8 @@
   std::vector<queue_cursor> cursors_;
   std::vector<event> planned_;
   std::set<std::string> started_;
-  std::map<std::string, platform::resources> started_by_team_;
-  std::map<std::string, platform::resources> started_by_account_;
+  std::map<std::string, coordination::resources> started_by_team_;
+  std::map<std::string, coordination::resources> started_by_account_;
 };
 
 }  // namespace chivecrank::scheduling
--- a/src/scheduling/internal/submission_check.cc
+++ b/src/scheduling/internal/submission_check.cc
@@ -8,18 +8,18 @@
 namespace chivecrank::scheduling {
 namespace {
 
-std::string TextOf(const platform::resources& size) {
+std::string TextOf(const coordination::resources& size) {
   return std::to_string(size.processors_milli) + " milli-processors, " +
          std::to_string(size.memory_mib) + " MiB and " +
          std::to_string(size.accelerators) + " accelerators";
 }
 
 /// The capacities that no other one exceeds in every dimension.
-std::vector<platform::resources> LargestOf(
+std::vector<coordination::resources> LargestOf(
     const std::vector<worker_view>& workers) {
-  std::vector<platform::resources> largest;
+  std::vector<coordination::resources> largest;
   for (const worker_view& worker : workers) {
-    const platform::resources& size = worker.capacity;
+    const coordination::resources& size = worker.capacity;
     const bool covered =
         std::any_of(largest.begin(), largest.end(),
                     [&](const auto& known) { return IsWithin(size, known); });
@@ -34,14 +34,14 @@
 
 std::string TextOfLargest(const std::vector<worker_view>& workers) {
   std::string text;
-  for (const platform::resources& size : LargestOf(workers))
+  for (const coordination::resources& size : LargestOf(workers))
     text += (text.empty() ? "" : ", or ") + TextOf(size);
   return text;
 }
 
 }  // namespace
 
-base::result<void> CheckSubmission(const platform::resources& demand,
+base::result<void> CheckSubmission(const coordination::resources& demand,
                                    std::int64_t gang_size,
                                    const std::vector<worker_view>& workers) {
   std::int64_t fitting = 0;
@@ -64,11 +64,11 @@
           " tasks of this size in one shard, or for smaller ones"};
 }
 
-std::int64_t TasksThatFit(const platform::resources& demand,
-                          const platform::resources& capacity,
+std::int64_t TasksThatFit(const coordination::resources& demand,
+                          const coordination::resources& capacity,
                           std::int64_t limit) {
   std::int64_t count = 0;
-  platform::resources taken;
+  coordination::resources taken;
   while (count < limit && Fits(demand, taken, capacity)) {
     taken = Plus(taken, demand);
     ++count;
--- a/src/scheduling/tests/event_codec_test.cc
+++ b/src/scheduling/tests/event_codec_test.cc
@@ -16,7 +16,7 @@
   const event events[] = {
       task_accepted{request},
       attempt_started{"a", 1, "w-1"},
-      attempt_started{"a", 1, "w-1", platform::resources{1, 2, 3}},
+      attempt_started{"a", 1, "w-1", coordination::resources{1, 2, 3}},
       attempt_confirmed{"a", 1},
       attempt_throttled{"a", 1, true},
       checkpoint_ordered{"a", 1},
--- a/src/scheduling/tests/planner_test.cc
+++ b/src/scheduling/tests/planner_test.cc
@@ -70,8 +70,9 @@
 
 BOOST_AUTO_TEST_CASE(QuotaBoundsATeam) {
   hooks.quota_of = [](const std::string& team) {
-    return team == "team" ? std::optional(platform::resources{2000, 8000, 0})
-                          : std::nullopt;
+    return team == "team"
+               ? std::optional(coordination::resources{2000, 8000, 0})
+               : std::nullopt;
   };
   for (const char* id : {"a", "b", "c"})
     Accept(Request(id, 1000));
--- a/src/scheduling/tests/task_life_test.cc
+++ b/src/scheduling/tests/task_life_test.cc
@@ -49,11 +49,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(ReplacedAttemptKeepsWhatItWasGranted) {
-  const platform::resources granted{3000, 900, 0};
+  const coordination::resources granted{3000, 900, 0};
   BOOST_TEST(Apply(attempt_started{"a", 1, "w-1", granted}));
   BOOST_TEST((state.CommittedOn("w-1") == granted));
   BOOST_TEST(Apply(attempt_ended{"a", 1, attempt_outcome::kLost}));
-  BOOST_TEST((state.CommittedOn("w-1") == platform::resources{}));
+  BOOST_TEST((state.CommittedOn("w-1") == coordination::resources{}));
   BOOST_TEST(state.OpenOn("w-1").empty());
   BOOST_TEST((State() == task_state::kPending));
 }
--- a/src/shards/include/chivecrank/shards/shard_manager.h
+++ b/src/shards/include/chivecrank/shards/shard_manager.h
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
+#include "chivecrank/coordination/instance_list.h"
+#include "chivecrank/coordination/store.h"
 #include "chivecrank/ownership/session.h"
 #include "chivecrank/ownership/shard_registry.h"
-#include "chivecrank/platform/instance_list.h"
-#include "chivecrank/platform/store.h"
 #include "chivecrank/shards/shard_runner.h"
 #include "chivecrank/shards/thread_pool.h"
 #include "chivecrank/shards/types.h"
@@ -30,8 +30,8 @@
                 shard_settings settings,
                 ownership::session_settings session,
                 base::clock& clock,
-                platform::store& store,
-                platform::instance_list& instances,
+                coordination::store& store,
+                coordination::instance_list& instances,
                 workers::agent& agents,
                 std::function<void(const shard_totals&)> report,
                 event_hook on_event = {});
@@ -53,7 +53,7 @@
   std::vector<std::string> Shards() const;
 
   /// The workers on the list, live or leaving.
-  std::vector<platform::instance> Workers() const;
+  std::vector<coordination::instance> Workers() const;
 
   /// Whether the store and the instance list were reached lately.
   bool IsReady() const;
@@ -86,8 +86,8 @@
   const shard_settings settings_;
   const base::duration renewal_;
   base::clock& clock_;
-  platform::store& store_;
-  platform::instance_list& instances_;
+  coordination::store& store_;
+  coordination::instance_list& instances_;
   workers::agent& agents_;
   const std::function<void(const shard_totals&)> report_;
   const event_hook on_event_;
@@ -97,11 +97,11 @@
   ownership::session session_;
 
   mutable std::mutex mutex_;
-  std::vector<platform::instance> known_instances_;
+  std::vector<coordination::instance> known_instances_;
   std::map<std::string, ownership::owner> owners_;
   /// Instances with a lease; the instance list lags behind.
   std::set<std::string> holders_;
-  platform::revision owners_revision_ = 0;
+  coordination::revision owners_revision_ = 0;
   bool owners_known_ = false;
   std::map<std::string, held_shard> runners_;
   std::shared_ptr<const protocol::tenure> held_;
--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "chivecrank/base/clock.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/journal/shard_journal.h"
-#include "chivecrank/platform/types.h"
 #include "chivecrank/protocol/tenure.h"
 #include "chivecrank/scheduling/planner.h"
 #include "chivecrank/scheduling/shard_state.h"
@@ -36,7 +36,7 @@
                std::uint64_t epoch,
                shard_settings settings,
                base::clock& clock,
-               platform::store& store,
+               coordination::store& store,
                workers::agent& agents,
                std::string run,
                std::shared_ptr<const protocol::tenure> held,
@@ -54,7 +54,8 @@
   /// One round: records what was lost, plans starts, and hands due syncs and
   /// writes to the executors. kFenced: the shard has another owner; drop this
   /// runner. kUnavailable: the ownership may have ended.
-  base::result<void> RunRound(const std::vector<platform::instance>& workers);
+  base::result<void> RunRound(
+      const std::vector<coordination::instance>& workers);
 
   /// Accepts a task once its record is confirmed, or returns the one that was
   /// accepted under the same identifier. kUnavailable: it was not accepted.
@@ -79,7 +80,7 @@
   struct worker_entry;
   base::result<void> CheckFull() const;
   base::result<void> CheckNotFenced() const;
-  void UpdateWorkers(const std::vector<platform::instance>& workers);
+  void UpdateWorkers(const std::vector<coordination::instance>& workers);
   worker_entry& EntryOf(const std::string& worker_id);
   void StageLost();
   void StagePlanned();
--- a/src/shards/include/chivecrank/shards/types.h
+++ b/src/shards/include/chivecrank/shards/types.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/journal/types.h"
-#include "chivecrank/platform/types.h"
 #include "chivecrank/protocol/types.h"
 #include "chivecrank/scheduling/types.h"
 #include "chivecrank/settings/types.h"
@@ -59,10 +59,11 @@
 };
 
 /// The shard of a worker: its failure domain and rack.
-std::string ShardOf(const platform::instance& worker);
+std::string ShardOf(const coordination::instance& worker);
 
 /// All shards of the workers on a list, sorted.
-std::vector<std::string> ShardsOf(const std::vector<platform::instance>& all);
+std::vector<std::string> ShardsOf(
+    const std::vector<coordination::instance>& all);
 
 /// The shard that a task belongs to, as its identifier says; empty if none.
 std::string ShardOfTask(const std::string& task_id);
--- a/src/shards/internal/job_router.cc
+++ b/src/shards/internal/job_router.cc
@@ -132,12 +132,12 @@
 base::result<std::string> job_router::ShardFor(
     const configuration::job_template& job,
     const std::string& identifier) {
-  const std::vector<platform::instance> workers = manager_.Workers();
+  const std::vector<coordination::instance> workers = manager_.Workers();
   if (workers.empty())
     return NoOwner("(none)");
   std::vector<scheduling::worker_view> views;
-  std::vector<platform::instance> large_enough;
-  for (const platform::instance& worker : workers) {
+  std::vector<coordination::instance> large_enough;
+  for (const coordination::instance& worker : workers) {
     views.push_back({worker.id, worker.capacity});
     if (scheduling::IsWithin(job.demand, worker.capacity))
       large_enough.push_back(worker);
--- a/src/shards/internal/shard_manager.cc
+++ b/src/shards/internal/shard_manager.cc
@@ -27,8 +27,8 @@
                              shard_settings settings,
                              ownership::session_settings session,
                              base::clock& clock,
-                             platform::store& store,
-                             platform::instance_list& instances,
+                             coordination::store& store,
+                             coordination::instance_list& instances,
                              workers::agent& agents,
                              std::function<void(const shard_totals&)> report,
                              event_hook on_event)
@@ -89,11 +89,11 @@
   return ShardsOf(known_instances_);
 }
 
-std::vector<platform::instance> shard_manager::Workers() const {
+std::vector<coordination::instance> shard_manager::Workers() const {
   std::lock_guard lock(mutex_);
-  std::vector<platform::instance> workers;
-  for (const platform::instance& listed : known_instances_) {
-    if (listed.kind == platform::instance_kind::kWorker)
+  std::vector<coordination::instance> workers;
+  for (const coordination::instance& listed : known_instances_) {
+    if (listed.kind == coordination::instance_kind::kWorker)
       workers.push_back(listed);
   }
   return workers;
@@ -192,9 +192,9 @@
   std::set<std::string> led;
   {
     std::lock_guard lock(mutex_);
-    for (const platform::instance& entry : known_instances_) {
-      if (entry.kind == platform::instance_kind::kSystem &&
-          entry.state == platform::instance_state::kLive &&
+    for (const coordination::instance& entry : known_instances_) {
+      if (entry.kind == coordination::instance_kind::kSystem &&
+          entry.state == coordination::instance_state::kLive &&
           holders_.contains(entry.id)) {
         live.push_back(entry.id);
       }
@@ -281,12 +281,12 @@
 
 void shard_manager::RunRounds() {
   std::map<std::string, held_shard> runners;
-  std::map<std::string, std::vector<platform::instance>> workers;
+  std::map<std::string, std::vector<coordination::instance>> workers;
   {
     std::lock_guard lock(mutex_);
     runners = runners_;
-    for (const platform::instance& entry : known_instances_) {
-      if (entry.kind == platform::instance_kind::kWorker)
+    for (const coordination::instance& entry : known_instances_) {
+      if (entry.kind == coordination::instance_kind::kWorker)
         workers[ShardOf(entry)].push_back(entry);
     }
   }
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -54,7 +54,7 @@
 }  // namespace
 
 struct shard_runner::worker_entry {
-  platform::instance listed;
+  coordination::instance listed;
   bool takes_tasks = false;
   bool busy = false;
   /// Whether there is something to tell the worker before its next sync.
@@ -67,7 +67,7 @@
                            std::uint64_t epoch,
                            shard_settings settings,
                            base::clock& clock,
-                           platform::store& store,
+                           coordination::store& store,
                            workers::agent& agents,
                            std::string run,
                            std::shared_ptr<const protocol::tenure> held,
@@ -114,7 +114,7 @@
 }
 
 base::result<void> shard_runner::RunRound(
-    const std::vector<platform::instance>& workers) {
+    const std::vector<coordination::instance>& workers) {
   {
     std::lock_guard lock(mutex_);
     BOOST_OUTCOME_TRY(CheckNotFenced());
@@ -231,21 +231,21 @@
 }
 
 void shard_runner::UpdateWorkers(
-    const std::vector<platform::instance>& workers) {
+    const std::vector<coordination::instance>& workers) {
   for (auto& [id, entry] : workers_)
     entry.takes_tasks = false;
-  for (const platform::instance& worker : workers) {
+  for (const coordination::instance& worker : workers) {
     worker_entry& entry = EntryOf(worker.id);
     plan_due_ |= entry.listed.capacity != worker.capacity;
     entry.listed = worker;
-    entry.takes_tasks = worker.state == platform::instance_state::kLive;
+    entry.takes_tasks = worker.state == coordination::instance_state::kLive;
   }
   // Tasks may run on a worker that the lagging list no longer shows.
   if (workers_.size() == workers.size())
     return;
   std::erase_if(workers_, [this](const auto& known) {
     return !known.second.takes_tasks && !known.second.busy &&
-           known.second.listed.state == platform::instance_state::kLive &&
+           known.second.listed.state == coordination::instance_state::kLive &&
            ledger_->state().OpenOn(known.first).empty();
   });
 }
--- a/src/shards/internal/types.cc
+++ b/src/shards/internal/types.cc
@@ -8,14 +8,15 @@
   return {settings.task_lease, settings.clock_margin, settings.ride};
 }
 
-std::string ShardOf(const platform::instance& worker) {
+std::string ShardOf(const coordination::instance& worker) {
   return worker.failure_domain + "." + worker.rack;
 }
 
-std::vector<std::string> ShardsOf(const std::vector<platform::instance>& all) {
+std::vector<std::string> ShardsOf(
+    const std::vector<coordination::instance>& all) {
   std::set<std::string> shards;
-  for (const platform::instance& entry : all) {
-    if (entry.kind == platform::instance_kind::kWorker)
+  for (const coordination::instance& entry : all) {
+    if (entry.kind == coordination::instance_kind::kWorker)
       shards.insert(ShardOf(entry));
   }
   return {shards.begin(), shards.end()};
--- a/src/shards/tests/faulty_store.h
+++ b/src/shards/tests/faulty_store.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "chivecrank/platform/store.h"
+#include "chivecrank/coordination/store.h"
 
 namespace chivecrank::shards {
 
@@ -20,23 +20,23 @@
 };
 
 /// Passes calls on to a store, or fails them at random.
-class faulty_store final : public platform::store {
+class faulty_store final : public coordination::store {
  public:
-  faulty_store(platform::store& real, std::mt19937_64& random)
+  faulty_store(coordination::store& real, std::mt19937_64& random)
       : real_(real), random_(random) {}
 
   void SetFaults(store_faults faults) { faults_ = faults; }
 
-  base::result<std::optional<platform::store_entry>> Get(
-      platform::call_class purpose,
+  base::result<std::optional<coordination::store_entry>> Get(
+      coordination::call_class purpose,
       const std::string& key) override {
     if (Happens(faults_.unavailable))
       return Unavailable();
     return real_.Get(purpose, key);
   }
-  base::result<platform::version> Put(
-      platform::call_class purpose,
-      const platform::put_request& write) override {
+  base::result<coordination::version> Put(
+      coordination::call_class purpose,
+      const coordination::put_request& write) override {
     ++puts_;
     LandLate();
     if (Happens(faults_.unavailable))
@@ -50,36 +50,36 @@
       return Unknown();
     return written;
   }
-  base::result<void> Delete(platform::call_class purpose,
+  base::result<void> Delete(coordination::call_class purpose,
                             const std::string& key,
-                            platform::version expected) override {
+                            coordination::version expected) override {
     if (Happens(faults_.unavailable))
       return Unavailable();
     return real_.Delete(purpose, key, expected);
   }
-  base::result<platform::store_listing> List(
-      platform::call_class purpose,
+  base::result<coordination::store_listing> List(
+      coordination::call_class purpose,
       const std::string& prefix) override {
     if (Happens(faults_.unavailable))
       return Unavailable();
     return real_.List(purpose, prefix);
   }
-  base::result<platform::watch_answer> Watch(
-      const platform::watch_request& request) override {
+  base::result<coordination::watch_answer> Watch(
+      const coordination::watch_request& request) override {
     return real_.Watch(request);
   }
-  base::result<platform::lease_id> GrantLease(
+  base::result<coordination::lease_id> GrantLease(
       std::chrono::milliseconds term) override {
     if (Happens(faults_.unavailable))
       return Unavailable();
     return real_.GrantLease(term);
   }
-  base::result<void> RenewLease(platform::lease_id lease) override {
+  base::result<void> RenewLease(coordination::lease_id lease) override {
     if (Happens(faults_.unavailable))
       return Unavailable();
     return real_.RenewLease(lease);
   }
-  base::result<void> RevokeLease(platform::lease_id lease) override {
+  base::result<void> RevokeLease(coordination::lease_id lease) override {
     return real_.RevokeLease(lease);
   }
 
@@ -105,11 +105,12 @@
             "read back"};
   }
 
-  platform::store& real_;
+  coordination::store& real_;
   std::mt19937_64& random_;
   store_faults faults_;
   int puts_ = 0;
-  std::vector<std::pair<platform::call_class, platform::put_request>> late_;
+  std::vector<std::pair<coordination::call_class, coordination::put_request>>
+      late_;
 };
 
 }  // namespace chivecrank::shards
--- a/src/shards/tests/shard_manager_test.cc
+++ b/src/shards/tests/shard_manager_test.cc
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "chivecrank/base/system_clock.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "tests/fenced_workers.h"
 
 namespace chivecrank::shards {
@@ -14,19 +14,19 @@
 constexpr std::chrono::seconds kLimit{20};
 
 /// A list that goes on showing everything.
-class fixed_list final : public platform::instance_list {
+class fixed_list final : public coordination::instance_list {
  public:
-  base::result<std::vector<platform::instance>> List() override {
-    platform::instance worker;
+  base::result<std::vector<coordination::instance>> List() override {
+    coordination::instance worker;
     worker.id = "w-1";
     worker.failure_domain = "d";
     worker.rack = "r";
     worker.agent = {"127.0.0.1", 1};
-    std::vector<platform::instance> all = {worker};
+    std::vector<coordination::instance> all = {worker};
     for (const char* id : {"i-1", "i-2"}) {
-      platform::instance system;
+      coordination::instance system;
       system.id = id;
-      system.kind = platform::instance_kind::kSystem;
+      system.kind = coordination::instance_kind::kSystem;
       all.push_back(system);
     }
     return all;
@@ -35,7 +35,7 @@
 
 struct fixture {
   base::system_clock clock;
-  platform::memory_store store{clock};
+  coordination::memory_store store{clock};
   fixed_list list;
   fenced_workers workers{clock};
 
--- a/src/shards/tests/shard_runner_test.cc
+++ b/src/shards/tests/shard_runner_test.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "chivecrank/base/manual_clock.h"
-#include "chivecrank/platform/memory_store.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "chivecrank/protocol/worker_fence.h"
 #include "tests/faulty_store.h"
 
@@ -107,12 +107,12 @@
 
 struct fixture {
   base::manual_clock clock;
-  platform::memory_store store{clock};
+  coordination::memory_store store{clock};
   fake_agents agents{clock};
   shard_settings settings;
   std::shared_ptr<protocol::tenure> held =
       std::make_shared<protocol::tenure>(settings.ride);
-  std::vector<platform::instance> workers = {Worker()};
+  std::vector<coordination::instance> workers = {Worker()};
   std::unique_ptr<shard_runner> runner = Runner(1);
 
   fixture() { held->Extend(clock.Now() + std::chrono::hours(1)); }
@@ -132,8 +132,8 @@
     }
   }
 
-  static platform::instance Worker() {
-    platform::instance worker;
+  static coordination::instance Worker() {
+    coordination::instance worker;
     worker.id = "w-1";
     worker.capacity = {4000, 8000, 0};
     worker.agent = {"127.0.0.1", 1};
--- a/src/shards/tests/takeover_test.cc
+++ b/src/shards/tests/takeover_test.cc
@@ -5,9 +5,9 @@
 #include <set>
 
 #include "chivecrank/base/manual_clock.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "chivecrank/ownership/session.h"
 #include "chivecrank/ownership/shard_registry.h"
-#include "chivecrank/platform/memory_store.h"
 #include "chivecrank/protocol/worker_fence.h"
 #include "chivecrank/shards/shard_runner.h"
 #include "tests/faulty_store.h"
@@ -44,7 +44,7 @@
     settings_.journal.slots = 24;
     settings_.journal.snapshot_after = 6;
     for (int i = 1; i <= 2; ++i) {
-      platform::instance worker;
+      coordination::instance worker;
       worker.id = "w-" + std::to_string(i);
       worker.capacity = {2000, 2000, 0};
       worker.agent = {"127.0.0.1", static_cast<std::uint16_t>(i)};
@@ -202,12 +202,12 @@
 
   std::mt19937_64 random_;
   base::manual_clock clock_;
-  platform::memory_store real_store_{clock_};
+  coordination::memory_store real_store_{clock_};
   faulty_store store_;
   fenced_workers workers_;
   shard_settings settings_;
   ownership::session_settings session_settings_;
-  std::vector<platform::instance> listed_;
+  std::vector<coordination::instance> listed_;
   std::map<int, scheduler_life> lives_;
   int last_run_ = 0;
   std::set<std::string> accepted_;
--- /dev/null
+++ b/src/submissions/include/chivecrank/submissions/commands.h
@@ -0,0 +1,45 @@
+#ifndef CHIVECRANK_SUBMISSIONS_COMMANDS_H_
+#define CHIVECRANK_SUBMISSIONS_COMMANDS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "chivecrank/submissions/types.h"
+
+namespace chivecrank::submissions {
+
+/// Start a run on a worker.
+struct start_command {
+  task_ref task;
+  std::int32_t run = 0;
+  std::string worker;
+  std::string spec;
+  std::string checkpoint;
+};
+
+/// Stop a run on a worker, or make sure that it never starts there.
+struct stop_command {
+  task_ref task;
+  std::int32_t run = 0;
+  std::string worker;
+};
+
+/// Let a run go on at a share of its speed.
+struct throttle_command {
+  task_ref task;
+  std::int32_t run = 0;
+  std::string worker;
+  std::int32_t percent = 100;
+};
+
+/// Orders to workers that are due now.
+struct command_set {
+  std::vector<start_command> starts;
+  std::vector<stop_command> stops;
+  std::vector<throttle_command> throttles;
+};
+
+}  // namespace chivecrank::submissions
+
+#endif  // CHIVECRANK_SUBMISSIONS_COMMANDS_H_
--- /dev/null
+++ b/src/submissions/include/chivecrank/submissions/record_codec.h
@@ -0,0 +1,40 @@
+#ifndef CHIVECRANK_SUBMISSIONS_RECORD_CODEC_H_
+#define CHIVECRANK_SUBMISSIONS_RECORD_CODEC_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/submissions/progress.h"
+#include "chivecrank/submissions/types.h"
+
+namespace chivecrank::submissions {
+
+/// The record of an accepted submission, as it is stored.
+std::string EncodeSubmission(const submission& accepted);
+
+/// kCorrupt when `text` is no such record.
+base::result<submission> DecodeSubmission(std::string_view text);
+
+/// One entry of a shard's journal. `whole` marks a snapshot: entries before it
+/// no longer count.
+struct journal_entry {
+  bool whole = false;
+  std::vector<task_change> tasks;
+};
+
+std::string EncodeJournalEntry(const journal_entry& entry);
+
+/// kCorrupt when `text` is no such entry.
+base::result<journal_entry> DecodeJournalEntry(std::string_view text);
+
+/// The record of an outcome.
+std::string EncodeOutcome(submission_outcome outcome);
+
+/// kCorrupt when `text` names none.
+base::result<submission_outcome> DecodeOutcome(std::string_view text);
+
+}  // namespace chivecrank::submissions
+
+#endif  // CHIVECRANK_SUBMISSIONS_RECORD_CODEC_H_
--- /dev/null
+++ b/src/submissions/internal/placer.cc
@@ -0,0 +1,110 @@
+#include "internal/placer.h"
+
+#include <algorithm>
+
+#include "chivecrank/scheduling/resources.h"
+#include "internal/latency_guard.h"
+
+namespace chivecrank::submissions::internal {
+namespace {
+
+/// Weights of a score whose base is the share of idle processors (0 to 1).
+constexpr double kDataRackBonus = 0.5;
+constexpr double kAvoidPenalty = 4;
+constexpr double kFailedHerePenalty = 2;
+constexpr double kNearLatencyBoundPenalty = 1;
+
+bool HasLabel(const worker_description& worker, const std::string& label) {
+  return std::ranges::find(worker.labels, label) != worker.labels.end();
+}
+
+bool IsAvoided(const worker_entry& worker, base::time_point now) {
+  return worker.health.avoid_until > now;
+}
+
+std::int32_t RunsOfStep(const worker_entry& worker, const task_ref& task) {
+  return static_cast<std::int32_t>(
+      std::ranges::count_if(worker.runs, [&](const auto& entry) {
+        const task_ref& other = entry.first;
+        return other.submission == task.submission &&
+               other.occurrence == task.occurrence && other.step == task.step;
+      }));
+}
+
+}  // namespace
+
+coordination::resources ReservedBy(const step_request& step) {
+  coordination::resources reserved = step.demand;
+  if (step.fills)
+    reserved.processors_milli = 0;
+  return reserved;
+}
+
+worker_entry* placer::Choose(const placement_request& request) const {
+  worker_entry* best = nullptr;
+  double best_score = 0;
+  for (auto& [id, worker] : workers_.All()) {
+    if (!CanTake(worker, request))
+      continue;
+    const double score = ScoreOf(worker, request);
+    if (best == nullptr || score > best_score) {
+      best = &worker;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+bool placer::CanTake(const worker_entry& worker,
+                     const placement_request& request) const {
+  const worker_description& description = worker.description;
+  const step_request& step = *request.step;
+  if (!worker.listed || !worker.reported || description.draining ||
+      request.now >= worker.lease_over ||
+      request.now - worker.reported_at > settings_.report_fresh)
+    return false;
+  if (description.service != *request.service)
+    return false;
+  if (!request.rack.empty() && description.rack != request.rack)
+    return false;
+  if (!step.required_label.empty() &&
+      !HasLabel(description, step.required_label))
+    return false;
+  if (!scheduling::Fits(ReservedBy(step), worker.reserved,
+                        description.capacity))
+    return false;
+  if (worker.runs.contains(request.task))
+    return false;
+  if (step.most_per_worker > 0 &&
+      RunsOfStep(worker, request.task) >= step.most_per_worker)
+    return false;
+  if (!step.fills)
+    return true;
+  const double wanted =
+      static_cast<double>(step.demand.processors_milli) * settings_.fill_share;
+  return !latency_guard::IsPressed(worker) &&
+         static_cast<double>(worker_table::IdleProcessors(
+             worker, settings_.service_load)) >= wanted;
+}
+
+double placer::ScoreOf(const worker_entry& worker,
+                       const placement_request& request) const {
+  const auto& capacity = worker.description.capacity;
+  const double total =
+      static_cast<double>(std::max<std::int64_t>(capacity.processors_milli, 1));
+  double score = static_cast<double>(worker_table::IdleProcessors(
+                     worker, settings_.service_load)) /
+                 total;
+  if (!request.step->data_rack.empty() &&
+      worker.description.rack == request.step->data_rack)
+    score += kDataRackBonus;
+  if (IsAvoided(worker, request.now))
+    score -= kAvoidPenalty;
+  if (request.progress->failed_on == worker.description.id)
+    score -= kFailedHerePenalty;
+  if (request.step->fills)
+    score -= kNearLatencyBoundPenalty * worker.latency.worst_ratio;
+  return score;
+}
+
+}  // namespace chivecrank::submissions::internal
--- /dev/null
+++ b/src/submissions/internal/placer.h
@@ -0,0 +1,47 @@
+#ifndef CHIVECRANK_SUBMISSIONS_INTERNAL_PLACER_H_
+#define CHIVECRANK_SUBMISSIONS_INTERNAL_PLACER_H_
+
+#include <string>
+
+#include "chivecrank/submissions/progress.h"
+#include "chivecrank/submissions/scheduler_settings.h"
+#include "internal/worker_table.h"
+
+namespace chivecrank::submissions::internal {
+
+/// What a choice of worker is made for.
+struct placement_request {
+  const step_request* step = nullptr;
+  const task_progress* progress = nullptr;
+  const std::string* service = nullptr;
+  task_ref task;
+  /// Only workers of this rack; empty for any.
+  std::string rack;
+  base::time_point now;
+};
+
+/// Chooses the worker for a run.
+class placer {
+ public:
+  placer(const scheduler_settings& settings, worker_table& workers)
+      : settings_(settings), workers_(workers) {}
+
+  /// The best worker that can take the task now; null when there is none.
+  worker_entry* Choose(const placement_request& request) const;
+
+ private:
+  bool CanTake(const worker_entry& worker,
+               const placement_request& request) const;
+  double ScoreOf(const worker_entry& worker,
+                 const placement_request& request) const;
+
+  const scheduler_settings& settings_;
+  worker_table& workers_;
+};
+
+/// What a run of the step reserves on its worker.
+coordination::resources ReservedBy(const step_request& step);
+
+}  // namespace chivecrank::submissions::internal
+
+#endif  // CHIVECRANK_SUBMISSIONS_INTERNAL_PLACER_H_
--- /dev/null
+++ b/src/submissions/internal/planner.cc
@@ -0,0 +1,175 @@
+#include "internal/planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "chivecrank/scheduling/resources.h"
+
+namespace chivecrank::submissions::internal {
+namespace {
+
+bool HasWaiting(const live_step& step) {
+  return std::ranges::any_of(step.tasks, [](const task_progress& task) {
+    return task.phase == task_phase::kWaiting;
+  });
+}
+
+bool AllWait(const live_step& step) {
+  return std::ranges::all_of(step.tasks, [](const task_progress& task) {
+    return task.phase == task_phase::kWaiting;
+  });
+}
+
+std::int32_t HighestRun(const live_step& step) {
+  std::int32_t highest = 0;
+  for (const task_progress& task : step.tasks)
+    highest = std::max(highest, task.run);
+  return highest;
+}
+
+}  // namespace
+
+void planner::Plan(base::time_point now,
+                   std::chrono::milliseconds since_epoch) {
+  std::vector<ready_step> ready = ReadySteps(since_epoch);
+  std::ranges::sort(ready, {}, [](const ready_step& entry) {
+    return std::tuple(entry.priority, entry.late, entry.objective,
+                      entry.live->request.id, entry.occurrence, entry.step);
+  });
+  for (const ready_step& entry : ready) {
+    const auto& step =
+        entry.live->request.steps[static_cast<std::size_t>(entry.step)];
+    if (step.gang)
+      PlaceGang(entry, now);
+    else
+      PlaceTasks(entry, now);
+  }
+}
+
+std::vector<planner::ready_step> planner::ReadySteps(
+    std::chrono::milliseconds since_epoch) {
+  std::vector<ready_step> ready;
+  for (auto& [id, live] : book_.Submissions().All()) {
+    if (live->outcome)
+      continue;
+    for (std::size_t k = 0; k < live->occurrences.size(); ++k) {
+      const live_occurrence& occurrence = live->occurrences[k];
+      if (occurrence.due_since_epoch > since_epoch)
+        continue;
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (!HasWaiting(occurrence.steps[s]) ||
+            !submission_table::IsReady(*live, k, s))
+          continue;
+        const auto objective =
+            std::max(live->objective_since_epoch,
+                     occurrence.due_since_epoch + live->objective_since_epoch -
+                         live->request.accepted_since_epoch);
+        ready.push_back({live.get(), static_cast<std::int32_t>(k),
+                         static_cast<std::int32_t>(s), PolicyOf(*live).priority,
+                         objective < since_epoch, objective});
+      }
+    }
+  }
+  return ready;
+}
+
+const queue_policy& planner::PolicyOf(const live_submission& live) const {
+  const auto found = policies_.find(live.request.queue);
+  return found == policies_.end() ? live.request.policy : found->second;
+}
+
+placement_request planner::RequestFor(const ready_step& ready,
+                                      const task_ref& task,
+                                      base::time_point now) {
+  placement_request request;
+  request.step = book_.Submissions().StepOf(task);
+  request.progress = book_.Submissions().Find(task);
+  request.service = &PolicyOf(*ready.live).service;
+  request.task = task;
+  request.now = now;
+  return request;
+}
+
+void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
+  task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  const std::int32_t count =
+      ready.live->request.steps[static_cast<std::size_t>(ready.step)]
+          .task_count;
+  for (task.index = 0; task.index < count; ++task.index) {
+    const task_progress& progress = *book_.Submissions().Find(task);
+    if (progress.phase != task_phase::kWaiting)
+      continue;
+    worker_entry* worker = placer_.Choose(RequestFor(ready, task, now));
+    // The other tasks of the step ask for the same.
+    if (worker == nullptr)
+      return;
+    book_.Assign(task, progress.run + 1, *worker, now);
+  }
+}
+
+void planner::PlaceGang(const ready_step& ready, base::time_point now) {
+  const live_step& step =
+      ready.live->occurrences[static_cast<std::size_t>(ready.occurrence)]
+          .steps[static_cast<std::size_t>(ready.step)];
+  if (!AllWait(step))
+    return;
+  const bool same_rack =
+      ready.live->request.steps[static_cast<std::size_t>(ready.step)].same_rack;
+  if (same_rack)
+    for (const std::string& rack : RacksByRoom())
+      if (PlaceGangOn(ready, rack, now))
+        return;
+  PlaceGangOn(ready, {}, now);
+}
+
+bool planner::PlaceGangOn(const ready_step& ready,
+                          const std::string& rack,
+                          base::time_point now) {
+  const live_step& step =
+      ready.live->occurrences[static_cast<std::size_t>(ready.occurrence)]
+          .steps[static_cast<std::size_t>(ready.step)];
+  const step_request& wanted =
+      ready.live->request.steps[static_cast<std::size_t>(ready.step)];
+  const std::int32_t run = HighestRun(step) + 1;
+  task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  // Room is held member by member, and given back unless all find some.
+  std::vector<worker_entry*> chosen;
+  for (task.index = 0; task.index < wanted.task_count; ++task.index) {
+    placement_request request = RequestFor(ready, task, now);
+    request.rack = rack;
+    worker_entry* worker = placer_.Choose(request);
+    if (worker == nullptr)
+      break;
+    active_run held;
+    held.reserved = ReservedBy(wanted);
+    held.processors_milli = wanted.demand.processors_milli;
+    worker_table::AddRun(*worker, task, held);
+    chosen.push_back(worker);
+  }
+  for (task.index = 0; static_cast<std::size_t>(task.index) < chosen.size();
+       ++task.index)
+    worker_table::RemoveRun(*chosen[static_cast<std::size_t>(task.index)],
+                            task);
+  if (static_cast<std::int32_t>(chosen.size()) < wanted.task_count)
+    return false;
+  for (task.index = 0; task.index < wanted.task_count; ++task.index)
+    book_.Assign(task, run, *chosen[static_cast<std::size_t>(task.index)], now);
+  return true;
+}
+
+std::vector<std::string> planner::RacksByRoom() const {
+  std::map<std::string, std::int64_t> room;
+  for (const auto& [id, worker] : book_.Workers().All())
+    room[worker.description.rack] +=
+        worker.description.capacity.processors_milli -
+        worker.reserved.processors_milli;
+  std::vector<std::string> racks;
+  for (const auto& [rack, free] : room)
+    racks.push_back(rack);
+  std::ranges::sort(racks, [&](const auto& left, const auto& right) {
+    return room[left] > room[right];
+  });
+  return racks;
+}
+
+}  // namespace chivecrank::submissions::internal
--- /dev/null
+++ b/src/submissions/internal/planner.h
@@ -0,0 +1,56 @@
+#ifndef CHIVECRANK_SUBMISSIONS_INTERNAL_PLANNER_H_
+#define CHIVECRANK_SUBMISSIONS_INTERNAL_PLANNER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "internal/placer.h"
+#include "internal/run_book.h"
+
+namespace chivecrank::submissions::internal {
+
+/// Chooses which waiting tasks start, and in which order: by the priority of
+/// their queue, then by the time at which the submission should be done.
+class planner {
+ public:
+  planner(const scheduler_settings& settings, run_book& book)
+      : book_(book), placer_(settings, book.Workers()) {}
+
+  void SetPolicy(const std::string& queue, const queue_policy& policy) {
+    policies_[queue] = policy;
+  }
+
+  void Plan(base::time_point now, std::chrono::milliseconds since_epoch);
+
+ private:
+  struct ready_step {
+    live_submission* live = nullptr;
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+    /// Sorted by, smallest first.
+    std::int32_t priority = 0;
+    bool late = false;
+    std::chrono::milliseconds objective{0};
+  };
+
+  std::vector<ready_step> ReadySteps(std::chrono::milliseconds since_epoch);
+  const queue_policy& PolicyOf(const live_submission& live) const;
+  void PlaceTasks(const ready_step& ready, base::time_point now);
+  void PlaceGang(const ready_step& ready, base::time_point now);
+  bool PlaceGangOn(const ready_step& ready,
+                   const std::string& rack,
+                   base::time_point now);
+  placement_request RequestFor(const ready_step& ready,
+                               const task_ref& task,
+                               base::time_point now);
+  std::vector<std::string> RacksByRoom() const;
+
+  run_book& book_;
+  placer placer_;
+  std::map<std::string, queue_policy> policies_;
+};
+
+}  // namespace chivecrank::submissions::internal
+
+#endif  // CHIVECRANK_SUBMISSIONS_INTERNAL_PLANNER_H_
--- /dev/null
+++ b/src/submissions/internal/record_codec.cc
@@ -0,0 +1,245 @@
+#include "chivecrank/submissions/record_codec.h"
+
+#include <array>
+#include <utility>
+
+#include "chivecrank/json/reader.h"
+#include "chivecrank/json/writer.h"
+
+namespace chivecrank::submissions {
+namespace {
+
+/// Elements of a task's row in a journal entry, in this order.
+enum task_column : std::size_t {
+  kSubmission,
+  kOccurrence,
+  kStep,
+  kIndex,
+  kPhase,
+  kRun,
+  kWorker,
+  kWorkerBorn,
+  kFailures,
+  kCountedRun,
+  kFailedOn,
+  kCheckpoint,
+  kTaskColumns,
+};
+
+base::error Corrupt(std::string_view what) {
+  return {base::error_kind::kCorrupt,
+          "a record of " + std::string(what) + " can't be read",
+          "look for another writer of this key"};
+}
+
+void WriteStep(json::writer& text, const step_request& step) {
+  text.BeginObject()
+      .Field("tasks", step.task_count)
+      .Field("cpu", step.demand.processors_milli)
+      .Field("memory", step.demand.memory_mib)
+      .Field("accelerators", step.demand.accelerators)
+      .Field("estimate", step.estimate.count());
+  if (!step.after.empty()) {
+    text.Key("after").BeginArray();
+    for (const std::int32_t earlier : step.after)
+      text.Integer(earlier);
+    text.EndArray();
+  }
+  const std::array<std::pair<std::string_view, bool>, 6> flags = {{
+      {"checkpoints", step.checkpoints},
+      {"gang", step.gang},
+      {"same_rack", step.same_rack},
+      {"speculative", step.speculative},
+      {"lasting", step.lasting},
+      {"fills", step.fills},
+  }};
+  for (const auto& [name, set] : flags)
+    if (set)
+      text.Flag(name, true);
+  const std::array<std::pair<std::string_view, std::string_view>, 3> texts = {{
+      {"label", step.required_label},
+      {"data_rack", step.data_rack},
+      {"image", step.image},
+  }};
+  for (const auto& [name, value] : texts)
+    if (!value.empty())
+      text.Field(name, value);
+  text.Field("per_worker", step.most_per_worker)
+      .Field("away", step.most_away)
+      .Field("latency", step.latency_target.count())
+      .EndObject();
+}
+
+step_request ReadStep(const json::value& object) {
+  step_request step;
+  step.task_count =
+      static_cast<std::int32_t>(json::IntegerOf(object, "tasks", 1));
+  step.demand.processors_milli = json::IntegerOf(object, "cpu");
+  step.demand.memory_mib = json::IntegerOf(object, "memory");
+  step.demand.accelerators = json::IntegerOf(object, "accelerators");
+  step.estimate =
+      std::chrono::milliseconds(json::IntegerOf(object, "estimate"));
+  if (const json::value* after = json::ArrayOf(object, "after"))
+    for (std::size_t i = 0; i < after->Size(); ++i)
+      step.after.push_back(
+          static_cast<std::int32_t>(json::IntegerAt(*after, i)));
+  step.checkpoints = json::BooleanOf(object, "checkpoints");
+  step.gang = json::BooleanOf(object, "gang");
+  step.same_rack = json::BooleanOf(object, "same_rack");
+  step.speculative = json::BooleanOf(object, "speculative");
+  step.lasting = json::BooleanOf(object, "lasting");
+  step.fills = json::BooleanOf(object, "fills");
+  step.required_label = json::StringOf(object, "label");
+  step.data_rack = json::StringOf(object, "data_rack");
+  step.image = json::StringOf(object, "image");
+  step.most_per_worker =
+      static_cast<std::int32_t>(json::IntegerOf(object, "per_worker"));
+  step.most_away = static_cast<std::int32_t>(json::IntegerOf(object, "away"));
+  step.latency_target =
+      std::chrono::milliseconds(json::IntegerOf(object, "latency"));
+  return step;
+}
+
+void WriteTask(json::writer& text, const task_change& change) {
+  const task_progress& progress = change.progress;
+  text.BeginArray()
+      .String(change.task.submission)
+      .Integer(change.task.occurrence)
+      .Integer(change.task.step)
+      .Integer(change.task.index)
+      .Integer(static_cast<std::int64_t>(progress.phase))
+      .Integer(progress.run)
+      .String(progress.worker)
+      .Integer(progress.worker_born_ms)
+      .Integer(progress.failures)
+      .Integer(progress.counted_run)
+      .String(progress.failed_on)
+      .String(progress.checkpoint)
+      .EndArray();
+}
+
+base::result<task_change> ReadTask(const json::value& row) {
+  if (!row.IsArray() || row.Size() < kTaskColumns)
+    return Corrupt("a task");
+  const std::int64_t phase = json::IntegerAt(row, kPhase, -1);
+  if (phase < 0 || phase > static_cast<std::int64_t>(task_phase::kDone))
+    return Corrupt("a task");
+  task_change change;
+  change.task = {json::StringAt(row, kSubmission),
+                 static_cast<std::int32_t>(json::IntegerAt(row, kOccurrence)),
+                 static_cast<std::int32_t>(json::IntegerAt(row, kStep)),
+                 static_cast<std::int32_t>(json::IntegerAt(row, kIndex))};
+  task_progress& progress = change.progress;
+  progress.phase = static_cast<task_phase>(phase);
+  progress.run = static_cast<std::int32_t>(json::IntegerAt(row, kRun));
+  progress.worker = json::StringAt(row, kWorker);
+  progress.worker_born_ms = json::IntegerAt(row, kWorkerBorn);
+  progress.failures =
+      static_cast<std::int32_t>(json::IntegerAt(row, kFailures));
+  progress.counted_run =
+      static_cast<std::int32_t>(json::IntegerAt(row, kCountedRun));
+  progress.failed_on = json::StringAt(row, kFailedOn);
+  progress.checkpoint = json::StringAt(row, kCheckpoint);
+  return change;
+}
+
+}  // namespace
+
+std::string EncodeSubmission(const submission& accepted) {
+  json::writer text;
+  text.BeginObject()
+      .Field("id", accepted.id)
+      .Field("queue", accepted.queue)
+      .Field("service", accepted.policy.service)
+      .Field("priority", accepted.policy.priority)
+      .Field("attempts", accepted.policy.attempt_limit)
+      .Field("target", accepted.policy.target_run_time.count())
+      .Field("shard", accepted.shard)
+      .Field("accepted", accepted.accepted_since_epoch.count())
+      .Field("spec", accepted.spec);
+  text.Key("stretch").Number(accepted.policy.stretch);
+  if (accepted.repeats.times > 0) {
+    text.Field("times", accepted.repeats.times)
+        .Field("first_due", accepted.repeats.first_due_since_epoch.count())
+        .Field("interval", accepted.repeats.interval.count());
+  }
+  text.Key("steps").BeginArray();
+  for (const step_request& step : accepted.steps)
+    WriteStep(text, step);
+  text.EndArray().EndObject();
+  return text.Text();
+}
+
+base::result<submission> DecodeSubmission(std::string_view text) {
+  const auto parsed = json::ParseObject(text);
+  if (!parsed)
+    return Corrupt("a submission");
+  const json::value& object = parsed.value();
+  const json::value* steps = json::ArrayOf(object, "steps");
+  submission read;
+  read.id = json::StringOf(object, "id");
+  if (read.id.empty() || steps == nullptr)
+    return Corrupt("a submission");
+  read.queue = json::StringOf(object, "queue");
+  read.policy.service = json::StringOf(object, "service");
+  read.policy.priority =
+      static_cast<std::int32_t>(json::IntegerOf(object, "priority"));
+  read.policy.attempt_limit =
+      static_cast<std::int32_t>(json::IntegerOf(object, "attempts", 1));
+  read.policy.target_run_time =
+      std::chrono::milliseconds(json::IntegerOf(object, "target"));
+  read.policy.stretch = json::NumberOf(object, "stretch", 1);
+  read.shard = static_cast<std::uint32_t>(json::IntegerOf(object, "shard"));
+  read.accepted_since_epoch =
+      std::chrono::milliseconds(json::IntegerOf(object, "accepted"));
+  read.spec = json::StringOf(object, "spec");
+  read.repeats.times =
+      static_cast<std::int32_t>(json::IntegerOf(object, "times"));
+  read.repeats.first_due_since_epoch =
+      std::chrono::milliseconds(json::IntegerOf(object, "first_due"));
+  read.repeats.interval =
+      std::chrono::milliseconds(json::IntegerOf(object, "interval"));
+  for (const json::value& step : steps->GetArray())
+    read.steps.push_back(ReadStep(step));
+  return read;
+}
+
+std::string EncodeJournalEntry(const journal_entry& entry) {
+  json::writer text;
+  text.BeginObject().Flag("whole", entry.whole).Key("tasks").BeginArray();
+  for (const task_change& change : entry.tasks)
+    WriteTask(text, change);
+  text.EndArray().EndObject();
+  return text.Text();
+}
+
+base::result<journal_entry> DecodeJournalEntry(std::string_view text) {
+  const auto parsed = json::ParseObject(text);
+  if (!parsed)
+    return Corrupt("a journal entry");
+  const json::value* rows = json::ArrayOf(parsed.value(), "tasks");
+  if (rows == nullptr)
+    return Corrupt("a journal entry");
+  journal_entry entry;
+  entry.whole = json::BooleanOf(parsed.value(), "whole");
+  for (const json::value& row : rows->GetArray()) {
+    BOOST_OUTCOME_TRY(change, ReadTask(row));
+    entry.tasks.push_back(std::move(change));
+  }
+  return entry;
+}
+
+std::string EncodeOutcome(submission_outcome outcome) {
+  return std::string(SubmissionOutcomeName(outcome));
+}
+
+base::result<submission_outcome> DecodeOutcome(std::string_view text) {
+  for (const submission_outcome outcome :
+       {submission_outcome::kCompleted, submission_outcome::kFailed,
+        submission_outcome::kCancelled})
+    if (SubmissionOutcomeName(outcome) == text)
+      return outcome;
+  return Corrupt("an outcome");
+}
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/src/submissions/internal/report_processor.cc
@@ -0,0 +1,140 @@
+#include "internal/report_processor.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <vector>
+
+namespace chivecrank::submissions::internal {
+
+void report_processor::Process(worker_entry& worker,
+                               const worker_report& report,
+                               base::time_point requested_at,
+                               base::time_point now,
+                               std::uint64_t next_batch) {
+  NoticeRestart(worker, report);
+  worker.reported = true;
+  worker.reported_at = now;
+  TakeEnds(worker, report, now, next_batch);
+  for (const listed_run& listed : report.running)
+    TakeRunning(worker, listed, now);
+  if (!report.ends_truncated)
+    TakeAbsent(worker, report, requested_at, now);
+  guard_.Update(worker, now);
+}
+
+void report_processor::NoticeRestart(worker_entry& worker,
+                                     const worker_report& report) {
+  if (worker.reported_born_ms == report.born_ms)
+    return;
+  const bool known_before = worker.reported_born_ms != 0;
+  worker.reported_born_ms = report.born_ms;
+  worker.seen_end = 0;
+  worker.committed_end = 0;
+  worker.pending_acks.clear();
+  worker.health = {};
+  worker.latency = {};
+  std::vector<task_ref> gone;
+  for (const auto& [task, run] : worker.runs) {
+    const task_progress* progress = book_.Submissions().Find(task);
+    // A run that was never sent may still begin in the new life.
+    const bool unsent = run.own && run.phase == run_phase::kDeciding;
+    if (!unsent &&
+        (progress == nullptr || progress->worker_born_ms != report.born_ms))
+      gone.push_back(task);
+  }
+  for (const task_ref& task : gone)
+    book_.Lose(worker, task, "worker_restarted");
+  if (known_before)
+    book_.Emit({.kind = scheduler_event_kind::kWorkerRestarted,
+                .worker = worker.description.id,
+                .input = report.born_ms});
+}
+
+void report_processor::TakeEnds(worker_entry& worker,
+                                const worker_report& report,
+                                base::time_point now,
+                                std::uint64_t next_batch) {
+  for (const listed_end& end : report.ended) {
+    if (end.number <= worker.seen_end)
+      continue;
+    worker.seen_end = end.number;
+    book_.End(worker, end, now);
+    worker.pending_acks.push_back({end.number, next_batch});
+  }
+}
+
+void report_processor::TakeRunning(worker_entry& worker,
+                                   const listed_run& listed,
+                                   base::time_point now) {
+  const auto found = worker.runs.find(listed.task);
+  if (found == worker.runs.end() || found->second.run != listed.run)
+    return StopStray(worker, listed);
+  ConfirmRunning(worker, found->second, listed, now);
+}
+
+void report_processor::ConfirmRunning(worker_entry& worker,
+                                      active_run& run,
+                                      const listed_run& listed,
+                                      base::time_point now) {
+  if (!listed.checkpoint.empty())
+    run.checkpoint = listed.checkpoint;
+  if (listed.percent != run.percent)
+    run.progressed_at = now;
+  run.percent = listed.percent;
+  run.reading = listed.reading;
+  if (run.phase == run_phase::kStopping) {
+    if (now - run.stop_sent >= settings_.stop_interval)
+      book_.Stop(worker, listed.task, run, now);
+    return;
+  }
+  if (run.phase == run_phase::kRunning)
+    return;
+  run.phase = run_phase::kRunning;
+  run.since = now;
+}
+
+void report_processor::StopStray(worker_entry& worker,
+                                 const listed_run& listed) {
+  book_.AddStop({listed.task, listed.run, worker.description.id});
+  book_.Emit({.kind = scheduler_event_kind::kStrayStopped,
+              .task = listed.task,
+              .worker = worker.description.id,
+              .run = listed.run});
+}
+
+void report_processor::TakeAbsent(worker_entry& worker,
+                                  const worker_report& report,
+                                  base::time_point requested_at,
+                                  base::time_point now) {
+  absl::flat_hash_set<task_ref> running;
+  for (const listed_run& listed : report.running)
+    running.insert(listed.task);
+  std::vector<task_ref> absent;
+  for (const auto& [task, run] : worker.runs) {
+    const bool may_be_listed = run.phase == run_phase::kRunning ||
+                               run.phase == run_phase::kUncertain ||
+                               run.phase == run_phase::kStopping;
+    if (may_be_listed && run.since < requested_at && !running.contains(task))
+      absent.push_back(task);
+  }
+  for (const task_ref& task : absent)
+    SettleAbsent(worker, task, now);
+}
+
+void report_processor::SettleAbsent(worker_entry& worker,
+                                    const task_ref& task,
+                                    base::time_point now) {
+  active_run& run = worker.runs.at(task);
+  // An order of an earlier owner can't arrive any more: the worker follows
+  // this one. Neither can one that was barred by a stop.
+  const bool may_still_start =
+      run.own && !run.barred && run.phase != run_phase::kRunning;
+  if (!may_still_start)
+    return book_.Lose(worker, task, "not_listed");
+  if (now - run.stop_sent < settings_.stop_interval)
+    return;
+  run.stop_sent = now;
+  book_.AddStop({task, run.run, worker.description.id});
+}
+
+}  // namespace chivecrank::submissions::internal
--- /dev/null
+++ b/src/submissions/internal/run_book.cc
@@ -0,0 +1,249 @@
+#include "internal/run_book.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "internal/placer.h"
+
+namespace chivecrank::submissions::internal {
+namespace {
+
+active_run RunFor(const step_request& step,
+                  std::int32_t number,
+                  base::time_point now) {
+  active_run run;
+  run.run = number;
+  run.reserved = ReservedBy(step);
+  run.processors_milli = step.demand.processors_milli;
+  run.fills = step.fills;
+  run.lasting = step.lasting;
+  run.latency_target = step.latency_target;
+  run.since = now;
+  run.progressed_at = now;
+  return run;
+}
+
+}  // namespace
+
+void run_book::Assign(const task_ref& task,
+                      std::int32_t run,
+                      worker_entry& worker,
+                      base::time_point now) {
+  live_submission& live = *submissions_.Find(task.submission);
+  task_progress& progress = *submissions_.Find(task);
+  progress.phase = task_phase::kAssigned;
+  progress.run = run;
+  progress.worker = worker.description.id;
+  progress.worker_born_ms = worker.reported_born_ms;
+  submissions_.Touch(task);
+  active_run made = RunFor(*submissions_.StepOf(task), run, now);
+  made.own = true;
+  made.checkpoint = progress.checkpoint;
+  worker_table::AddRun(worker, task, made);
+  live.started = true;
+  ++live.active_runs;
+  decided_.push_back({task, run, worker.description.id, live.request.spec,
+                      progress.checkpoint});
+  Emit({.kind = scheduler_event_kind::kTaskAssigned,
+        .task = task,
+        .worker = worker.description.id,
+        .run = run,
+        .outcome = "assigned",
+        .input = progress.failures});
+}
+
+void run_book::Readopt(const task_ref& task, base::time_point now) {
+  const task_progress& progress = *submissions_.Find(task);
+  worker_entry& worker = workers_.FindOrAdd(progress.worker);
+  worker.description.id = progress.worker;
+  active_run run = RunFor(*submissions_.StepOf(task), progress.run, now);
+  run.phase = run_phase::kUncertain;
+  run.checkpoint = progress.checkpoint;
+  worker_table::AddRun(worker, task, run);
+  live_submission& live = *submissions_.Find(task.submission);
+  live.started = true;
+  ++live.active_runs;
+}
+
+void run_book::Revert(worker_entry& worker, const task_ref& task) {
+  const auto found = worker.runs.find(task);
+  if (found == worker.runs.end())
+    return;
+  const active_run run = found->second;
+  RemoveRun(worker, task);
+  task_progress* progress = submissions_.Find(task);
+  if (progress == nullptr || progress->phase != task_phase::kAssigned ||
+      progress->run != run.run)
+    return EraseIfOver(task.submission);
+  progress->phase = task_phase::kWaiting;
+  if (!run.checkpoint.empty())
+    progress->checkpoint = run.checkpoint;
+  Touch(*submissions_.Find(task.submission), task);
+  EraseIfOver(task.submission);
+}
+
+void run_book::Lose(worker_entry& worker,
+                    const task_ref& task,
+                    std::string_view reason) {
+  const auto found = worker.runs.find(task);
+  if (found == worker.runs.end())
+    return;
+  Emit({.kind = scheduler_event_kind::kRunLost,
+        .task = task,
+        .worker = worker.description.id,
+        .run = found->second.run,
+        .outcome = reason});
+  Revert(worker, task);
+}
+
+void run_book::End(worker_entry& worker,
+                   const listed_end& end,
+                   base::time_point now) {
+  Emit({.kind = scheduler_event_kind::kRunEnded,
+        .task = end.task,
+        .worker = worker.description.id,
+        .run = end.run,
+        .outcome = RunEndName(end.how),
+        .input = end.number});
+  NoteHealth(worker, end, now);
+  const auto found = worker.runs.find(end.task);
+  const bool active =
+      found != worker.runs.end() && found->second.run == end.run;
+  if (active)
+    RemoveRun(worker, end.task);
+  live_submission* live = submissions_.Find(end.task.submission);
+  task_progress* progress = submissions_.Find(end.task);
+  if (live == nullptr || progress == nullptr || live->outcome)
+    return EraseIfOver(end.task.submission);
+  const step_request& step = *submissions_.StepOf(end.task);
+  if (end.how == run_end::kDone && !step.lasting) {
+    submissions_.MarkDone(end.task);
+    if (step.gang)
+      ReleaseGang(end.task);
+    return FinishIfDone(end.task.submission, now);
+  }
+  if (end.how == run_end::kFailed && end.run > progress->counted_run)
+    CountFailure(worker, end, *progress, now);
+  if (live->outcome)
+    return EraseIfOver(end.task.submission);
+  if (active && progress->phase == task_phase::kAssigned) {
+    progress->phase = task_phase::kWaiting;
+    if (!end.checkpoint.empty())
+      progress->checkpoint = end.checkpoint;
+    submissions_.Touch(end.task);
+  }
+}
+
+void run_book::CountFailure(worker_entry& worker,
+                            const listed_end& end,
+                            task_progress& progress,
+                            base::time_point now) {
+  ++progress.failures;
+  progress.counted_run = end.run;
+  progress.failed_on = worker.description.id;
+  submissions_.Touch(end.task);
+  live_submission& live = *submissions_.Find(end.task.submission);
+  const bool lasting = submissions_.StepOf(end.task)->lasting;
+  if (!lasting && progress.failures >= live.request.policy.attempt_limit)
+    Finish(live, submission_outcome::kFailed, now);
+}
+
+void run_book::NoteHealth(worker_entry& worker,
+                          const listed_end& end,
+                          base::time_point now) {
+  health_state& health = worker.health;
+  if (end.how == run_end::kDone) {
+    health = {};
+    return;
+  }
+  if (end.how != run_end::kFailed ||
+      health.last_failed_submission == end.task.submission)
+    return;
+  health.last_failed_submission = end.task.submission;
+  if (++health.failures_in_a_row < settings_.failures_to_avoid)
+    return;
+  health.avoid_until = now + settings_.avoid_for;
+  Emit({.kind = scheduler_event_kind::kWorkerAvoided,
+        .worker = worker.description.id,
+        .outcome = "failures",
+        .input = health.failures_in_a_row});
+}
+
+void run_book::FinishIfDone(const std::string& submission,
+                            base::time_point now) {
+  live_submission& live = *submissions_.Find(submission);
+  if (submission_table::IsDone(live))
+    Finish(live, submission_outcome::kCompleted, now);
+}
+
+void run_book::ReleaseGang(const task_ref& task) {
+  const step_request& step = *submissions_.StepOf(task);
+  task_ref member = task;
+  for (member.index = 0; member.index < step.task_count; ++member.index) {
+    const task_progress& progress = *submissions_.Find(member);
+    if (worker_entry* worker = workers_.Find(progress.worker))
+      RemoveRun(*worker, member);
+  }
+}
+
+void run_book::Finish(live_submission& live,
+                      submission_outcome outcome,
+                      base::time_point now) {
+  if (live.outcome)
+    return;
+  live.outcome = outcome;
+  const std::string id = live.request.id;
+  // A cancellation is recorded by whoever accepted it.
+  if (outcome != submission_outcome::kCancelled)
+    outcomes_.push_back({id, outcome});
+  Emit({.kind = scheduler_event_kind::kSubmissionEnded,
+        .task = {id},
+        .outcome = SubmissionOutcomeName(outcome)});
+  if (live.active_runs > 0)
+    for (auto& [worker_id, worker] : workers_.All())
+      for (auto& [task, run] : worker.runs)
+        if (task.submission == id && run.phase != run_phase::kDeciding)
+          Stop(worker, task, run, now);
+}
+
+void run_book::Stop(worker_entry& worker,
+                    const task_ref& task,
+                    active_run& run,
+                    base::time_point now) {
+  run.phase = run_phase::kStopping;
+  run.since = now;
+  run.stop_sent = now;
+  stops_.push_back({task, run.run, worker.description.id});
+}
+
+void run_book::EraseIfOver(const std::string& submission) {
+  const live_submission* live = submissions_.Find(submission);
+  if (live == nullptr || !live->outcome || live->active_runs > 0)
+    return;
+  const bool pending =
+      std::ranges::any_of(outcomes_, [&](const outcome_change& change) {
+        return change.submission == submission;
+      });
+  if (!pending)
+    submissions_.Erase(submission);
+}
+
+void run_book::RemoveRun(worker_entry& worker, const task_ref& task) {
+  if (!worker.runs.contains(task))
+    return;
+  worker_table::RemoveRun(worker, task);
+  if (live_submission* live = submissions_.Find(task.submission))
+    --live->active_runs;
+}
+
+void run_book::Touch(const live_submission& live, const task_ref& task) {
+  if (!live.outcome)
+    submissions_.Touch(task);
+}
+
+void run_book::Emit(const scheduler_event& event) const {
+  if (on_event_)
+    on_event_(event);
+}
+
+}  // namespace chivecrank::submissions::internal
--- /dev/null
+++ b/src/submissions/internal/scheduler_event.cc
@@ -0,0 +1,20 @@
+#include "chivecrank/submissions/scheduler_event.h"
+
+#include <array>
+
+namespace chivecrank::submissions {
+namespace {
+
+constexpr std::array<std::string_view, 10> kNames = {
+    "task_assigned",    "run_ended",      "run_lost",
+    "start_refused",    "stray_stopped",  "submission_ended",
+    "worker_restarted", "worker_avoided", "worker_lease_over",
+    "fills_throttled"};
+
+}  // namespace
+
+std::string_view SchedulerEventKindName(scheduler_event_kind value) {
+  return kNames.at(static_cast<std::size_t>(value));
+}
+
+}  // namespace chivecrank::submissions
