--- /dev/null
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -0,0 +1,345 @@
+#include "chivecrank/submissions/shard_scheduler.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "chivecrank/scheduling/resources.h"
+#include "internal/planner.h"
+#include "internal/report_processor.h"
+#include "internal/run_book.h"
+
+namespace chivecrank::submissions {
+
+using internal::active_run;
+using internal::live_submission;
+using internal::run_phase;
+using internal::worker_entry;
+using internal::worker_table;
+
+class shard_scheduler::implementation {
+ public:
+  implementation(const scheduler_settings& given, scheduler_event_hook hook)
+      : settings(given),
+        on_event(std::move(hook)),
+        book(settings, on_event),
+        reports(settings, book),
+        plans(settings, book) {}
+
+  /// Lets other workers go first for a moment.
+  void Avoid(worker_entry& worker,
+             std::chrono::milliseconds term,
+             base::time_point now) {
+    worker.health.avoid_until = std::max(worker.health.avoid_until, now + term);
+  }
+
+  void LoseAll(worker_entry& worker) {
+    std::vector<task_ref> lost;
+    for (const auto& [task, run] : worker.runs)
+      if (run.phase != run_phase::kDeciding)
+        lost.push_back(task);
+    for (const task_ref& task : lost)
+      book.Lose(worker, task, "lease_over");
+  }
+
+  void ExpireLeases(base::time_point now) {
+    for (auto& [id, worker] : book.Workers().All()) {
+      if (worker.runs.empty() || now < worker.lease_over)
+        continue;
+      book.Emit({.kind = scheduler_event_kind::kWorkerLeaseOver,
+                 .worker = id,
+                 .input = static_cast<std::int64_t>(worker.runs.size())});
+      worker.reported = false;
+      LoseAll(worker);
+    }
+  }
+
+  void Release(std::uint64_t batch) {
+    for (auto& [id, worker] : book.Workers().All()) {
+      auto& pending = worker.pending_acks;
+      while (!pending.empty() && pending.front().batch <= batch) {
+        worker.committed_end = pending.front().number;
+        pending.pop_front();
+      }
+    }
+  }
+
+  /// Whether a committed decision to start still holds; otherwise it is
+  /// taken back.
+  bool Confirm(const start_command& command, base::time_point now) {
+    worker_entry* worker = book.Workers().Find(command.worker);
+    if (worker == nullptr)
+      return false;
+    const auto found = worker->runs.find(command.task);
+    if (found == worker->runs.end() || found->second.run != command.run ||
+        found->second.phase != run_phase::kDeciding)
+      return false;
+    const live_submission* live =
+        book.Submissions().Find(command.task.submission);
+    const bool holds = live != nullptr && !live->outcome && worker->listed &&
+                       !worker->description.draining;
+    if (!holds) {
+      book.Revert(*worker, command.task);
+      return false;
+    }
+    found->second.phase = run_phase::kStarting;
+    found->second.since = now;
+    return true;
+  }
+
+  void CollectThrottles(command_set& commands) {
+    for (auto& [id, worker] : book.Workers().All()) {
+      for (auto& [task, run] : worker.runs) {
+        if (!run.fills || run.phase != run_phase::kRunning ||
+            run.throttle_percent == worker.latency.fill_percent)
+          continue;
+        run.throttle_percent = worker.latency.fill_percent;
+        commands.throttles.push_back({task, run.run, id, run.throttle_percent});
+      }
+    }
+  }
+
+  active_run* FindRun(const std::string& worker_id,
+                      const task_ref& task,
+                      std::int32_t run) {
+    worker_entry* worker = book.Workers().Find(worker_id);
+    if (worker == nullptr)
+      return nullptr;
+    const auto found = worker->runs.find(task);
+    if (found == worker->runs.end() || found->second.run != run)
+      return nullptr;
+    return &found->second;
+  }
+
+  const scheduler_settings settings;
+  const scheduler_event_hook on_event;
+  internal::run_book book;
+  internal::report_processor reports;
+  internal::planner plans;
+  std::uint64_t last_batch = 0;
+  std::vector<start_command> in_commit;
+  std::vector<outcome_change> outcomes_in_commit;
+  std::vector<start_command> committed;
+  bool fenced = false;
+};
+
+shard_scheduler::shard_scheduler(scheduler_settings settings,
+                                 scheduler_event_hook on_event)
+    : implementation_(
+          std::make_unique<implementation>(settings, std::move(on_event))) {}
+
+shard_scheduler::~shard_scheduler() = default;
+
+void shard_scheduler::Accept(const submission& accepted) {
+  implementation_->book.Submissions().Add(accepted);
+}
+
+void shard_scheduler::Restore(const journal_entry& entry) {
+  auto& submissions = implementation_->book.Submissions();
+  for (const task_change& change : entry.tasks) {
+    task_progress* progress = submissions.Find(change.task);
+    if (progress == nullptr)
+      continue;
+    if (change.progress.phase == task_phase::kDone)
+      submissions.MarkDone(change.task);
+    *progress = change.progress;
+  }
+}
+
+void shard_scheduler::FinishRestore(base::time_point now,
+                                    base::time_point leases_over) {
+  auto& book = implementation_->book;
+  book.Submissions().TakeTouched();
+  for (const task_change& change : book.Submissions().Everything())
+    if (change.progress.phase == task_phase::kAssigned)
+      book.Readopt(change.task, now);
+  for (auto& [id, worker] : book.Workers().All())
+    worker.lease_over = leases_over;
+  for (auto& [id, live] : book.Submissions().All())
+    if (internal::submission_table::IsDone(*live))
+      book.Finish(*live, submission_outcome::kCompleted, now);
+}
+
+void shard_scheduler::Cancel(const std::string& submission,
+                             base::time_point now) {
+  live_submission* live = implementation_->book.Submissions().Find(submission);
+  if (live == nullptr)
+    return;
+  implementation_->book.Finish(*live, submission_outcome::kCancelled, now);
+  implementation_->book.EraseIfOver(submission);
+}
+
+void shard_scheduler::SetPolicy(const std::string& queue,
+                                const queue_policy& policy) {
+  implementation_->plans.SetPolicy(queue, policy);
+}
+
+void shard_scheduler::SetWorkers(
+    const std::vector<worker_description>& workers) {
+  auto& table = implementation_->book.Workers();
+  for (auto& [id, worker] : table.All())
+    worker.listed = false;
+  for (const worker_description& description : workers) {
+    worker_entry& worker = table.FindOrAdd(description.id);
+    worker.description = description;
+    worker.listed = true;
+  }
+  std::erase_if(table.All(), [](const auto& entry) {
+    return !entry.second.listed && entry.second.runs.empty();
+  });
+}
+
+void shard_scheduler::OnLeaseSent(const std::string& worker_id,
+                                  base::time_point now) {
+  worker_entry& worker = implementation_->book.Workers().FindOrAdd(worker_id);
+  worker.lease_over =
+      std::max(worker.lease_over, now + implementation_->settings.worker_lease +
+                                      implementation_->settings.lease_margin);
+}
+
+void shard_scheduler::OnReport(const std::string& worker_id,
+                               const worker_report& report,
+                               base::time_point requested_at,
+                               base::time_point now) {
+  worker_entry* worker = implementation_->book.Workers().Find(worker_id);
+  if (worker == nullptr)
+    return;
+  implementation_->reports.Process(*worker, report, requested_at, now,
+                                   implementation_->last_batch + 1);
+}
+
+void shard_scheduler::OnStartAnswer(const start_command& command,
+                                    start_answer answer,
+                                    base::time_point now) {
+  implementation& state = *implementation_;
+  if (answer == start_answer::kFenced)
+    state.fenced = true;
+  active_run* run = state.FindRun(command.worker, command.task, command.run);
+  if (run == nullptr || run->phase != run_phase::kStarting)
+    return;
+  worker_entry& worker = *state.book.Workers().Find(command.worker);
+  if (answer == start_answer::kStarted) {
+    run->phase = run_phase::kRunning;
+    run->since = now;
+    return;
+  }
+  state.book.Emit({.kind = scheduler_event_kind::kStartRefused,
+                   .task = command.task,
+                   .worker = command.worker,
+                   .run = command.run,
+                   .outcome = StartAnswerName(answer)});
+  if (answer == start_answer::kUnknown) {
+    run->phase = run_phase::kUncertain;
+    run->since = now;
+    return;
+  }
+  state.Avoid(worker, state.settings.refused_pause, now);
+  state.book.Revert(worker, command.task);
+}
+
+void shard_scheduler::OnStopAnswer(const stop_command& command,
+                                   bool done,
+                                   base::time_point now) {
+  active_run* run =
+      implementation_->FindRun(command.worker, command.task, command.run);
+  if (run == nullptr || !done)
+    return;
+  run->barred = true;
+  run->since = now;
+}
+
+void shard_scheduler::OnThrottleAnswer(const throttle_command& command,
+                                       bool done) {
+  active_run* run =
+      implementation_->FindRun(command.worker, command.task, command.run);
+  if (run != nullptr && !done)
+    run->throttle_percent = active_run::kThrottleUnknown;
+}
+
+void shard_scheduler::Plan(base::time_point now,
+                           std::chrono::milliseconds since_epoch) {
+  implementation_->ExpireLeases(now);
+  implementation_->plans.Plan(now, since_epoch);
+}
+
+std::optional<progress_batch> shard_scheduler::TakeBatch() {
+  implementation& state = *implementation_;
+  if (!state.book.HasChanges()) {
+    // Nothing to commit: what was seen may be acknowledged at once.
+    state.Release(state.last_batch + 1);
+    return std::nullopt;
+  }
+  progress_batch batch;
+  batch.number = ++state.last_batch;
+  batch.tasks = state.book.Submissions().TakeTouched();
+  batch.outcomes = state.book.TakeOutcomes();
+  state.in_commit = state.book.TakeDecided();
+  state.outcomes_in_commit = batch.outcomes;
+  return batch;
+}
+
+void shard_scheduler::OnCommitted(std::uint64_t batch) {
+  implementation& state = *implementation_;
+  state.Release(batch);
+  for (start_command& command : state.in_commit)
+    state.committed.push_back(std::move(command));
+  state.in_commit.clear();
+  for (const outcome_change& change : state.outcomes_in_commit)
+    state.book.EraseIfOver(change.submission);
+  state.outcomes_in_commit.clear();
+}
+
+command_set shard_scheduler::TakeCommands(base::time_point now) {
+  implementation& state = *implementation_;
+  command_set commands;
+  for (start_command& command : std::exchange(state.committed, {}))
+    if (state.Confirm(command, now))
+      commands.starts.push_back(std::move(command));
+  commands.stops = state.book.TakeStops();
+  state.CollectThrottles(commands);
+  return commands;
+}
+
+std::int64_t shard_scheduler::AcknowledgedEnd(
+    const std::string& worker_id) const {
+  const auto& workers = implementation_->book.Workers().All();
+  const auto found = workers.find(worker_id);
+  return found == workers.end() ? 0 : found->second.committed_end;
+}
+
+bool shard_scheduler::HasRuns(const std::string& worker_id) const {
+  const auto& workers = implementation_->book.Workers().All();
+  const auto found = workers.find(worker_id);
+  return found != workers.end() && !found->second.runs.empty();
+}
+
+bool shard_scheduler::IsFenced() const {
+  return implementation_->fenced;
+}
+
+journal_entry shard_scheduler::Snapshot() const {
+  return {true, implementation_->book.Submissions().Everything()};
+}
+
+std::vector<std::string> shard_scheduler::NotStarted() const {
+  std::vector<std::string> waiting;
+  for (const auto& [id, live] : implementation_->book.Submissions().All())
+    if (!live->started && !live->outcome && live->request.repeats.times == 0)
+      waiting.push_back(id);
+  return waiting;
+}
+
+shard_load shard_scheduler::Load() const {
+  shard_load load;
+  for (const auto& [id, worker] : implementation_->book.Workers().All()) {
+    if (!worker.listed || worker.description.draining)
+      continue;
+    ++load.workers;
+    load.capacity =
+        scheduling::Plus(load.capacity, worker.description.capacity);
+    load.reserved = scheduling::Plus(load.reserved, worker.reserved);
+  }
+  return load;
+}
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/src/submissions/internal/submission_table.cc
@@ -0,0 +1,171 @@
+#include "internal/submission_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivecrank::submissions::internal {
+namespace {
+
+std::chrono::milliseconds ObjectiveOf(const submission& request) {
+  const auto chain = LongestChain(request.steps);
+  const auto stretched = std::chrono::duration_cast<std::chrono::milliseconds>(
+      chain * request.policy.stretch);
+  return request.accepted_since_epoch + stretched +
+         request.policy.target_run_time;
+}
+
+live_occurrence MakeOccurrence(const submission& request, std::int32_t number) {
+  live_occurrence made;
+  if (request.repeats.times > 0)
+    made.due_since_epoch = request.repeats.first_due_since_epoch +
+                           request.repeats.interval * number;
+  for (const step_request& step : request.steps) {
+    live_step tasks;
+    tasks.tasks.resize(static_cast<std::size_t>(std::max(step.task_count, 0)));
+    made.steps.push_back(std::move(tasks));
+  }
+  return made;
+}
+
+}  // namespace
+
+std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps) {
+  std::vector<std::chrono::milliseconds> ends(steps.size());
+  std::chrono::milliseconds longest{0};
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    std::chrono::milliseconds begin{0};
+    for (const std::int32_t earlier : steps[i].after)
+      if (earlier >= 0 && static_cast<std::size_t>(earlier) < i)
+        begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+    ends[i] = begin + steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+live_submission& submission_table::Add(const submission& accepted) {
+  auto& slot = submissions_[accepted.id];
+  if (slot)
+    return *slot;
+  slot = std::make_unique<live_submission>();
+  slot->request = accepted;
+  slot->objective_since_epoch = ObjectiveOf(accepted);
+  const std::int32_t occurrences = std::max(accepted.repeats.times, 1);
+  for (std::int32_t number = 0; number < occurrences; ++number)
+    slot->occurrences.push_back(MakeOccurrence(accepted, number));
+  return *slot;
+}
+
+live_submission* submission_table::Find(const std::string& id) {
+  const auto found = submissions_.find(id);
+  return found == submissions_.end() ? nullptr : found->second.get();
+}
+
+task_progress* submission_table::Find(const task_ref& task) {
+  live_submission* live = Find(task.submission);
+  if (live == nullptr || StepOf(task) == nullptr)
+    return nullptr;
+  auto& tasks = live->occurrences[static_cast<std::size_t>(task.occurrence)]
+                    .steps[static_cast<std::size_t>(task.step)]
+                    .tasks;
+  return &tasks[static_cast<std::size_t>(task.index)];
+}
+
+const step_request* submission_table::StepOf(const task_ref& task) const {
+  const auto found = submissions_.find(task.submission);
+  if (found == submissions_.end())
+    return nullptr;
+  const live_submission& live = *found->second;
+  const bool exists =
+      task.occurrence >= 0 &&
+      static_cast<std::size_t>(task.occurrence) < live.occurrences.size() &&
+      task.step >= 0 &&
+      static_cast<std::size_t>(task.step) < live.request.steps.size() &&
+      task.index >= 0 &&
+      task.index <
+          live.request.steps[static_cast<std::size_t>(task.step)].task_count;
+  if (!exists)
+    return nullptr;
+  return &live.request.steps[static_cast<std::size_t>(task.step)];
+}
+
+void submission_table::Erase(const std::string& id) {
+  submissions_.erase(id);
+}
+
+bool submission_table::IsReady(const live_submission& live,
+                               std::size_t occurrence,
+                               std::size_t step) {
+  const auto& steps = live.occurrences[occurrence].steps;
+  return std::ranges::all_of(
+      live.request.steps[step].after, [&](std::int32_t earlier) {
+        return earlier < 0 ||
+               static_cast<std::size_t>(earlier) >= steps.size() ||
+               steps[static_cast<std::size_t>(earlier)].Done();
+      });
+}
+
+void submission_table::MarkDone(const task_ref& task) {
+  const step_request* step = StepOf(task);
+  if (step == nullptr)
+    return;
+  if (!step->gang)
+    return MarkOneDone(task);
+  // One member's end stands for the whole gang.
+  task_ref member = task;
+  for (member.index = 0; member.index < step->task_count; ++member.index)
+    MarkOneDone(member);
+}
+
+void submission_table::MarkOneDone(const task_ref& task) {
+  task_progress* progress = Find(task);
+  if (progress->phase == task_phase::kDone)
+    return;
+  progress->phase = task_phase::kDone;
+  progress->checkpoint.clear();
+  ++submissions_[task.submission]
+        ->occurrences[static_cast<std::size_t>(task.occurrence)]
+        .steps[static_cast<std::size_t>(task.step)]
+        .done;
+  Touch(task);
+}
+
+std::vector<task_change> submission_table::TakeTouched() {
+  std::vector<task_change> changes;
+  changes.reserve(touched_.size());
+  for (const task_ref& task : touched_)
+    if (const task_progress* progress = Find(task))
+      changes.push_back({task, *progress});
+  touched_.clear();
+  std::ranges::sort(changes, {}, &task_change::task);
+  return changes;
+}
+
+std::vector<task_change> submission_table::Everything() const {
+  std::vector<task_change> changes;
+  for (const auto& [id, live] : submissions_) {
+    task_ref task{id};
+    for (const live_occurrence& occurrence : live->occurrences) {
+      task.step = 0;
+      for (const live_step& step : occurrence.steps) {
+        task.index = 0;
+        for (const task_progress& progress : step.tasks) {
+          if (progress != task_progress{})
+            changes.push_back({task, progress});
+          ++task.index;
+        }
+        ++task.step;
+      }
+      ++task.occurrence;
+    }
+  }
+  return changes;
+}
+
+bool submission_table::IsDone(const live_submission& live) {
+  return std::ranges::all_of(live.occurrences, [](const auto& occurrence) {
+    return std::ranges::all_of(occurrence.steps, &live_step::Done);
+  });
+}
+
+}  // namespace chivecrank::submissions::internal
--- /dev/null
+++ b/src/submissions/internal/submission_table.h
@@ -0,0 +1,89 @@
+#ifndef CHIVECRANK_SUBMISSIONS_INTERNAL_SUBMISSION_TABLE_H_
+#define CHIVECRANK_SUBMISSIONS_INTERNAL_SUBMISSION_TABLE_H_
+
+#include <absl/container/flat_hash_set.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chivecrank/submissions/progress.h"
+#include "chivecrank/submissions/types.h"
+
+namespace chivecrank::submissions::internal {
+
+/// The tasks of one step in one occurrence.
+struct live_step {
+  std::vector<task_progress> tasks;
+  std::int32_t done = 0;
+
+  bool Done() const { return done == static_cast<std::int32_t>(tasks.size()); }
+};
+
+struct live_occurrence {
+  /// Time of day from which its tasks may start.
+  std::chrono::milliseconds due_since_epoch{0};
+  std::vector<live_step> steps;
+};
+
+/// A submission with tasks that have not ended.
+struct live_submission {
+  submission request;
+  std::vector<live_occurrence> occurrences;
+  std::optional<submission_outcome> outcome;
+  /// Whether any of its tasks was ever assigned.
+  bool started = false;
+  /// Runs whose end isn't known.
+  std::int32_t active_runs = 0;
+  /// Time of day by which it should be done.
+  std::chrono::milliseconds objective_since_epoch{0};
+};
+
+/// The live submissions of a shard and the progress of their tasks.
+class submission_table {
+ public:
+  using map = std::map<std::string, std::unique_ptr<live_submission>>;
+
+  /// Adds a submission; one that is there already stays as it is.
+  live_submission& Add(const submission& accepted);
+  live_submission* Find(const std::string& id);
+  /// Null when the submission is unknown or has no such task.
+  task_progress* Find(const task_ref& task);
+  const step_request* StepOf(const task_ref& task) const;
+  void Erase(const std::string& id);
+  const map& All() const { return submissions_; }
+  map& All() { return submissions_; }
+
+  /// Whether all steps before this one are done in its occurrence.
+  static bool IsReady(const live_submission& live,
+                      std::size_t occurrence,
+                      std::size_t step);
+
+  /// Marks the task as done, and with it the whole step when it is a gang.
+  void MarkDone(const task_ref& task);
+  /// The task's progress must be written.
+  void Touch(const task_ref& task) { touched_.insert(task); }
+  bool HasTouched() const { return !touched_.empty(); }
+  /// The progress of the touched tasks, which then count as written.
+  std::vector<task_change> TakeTouched();
+  /// The progress of all tasks that have any.
+  std::vector<task_change> Everything() const;
+
+  /// Whether every step of every occurrence is done.
+  static bool IsDone(const live_submission& live);
+
+ private:
+  void MarkOneDone(const task_ref& task);
+
+  map submissions_;
+  absl::flat_hash_set<task_ref> touched_;
+};
+
+/// The longest chain of estimates through the steps.
+std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps);
+
+}  // namespace chivecrank::submissions::internal
+
+#endif  // CHIVECRANK_SUBMISSIONS_INTERNAL_SUBMISSION_TABLE_H_
--- /dev/null
+++ b/src/submissions/internal/types.cc
@@ -0,0 +1,38 @@
+#include "chivecrank/submissions/types.h"
+
+#include <array>
+
+namespace chivecrank::submissions {
+namespace {
+
+constexpr std::array<std::string_view, 3> kOutcomeNames = {
+    "completed", "failed", "cancelled"};
+
+constexpr std::array<std::string_view, 6> kRunEndNames = {
+    "done", "failed", "stopped", "lapsed", "gang_broken", "gang_incomplete"};
+
+constexpr std::array<std::string_view, 10> kStartAnswerNames = {
+    "started",  "fenced",    "superseded", "lease_ended", "no_room",
+    "rejected", "unhealthy", "other_life", "not_sent",    "unknown"};
+
+template <class Enum, std::size_t kCount>
+std::string_view NameIn(const std::array<std::string_view, kCount>& names,
+                        Enum value) {
+  return names.at(static_cast<std::size_t>(value));
+}
+
+}  // namespace
+
+std::string_view SubmissionOutcomeName(submission_outcome value) {
+  return NameIn(kOutcomeNames, value);
+}
+
+std::string_view RunEndName(run_end value) {
+  return NameIn(kRunEndNames, value);
+}
+
+std::string_view StartAnswerName(start_answer value) {
+  return NameIn(kStartAnswerNames, value);
+}
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/src/submissions/internal/worker_table.cc
@@ -0,0 +1,48 @@
+#include "internal/worker_table.h"
+
+#include "chivecrank/scheduling/resources.h"
+
+namespace chivecrank::submissions::internal {
+namespace {
+
+constexpr std::int64_t kWholePercent = 100;
+
+}  // namespace
+
+worker_entry* worker_table::Find(const std::string& id) {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+void worker_table::AddRun(worker_entry& worker,
+                          const task_ref& task,
+                          const active_run& run) {
+  worker.reserved = scheduling::Plus(worker.reserved, run.reserved);
+  worker.runs[task] = run;
+}
+
+void worker_table::RemoveRun(worker_entry& worker, const task_ref& task) {
+  const auto found = worker.runs.find(task);
+  if (found == worker.runs.end())
+    return;
+  worker.reserved = scheduling::Minus(worker.reserved, found->second.reserved);
+  worker.runs.erase(found);
+}
+
+std::int64_t worker_table::IdleProcessors(const worker_entry& worker,
+                                          double service_load) {
+  std::int64_t idle = worker.description.capacity.processors_milli;
+  for (const auto& [task, run] : worker.runs) {
+    if (run.lasting)
+      idle -= static_cast<std::int64_t>(
+          static_cast<double>(run.processors_milli) * service_load);
+    else
+      idle -=
+          run.processors_milli *
+          (run.throttle_percent < 0 ? kWholePercent : run.throttle_percent) /
+          kWholePercent;
+  }
+  return idle;
+}
+
+}  // namespace chivecrank::submissions::internal
--- /dev/null
+++ b/src/submissions/internal/worker_table.h
@@ -0,0 +1,135 @@
+#ifndef CHIVECRANK_SUBMISSIONS_INTERNAL_WORKER_TABLE_H_
+#define CHIVECRANK_SUBMISSIONS_INTERNAL_WORKER_TABLE_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "chivecrank/base/clock.h"
+#include "chivecrank/submissions/types.h"
+
+namespace chivecrank::submissions::internal {
+
+/// Where a run stands between its decision and its end.
+enum class run_phase {
+  /// The decision is not committed yet; nothing was sent.
+  kDeciding,
+  /// The order to start was sent and not answered.
+  kStarting,
+  /// The order may or may not be carried out: its answer was lost.
+  kUncertain,
+  kRunning,
+  /// An order to stop it was decided.
+  kStopping,
+};
+
+/// A run that takes capacity of a worker.
+struct active_run {
+  /// An order to change the speed was not confirmed.
+  static constexpr std::int32_t kThrottleUnknown = -1;
+
+  std::int32_t run = 0;
+  run_phase phase = run_phase::kDeciding;
+  /// What the run reserves; no processors when it only fills.
+  coordination::resources reserved;
+  /// Processors that it can use, in thousandths.
+  std::int64_t processors_milli = 0;
+  bool fills = false;
+  bool lasting = false;
+  std::chrono::milliseconds latency_target{0};
+  /// When the phase began.
+  base::time_point since;
+  /// The order to start came from this owner, not from one before it.
+  bool own = false;
+  /// The worker confirmed an order to stop the run, so that it can't start
+  /// there any more.
+  bool barred = false;
+  /// When an order to stop was last sent; unset for never.
+  base::time_point stop_sent;
+  std::string checkpoint;
+  std::int32_t percent = 0;
+  base::time_point progressed_at;
+  std::int64_t reading = 0;
+  /// Share of its speed that the worker was told to run it at.
+  std::int32_t throttle_percent = 100;
+};
+
+/// How far the latency of the worker's services is from its bound.
+struct latency_state {
+  /// Share of their speed that filling tasks may run at.
+  std::int32_t fill_percent = 100;
+  base::time_point changed_at;
+  /// Since when every service is well within its bound.
+  base::time_point calm_since;
+  /// The newest largest ratio of a tail latency to its bound.
+  double worst_ratio = 0;
+};
+
+/// What the ends of runs tell about a worker.
+struct health_state {
+  /// Failed ends since the last done one, each of another submission.
+  std::int32_t failures_in_a_row = 0;
+  std::string last_failed_submission;
+  /// Until then the worker takes nothing if others can.
+  base::time_point avoid_until;
+};
+
+/// An end that was seen and must be committed before it is acknowledged.
+struct pending_ack {
+  std::int64_t number = 0;
+  std::uint64_t batch = 0;
+};
+
+struct worker_entry {
+  worker_description description;
+  /// Discovery lists the worker.
+  bool listed = false;
+  /// It has answered to this owner.
+  bool reported = false;
+  base::time_point reported_at;
+  /// The life that the last report came from.
+  std::int64_t reported_born_ms = 0;
+  absl::flat_hash_map<task_ref, active_run> runs;
+  coordination::resources reserved;
+  /// No run of the worker can be alive after this unless the lease is renewed.
+  base::time_point lease_over;
+  /// The newest end that was processed, and the newest that may be
+  /// acknowledged.
+  std::int64_t seen_end = 0;
+  std::int64_t committed_end = 0;
+  std::deque<pending_ack> pending_acks;
+  latency_state latency;
+  health_state health;
+};
+
+/// The workers of a shard and what runs on them.
+class worker_table {
+ public:
+  using map = std::map<std::string, worker_entry>;
+
+  worker_entry* Find(const std::string& id);
+  worker_entry& FindOrAdd(const std::string& id) { return workers_[id]; }
+  map& All() { return workers_; }
+  const map& All() const { return workers_; }
+  void Erase(const std::string& id) { workers_.erase(id); }
+
+  static void AddRun(worker_entry& worker,
+                     const task_ref& task,
+                     const active_run& run);
+  static void RemoveRun(worker_entry& worker, const task_ref& task);
+
+  /// Processors that filling tasks could still get, in thousandths, when a
+  /// service uses `service_load` of what it reserves.
+  static std::int64_t IdleProcessors(const worker_entry& worker,
+                                     double service_load);
+
+ private:
+  map workers_;
+};
+
+}  // namespace chivecrank::submissions::internal
+
+#endif  // CHIVECRANK_SUBMISSIONS_INTERNAL_WORKER_TABLE_H_
--- a/src/workers/include/chivecrank/workers/types.h
+++ b/src/workers/include/chivecrank/workers/types.h
@@ -9,7 +9,7 @@
 #include <tuple>
 #include <vector>
 
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/protocol/types.h"
 
 /// Task commands to the agents of workers.
@@ -30,7 +30,7 @@
 struct start_command {
   attempt_id attempt;
   std::string template_name;
-  platform::resources demand;
+  coordination::resources demand;
   std::chrono::milliseconds run_time{0};
   /// Run time that the checkpoint of an earlier attempt holds; 0 to start
   /// anew.
--- a/tests/bench/control/measured_daemon.cc
+++ b/tests/bench/control/measured_daemon.cc
@@ -9,8 +9,8 @@
 namespace chivecrank::bench {
 namespace {
 
-constexpr platform::resources kCapacity{26'000, 104'000, 0};
-constexpr platform::resources kDemand{1000, 4000, 0};
+constexpr coordination::resources kCapacity{26'000, 104'000, 0};
+constexpr coordination::resources kDemand{1000, 4000, 0};
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 constexpr std::chrono::hours kTenure{1000};
 /// Rounds in which the first tasks are spread over the workers.
@@ -49,7 +49,7 @@
   led_shard led;
   const std::string name = "viti-suva.r" + std::to_string(number);
   for (int i = 0; i < workers; ++i) {
-    platform::instance worker;
+    coordination::instance worker;
     worker.id = "w-" + std::to_string(number * load_.workers_per_rack + i);
     worker.failure_domain = "viti-suva";
     worker.rack = "r" + std::to_string(number);
--- a/tests/bench/control/measured_daemon.h
+++ b/tests/bench/control/measured_daemon.h
@@ -49,7 +49,7 @@
  private:
   struct led_shard {
     std::unique_ptr<shards::shard_runner> runner;
-    std::vector<platform::instance> workers;
+    std::vector<coordination::instance> workers;
   };
 
   void AddShard(int number, int workers);
--- a/tests/bench/placement/fake_worker.cc
+++ b/tests/bench/placement/fake_worker.cc
@@ -24,8 +24,8 @@
 }
 
 scheduling::usage_sample UsageOf(const fake_attempt& attempt) {
-  const platform::resources& wanted = attempt.truth->size;
-  const platform::resources& granted = attempt.granted;
+  const coordination::resources& wanted = attempt.truth->size;
+  const coordination::resources& granted = attempt.granted;
   return {attempt.request.template_name,
           {std::min(granted.processors_milli, wanted.processors_milli),
            std::min(granted.memory_mib, wanted.memory_mib), 0},
--- a/tests/bench/placement/fake_worker.h
+++ b/tests/bench/placement/fake_worker.h
@@ -14,7 +14,7 @@
 struct fake_attempt {
   scheduling::task_request request;
   std::int32_t attempt = 0;
-  platform::resources granted;
+  coordination::resources granted;
   /// True needs; a service has none.
   const batch_truth* truth = nullptr;
   /// Run time done and run time saved, at full speed.
--- a/tests/bench/placement/scenario.cc
+++ b/tests/bench/placement/scenario.cc
@@ -14,8 +14,8 @@
 /// The fleet that the numbers below are meant for.
 constexpr int kUsualRacksPerDomain = 2;
 constexpr int kWorkersPerRack = 6;
-constexpr platform::resources kWorkerSize{16'000, 61'440, 0};
-constexpr platform::resources kAcceleratorWorkerSize{16'000, 61'440, 4};
+constexpr coordination::resources kWorkerSize{16'000, 61'440, 0};
+constexpr coordination::resources kAcceleratorWorkerSize{16'000, 61'440, 4};
 
 constexpr double kUsualLoad = 0.55;
 constexpr int kNightlyTasks = 2800;
--- a/tests/bench/placement/scenario.h
+++ b/tests/bench/placement/scenario.h
@@ -18,7 +18,7 @@
 struct service_truth {
   std::string name;
   int replicas = 0;
-  platform::resources size;
+  coordination::resources size;
   /// Inflation that full exposure to a batch template adds, at full load.
   std::map<std::string, double> slopes;
 };
@@ -26,7 +26,7 @@
 /// What a batch template is in truth.
 struct batch_truth {
   std::string name;
-  platform::resources size;
+  coordination::resources size;
   std::chrono::seconds run_time{0};
   /// Declared relative to the true size and run time.
   double declared_ratio = 1;
--- a/tests/bench/placement/simulation.cc
+++ b/tests/bench/placement/simulation.cc
@@ -28,7 +28,7 @@
   return values[(values.size() - 1) * 99 / 100];
 }
 
-platform::resources Scaled(const platform::resources& size, double by) {
+coordination::resources Scaled(const coordination::resources& size, double by) {
   const auto scaled = [by](std::int64_t value) {
     return static_cast<std::int64_t>(static_cast<double>(value) * by);
   };
@@ -329,12 +329,12 @@
 void simulation::CheckLimits() {
   std::map<std::string, int> copies;
   for (const auto& [id, known] : links_) {
-    platform::resources granted;
+    coordination::resources granted;
     for (const auto& [task_id, attempt] : known.worker.running()) {
       granted = scheduling::Plus(granted, attempt.granted);
       ++copies[task_id];
     }
-    const platform::resources& capacity = known.worker.view().capacity;
+    const coordination::resources& capacity = known.worker.view().capacity;
     if (!scheduling::IsWithin(granted, capacity) ||
         !scheduling::IsWithin(state_.CommittedOn(id), capacity)) {
       ++outcome_.overcommitted;
--- a/tests/bench/routing/fleet.cc
+++ b/tests/bench/routing/fleet.cc
@@ -50,12 +50,12 @@
   }
 }
 
-std::vector<platform::instance> fleet::List() const {
-  std::vector<platform::instance> listed;
+std::vector<coordination::instance> fleet::List() const {
+  std::vector<coordination::instance> listed;
   for (int i = 0; i < kWorkers; ++i) {
     if (!workers_[static_cast<std::size_t>(i)].alive)
       continue;
-    platform::instance worker;
+    coordination::instance worker;
     worker.id = std::to_string(i);
     worker.slots = kSlots;
     worker.failure_domain = std::to_string(DomainOf(i));
--- a/tests/bench/routing/fleet.h
+++ b/tests/bench/routing/fleet.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <vector>
 
-#include "chivecrank/platform/types.h"
+#include "chivecrank/coordination/types.h"
 #include "event_queue.h"
 #include "workload.h"
 
@@ -25,7 +25,7 @@
   void LoseDomain(int domain);
 
   /// The list as the platform shows it: the dead are left out.
-  std::vector<platform::instance> List() const;
+  std::vector<coordination::instance> List() const;
 
   static int DomainOf(int worker) { return worker % kFailureDomains; }
   std::int64_t overcommitted() const { return overcommitted_; }
--- a/tests/bench/routing/spraying_policy.cc
+++ b/tests/bench/routing/spraying_policy.cc
@@ -80,7 +80,7 @@
 
 void spraying_policy::Update() {
   listed_.clear();
-  for (const platform::instance& worker : context_.workers.List())
+  for (const coordination::instance& worker : context_.workers.List())
     listed_.push_back(std::stoi(worker.id));
 }
 
--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -6,8 +6,8 @@
 #include <iostream>
 #include <thread>
 
+#include "chivecrank/coordination/store_codec.h"
 #include "chivecrank/http/client.h"
-#include "chivecrank/platform/store_codec.h"
 #include "harness/balancer.h"
 
 namespace chivecrank::harness {
@@ -23,7 +23,7 @@
 constexpr int kProxyControl = 250;
 constexpr std::int64_t kSlots = 8;
 constexpr std::int64_t kConnections = 64;
-constexpr platform::resources kWorkerCapacity{16'000, 60'000, 0};
+constexpr coordination::resources kWorkerCapacity{16'000, 60'000, 0};
 
 std::filesystem::path MakeFolder() {
   std::string name =
@@ -126,9 +126,9 @@
   for (int index = 0; index < options_.workers; ++index) {
     const int rack = index / options_.workers_per_rack;
     const std::string host = network_.Host(kWorkerGroup, index + 1);
-    platform::instance worker;
+    coordination::instance worker;
     worker.id = "w-" + std::to_string(index + 1);
-    worker.kind = platform::instance_kind::kWorker;
+    worker.kind = coordination::instance_kind::kWorker;
     worker.failure_domain =
         options_.failure_domains[static_cast<std::size_t>(rack) %
                                  options_.failure_domains.size()];
@@ -222,7 +222,7 @@
 
 void deployment::StartWorker(int index) {
   worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
-  const platform::instance& listed = worker.listed;
+  const coordination::instance& listed = worker.listed;
   worker.shown = true;
   worker.process = Launch(
       "standin_worker",
@@ -246,8 +246,8 @@
 
 void deployment::SetLeaving(int index, bool leaving) {
   workers_.at(static_cast<std::size_t>(index)).listed.state =
-      leaving ? platform::instance_state::kLeaving
-              : platform::instance_state::kLive;
+      leaving ? coordination::instance_state::kLeaving
+              : coordination::instance_state::kLive;
   PublishInstances();
 }
 
@@ -289,17 +289,17 @@
   for (const system_instance& instance : instances_) {
     if (!instance.listed)
       continue;
-    platform::instance entry;
+    coordination::instance entry;
     entry.id = instance.at.id;
-    entry.kind = platform::instance_kind::kSystem;
+    entry.kind = coordination::instance_kind::kSystem;
     entry.failure_domain = instance.at.failure_domain;
     entry.scheduler = instance.at.scheduler;
     entry.entry = instance.at.entry_peer;
-    listed->add(platform::EncodeInstance(entry));
+    listed->add(coordination::EncodeInstance(entry));
   }
   for (const worker_instance& worker : workers_) {
     if (worker.shown)
-      listed->add(platform::EncodeInstance(worker.listed));
+      listed->add(coordination::EncodeInstance(worker.listed));
   }
   http::json_object body = new Poco::JSON::Object;
   body->set("instances", listed);
@@ -340,7 +340,7 @@
   return instances_.at(static_cast<std::size_t>(index)).at;
 }
 
-const platform::instance& deployment::WorkerAt(int index) const {
+const coordination::instance& deployment::WorkerAt(int index) const {
   return workers_.at(static_cast<std::size_t>(index)).listed;
 }
 
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/coordination/types.h"
 #include "chivecrank/http/json.h"
-#include "chivecrank/platform/types.h"
 #include "harness/child_process.h"
 #include "harness/network.h"
 #include "harness/settings_files.h"
@@ -75,7 +75,7 @@
   /// Addresses of all instances, for a balancer.
   std::vector<instance_addresses> Instances() const;
   const instance_addresses& InstanceAt(int index) const;
-  const platform::instance& WorkerAt(int index) const;
+  const coordination::instance& WorkerAt(int index) const;
   /// Process identifiers of an instance, for signals.
   std::vector<child_process*> ProcessesOf(int index);
   child_process* WorkerProcess(int index);
@@ -106,7 +106,7 @@
     std::unique_ptr<child_process> admin;
   };
   struct worker_instance {
-    platform::instance listed;
+    coordination::instance listed;
     /// Where its service listens, with or without a proxy before it.
     settings::endpoint service;
     bool shown = true;
--- a/tests/model_checker/model.cc
+++ b/tests/model_checker/model.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 /// One task fills a worker.
-constexpr platform::resources kCapacity{1000, 1000, 0};
+constexpr coordination::resources kCapacity{1000, 1000, 0};
 constexpr std::size_t kBatch = 100;
 constexpr milliseconds kSavedByStop{1};
 
--- a/tests/standin_platform/platform_service.cc
+++ b/tests/standin_platform/platform_service.cc
@@ -1,6 +1,6 @@
 #include "platform_service.h"
 
-#include "chivecrank/platform/store_codec.h"
+#include "chivecrank/coordination/store_codec.h"
 
 namespace chivecrank::standin {
 namespace {
@@ -15,12 +15,12 @@
   return new Poco::JSON::Object;
 }
 
-platform::call_class AnyClass() {
-  return platform::call_class::kJournal;
+coordination::call_class AnyClass() {
+  return coordination::call_class::kJournal;
 }
 
-platform::lease_id LeaseOf(const json_object& body) {
-  return static_cast<platform::lease_id>(http::IntegerOf(body, "lease"));
+coordination::lease_id LeaseOf(const json_object& body) {
+  return static_cast<coordination::lease_id>(http::IntegerOf(body, "lease"));
 }
 
 }  // namespace
@@ -116,16 +116,16 @@
     std::lock_guard lock(mutex_);
     const auto older = previous_.find(key);
     if (older != previous_.end())
-      return platform::EncodeEntry(older->second);
+      return coordination::EncodeEntry(older->second);
   }
   if (found)
-    return platform::EncodeEntry(*found);
+    return coordination::EncodeEntry(*found);
   return base::error{base::error_kind::kNotFound, "no key " + key,
                      "create it first"};
 }
 
 platform_service::answer platform_service::Put(const json_object& body) {
-  const platform::put_request write = platform::DecodePut(body);
+  const coordination::put_request write = coordination::DecodePut(body);
   BOOST_OUTCOME_TRY(before, store_.Get(AnyClass(), write.key));
   BOOST_OUTCOME_TRY(version, store_.Put(AnyClass(), write));
   if (before) {
@@ -139,7 +139,7 @@
 
 platform_service::answer platform_service::Delete(const json_object& body) {
   const auto expected =
-      static_cast<platform::version>(http::IntegerOf(body, "expected"));
+      static_cast<coordination::version>(http::IntegerOf(body, "expected"));
   BOOST_OUTCOME_TRY(
       store_.Delete(AnyClass(), http::StringOf(body, "key"), expected));
   return NewObject();
@@ -148,18 +148,19 @@
 platform_service::answer platform_service::List(const json_object& body) {
   BOOST_OUTCOME_TRY(listing,
                     store_.List(AnyClass(), http::StringOf(body, "prefix")));
-  return platform::EncodeListing(listing);
+  return coordination::EncodeListing(listing);
 }
 
 platform_service::answer platform_service::Watch(const json_object& body) {
-  const platform::watch_request request = platform::DecodeWatchRequest(body);
+  const coordination::watch_request request =
+      coordination::DecodeWatchRequest(body);
   const base::time_point deadline = clock_.Now() + request.wait;
   while (true) {
     BOOST_OUTCOME_TRY(seen, store_.Watch(request));
     const bool finished = !seen.changes.empty() || seen.gap ||
                           clock_.Now() >= deadline || Faults().down;
     if (finished)
-      return platform::EncodeWatchAnswer(seen);
+      return coordination::EncodeWatchAnswer(seen);
     clock_.SleepUntil(clock_.Now() + kWatchPoll);
   }
 }
--- a/tests/standin_platform/platform_service.h
+++ b/tests/standin_platform/platform_service.h
@@ -11,8 +11,8 @@
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/base/result.h"
+#include "chivecrank/coordination/memory_store.h"
 #include "chivecrank/http/json.h"
-#include "chivecrank/platform/memory_store.h"
 #include "fault_settings.h"
 
 namespace chivecrank::standin {
@@ -53,14 +53,14 @@
                 std::chrono::milliseconds late_by);
 
   base::clock& clock_;
-  platform::memory_store store_;
+  coordination::memory_store store_;
   std::mutex mutex_;
   fault_settings faults_;
   std::mt19937_64 random_;
   http::json_object instances_;
   std::map<std::string, std::int64_t> calls_;
   /// What each key held before its last write.
-  std::map<std::string, platform::store_entry> previous_;
+  std::map<std::string, coordination::store_entry> previous_;
   std::vector<std::thread> late_writes_;
 };
 
--- a/tests/standin_worker/task_agent.cc
+++ b/tests/standin_worker/task_agent.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 task_agent::task_agent(base::clock& clock,
-                       platform::resources capacity,
+                       coordination::resources capacity,
                        std::string incarnation)
     : clock_(clock), capacity_(capacity), fence_(std::move(incarnation)) {}
 
@@ -113,7 +113,7 @@
 }
 
 void task_agent::NoteUse() {
-  platform::resources use;
+  coordination::resources use;
   for (const auto& [id, task] : tasks_) {
     if (task.state != workers::attempt_state::kRunning)
       continue;
--- a/tests/standin_worker/task_agent.h
+++ b/tests/standin_worker/task_agent.h
@@ -21,7 +21,7 @@
  public:
   /// `incarnation` identifies this process run.
   task_agent(base::clock& clock,
-             platform::resources capacity,
+             coordination::resources capacity,
              std::string incarnation);
 
   /// Safe to call from several threads.
@@ -67,7 +67,7 @@
            base::time_point at);
 
   base::clock& clock_;
-  const platform::resources capacity_;
+  const coordination::resources capacity_;
   std::mutex mutex_;
   std::condition_variable thawed_;
   bool frozen_ = false;
@@ -76,7 +76,7 @@
   std::uint64_t position_ = 1;
   std::map<std::string, running_task> tasks_;
   std::vector<run_record> records_;
-  platform::resources highest_use_;
+  coordination::resources highest_use_;
 };
 
 }  // namespace chivecrank::standin
