--- /dev/null
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -0,0 +1,40 @@
+#include "instance_settings.h"
+
+namespace chivecrank::apps {
+namespace {
+
+constexpr double kLeastCpuShare = 0.001;
+constexpr double kMostCpuShare = 1024;
+constexpr double kMilli = 1000;
+constexpr settings::integer_range kWorkerLeaseMs = {1000, 600'000};
+constexpr settings::integer_range kWorkersPerShard = {1, 100'000};
+constexpr settings::integer_range kMemoryMb = {16, 1 << 20};
+
+}  // namespace
+
+instance_settings ReadInstanceSettings(settings::section& root) {
+  instance_settings read;
+  read.callers = root.Endpoint("callers");
+  read.readiness = root.Endpoint("readiness");
+  read.store = root.Endpoint("store");
+  const std::string node = root.String("node");
+  root.String("failure_domain");
+  read.runtime.workers_per_shard = root.IntegerOr(
+      "workers_per_shard", kWorkersPerShard, read.runtime.workers_per_shard);
+  settings::section machine = root.Table("machine");
+  const double share =
+      machine.Number("cpu_share", {kLeastCpuShare, kMostCpuShare});
+  machine.Integer("memory_mb", kMemoryMb);
+  settings::section scheduling = root.Table("scheduling");
+  const std::chrono::milliseconds lease(
+      scheduling.Integer("worker_lease_ms", kWorkerLeaseMs));
+  read.runtime.owning.node = node;
+  read.runtime.owning.processors_milli =
+      static_cast<std::int64_t>(share * kMilli);
+  read.runtime.driving.node = node;
+  read.runtime.driving.owner_term = read.runtime.owning.term;
+  read.runtime.driving.scheduling.worker_lease = lease;
+  return read;
+}
+
+}  // namespace chivecrank::apps
--- /dev/null
+++ b/apps/chivecrank_instance/instance_settings.h
@@ -0,0 +1,23 @@
+#ifndef CHIVECRANK_APPS_INSTANCE_SETTINGS_H_
+#define CHIVECRANK_APPS_INSTANCE_SETTINGS_H_
+
+#include <string>
+
+#include "chivecrank/runtime/instance_runtime.h"
+#include "chivecrank/settings/section.h"
+
+namespace chivecrank::apps {
+
+/// The settings file of chivecrank_instance.
+struct instance_settings {
+  settings::endpoint callers;
+  settings::endpoint readiness;
+  settings::endpoint store;
+  runtime::runtime_settings runtime;
+};
+
+instance_settings ReadInstanceSettings(settings::section& root);
+
+}  // namespace chivecrank::apps
+
+#endif  // CHIVECRANK_APPS_INSTANCE_SETTINGS_H_
--- a/cmake/chivecrank_module.cmake
+++ b/cmake/chivecrank_module.cmake
@@ -56,7 +56,11 @@
 endfunction()
 
 function(chivecrank_warnings target)
-  target_compile_options(${target} PRIVATE -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers -Werror)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers)
+  # The optimizer of the release build warns of paths that don't exist.
+  if(NOT CMAKE_BUILD_TYPE STREQUAL "Release")
+    target_compile_options(${target} PRIVATE -Werror)
+  endif()
 endfunction()
 
 # chivecrank_add_folders(): adds every subfolder that has a CMakeLists.txt.
--- a/src/process/include/chivecrank/process/program.h
+++ b/src/process/include/chivecrank/process/program.h
@@ -27,9 +27,11 @@
 
 /// Runs a daemon: reads the file of --settings through `read`, prints every
 /// problem and returns kBadSettings if there are any, ends with kOk after
-/// --check_settings, and otherwise returns what `run` returns.
+/// --check_settings, and otherwise returns what `run` returns. Without
+/// --settings the file at `fallback_path` is read.
 int RunDaemon(const std::function<void(settings::section&)>& read,
-              const std::function<exit_code()>& run);
+              const std::function<exit_code()>& run,
+              const std::string& fallback_path = {});
 
 }  // namespace chivecrank::process
 
--- a/src/process/internal/program.cc
+++ b/src/process/internal/program.cc
@@ -49,9 +49,11 @@
 }
 
 int RunDaemon(const std::function<void(settings::section&)>& read,
-              const std::function<exit_code()>& run) {
+              const std::function<exit_code()>& run,
+              const std::string& fallback_path) {
+  const std::string given = absl::GetFlag(FLAGS_settings);
   settings::document file =
-      settings::document::FromFile(absl::GetFlag(FLAGS_settings));
+      settings::document::FromFile(given.empty() ? fallback_path : given);
   settings::section root = file.Root();
   read(root);
   if (PrintProblems(file.Finish()))
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/feed.h
@@ -0,0 +1,70 @@
+#ifndef CHIVECRANK_RUNTIME_FEED_H_
+#define CHIVECRANK_RUNTIME_FEED_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/event_loop.h"
+
+namespace chivecrank::runtime {
+
+/// What a feed tells its reader.
+struct feed_hooks {
+  /// All items under the prefix as of now.
+  std::function<void(const std::vector<metadata::item>&)> on_listed;
+  std::function<void(const metadata::change&)> on_change;
+  /// Everything up to this revision has been handed on.
+  std::function<void(metadata::revision)> on_revision;
+};
+
+struct feed_settings {
+  std::string prefix;
+  /// How long the store may hold a watch; also how soon a dead connection is
+  /// noticed.
+  std::chrono::milliseconds wait{1500};
+  /// Shortest time between two watches, so that changes come together.
+  std::chrono::milliseconds spacing{40};
+  /// Time before the next attempt after an error.
+  std::chrono::milliseconds retry{250};
+};
+
+/// Follows a prefix of the store: lists it, then watches it, and lists it anew
+/// when the store has dropped the history in between.
+class feed {
+ public:
+  feed(reactor::event_loop& loop,
+       metadata::store& store,
+       feed_settings settings,
+       feed_hooks hooks);
+  ~feed();
+
+  void Start();
+  /// The last call succeeded, and the prefix was listed.
+  bool IsCurrent() const { return listed_ && !failing_; }
+
+ private:
+  void ListFrom(const std::string& after);
+  void OnPage(base::result<metadata::page> page);
+  void Watch();
+  void OnChanges(base::result<metadata::change_list> list);
+  void Later(std::chrono::milliseconds delay, std::function<void()> step);
+
+  reactor::event_loop& loop_;
+  metadata::store& store_;
+  const feed_settings settings_;
+  const feed_hooks hooks_;
+  std::vector<metadata::item> listing_;
+  metadata::revision listing_began_ = 0;
+  metadata::revision revision_ = 0;
+  bool listed_ = false;
+  bool failing_ = false;
+  /// Guards callbacks that outlive this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_FEED_H_
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -0,0 +1,116 @@
+#ifndef CHIVECRANK_RUNTIME_REPLICA_H_
+#define CHIVECRANK_RUNTIME_REPLICA_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "chivecrank/runtime/keys.h"
+#include "chivecrank/metadata/types.h"
+#include "chivecrank/submissions/types.h"
+
+namespace chivecrank::runtime {
+
+/// A submission as every instance knows it.
+struct known_submission {
+  std::string queue;
+  std::uint32_t shard = 0;
+  /// The stored record; dropped once the submission has ended.
+  std::string record;
+  bool accepted = false;
+  bool cancelled = false;
+  std::optional<submissions::submission_outcome> outcome;
+  metadata::revision accepted_at = 0;
+
+  bool Ended() const { return cancelled || outcome.has_value(); }
+};
+
+struct known_member {
+  /// Share of a core that the instance has, in thousandths.
+  std::int64_t processors_milli = 0;
+};
+
+struct known_owner {
+  std::string node;
+  /// When it became the owner; the fence of its orders.
+  metadata::revision since = 0;
+};
+
+/// How busy a shard is, as its owner last wrote.
+struct shard_status {
+  std::int64_t capacity_milli = 0;
+  std::int64_t reserved_milli = 0;
+  /// Submissions none of whose tasks has started.
+  std::set<std::string> not_started;
+  metadata::revision written_at = 0;
+};
+
+std::string EncodeShardStatus(const shard_status& status);
+std::optional<shard_status> DecodeShardStatus(std::string_view text);
+
+/// The stored form of an accepted submission: its shard and queue, which every
+/// instance needs, before the record, which only the owner reads.
+std::string EncodeAccepted(const submissions::submission& accepted);
+
+/// This instance's copy of the shared keys.
+class replica {
+ public:
+  struct hooks {
+    std::function<void(const std::string& id)> on_accepted;
+    std::function<void(const std::string& id)> on_ended;
+    std::function<void(std::uint32_t shard)> on_owner;
+  };
+
+  void SetHooks(hooks handlers) { hooks_ = std::move(handlers); }
+
+  /// Takes in one change; one that is older than what is known is ignored.
+  void Apply(const metadata::change& change);
+  /// Takes in all items as of now: what is missing was deleted.
+  void Reset(const std::vector<metadata::item>& items);
+  /// Everything up to this revision is taken in.
+  void SetRevision(metadata::revision revision) { revision_ = revision; }
+  metadata::revision Revision() const { return revision_; }
+
+  const known_submission* Find(const std::string& id) const;
+  const std::unordered_map<std::string, known_submission>& Submissions() const {
+    return submissions_;
+  }
+  const std::map<std::string, known_member>& Members() const {
+    return members_;
+  }
+  const std::map<std::uint32_t, known_owner>& Owners() const {
+    return owners_;
+  }
+  const std::map<std::uint32_t, shard_status>& Statuses() const {
+    return statuses_;
+  }
+  /// 0 before it was decided.
+  std::uint32_t ShardCount() const { return shard_count_; }
+  /// Submissions of a queue that have not started, as far as is known.
+  std::int64_t Waiting(const std::string& queue) const;
+  bool HasStarted(const std::string& id, const known_submission& known) const;
+
+ private:
+  void ApplyPut(const shared_key& key, const metadata::item& item);
+  void ApplyDelete(const shared_key& key);
+  void TakeSubmission(const std::string& id, const metadata::item& item);
+  void End(const std::string& id, known_submission& known);
+
+  hooks hooks_;
+  metadata::revision revision_ = 0;
+  std::map<std::string, metadata::revision> key_revisions_;
+  std::unordered_map<std::string, known_submission> submissions_;
+  std::map<std::string, known_member> members_;
+  std::map<std::uint32_t, known_owner> owners_;
+  std::map<std::uint32_t, shard_status> statuses_;
+  std::uint32_t shard_count_ = 0;
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_REPLICA_H_
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -0,0 +1,152 @@
+#ifndef CHIVECRANK_RUNTIME_SHARD_DRIVER_H_
+#define CHIVECRANK_RUNTIME_SHARD_DRIVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/runtime/replica.h"
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/submissions/queue_table.h"
+#include "chivecrank/submissions/shard_scheduler.h"
+#include "chivecrank/submissions/worker_orders.h"
+
+namespace chivecrank::runtime {
+
+struct driver_settings {
+  std::string node;
+  submissions::scheduler_settings scheduling;
+  /// Term of the previous owner's lease, which may go on for so long after
+  /// its key is gone.
+  std::chrono::milliseconds owner_term{2000};
+  /// Time between changes and the decisions that they lead to, so that
+  /// several are decided together.
+  std::chrono::milliseconds decide_after{8};
+  /// Time between two decisions when nothing happens.
+  std::chrono::milliseconds idle_decision{200};
+  /// How long a worker with runs may hold its lists, and time before the next
+  /// look.
+  std::chrono::milliseconds look_wait{600};
+  std::chrono::milliseconds look_spacing{80};
+  /// Time between two looks at a worker without runs.
+  std::chrono::milliseconds idle_look{1200};
+  /// Time before a failed look is repeated.
+  std::chrono::milliseconds look_retry{250};
+  /// Shortest time between two writes of the shard's status.
+  std::chrono::milliseconds status_interval{700};
+  std::chrono::milliseconds commit_retry{150};
+};
+
+/// Runs one shard that this instance owns: restores its state, looks at its
+/// workers, commits what the scheduler decides and sends the orders.
+class shard_driver {
+ public:
+  struct hooks {
+    /// Whether the ownership holds now; asked before every order.
+    std::function<bool()> is_valid;
+    /// The store or a worker knows a newer owner.
+    std::function<void(std::string_view reason)> on_fenced;
+  };
+
+  shard_driver(reactor::event_loop& loop,
+               base::clock& clock,
+               metadata::store& store,
+               submissions::worker_orders& orders,
+               const replica& shared,
+               event_log::event_log& log,
+               std::uint32_t shard,
+               metadata::revision fence,
+               driver_settings settings,
+               hooks handlers);
+  ~shard_driver();
+
+  /// Begins as soon as the replica is as new as the ownership.
+  void Start();
+  void OnAccepted(const std::string& id);
+  void OnEnded(const std::string& id);
+  void SetQueues(const submissions::queue_table& queues);
+  /// The workers of this shard.
+  void SetWorkers(std::vector<submissions::worker_description> workers);
+  bool IsRestored() const { return restored_; }
+
+ private:
+  struct look_state {
+    bool in_flight = false;
+    reactor::timer_id timer = 0;
+  };
+
+  void WaitForReplica();
+  void ReadJournal(const std::string& after);
+  void OnJournalPage(base::result<metadata::page> page);
+  void Restore();
+  void Accept(const std::string& id, const known_submission& known);
+
+  void Wake();
+  void Decide();
+  void SendCommands();
+  void SendStart(const submissions::start_command& command);
+  void SendStop(const submissions::stop_command& command);
+  void SendThrottle(const submissions::throttle_command& command);
+
+  void CommitNext();
+  void Commit(metadata::transaction changes);
+  void OnCommit(const metadata::transaction& changes,
+                base::result<metadata::commit_answer> answer);
+  void OnCommitted();
+  metadata::transaction NextTransaction();
+  bool SnapshotDue() const;
+  /// The oldest entry of the journal that must stay.
+  std::uint64_t KeptFrom() const;
+  std::optional<metadata::write> StatusWrite();
+  shard_status CurrentStatus() const;
+
+  void LookLater(const std::string& worker, std::chrono::milliseconds delay);
+  void Look(const std::string& worker);
+  void OnLook(const std::string& worker,
+              base::time_point requested_at,
+              base::result<submissions::worker_report> report);
+
+  void Later(std::chrono::milliseconds delay, std::function<void()> step);
+  void LogEvent(const submissions::scheduler_event& event);
+  submissions::order_terms Terms() const;
+  const submissions::worker_description* WorkerOf(const std::string& id) const;
+
+  reactor::event_loop& loop_;
+  base::clock& clock_;
+  metadata::store& store_;
+  submissions::worker_orders& orders_;
+  const replica& shared_;
+  event_log::event_log& log_;
+  const std::uint32_t shard_;
+  const metadata::revision fence_;
+  const driver_settings settings_;
+  const hooks hooks_;
+  const base::time_point began_;
+  submissions::shard_scheduler scheduler_;
+  std::map<std::string, submissions::worker_description> workers_;
+  std::map<std::string, look_state> looks_;
+  std::vector<metadata::item> journal_;
+  bool restored_ = false;
+  bool decision_due_ = false;
+  /// The batch that is being committed, and what of it is still to be written.
+  std::optional<submissions::progress_batch> batch_;
+  std::size_t outcomes_written_ = 0;
+  bool tasks_written_ = false;
+  std::uint64_t next_entry_ = 1;
+  std::uint64_t oldest_entry_ = 1;
+  std::uint64_t snapshot_entry_ = 0;
+  bool commit_in_flight_ = false;
+  std::string written_status_;
+  base::time_point status_at_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_SHARD_DRIVER_H_
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -0,0 +1,109 @@
+#ifndef CHIVECRANK_RUNTIME_SUBMISSION_INTAKE_H_
+#define CHIVECRANK_RUNTIME_SUBMISSION_INTAKE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/runtime/replica.h"
+#include "chivecrank/runtime/submission_service.h"
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/event_loop.h"
+
+namespace chivecrank::runtime {
+
+struct intake_settings {
+  /// Writes to the store that may be on their way at once.
+  std::size_t writes_in_flight = 2;
+  /// Time before a write whose outcome is unknown is sent again.
+  std::chrono::milliseconds retry{120};
+  /// When a rejected caller may come again.
+  std::chrono::milliseconds retry_after{1000};
+  /// How long a failed write makes others be rejected at once.
+  std::chrono::milliseconds store_pause{300};
+};
+
+/// Numbers of answers since the start.
+struct intake_counts {
+  std::uint64_t accepted = 0;
+  std::uint64_t rejected = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t cancelled = 0;
+};
+
+/// Takes submissions and cancellations in: each is stored before it is
+/// acknowledged, several in one write. A write is conditional, so that one that
+/// is sent or carried out twice counts once.
+class submission_intake final : public submission_service {
+ public:
+  submission_intake(reactor::event_loop& loop,
+                    base::clock& clock,
+                    metadata::store& store,
+                    const replica& shared,
+                    event_log::event_log& log,
+                    intake_settings settings);
+  ~submission_intake() override;
+
+  void Submit(submissions::submission offered,
+              base::time_point give_up_at,
+              std::function<void(submit_answer)> done) override;
+  void State(const std::string& id,
+             std::function<void(submission_state)> done) override;
+  void Cancel(const std::string& id,
+              base::time_point give_up_at,
+              std::function<void(cancel_verdict)> done) override;
+  std::int64_t Waiting(const std::string& queue) const override;
+
+  const intake_counts& Counts() const { return counts_; }
+
+ private:
+  /// One key that is to be created, for a submission or a cancellation.
+  struct pending_write {
+    metadata::write write;
+    std::string submission;
+    base::time_point give_up_at;
+    /// A write that carried it may have been done, or may still be.
+    bool in_doubt = false;
+    /// Gets whether the key is stored: yes, no, or not known.
+    std::function<void(submit_verdict)> done;
+    bool answered = false;
+  };
+  using pending = std::shared_ptr<pending_write>;
+  using group = std::vector<pending>;
+
+  void Enqueue(pending added);
+  void SendNext();
+  void Send(group sent);
+  void OnCommit(const group& sent, base::result<metadata::commit_answer> answer);
+  void OnFailure(const group& sent, const base::error& failure);
+  void OnConflict(const group& sent, const metadata::commit_answer& answer);
+  void Answer(pending_write& written, submit_verdict verdict);
+  void GiveUp(pending_write& written);
+  std::uint32_t ChooseShard() const;
+  bool StoreIsAway() const;
+  submission_state KnownState(const std::string& id,
+                              const known_submission& known) const;
+  void LookUp(const std::string& id,
+              std::function<void(submission_state)> done);
+
+  reactor::event_loop& loop_;
+  base::clock& clock_;
+  metadata::store& store_;
+  const replica& shared_;
+  event_log::event_log& log_;
+  const intake_settings settings_;
+  std::deque<pending> waiting_;
+  std::size_t in_flight_ = 0;
+  base::time_point store_away_until_;
+  mutable std::uint64_t next_shard_ = 0;
+  intake_counts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_SUBMISSION_INTAKE_H_
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/worker_directory.h
@@ -0,0 +1,76 @@
+#ifndef CHIVECRANK_RUNTIME_WORKER_DIRECTORY_H_
+#define CHIVECRANK_RUNTIME_WORKER_DIRECTORY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chivecrank/base/result.h"
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/submissions/types.h"
+
+namespace chivecrank::runtime {
+
+/// Where workers describe themselves, and how to read such an entry.
+struct worker_source {
+  std::string prefix;
+  std::function<base::result<submissions::worker_description>(
+      std::string_view id,
+      std::string_view entry)>
+      decode;
+};
+
+struct directory_settings {
+  /// Time between two listings.
+  std::chrono::milliseconds interval{700};
+  /// How long workers that are missing stay listed after the store was away:
+  /// those that live are back by then.
+  std::chrono::milliseconds return_time{2500};
+};
+
+/// The workers that describe themselves in the store.
+class worker_directory {
+ public:
+  using worker_map = std::map<std::string, submissions::worker_description>;
+
+  worker_directory(reactor::event_loop& loop,
+                   metadata::store& store,
+                   event_log::event_log& log,
+                   worker_source source,
+                   directory_settings settings);
+  ~worker_directory();
+
+  /// Lists from now on while `wanted` holds; `on_listed` is called after each
+  /// listing.
+  void Start(std::function<bool()> wanted, std::function<void()> on_listed);
+  const worker_map& Workers() const { return workers_; }
+  bool IsListed() const { return listed_; }
+
+ private:
+  void Poll();
+  void ListFrom(const std::string& after);
+  void OnPage(base::result<metadata::page> page);
+  void Publish();
+  void Later(std::chrono::milliseconds delay);
+
+  reactor::event_loop& loop_;
+  metadata::store& store_;
+  event_log::event_log& log_;
+  const worker_source source_;
+  const directory_settings settings_;
+  std::function<bool()> wanted_;
+  std::function<void()> on_listed_;
+  worker_map workers_;
+  std::vector<metadata::item> listing_;
+  base::time_point last_trouble_;
+  bool listed_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_WORKER_DIRECTORY_H_
--- /dev/null
+++ b/src/runtime/internal/feed.cc
@@ -0,0 +1,85 @@
+#include "chivecrank/runtime/feed.h"
+
+#include <utility>
+
+namespace chivecrank::runtime {
+
+feed::feed(reactor::event_loop& loop,
+           metadata::store& store,
+           feed_settings settings,
+           feed_hooks hooks)
+    : loop_(loop),
+      store_(store),
+      settings_(std::move(settings)),
+      hooks_(std::move(hooks)) {}
+
+feed::~feed() {
+  *alive_ = false;
+}
+
+void feed::Start() {
+  listing_.clear();
+  listing_began_ = 0;
+  ListFrom({});
+}
+
+void feed::ListFrom(const std::string& after) {
+  store_.List(settings_.prefix, after, false,
+              [this, alive = alive_](base::result<metadata::page> page) {
+                if (*alive)
+                  OnPage(std::move(page));
+              });
+}
+
+void feed::OnPage(base::result<metadata::page> page) {
+  if (!page) {
+    failing_ = true;
+    return Later(settings_.retry, [this] { Start(); });
+  }
+  failing_ = false;
+  metadata::page& read = page.value();
+  // Pages are not a snapshot: what changed since the first one is watched.
+  if (listing_began_ == 0)
+    listing_began_ = read.current;
+  for (metadata::item& item : read.items)
+    listing_.push_back(std::move(item));
+  if (read.truncated && !listing_.empty())
+    return ListFrom(listing_.back().key);
+  hooks_.on_listed(std::exchange(listing_, {}));
+  revision_ = listing_began_;
+  listed_ = true;
+  hooks_.on_revision(revision_);
+  Watch();
+}
+
+void feed::Watch() {
+  store_.Watch(settings_.prefix, revision_, settings_.wait,
+               [this, alive = alive_](base::result<metadata::change_list> list) {
+                 if (*alive)
+                   OnChanges(std::move(list));
+               });
+}
+
+void feed::OnChanges(base::result<metadata::change_list> list) {
+  if (!list) {
+    failing_ = true;
+    return Later(settings_.retry, [this] { Watch(); });
+  }
+  failing_ = false;
+  if (list.value().history_gone)
+    return Start();
+  for (const metadata::change& change : list.value().changes)
+    hooks_.on_change(change);
+  revision_ = std::max(revision_, list.value().current);
+  hooks_.on_revision(revision_);
+  Later(settings_.spacing, [this] { Watch(); });
+}
+
+void feed::Later(std::chrono::milliseconds delay, std::function<void()> step) {
+  loop_.After(delay, [alive = alive_, step = std::move(step)] {
+    if (*alive)
+      step();
+  });
+}
+
+}  // namespace chivecrank::runtime
--- /dev/null
+++ b/src/runtime/internal/instance_runtime.cc
@@ -0,0 +1,200 @@
+#include "chivecrank/runtime/instance_runtime.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivecrank::runtime {
+namespace {
+
+/// The configuration changes rarely; a dead connection must be noticed soon.
+constexpr std::chrono::milliseconds kConfigurationWait{1000};
+
+}  // namespace
+
+instance_runtime::instance_runtime(reactor::event_loop& loop,
+                                   base::clock& clock,
+                                   metadata::store& store,
+                                   submissions::worker_orders& orders,
+                                   event_log::event_log& log,
+                                   runtime_settings settings,
+                                   worker_source workers,
+                                   configuration_source configuration)
+    : loop_(loop),
+      clock_(clock),
+      store_(store),
+      orders_(orders),
+      log_(log),
+      settings_(std::move(settings)),
+      configuration_(std::move(configuration)),
+      shared_feed_(loop,
+                   store,
+                   {.prefix = std::string(kSharedPrefix)},
+                   SharedHooks()),
+      configuration_feed_(
+          loop,
+          store,
+          {.prefix = configuration_.prefix, .wait = kConfigurationWait},
+          ConfigurationHooks()),
+      directory_(loop, store, log, std::move(workers), settings_.directory),
+      ownership_(loop, store, shared_, log, settings_.owning, OwnershipHooks()),
+      intake_(loop, clock, store, shared_, log, settings_.intake) {
+  shared_.SetHooks(ReplicaHooks());
+}
+
+instance_runtime::~instance_runtime() = default;
+
+void instance_runtime::Start() {
+  shared_feed_.Start();
+  configuration_feed_.Start();
+  ownership_.Start();
+  directory_.Start(
+      [this] { return !drivers_.empty() || shared_.ShardCount() == 0; },
+      [this] { OnWorkersListed(); });
+}
+
+void instance_runtime::Stop(std::function<void()> done) {
+  stopping_ = true;
+  ownership_.Release(std::move(done));
+}
+
+bool instance_runtime::IsReady() const {
+  return !stopping_ && queues_ && shared_feed_.IsCurrent() &&
+         shared_.ShardCount() > 0 && ownership_.StoreAnswers();
+}
+
+replica::hooks instance_runtime::ReplicaHooks() {
+  return {.on_accepted =
+              [this](const std::string& id) {
+                for (const auto& [shard, driver] : drivers_)
+                  driver->OnAccepted(id);
+              },
+          .on_ended =
+              [this](const std::string& id) {
+                for (const auto& [shard, driver] : drivers_)
+                  driver->OnEnded(id);
+              },
+          .on_owner =
+              [this](std::uint32_t shard) { ownership_.OnOwnerChanged(shard); }};
+}
+
+ownership::hooks instance_runtime::OwnershipHooks() {
+  return {.on_won =
+              [this](std::uint32_t shard, metadata::revision fence) {
+                OnWon(shard, fence);
+              },
+          .on_lost = [this](std::uint32_t shard) { OnLost(shard); },
+          .may_take =
+              [this] {
+                return !stopping_ && queues_ && shared_feed_.IsCurrent();
+              }};
+}
+
+feed_hooks instance_runtime::SharedHooks() {
+  return {.on_listed =
+              [this](const std::vector<metadata::item>& items) {
+                shared_.Reset(items);
+                log_.Write("shared_keys_listed", {{"items", items.size()}});
+              },
+          .on_change =
+              [this](const metadata::change& change) { shared_.Apply(change); },
+          .on_revision =
+              [this](metadata::revision revision) {
+                shared_.SetRevision(revision);
+              }};
+}
+
+feed_hooks instance_runtime::ConfigurationHooks() {
+  return {.on_listed =
+              [this](const std::vector<metadata::item>& items) {
+                for (const metadata::item& item : items)
+                  TakeConfiguration(item);
+              },
+          .on_change =
+              [this](const metadata::change& change) {
+                if (!change.deleted)
+                  TakeConfiguration(change.now);
+              },
+          .on_revision = [](metadata::revision) {}};
+}
+
+void instance_runtime::TakeConfiguration(const metadata::item& item) {
+  if (item.key != configuration_.key)
+    return;
+  auto table = configuration_.decode(item.value);
+  if (!table) {
+    log_.Write("configuration_rejected", {{"error", table.error().message},
+                                          {"revision", item.changed_at}});
+    return;
+  }
+  // Never back to an older one.
+  if (queues_ && table.value().version <= queues_->version)
+    return;
+  queues_ = std::make_shared<const submissions::queue_table>(
+      std::move(table.value()));
+  log_.Write("configuration_in_force", {{"version", queues_->version},
+                                        {"queues", queues_->routes.size()},
+                                        {"revision", item.changed_at}});
+  for (const auto& [shard, driver] : drivers_)
+    driver->SetQueues(*queues_);
+}
+
+void instance_runtime::OnWorkersListed() {
+  DecideShardCount();
+  for (const auto& [shard, driver] : drivers_)
+    GiveWorkers(shard, *driver);
+}
+
+void instance_runtime::DecideShardCount() {
+  const std::size_t workers = directory_.Workers().size();
+  const bool settled = workers > 0 && workers == workers_seen_;
+  workers_seen_ = workers;
+  if (shared_.ShardCount() != 0 || !shared_feed_.IsCurrent() || !settled)
+    return;
+  const std::int64_t count =
+      (static_cast<std::int64_t>(workers) + settings_.workers_per_shard - 1) /
+      settings_.workers_per_shard;
+  metadata::transaction decision;
+  const std::string key = ToString({key_kind::kShardCount, "count"});
+  decision.conditions.push_back({key, 0});
+  decision.writes.push_back({key, std::to_string(count)});
+  log_.Write("shard_count_proposed", {{"workers", workers}, {"shards", count}});
+  // The replica tells which proposal was first.
+  store_.Commit(std::move(decision),
+                [](base::result<metadata::commit_answer>) {});
+}
+
+void instance_runtime::GiveWorkers(std::uint32_t shard, shard_driver& driver) {
+  std::vector<submissions::worker_description> workers;
+  for (const auto& [id, worker] : directory_.Workers())
+    if (ShardOfWorker(id, shared_.ShardCount()) == shard)
+      workers.push_back(worker);
+  driver.SetWorkers(std::move(workers));
+}
+
+void instance_runtime::OnWon(std::uint32_t shard, metadata::revision fence) {
+  auto driver = std::make_shared<shard_driver>(
+      loop_, clock_, store_, orders_, shared_, log_, shard, fence,
+      settings_.driving,
+      shard_driver::hooks{
+          .is_valid = [this] { return ownership_.IsValid(); },
+          .on_fenced =
+              [this, shard](std::string_view reason) {
+                ownership_.Drop(shard, reason);
+              }});
+  driver->SetQueues(*queues_);
+  drivers_[shard] = driver;
+  if (directory_.IsListed())
+    GiveWorkers(shard, *driver);
+  driver->Start();
+}
+
+void instance_runtime::OnLost(std::uint32_t shard) {
+  const auto found = drivers_.find(shard);
+  if (found == drivers_.end())
+    return;
+  // Released by the loop later: this may run inside one of its callbacks.
+  loop_.After(base::duration::zero(), [kept = found->second] {});
+  drivers_.erase(found);
+}
+
+}  // namespace chivecrank::runtime
--- /dev/null
+++ b/src/runtime/internal/ownership.cc
@@ -0,0 +1,242 @@
+#include "chivecrank/runtime/ownership.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace chivecrank::runtime {
+namespace {
+
+constexpr std::chrono::milliseconds kRetry{250};
+constexpr std::chrono::milliseconds kTakeInterval{150};
+
+}  // namespace
+
+ownership::ownership(reactor::event_loop& loop,
+                     metadata::store& store,
+                     const replica& shared,
+                     event_log::event_log& log,
+                     ownership_settings settings,
+                     hooks handlers)
+    : loop_(loop),
+      store_(store),
+      shared_(shared),
+      log_(log),
+      settings_(std::move(settings)),
+      hooks_(std::move(handlers)) {}
+
+ownership::~ownership() {
+  *alive_ = false;
+}
+
+void ownership::Start() {
+  Grant();
+  TakeFreeShards();
+}
+
+void ownership::Release(std::function<void()> done) {
+  releasing_ = true;
+  while (!owned_.empty())
+    Drop(owned_.begin()->first, "stopping");
+  if (lease_ == 0)
+    return done();
+  store_.End(std::exchange(lease_, 0),
+             [done = std::move(done)](base::result<bool>) { done(); });
+}
+
+bool ownership::IsValid() const {
+  return lease_ != 0 && loop_.Now() < valid_until_;
+}
+
+void ownership::OnOwnerChanged(std::uint32_t shard) {
+  const auto known = shared_.Owners().find(shard);
+  const auto mine = owned_.find(shard);
+  if (known == shared_.Owners().end())
+    free_since_.try_emplace(shard, loop_.Now());
+  else
+    free_since_.erase(shard);
+  if (mine == owned_.end() || shared_.Revision() < mine->second)
+    return;
+  const bool still_mine =
+      known != shared_.Owners().end() && known->second.since == mine->second;
+  if (!still_mine)
+    Drop(shard, "another owner");
+}
+
+void ownership::Drop(std::uint32_t shard, std::string_view reason) {
+  if (owned_.erase(shard) == 0)
+    return;
+  log_.Write("shard_lost", {{"shard", shard}, {"reason", reason}});
+  hooks_.on_lost(shard);
+}
+
+void ownership::Grant() {
+  if (releasing_)
+    return;
+  const base::time_point sent = loop_.Now();
+  store_.Grant(settings_.term,
+               [this, sent, alive = alive_](
+                   base::result<metadata::granted_lease> granted) {
+                 if (!*alive)
+                   return;
+                 if (!granted)
+                   return Later(kRetry, [this] { Grant(); });
+                 lease_ = granted.value().id;
+                 valid_until_ = sent + granted.value().term - settings_.margin;
+                 announced_ = false;
+                 renewal_failing_ = false;
+                 log_.Write("lease_granted", {{"lease", lease_}});
+                 Announce();
+                 RenewLater();
+               });
+}
+
+void ownership::Announce() {
+  metadata::transaction announcement;
+  announcement.writes.push_back(
+      {ToString({key_kind::kMember, settings_.node}),
+       std::to_string(settings_.processors_milli), lease_});
+  store_.Commit(std::move(announcement),
+                [this, lease = lease_, alive = alive_](
+                    base::result<metadata::commit_answer> answer) {
+                  if (!*alive || lease != lease_)
+                    return;
+                  if (!answer)
+                    return Later(kRetry, [this] { Announce(); });
+                  announced_ = true;
+                });
+}
+
+void ownership::RenewLater() {
+  Later(settings_.renew_interval, [this] { Renew(); });
+}
+
+void ownership::Renew() {
+  if (releasing_ || lease_ == 0)
+    return;
+  const base::time_point sent = loop_.Now();
+  store_.Renew(
+      lease_, [this, sent, lease = lease_, alive = alive_](
+                  base::result<metadata::granted_lease> renewed) {
+        if (!*alive || lease != lease_ || releasing_)
+          return;
+        if (!renewed && renewed.error().kind == base::error_kind::kNotFound)
+          return LoseLease("the store ended it");
+        if (renewal_failing_ != !renewed)
+          log_.Write(renewed ? "store_regained" : "store_lost",
+                     {{"call", "renew"},
+                      {"error", renewed ? "" : renewed.error().message}});
+        renewal_failing_ = !renewed;
+        if (renewed) {
+          valid_until_ = sent + settings_.term - settings_.margin;
+        } else if (!IsValid() && !owned_.empty()) {
+          // Another instance may own the shards by now.
+          while (!owned_.empty())
+            Drop(owned_.begin()->first, "the lease may be over");
+        }
+        RenewLater();
+      });
+}
+
+void ownership::LoseLease(std::string_view reason) {
+  log_.Write("lease_lost", {{"lease", lease_}, {"reason", reason}});
+  lease_ = 0;
+  while (!owned_.empty())
+    Drop(owned_.begin()->first, reason);
+  Grant();
+}
+
+void ownership::TakeFreeShards() {
+  if (releasing_)
+    return;
+  Later(kTakeInterval, [this] { TakeFreeShards(); });
+  if (!IsValid() || !announced_ || !hooks_.may_take())
+    return;
+  for (std::uint32_t shard = 0; shard < shared_.ShardCount(); ++shard) {
+    if (owned_.contains(shard) || taking_.contains(shard))
+      continue;
+    const auto owner = shared_.Owners().find(shard);
+    // Its own name there: an attempt whose answer was lost, or ownership that
+    // was given up while the store was away.
+    const bool own_name =
+        owner != shared_.Owners().end() && owner->second.node == settings_.node;
+    if (own_name || (owner == shared_.Owners().end() && IsOwnTurn(shard)))
+      Take(shard, 0);
+  }
+}
+
+bool ownership::IsOwnTurn(std::uint32_t shard) {
+  const base::time_point now = loop_.Now();
+  const base::time_point since = free_since_.try_emplace(shard, now).first->second;
+  // Candidates by processor time per shard, ties in a random order per shard.
+  std::map<std::string, std::int64_t> shards_of;
+  for (const auto& [owned, owner] : shared_.Owners())
+    ++shards_of[owner.node];
+  struct candidate {
+    std::int64_t share = 0;
+    std::uint64_t tie = 0;
+    std::string node;
+  };
+  std::vector<candidate> candidates;
+  for (const auto& [node, member] : shared_.Members())
+    candidates.push_back({member.processors_milli / (1 + shards_of[node]),
+                          HashOf(node, ShardName(shard)), node});
+  std::ranges::sort(candidates, [](const auto& left, const auto& right) {
+    return std::tie(left.share, left.tie) > std::tie(right.share, right.tie);
+  });
+  const auto own = std::ranges::find(candidates, settings_.node,
+                                     &candidate::node);
+  const auto rank = own - candidates.begin();
+  return now - since >= settings_.candidate_pause * rank;
+}
+
+void ownership::Take(std::uint32_t shard, metadata::revision expected) {
+  taking_[shard] = loop_.Now();
+  metadata::transaction claim;
+  claim.conditions.push_back({OwnerKey(shard), expected});
+  claim.writes.push_back({OwnerKey(shard), settings_.node, lease_});
+  store_.Commit(std::move(claim),
+                [this, shard, lease = lease_, alive = alive_](
+                    base::result<metadata::commit_answer> answer) {
+                  if (!*alive)
+                    return;
+                  taking_.erase(shard);
+                  if (lease == lease_)
+                    OnTaken(shard, std::move(answer));
+                });
+}
+
+void ownership::OnTaken(std::uint32_t shard,
+                        base::result<metadata::commit_answer> answer) {
+  if (!answer)
+    return;
+  if (!answer.value().applied) {
+    // Written again, for a fence that no earlier order of this instance has.
+    for (const metadata::item& item : answer.value().current)
+      if (item.key == OwnerKey(shard) && item.value == settings_.node &&
+          item.lease == lease_)
+        return Take(shard, item.changed_at);
+    return;
+  }
+  if (!IsValid())
+    return;
+  const metadata::revision fence = answer.value().at;
+  owned_[shard] = fence;
+  free_since_.erase(shard);
+  log_.Write("shard_won", {{"shard", shard}, {"fence", fence}});
+  hooks_.on_won(shard, fence);
+}
+
+void ownership::Later(std::chrono::milliseconds delay,
+                      std::function<void()> step) {
+  loop_.After(delay, [alive = alive_, step = std::move(step)] {
+    if (*alive)
+      step();
+  });
+}
+
+std::string ownership::OwnerKey(std::uint32_t shard) const {
+  return ToString({key_kind::kOwner, ShardName(shard)});
+}
+
+}  // namespace chivecrank::runtime
--- /dev/null
+++ b/src/runtime/internal/replica.cc
@@ -0,0 +1,204 @@
+#include "chivecrank/runtime/replica.h"
+
+#include <utility>
+
+#include "chivecrank/base/numbers.h"
+#include "chivecrank/json/reader.h"
+#include "chivecrank/json/writer.h"
+#include "chivecrank/submissions/record_codec.h"
+
+namespace chivecrank::runtime {
+
+std::string EncodeShardStatus(const shard_status& status) {
+  json::writer text;
+  text.BeginObject()
+      .Field("capacity", status.capacity_milli)
+      .Field("reserved", status.reserved_milli)
+      .Key("not_started")
+      .BeginArray();
+  for (const std::string& id : status.not_started)
+    text.String(id);
+  text.EndArray().EndObject();
+  return text.Text();
+}
+
+std::optional<shard_status> DecodeShardStatus(std::string_view text) {
+  const auto parsed = json::ParseObject(text);
+  if (!parsed)
+    return std::nullopt;
+  shard_status status;
+  status.capacity_milli = json::IntegerOf(parsed.value(), "capacity");
+  status.reserved_milli = json::IntegerOf(parsed.value(), "reserved");
+  if (const json::value* ids = json::ArrayOf(parsed.value(), "not_started"))
+    for (std::size_t i = 0; i < ids->Size(); ++i)
+      status.not_started.insert(json::StringAt(*ids, i));
+  return status;
+}
+
+std::string EncodeAccepted(const submissions::submission& accepted) {
+  return std::to_string(accepted.shard) + " " + accepted.queue + "\n" +
+         submissions::EncodeSubmission(accepted);
+}
+
+void replica::Apply(const metadata::change& change) {
+  const auto key = ParseSharedKey(change.now.key);
+  if (!key)
+    return;
+  metadata::revision& known = key_revisions_[change.now.key];
+  if (change.now.changed_at <= known)
+    return;
+  known = change.now.changed_at;
+  if (change.deleted)
+    ApplyDelete(*key);
+  else
+    ApplyPut(*key, change.now);
+}
+
+void replica::Reset(const std::vector<metadata::item>& items) {
+  std::set<std::string> present;
+  for (const metadata::item& item : items) {
+    present.insert(item.key);
+    Apply({item, false});
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, revision] : key_revisions_)
+    if (!present.contains(key))
+      gone.push_back(key);
+  for (const std::string& key : gone) {
+    if (const auto parsed = ParseSharedKey(key))
+      ApplyDelete(*parsed);
+    key_revisions_.erase(key);
+  }
+}
+
+const known_submission* replica::Find(const std::string& id) const {
+  const auto found = submissions_.find(id);
+  if (found == submissions_.end() || !found->second.accepted)
+    return nullptr;
+  return &found->second;
+}
+
+bool replica::HasStarted(const std::string& id,
+                         const known_submission& known) const {
+  const auto status = statuses_.find(known.shard);
+  if (status == statuses_.end())
+    return false;
+  // A submission that is newer than the status has not started as far as is
+  // known.
+  return known.accepted_at < status->second.written_at &&
+         !status->second.not_started.contains(id);
+}
+
+std::int64_t replica::Waiting(const std::string& queue) const {
+  std::int64_t waiting = 0;
+  for (const auto& [id, known] : submissions_)
+    if (known.accepted && known.queue == queue && !known.Ended() &&
+        !HasStarted(id, known))
+      ++waiting;
+  return waiting;
+}
+
+void replica::ApplyPut(const shared_key& key, const metadata::item& item) {
+  switch (key.kind) {
+    case key_kind::kShardCount:
+      shard_count_ =
+          base::ParseInteger<std::uint32_t>(item.value).value_or(0);
+      return;
+    case key_kind::kMember:
+      members_[key.name] = {
+          base::ParseInteger<std::int64_t>(item.value).value_or(0)};
+      return;
+    case key_kind::kOwner:
+      if (const auto shard = ParseShardName(key.name)) {
+        owners_[*shard] = {item.value, item.changed_at};
+        if (hooks_.on_owner)
+          hooks_.on_owner(*shard);
+      }
+      return;
+    case key_kind::kShardStatus: {
+      const auto shard = ParseShardName(key.name);
+      auto status = DecodeShardStatus(item.value);
+      if (!shard || !status)
+        return;
+      status->written_at = item.changed_at;
+      statuses_[*shard] = std::move(*status);
+      return;
+    }
+    case key_kind::kSubmission:
+      return TakeSubmission(key.name, item);
+    case key_kind::kCancellation: {
+      known_submission& known = submissions_[key.name];
+      known.cancelled = true;
+      return End(key.name, known);
+    }
+    case key_kind::kOutcome: {
+      const auto outcome = submissions::DecodeOutcome(item.value);
+      if (!outcome)
+        return;
+      known_submission& known = submissions_[key.name];
+      known.outcome = outcome.value();
+      return End(key.name, known);
+    }
+  }
+}
+
+void replica::ApplyDelete(const shared_key& key) {
+  switch (key.kind) {
+    case key_kind::kShardCount:
+      return;
+    case key_kind::kMember:
+      members_.erase(key.name);
+      return;
+    case key_kind::kOwner:
+      if (const auto shard = ParseShardName(key.name)) {
+        owners_.erase(*shard);
+        if (hooks_.on_owner)
+          hooks_.on_owner(*shard);
+      }
+      return;
+    case key_kind::kShardStatus:
+      if (const auto shard = ParseShardName(key.name))
+        statuses_.erase(*shard);
+      return;
+    case key_kind::kSubmission:
+      submissions_.erase(key.name);
+      return;
+    case key_kind::kCancellation:
+    case key_kind::kOutcome:
+      // Their submission is deleted together with them.
+      return;
+  }
+}
+
+void replica::TakeSubmission(const std::string& id,
+                             const metadata::item& item) {
+  const std::size_t line_end = item.value.find('\n');
+  const std::size_t space = item.value.find(' ');
+  if (line_end == std::string::npos || space > line_end)
+    return;
+  known_submission& known = submissions_[id];
+  if (known.accepted)
+    return;
+  const auto shard =
+      base::ParseInteger<std::uint32_t>(item.value.substr(0, space));
+  if (!shard)
+    return;
+  known.shard = *shard;
+  known.accepted = true;
+  known.accepted_at = item.changed_at;
+  known.queue = item.value.substr(space + 1, line_end - space - 1);
+  if (known.Ended())
+    return;
+  known.record = item.value.substr(line_end + 1);
+  if (hooks_.on_accepted)
+    hooks_.on_accepted(id);
+}
+
+void replica::End(const std::string& id, known_submission& known) {
+  known.record.clear();
+  known.record.shrink_to_fit();
+  if (hooks_.on_ended)
+    hooks_.on_ended(id);
+}
+
+}  // namespace chivecrank::runtime
--- /dev/null
+++ b/src/runtime/internal/shard_driver.cc
@@ -0,0 +1,497 @@
+#include "chivecrank/runtime/shard_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "chivecrank/submissions/record_codec.h"
+
+namespace chivecrank::runtime {
+namespace {
+
+constexpr std::chrono::milliseconds kReplicaPoll{20};
+/// Old entries of the journal that one transaction deletes.
+constexpr std::uint64_t kDeletesPerCommit = 8;
+/// Entries before a snapshot that stay for a while: a write that the store
+/// carries out late must meet its entry, and fail.
+constexpr std::uint64_t kKeptEntries = 128;
+/// Outcomes that one transaction writes, beside the journal's own entries.
+constexpr std::size_t kOutcomesPerCommit =
+    metadata::kMostEntries - kDeletesPerCommit - 4;
+
+}  // namespace
+
+shard_driver::shard_driver(reactor::event_loop& loop,
+                           base::clock& clock,
+                           metadata::store& store,
+                           submissions::worker_orders& orders,
+                           const replica& shared,
+                           event_log::event_log& log,
+                           std::uint32_t shard,
+                           metadata::revision fence,
+                           driver_settings settings,
+                           hooks handlers)
+    : loop_(loop),
+      clock_(clock),
+      store_(store),
+      orders_(orders),
+      shared_(shared),
+      log_(log),
+      shard_(shard),
+      fence_(fence),
+      settings_(std::move(settings)),
+      hooks_(std::move(handlers)),
+      began_(loop.Now()),
+      scheduler_(settings_.scheduling,
+                 [this](const submissions::scheduler_event& event) {
+                   LogEvent(event);
+                 }) {}
+
+shard_driver::~shard_driver() {
+  *alive_ = false;
+}
+
+void shard_driver::Start() {
+  WaitForReplica();
+}
+
+void shard_driver::WaitForReplica() {
+  if (shared_.Revision() < fence_)
+    return Later(kReplicaPoll, [this] { WaitForReplica(); });
+  ReadJournal({});
+}
+
+void shard_driver::ReadJournal(const std::string& after) {
+  store_.List(JournalPrefix(shard_), after, false,
+              [this, alive = alive_](base::result<metadata::page> page) {
+                if (*alive)
+                  OnJournalPage(std::move(page));
+              });
+}
+
+void shard_driver::OnJournalPage(base::result<metadata::page> page) {
+  if (!page)
+    return Later(settings_.commit_retry, [this] {
+      journal_.clear();
+      ReadJournal({});
+    });
+  for (metadata::item& item : page.value().items)
+    journal_.push_back(std::move(item));
+  if (page.value().truncated && !journal_.empty())
+    return ReadJournal(journal_.back().key);
+  Restore();
+}
+
+void shard_driver::Restore() {
+  for (const auto& [id, known] : shared_.Submissions())
+    if (known.accepted && known.shard == shard_ && !known.Ended())
+      Accept(id, known);
+  std::vector<submissions::journal_entry> entries;
+  for (const metadata::item& item : journal_) {
+    const auto number = ParseJournalKey(shard_, item.key);
+    auto entry = submissions::DecodeJournalEntry(item.value);
+    if (!number || !entry) {
+      log_.Write("journal_entry_rejected", {{"key", item.key}});
+      continue;
+    }
+    if (entries.empty())
+      oldest_entry_ = *number;
+    if (entry.value().whole) {
+      entries.clear();
+      snapshot_entry_ = *number;
+    }
+    entries.push_back(std::move(entry.value()));
+    next_entry_ = *number + 1;
+  }
+  for (const submissions::journal_entry& entry : entries)
+    scheduler_.Restore(entry);
+  journal_.clear();
+  journal_.shrink_to_fit();
+  const base::time_point now = loop_.Now();
+  scheduler_.FinishRestore(now, began_ + settings_.owner_term +
+                                    settings_.scheduling.worker_lease +
+                                    settings_.scheduling.lease_margin);
+  restored_ = true;
+  log_.Write("shard_restored", {{"shard", shard_},
+                                {"fence", fence_},
+                                {"entries", entries.size()},
+                                {"next_entry", next_entry_}});
+  for (const auto& [id, worker] : workers_)
+    LookLater(id, std::chrono::milliseconds(0));
+  Wake();
+  Later(settings_.idle_decision, [this] { Decide(); });
+}
+
+void shard_driver::Accept(const std::string& id,
+                          const known_submission& known) {
+  auto record = submissions::DecodeSubmission(known.record);
+  if (!record) {
+    log_.Write("submission_unreadable",
+               {{"submission", id}, {"error", record.error().message}});
+    return;
+  }
+  scheduler_.Accept(record.value());
+}
+
+void shard_driver::OnAccepted(const std::string& id) {
+  const known_submission* known = shared_.Find(id);
+  if (!restored_ || known == nullptr || known->shard != shard_)
+    return;
+  Accept(id, *known);
+  Wake();
+}
+
+void shard_driver::OnEnded(const std::string& id) {
+  const known_submission* known = shared_.Find(id);
+  if (!restored_ || known == nullptr || known->shard != shard_ ||
+      !known->cancelled)
+    return;
+  scheduler_.Cancel(id, loop_.Now());
+  Wake();
+}
+
+void shard_driver::SetQueues(const submissions::queue_table& queues) {
+  for (const submissions::queue_route& route : queues.routes)
+    scheduler_.SetPolicy(route.name, route.policy);
+}
+
+void shard_driver::SetWorkers(
+    std::vector<submissions::worker_description> workers) {
+  std::map<std::string, submissions::worker_description> now;
+  for (submissions::worker_description& worker : workers) {
+    const std::string id = worker.id;
+    now.emplace(id, std::move(worker));
+  }
+  // A worker that is unlisted may still run something: it is looked at as long
+  // as the scheduler knows of that.
+  for (const auto& [id, worker] : workers_)
+    if (!now.contains(id) && !scheduler_.HasRuns(id)) {
+      loop_.Cancel(looks_[id].timer);
+      looks_.erase(id);
+      orders_.Forget(id);
+    }
+  std::vector<submissions::worker_description> listed;
+  for (const auto& [id, worker] : now)
+    listed.push_back(worker);
+  for (const auto& [id, worker] : workers_)
+    if (!now.contains(id) && scheduler_.HasRuns(id))
+      now.emplace(id, worker);
+  workers_ = std::move(now);
+  scheduler_.SetWorkers(listed);
+  if (!restored_)
+    return;
+  for (const auto& [id, worker] : workers_)
+    if (!looks_.contains(id))
+      LookLater(id, std::chrono::milliseconds(0));
+  Wake();
+}
+
+void shard_driver::Wake() {
+  if (decision_due_ || !restored_)
+    return;
+  decision_due_ = true;
+  loop_.After(settings_.decide_after, [this, alive = alive_] {
+    if (!*alive)
+      return;
+    decision_due_ = false;
+    if (!hooks_.is_valid())
+      return;
+    const auto since_epoch =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            clock_.WallNow().time_since_epoch());
+    scheduler_.Plan(loop_.Now(), since_epoch);
+    CommitNext();
+    SendCommands();
+  });
+}
+
+void shard_driver::Decide() {
+  Wake();
+  Later(settings_.idle_decision, [this] { Decide(); });
+}
+
+void shard_driver::SendCommands() {
+  if (!hooks_.is_valid())
+    return;
+  const submissions::command_set commands =
+      scheduler_.TakeCommands(loop_.Now());
+  for (const submissions::start_command& command : commands.starts)
+    SendStart(command);
+  for (const submissions::stop_command& command : commands.stops)
+    SendStop(command);
+  for (const submissions::throttle_command& command : commands.throttles)
+    SendThrottle(command);
+}
+
+void shard_driver::SendStart(const submissions::start_command& command) {
+  const submissions::worker_description* worker = WorkerOf(command.worker);
+  if (worker == nullptr)
+    return scheduler_.OnStartAnswer(command, submissions::start_answer::kNotSent,
+                                    loop_.Now());
+  scheduler_.OnLeaseSent(command.worker, loop_.Now());
+  orders_.Start(*worker, command, Terms(),
+                [this, command, alive = alive_](
+                    submissions::start_answer answer) {
+                  if (!*alive)
+                    return;
+                  scheduler_.OnStartAnswer(command, answer, loop_.Now());
+                  if (scheduler_.IsFenced())
+                    return hooks_.on_fenced("a worker follows a newer owner");
+                  LookLater(command.worker, settings_.look_spacing);
+                  if (answer != submissions::start_answer::kStarted)
+                    Wake();
+                });
+}
+
+void shard_driver::SendStop(const submissions::stop_command& command) {
+  const submissions::worker_description* worker = WorkerOf(command.worker);
+  if (worker == nullptr)
+    return;
+  orders_.Stop(*worker, command, Terms(),
+               [this, command, alive = alive_](bool done) {
+                 if (!*alive)
+                   return;
+                 scheduler_.OnStopAnswer(command, done, loop_.Now());
+                 LookLater(command.worker, settings_.look_spacing);
+               });
+}
+
+void shard_driver::SendThrottle(const submissions::throttle_command& command) {
+  const submissions::worker_description* worker = WorkerOf(command.worker);
+  if (worker == nullptr)
+    return;
+  orders_.Throttle(*worker, command, Terms(),
+                   [this, command, alive = alive_](bool done) {
+                     if (*alive)
+                       scheduler_.OnThrottleAnswer(command, done);
+                   });
+}
+
+void shard_driver::CommitNext() {
+  if (commit_in_flight_)
+    return;
+  if (!batch_) {
+    batch_ = scheduler_.TakeBatch();
+    outcomes_written_ = 0;
+    tasks_written_ = false;
+  }
+  metadata::transaction changes = NextTransaction();
+  if (changes.writes.empty())
+    return;
+  commit_in_flight_ = true;
+  Commit(std::move(changes));
+}
+
+metadata::transaction shard_driver::NextTransaction() {
+  metadata::transaction changes;
+  if (auto status = StatusWrite())
+    changes.writes.push_back(std::move(*status));
+  if (!batch_ && changes.writes.empty())
+    return changes;
+  const std::string key = JournalKey(shard_, next_entry_);
+  changes.conditions.push_back(
+      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
+  if (!batch_)
+    return changes;
+  changes.conditions.push_back({key, 0});
+  submissions::journal_entry entry;
+  if (SnapshotDue())
+    entry = scheduler_.Snapshot();
+  else if (!tasks_written_)
+    entry.tasks = batch_->tasks;
+  changes.writes.push_back({key, submissions::EncodeJournalEntry(entry)});
+  const std::size_t last = std::min(outcomes_written_ + kOutcomesPerCommit,
+                                    batch_->outcomes.size());
+  for (std::size_t i = outcomes_written_; i < last; ++i)
+    changes.writes.push_back(
+        {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
+         submissions::EncodeOutcome(batch_->outcomes[i].outcome)});
+  for (std::uint64_t old = oldest_entry_;
+       old < KeptFrom() && changes.deletes.size() < kDeletesPerCommit; ++old)
+    changes.deletes.push_back(JournalKey(shard_, old));
+  return changes;
+}
+
+bool shard_driver::SnapshotDue() const {
+  return next_entry_ - std::max(snapshot_entry_, oldest_entry_) >=
+         settings_.scheduling.entries_per_snapshot;
+}
+
+std::uint64_t shard_driver::KeptFrom() const {
+  return snapshot_entry_ > kKeptEntries ? snapshot_entry_ - kKeptEntries : 0;
+}
+
+std::optional<metadata::write> shard_driver::StatusWrite() {
+  const base::time_point now = loop_.Now();
+  if (now - status_at_ < settings_.status_interval)
+    return std::nullopt;
+  std::string status = EncodeShardStatus(CurrentStatus());
+  if (status == written_status_)
+    return std::nullopt;
+  status_at_ = now;
+  written_status_ = status;
+  return metadata::write{ToString({key_kind::kShardStatus, ShardName(shard_)}),
+                         std::move(status)};
+}
+
+shard_status shard_driver::CurrentStatus() const {
+  const submissions::shard_load load = scheduler_.Load();
+  shard_status status;
+  status.capacity_milli = load.capacity.processors_milli;
+  // In steps, so that it doesn't change with each task.
+  constexpr std::int64_t kStepMilli = 16'000;
+  status.reserved_milli =
+      load.reserved.processors_milli / kStepMilli * kStepMilli;
+  for (std::string& id : scheduler_.NotStarted())
+    status.not_started.insert(std::move(id));
+  return status;
+}
+
+void shard_driver::Commit(metadata::transaction changes) {
+  if (!hooks_.is_valid())
+    return Later(settings_.commit_retry,
+                 [this, changes = std::move(changes)]() mutable {
+                   Commit(std::move(changes));
+                 });
+  auto sent = std::make_shared<metadata::transaction>(changes);
+  store_.Commit(std::move(changes),
+                [this, sent, alive = alive_](
+                    base::result<metadata::commit_answer> answer) {
+                  if (*alive)
+                    OnCommit(*sent, std::move(answer));
+                });
+}
+
+void shard_driver::OnCommit(const metadata::transaction& changes,
+                            base::result<metadata::commit_answer> answer) {
+  if (!answer) {
+    log_.Write("commit_failed", {{"shard", shard_},
+                                 {"entry", next_entry_},
+                                 {"error", answer.error().message}});
+    // The same again: its conditions let it happen only once.
+    return Later(settings_.commit_retry,
+                 [this, changes] { Commit(changes); });
+  }
+  if (answer.value().applied)
+    return OnCommitted();
+  const std::string owner_key =
+      ToString({key_kind::kOwner, ShardName(shard_)});
+  bool still_owner = false;
+  bool applied_before = false;
+  for (const metadata::item& item : answer.value().current) {
+    if (item.key == owner_key && item.changed_at == fence_)
+      still_owner = true;
+    for (const metadata::write& written : changes.writes)
+      if (item.key == written.key && item.value == written.value)
+        applied_before = true;
+  }
+  if (!still_owner || !applied_before)
+    return hooks_.on_fenced("the store knows another owner");
+  OnCommitted();
+}
+
+void shard_driver::OnCommitted() {
+  commit_in_flight_ = false;
+  if (batch_) {
+    const bool snapshot_due = SnapshotDue();
+    oldest_entry_ = std::min(oldest_entry_ + kDeletesPerCommit,
+                             std::max(KeptFrom(), oldest_entry_));
+    if (snapshot_due)
+      snapshot_entry_ = next_entry_;
+    ++next_entry_;
+    tasks_written_ = true;
+    outcomes_written_ = std::min(outcomes_written_ + kOutcomesPerCommit,
+                                 batch_->outcomes.size());
+    if (outcomes_written_ == batch_->outcomes.size()) {
+      scheduler_.OnCommitted(batch_->number);
+      batch_.reset();
+    }
+  }
+  CommitNext();
+  SendCommands();
+}
+
+void shard_driver::LookLater(const std::string& worker,
+                             std::chrono::milliseconds delay) {
+  look_state& state = looks_[worker];
+  if (state.in_flight)
+    return;
+  loop_.Cancel(state.timer);
+  state.timer = loop_.After(delay, [this, worker, alive = alive_] {
+    if (*alive)
+      Look(worker);
+  });
+}
+
+void shard_driver::Look(const std::string& worker) {
+  const submissions::worker_description* known = WorkerOf(worker);
+  if (known == nullptr) {
+    looks_.erase(worker);
+    return;
+  }
+  if (!hooks_.is_valid())
+    return LookLater(worker, settings_.look_retry);
+  submissions::look_request request;
+  request.terms = Terms();
+  request.acknowledged_end = scheduler_.AcknowledgedEnd(worker);
+  if (scheduler_.HasRuns(worker))
+    request.wait = settings_.look_wait;
+  const base::time_point now = loop_.Now();
+  scheduler_.OnLeaseSent(worker, now);
+  looks_[worker].in_flight = true;
+  orders_.Look(*known, request,
+               [this, worker, now, alive = alive_](
+                   base::result<submissions::worker_report> report) {
+                 if (*alive)
+                   OnLook(worker, now, std::move(report));
+               });
+}
+
+void shard_driver::OnLook(const std::string& worker,
+                          base::time_point requested_at,
+                          base::result<submissions::worker_report> report) {
+  looks_[worker].in_flight = false;
+  if (!report) {
+    if (report.error().kind == base::error_kind::kFenced)
+      return hooks_.on_fenced("a worker follows a newer owner");
+    log_.Write("look_failed",
+               {{"worker", worker}, {"error", report.error().message}});
+    return LookLater(worker, settings_.look_retry);
+  }
+  scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
+  LookLater(worker, scheduler_.HasRuns(worker) ? settings_.look_spacing
+                                               : settings_.idle_look);
+  Wake();
+}
+
+void shard_driver::Later(std::chrono::milliseconds delay,
+                         std::function<void()> step) {
+  loop_.After(delay, [alive = alive_, step = std::move(step)] {
+    if (*alive)
+      step();
+  });
+}
+
+void shard_driver::LogEvent(const submissions::scheduler_event& event) {
+  log_.Write(submissions::SchedulerEventKindName(event.kind),
+             {{"shard", shard_},
+              {"submission", event.task.submission},
+              {"occurrence", event.task.occurrence},
+              {"step", event.task.step},
+              {"task", event.task.index},
+              {"run", event.run},
+              {"worker", event.worker},
+              {"outcome", event.outcome},
+              {"input", event.input}});
+}
+
+submissions::order_terms shard_driver::Terms() const {
+  return {fence_, settings_.scheduling.worker_lease};
+}
+
+const submissions::worker_description* shard_driver::WorkerOf(
+    const std::string& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+}  // namespace chivecrank::runtime
--- /dev/null
+++ b/src/runtime/internal/submission_intake.cc
@@ -0,0 +1,284 @@
+#include "chivecrank/runtime/submission_intake.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivecrank::runtime {
+namespace {
+
+/// Each key takes a condition and a write.
+constexpr std::size_t kKeysPerWrite = metadata::kMostEntries / 2;
+
+}  // namespace
+
+submission_intake::submission_intake(reactor::event_loop& loop,
+                                     base::clock& clock,
+                                     metadata::store& store,
+                                     const replica& shared,
+                                     event_log::event_log& log,
+                                     intake_settings settings)
+    : loop_(loop),
+      clock_(clock),
+      store_(store),
+      shared_(shared),
+      log_(log),
+      settings_(settings) {}
+
+submission_intake::~submission_intake() {
+  *alive_ = false;
+}
+
+void submission_intake::Submit(submissions::submission offered,
+                               base::time_point give_up_at,
+                               std::function<void(submit_answer)> done) {
+  const auto known = shared_.Find(offered.id);
+  if (known != nullptr)
+    return done({submit_verdict::kAccepted});
+  if (StoreIsAway() || shared_.ShardCount() == 0) {
+    ++counts_.rejected;
+    log_.Write("submission_rejected", {{"submission", offered.id},
+                                       {"queue", offered.queue},
+                                       {"reason", "store_away"}});
+    return done({submit_verdict::kRejected, settings_.retry_after});
+  }
+  offered.shard = ChooseShard();
+  offered.accepted_since_epoch =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          clock_.WallNow().time_since_epoch());
+  auto added = std::make_shared<pending_write>();
+  added->submission = offered.id;
+  added->write = {ToString({key_kind::kSubmission, offered.id}),
+                  EncodeAccepted(offered)};
+  added->give_up_at = give_up_at;
+  added->done = [this, id = offered.id, queue = offered.queue,
+                 shard = offered.shard,
+                 done = std::move(done)](submit_verdict verdict) {
+    const bool accepted = verdict == submit_verdict::kAccepted;
+    const bool rejected = verdict == submit_verdict::kRejected;
+    ++(accepted ? counts_.accepted
+                : rejected ? counts_.rejected : counts_.unknown);
+    log_.Write(accepted   ? "submission_accepted"
+               : rejected ? "submission_rejected"
+                          : "submission_in_doubt",
+               {{"submission", id}, {"queue", queue}, {"shard", shard}});
+    done({verdict, settings_.retry_after});
+  };
+  Enqueue(std::move(added));
+}
+
+void submission_intake::State(const std::string& id,
+                              std::function<void(submission_state)> done) {
+  const known_submission* known = shared_.Find(id);
+  if (known != nullptr)
+    return done(KnownState(id, *known));
+  LookUp(id, std::move(done));
+}
+
+void submission_intake::Cancel(const std::string& id,
+                               base::time_point give_up_at,
+                               std::function<void(cancel_verdict)> done) {
+  const known_submission* known = shared_.Find(id);
+  if (known == nullptr) {
+    return LookUp(id, [this, id, give_up_at, done = std::move(done)](
+                          submission_state state) mutable {
+      if (state == submission_state::kUnknown)
+        return done(cancel_verdict::kUnknownSubmission);
+      if (state == submission_state::kUnavailable)
+        return done(cancel_verdict::kUnavailable);
+      // Stored by another instance and on its way here.
+      loop_.After(settings_.retry, [this, id, give_up_at, done, alive = alive_] {
+        if (!*alive)
+          return;
+        if (loop_.Now() >= give_up_at)
+          return done(cancel_verdict::kUnavailable);
+        Cancel(id, give_up_at, done);
+      });
+    });
+  }
+  if (known->Ended())
+    return done(cancel_verdict::kCancelled);
+  auto added = std::make_shared<pending_write>();
+  added->submission = id;
+  added->write = {ToString({key_kind::kCancellation, id}), "1"};
+  added->give_up_at = give_up_at;
+  added->done = [this, id, done = std::move(done)](submit_verdict verdict) {
+    const bool accepted = verdict == submit_verdict::kAccepted;
+    counts_.cancelled += accepted ? 1 : 0;
+    log_.Write(accepted ? "cancel_accepted" : "cancel_failed",
+               {{"submission", id}});
+    done(accepted ? cancel_verdict::kCancelled : cancel_verdict::kUnavailable);
+  };
+  Enqueue(std::move(added));
+}
+
+std::int64_t submission_intake::Waiting(const std::string& queue) const {
+  return shared_.Waiting(queue);
+}
+
+void submission_intake::Enqueue(pending added) {
+  loop_.After(added->give_up_at - loop_.Now(), [this, added, alive = alive_] {
+    if (*alive)
+      GiveUp(*added);
+  });
+  waiting_.push_back(std::move(added));
+  SendNext();
+}
+
+void submission_intake::SendNext() {
+  while (in_flight_ < settings_.writes_in_flight) {
+    group sent;
+    while (!waiting_.empty() && sent.size() < kKeysPerWrite) {
+      if (!waiting_.front()->answered)
+        sent.push_back(std::move(waiting_.front()));
+      waiting_.pop_front();
+    }
+    if (sent.empty())
+      return;
+    ++in_flight_;
+    Send(std::move(sent));
+  }
+}
+
+void submission_intake::Send(group sent) {
+  metadata::transaction changes;
+  for (const pending& written : sent) {
+    changes.conditions.push_back({written->write.key, 0});
+    changes.writes.push_back(written->write);
+  }
+  store_.Commit(std::move(changes),
+                [this, sent = std::move(sent), alive = alive_](
+                    base::result<metadata::commit_answer> answer) {
+                  if (!*alive)
+                    return;
+                  --in_flight_;
+                  OnCommit(sent, std::move(answer));
+                  SendNext();
+                });
+}
+
+void submission_intake::OnCommit(const group& sent,
+                                 base::result<metadata::commit_answer> answer) {
+  if (!answer)
+    return OnFailure(sent, answer.error());
+  store_away_until_ = {};
+  if (!answer.value().applied)
+    return OnConflict(sent, answer.value());
+  for (const pending& written : sent)
+    Answer(*written, submit_verdict::kAccepted);
+}
+
+void submission_intake::OnFailure(const group& sent,
+                                  const base::error& failure) {
+  log_.Write("store_write_failed", {{"call", "accept"},
+                                    {"keys", sent.size()},
+                                    {"error", failure.message}});
+  store_away_until_ = loop_.Now() + settings_.store_pause;
+  const bool had_no_effect = failure.kind == base::error_kind::kUnavailable ||
+                             failure.kind == base::error_kind::kResourceExhausted;
+  group again;
+  for (const pending& written : sent) {
+    if (!had_no_effect)
+      written->in_doubt = true;
+    if (written->in_doubt)
+      again.push_back(written);
+    else
+      Answer(*written, submit_verdict::kRejected);
+  }
+  if (again.empty())
+    return;
+  // What may have been stored is sent again: its condition tells whether it
+  // was, and lets it happen only once.
+  loop_.After(settings_.retry, [this, again, alive = alive_] {
+    if (!*alive)
+      return;
+    for (const pending& written : again)
+      if (!written->answered)
+        waiting_.push_front(written);
+    SendNext();
+  });
+}
+
+void submission_intake::OnConflict(const group& sent,
+                                   const metadata::commit_answer& answer) {
+  // A key that exists was stored by an earlier attempt; the others go again.
+  for (const pending& written : sent) {
+    const bool stored = std::ranges::any_of(
+        answer.current, [&](const metadata::item& item) {
+          return item.key == written->write.key && item.changed_at > 0;
+        });
+    if (stored)
+      Answer(*written, submit_verdict::kAccepted);
+    else if (!written->answered)
+      waiting_.push_front(written);
+  }
+}
+
+void submission_intake::Answer(pending_write& written,
+                               submit_verdict verdict) {
+  if (written.answered)
+    return;
+  written.answered = true;
+  const auto done = std::move(written.done);
+  done(verdict);
+}
+
+void submission_intake::GiveUp(pending_write& written) {
+  if (written.answered)
+    return;
+  // It may be in a write that is on its way.
+  Answer(written, submit_verdict::kOutcomeUnknown);
+}
+
+std::uint32_t submission_intake::ChooseShard() const {
+  const std::uint32_t count = shared_.ShardCount();
+  std::uint32_t best = static_cast<std::uint32_t>(next_shard_++ % count);
+  double best_use = 2;
+  for (const auto& [shard, status] : shared_.Statuses()) {
+    if (status.capacity_milli <= 0 || shard >= count)
+      continue;
+    const double use = static_cast<double>(status.reserved_milli) /
+                       static_cast<double>(status.capacity_milli);
+    if (use < best_use) {
+      best = shard;
+      best_use = use;
+    }
+  }
+  return best;
+}
+
+bool submission_intake::StoreIsAway() const {
+  return loop_.Now() < store_away_until_;
+}
+
+submission_state submission_intake::KnownState(
+    const std::string& id,
+    const known_submission& known) const {
+  if (known.outcome) {
+    switch (*known.outcome) {
+      case submissions::submission_outcome::kCompleted:
+        return submission_state::kCompleted;
+      case submissions::submission_outcome::kFailed:
+        return submission_state::kFailed;
+      case submissions::submission_outcome::kCancelled:
+        return submission_state::kCancelled;
+    }
+  }
+  if (known.cancelled)
+    return submission_state::kCancelled;
+  return shared_.HasStarted(id, known) ? submission_state::kRunning
+                                       : submission_state::kQueued;
+}
+
+void submission_intake::LookUp(const std::string& id,
+                               std::function<void(submission_state)> done) {
+  store_.Get(ToString({key_kind::kSubmission, id}),
+             [done = std::move(done)](
+                 base::result<std::optional<metadata::item>> found) {
+               if (!found)
+                 return done(submission_state::kUnavailable);
+               done(found.value() ? submission_state::kQueued
+                                  : submission_state::kUnknown);
+             });
+}
+
+}  // namespace chivecrank::runtime
--- /dev/null
+++ b/src/runtime/internal/worker_directory.cc
@@ -0,0 +1,90 @@
+#include "chivecrank/runtime/worker_directory.h"
+
+#include <utility>
+
+namespace chivecrank::runtime {
+
+worker_directory::worker_directory(reactor::event_loop& loop,
+                                   metadata::store& store,
+                                   event_log::event_log& log,
+                                   worker_source source,
+                                   directory_settings settings)
+    : loop_(loop),
+      store_(store),
+      log_(log),
+      source_(std::move(source)),
+      settings_(settings) {}
+
+worker_directory::~worker_directory() {
+  *alive_ = false;
+}
+
+void worker_directory::Start(std::function<bool()> wanted,
+                             std::function<void()> on_listed) {
+  wanted_ = std::move(wanted);
+  on_listed_ = std::move(on_listed);
+  Poll();
+}
+
+void worker_directory::Poll() {
+  if (!wanted_())
+    return Later(settings_.interval);
+  listing_.clear();
+  ListFrom({});
+}
+
+void worker_directory::ListFrom(const std::string& after) {
+  store_.List(source_.prefix, after, false,
+              [this, alive = alive_](base::result<metadata::page> page) {
+                if (*alive)
+                  OnPage(std::move(page));
+              });
+}
+
+void worker_directory::OnPage(base::result<metadata::page> page) {
+  if (!page) {
+    last_trouble_ = loop_.Now();
+    return Later(settings_.interval);
+  }
+  for (metadata::item& item : page.value().items)
+    listing_.push_back(std::move(item));
+  if (page.value().truncated && !listing_.empty())
+    return ListFrom(listing_.back().key);
+  Publish();
+  Later(settings_.interval);
+}
+
+void worker_directory::Publish() {
+  worker_map now;
+  for (const metadata::item& item : listing_) {
+    const std::string id = item.key.substr(source_.prefix.size());
+    auto worker = source_.decode(id, item.value);
+    if (!worker) {
+      log_.Write("worker_entry_rejected",
+                 {{"worker", id}, {"error", worker.error().message}});
+      continue;
+    }
+    now.emplace(id, std::move(worker.value()));
+  }
+  if (loop_.Now() - last_trouble_ < settings_.return_time)
+    now.merge(workers_);
+  for (const auto& [id, worker] : now)
+    if (!workers_.contains(id))
+      log_.Write("worker_listed", {{"worker", id}, {"born_ms", worker.born_ms}});
+  for (const auto& [id, worker] : workers_)
+    if (!now.contains(id))
+      log_.Write("worker_unlisted", {{"worker", id}});
+  workers_ = std::move(now);
+  listed_ = true;
+  listing_.clear();
+  on_listed_();
+}
+
+void worker_directory::Later(std::chrono::milliseconds delay) {
+  loop_.After(delay, [this, alive = alive_] {
+    if (*alive)
+      Poll();
+  });
+}
+
+}  // namespace chivecrank::runtime
--- a/src/settings/include/chivecrank/settings/section.h
+++ b/src/settings/include/chivecrank/settings/section.h
@@ -30,6 +30,8 @@
   std::string StringOr(std::string_view key, std::string fallback);
   /// A required integer within `range`.
   std::int64_t Integer(std::string_view key, integer_range range);
+  /// A required number within `range`.
+  double Number(std::string_view key, number_range range);
   /// An optional integer within `range`.
   std::int64_t IntegerOr(std::string_view key,
                          integer_range range,
--- a/src/settings/include/chivecrank/settings/types.h
+++ b/src/settings/include/chivecrank/settings/types.h
@@ -2,7 +2,9 @@
 #define CHIVECRANK_SETTINGS_TYPES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Reading of the TOML settings file that each program starts with.
@@ -26,6 +28,12 @@
   std::int64_t highest = 0;
 };
 
+/// The inclusive range that a number must lie in.
+struct number_range {
+  double lowest = 0;
+  double highest = 0;
+};
+
 /// An IP address and a port, parsed from "ip:port".
 struct endpoint {
   std::string host;
@@ -34,6 +42,9 @@
   bool operator==(const endpoint&) const = default;
 };
 
+/// Nothing when `text` is no "ip:port".
+std::optional<endpoint> ParseEndpoint(std::string_view text);
+
 /// "ip:port".
 std::string ToString(const endpoint& address);
 
--- a/src/settings/internal/section.cc
+++ b/src/settings/internal/section.cc
@@ -82,16 +82,6 @@
   }
 }
 
-std::optional<endpoint> ParseEndpoint(std::string_view text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos || !IsAddress(text.substr(0, colon)))
-    return std::nullopt;
-  const auto port = ParseNumber(text.substr(colon + 1), kLargestPort);
-  if (!port || *port == 0)
-    return std::nullopt;
-  return endpoint{std::string(text.substr(0, colon)),
-                  static_cast<std::uint16_t>(*port)};
-}
 
 std::shared_ptr<internal::section_state> Child(internal::section_state& parent,
                                                const toml::table* table,
@@ -120,6 +110,17 @@
 
 }  // namespace
 
+std::optional<endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || !IsAddress(text.substr(0, colon)))
+    return std::nullopt;
+  const auto port = ParseNumber(text.substr(colon + 1), kLargestPort);
+  if (!port || *port == 0)
+    return std::nullopt;
+  return endpoint{std::string(text.substr(0, colon)),
+                  static_cast<std::uint16_t>(*port)};
+}
+
 section::section(std::shared_ptr<internal::section_state> state)
     : state_(std::move(state)) {}
 
@@ -154,6 +155,24 @@
   return IntegerOr(key, range, range.lowest);
 }
 
+double section::Number(std::string_view key, number_range range) {
+  const toml::node* node = Ask(*state_, key, true);
+  if (node == nullptr)
+    return range.lowest;
+  const auto number = node->value<double>();
+  if (!number) {
+    RecordType(*state_, key, "a number");
+    return range.lowest;
+  }
+  if (*number < range.lowest || *number > range.highest) {
+    Reject(key, "is out of range",
+           "give a number from " + std::to_string(range.lowest) + " to " +
+               std::to_string(range.highest));
+    return range.lowest;
+  }
+  return *number;
+}
+
 std::int64_t section::IntegerOr(std::string_view key,
                                 integer_range range,
                                 std::int64_t fallback) {
