A full socket buffer no longer breaks a connection

Found by commit_failed in the log, 'connection broke' after each attempt. Ruled out: the number of entries of the transaction (31 of 32). Change: such an exception means that bytes wait; a test sends 6 MB both ways and failed before.

--- a/src/reactor/internal/stream.cc
+++ b/src/reactor/internal/stream.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace chivecrank::reactor::internal {
@@ -12,6 +13,11 @@
     Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR;
 constexpr int kAllModes = kReadModes | Poco::Net::PollSet::POLL_WRITE;
 
+/// POCO reports a full socket buffer by an exception.
+bool WouldBlock(const Poco::Exception& failure) {
+  return failure.code() == EAGAIN || failure.code() == EWOULDBLOCK;
+}
+
 }  // namespace
 
 stream::stream(event_loop& loop, Poco::Net::StreamSocket socket)
@@ -85,8 +91,8 @@
       if (count < kReadBytes)
         break;
     }
-  } catch (const Poco::Exception&) {
-    ended = true;
+  } catch (const Poco::Exception& failure) {
+    ended = !WouldBlock(failure);
   }
   if (!unread_.empty())
     hooks_.on_bytes(unread_);
@@ -103,8 +109,9 @@
         break;
       unsent_.erase(0, static_cast<std::size_t>(count));
     }
-  } catch (const Poco::Exception&) {
-    return Broken();
+  } catch (const Poco::Exception& failure) {
+    if (!WouldBlock(failure))
+      return Broken();
   }
   if (unsent_.empty() && close_after_sending_)
     return Close();
--- a/src/reactor/tests/http_test.cc
+++ b/src/reactor/tests/http_test.cc
@@ -118,6 +118,26 @@
   BOOST_TEST(server.InFlight() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(MessagesBeyondTheSocketBuffersArriveWhole) {
+  http_server large_server(
+      loop, {.body_bytes = 8 << 20},
+      [](http::request message, const responder& answer) {
+        answer(Answer(std::move(message.body)));
+      });
+  const settings::endpoint large_address{"127.0.0.1", 18433};
+  BOOST_REQUIRE(large_server.Start(large_address));
+  http_caller large_caller(loop, large_address, {.body_bytes = 8 << 20});
+  const std::string sent(6 << 20, 'x');
+  std::optional<std::string> got;
+  large_caller.Call({"POST", "/", {}, sent}, base::milliseconds(9000),
+                    [&](base::result<http::response> answer) {
+                      BOOST_REQUIRE(answer);
+                      got = answer.value().body;
+                    });
+  RunUntil([&] { return got.has_value(); });
+  BOOST_TEST((*got == sent));
+}
+
 BOOST_AUTO_TEST_CASE(TimersRunInTheirOrderAndCancelledOnesDoNot) {
   std::vector<int> order;
   loop.After(base::milliseconds(30), [&] { order.push_back(2); });
