Filling tasks go where they disturb no service, by learned pairs of images

Cause: with a speed limit for all filling tasks of a worker, 5087 orders on pace held 97% of round-plan back, while services were over their bound for 712 s. Ruled out: too few idle processors (filling tasks got all they asked for). Change: the product's interference model learns each pair; a filling task goes only where it adds little, only those that disturb are slowed, and services of one image are kept together so that each filling image finds workers.

--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -9,16 +9,24 @@
 /// Below this share filling tasks are halted.
 constexpr std::int32_t kLeastSpeed = 10;
 constexpr std::int32_t kRestoreStep = 25;
+/// From this ratio of latency to bound on they are slowed more at a time.
+constexpr double kFarOver = 1.5;
+/// A filling task adds at least this, in latencies of a quiet service, to be
+/// taken for a cause.
+constexpr double kNoticeable = 0.25;
+constexpr double kMilli = 1000;
+
+double RatioOf(const active_run& run) {
+  if (run.latency_target.count() <= 0 || run.phase != run_phase::kRunning)
+    return 0;
+  return static_cast<double>(run.reading) /
+         static_cast<double>(run.latency_target.count());
+}
 
 double WorstRatio(const worker_entry& worker) {
   double worst = 0;
-  for (const auto& [task, run] : worker.runs) {
-    if (run.latency_target.count() <= 0 || run.phase != run_phase::kRunning)
-      continue;
-    const double ratio = static_cast<double>(run.reading) /
-                         static_cast<double>(run.latency_target.count());
-    worst = std::max(worst, ratio);
-  }
+  for (const auto& [task, run] : worker.runs)
+    worst = std::max(worst, RatioOf(run));
   return worst;
 }
 
@@ -32,30 +40,48 @@
   if (now - state.changed_at < settings_.throttle_interval)
     return;
   if (state.worst_ratio > settings_.throttle_above)
-    return Slow(state, now);
+    return Slow(worker, now);
   if (now - state.calm_since >= settings_.calm_before_restore)
-    Restore(state, now);
+    Restore(worker, now);
 }
 
-void latency_guard::Slow(latency_state& state, base::time_point now) const {
-  if (state.fill_percent == 0)
-    return;
-  std::int32_t slower = state.fill_percent / 2;
-  if (state.worst_ratio > 1.5)
-    slower = state.fill_percent / 4;
-  state.fill_percent = slower < kLeastSpeed ? 0 : slower;
-  state.changed_at = now;
+void latency_guard::Slow(worker_entry& worker, base::time_point now) const {
+  const std::int32_t divisor = worker.latency.worst_ratio > kFarOver ? 4 : 2;
+  for (auto& [task, run] : worker.runs) {
+    if (!run.fills || run.wanted_percent == 0 || !Disturbs(worker, run, now))
+      continue;
+    const std::int32_t slower = run.wanted_percent / divisor;
+    run.wanted_percent = slower < kLeastSpeed ? 0 : slower;
+    worker.latency.changed_at = now;
+  }
 }
 
-void latency_guard::Restore(latency_state& state, base::time_point now) const {
-  if (state.fill_percent == kFullSpeed)
-    return;
-  state.fill_percent = std::min(state.fill_percent + kRestoreStep, kFullSpeed);
-  state.changed_at = now;
+void latency_guard::Restore(worker_entry& worker, base::time_point now) const {
+  for (auto& [task, run] : worker.runs) {
+    if (run.wanted_percent == kFullSpeed)
+      continue;
+    run.wanted_percent = std::min(run.wanted_percent + kRestoreStep, kFullSpeed);
+    worker.latency.changed_at = now;
+  }
+}
+
+bool latency_guard::Disturbs(const worker_entry& worker,
+                             const active_run& filling,
+                             base::time_point now) const {
+  const double processors =
+      static_cast<double>(filling.processors_milli) / kMilli;
+  return std::ranges::any_of(worker.runs, [&](const auto& entry) {
+    const active_run& service = entry.second;
+    return RatioOf(service) > settings_.throttle_above &&
+           processors * learned_.Slope(service.image, filling.image, now) >=
+               kNoticeable;
+  });
 }
 
 bool latency_guard::IsPressed(const worker_entry& worker) {
-  return worker.latency.fill_percent < kFullSpeed;
+  return std::ranges::any_of(worker.runs, [](const auto& entry) {
+    return entry.second.wanted_percent < kFullSpeed;
+  });
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/latency_guard.h
+++ b/src/submissions/internal/latency_guard.h
@@ -2,28 +2,33 @@
 #define CHIVECRANK_SUBMISSIONS_INTERNAL_LATENCY_GUARD_H_
 
 #include "chivecrank/submissions/scheduler_settings.h"
+#include "internal/interference.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
 
-/// Slows the filling tasks of a worker while a service beside them is near or
-/// over its latency bound, and gives the speed back when it is calm.
+/// Slows the filling tasks that disturb a service which is near or over its
+/// latency bound, and gives their speed back when it is calm.
 class latency_guard {
  public:
-  explicit latency_guard(const scheduler_settings& settings)
-      : settings_(settings) {}
+  latency_guard(const scheduler_settings& settings, const interference& learned)
+      : settings_(settings), learned_(learned) {}
 
-  /// Takes in the newest readings of the worker's runs.
+  /// Decides the speed of the worker's filling tasks from the newest readings.
   void Update(worker_entry& worker, base::time_point now) const;
 
-  /// Whether further filling tasks would do harm.
+  /// Whether the worker's services have no room for more disturbance.
   static bool IsPressed(const worker_entry& worker);
 
  private:
-  void Slow(latency_state& state, base::time_point now) const;
-  void Restore(latency_state& state, base::time_point now) const;
+  void Slow(worker_entry& worker, base::time_point now) const;
+  void Restore(worker_entry& worker, base::time_point now) const;
+  bool Disturbs(const worker_entry& worker,
+                const active_run& filling,
+                base::time_point now) const;
 
   const scheduler_settings& settings_;
+  const interference& learned_;
 };
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -1,9 +1,9 @@
 #include "internal/placer.h"
 
 #include <algorithm>
+#include <set>
 
 #include "chivecrank/scheduling/resources.h"
-#include "internal/latency_guard.h"
 
 namespace chivecrank::submissions::internal {
 namespace {
@@ -12,12 +12,31 @@
 constexpr double kDataRackBonus = 0.5;
 constexpr double kAvoidPenalty = 4;
 constexpr double kFailedHerePenalty = 2;
-constexpr double kNearLatencyBoundPenalty = 1;
+constexpr double kNearLatencyBoundPenalty = 0.3;
+constexpr double kSameImageBonus = 1;
+constexpr double kOtherImagePenalty = 1;
 
 bool HasLabel(const worker_description& worker, const std::string& label) {
   return std::ranges::find(worker.labels, label) != worker.labels.end();
 }
 
+/// Services of one image stay together, so that each filling image finds
+/// workers with no service that it disturbs.
+double ImageScore(const worker_entry& worker, const std::string& image) {
+  bool same = false;
+  std::set<std::string> others;
+  for (const auto& [task, run] : worker.runs) {
+    if (!run.lasting)
+      continue;
+    if (run.image == image)
+      same = true;
+    else
+      others.insert(run.image);
+  }
+  return (same ? kSameImageBonus : 0) -
+         kOtherImagePenalty * static_cast<double>(others.size());
+}
+
 bool IsAvoided(const worker_entry& worker, base::time_point now) {
   return worker.health.avoid_until > now;
 }
@@ -82,9 +101,11 @@
     return true;
   const double wanted =
       static_cast<double>(step.demand.processors_milli) * settings_.fill_share;
-  return !latency_guard::IsPressed(worker) &&
-         static_cast<double>(worker_table::IdleProcessors(
-             worker, settings_.service_load)) >= wanted;
+  if (static_cast<double>(worker_table::IdleProcessors(
+          worker, settings_.service_load)) < wanted)
+    return false;
+  return learned_.WorstAdded(worker, step.image, step.demand.processors_milli,
+                             request.now) <= settings_.most_added_latency;
 }
 
 double placer::ScoreOf(const worker_entry& worker,
@@ -104,6 +125,8 @@
     score -= kFailedHerePenalty;
   if (request.step->fills)
     score -= kNearLatencyBoundPenalty * worker.latency.worst_ratio;
+  if (request.step->lasting && !request.step->image.empty())
+    score += ImageScore(worker, request.step->image);
   return score;
 }
 
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -5,6 +5,7 @@
 
 #include "chivecrank/submissions/progress.h"
 #include "chivecrank/submissions/scheduler_settings.h"
+#include "internal/interference.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
@@ -23,8 +24,10 @@
 /// Chooses the worker for a run.
 class placer {
  public:
-  placer(const scheduler_settings& settings, worker_table& workers)
-      : settings_(settings), workers_(workers) {}
+  placer(const scheduler_settings& settings,
+         worker_table& workers,
+         const interference& learned)
+      : settings_(settings), workers_(workers), learned_(learned) {}
 
   /// The best worker that can take the task now; null when there is none.
   worker_entry* Choose(const placement_request& request) const;
@@ -37,6 +40,7 @@
 
   const scheduler_settings& settings_;
   worker_table& workers_;
+  const interference& learned_;
 };
 
 /// What a run of the step reserves on its worker.
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -14,8 +14,10 @@
 /// their queue, then by the time at which the submission should be done.
 class planner {
  public:
-  planner(const scheduler_settings& settings, run_book& book)
-      : book_(book), placer_(settings, book.Workers()) {}
+  planner(const scheduler_settings& settings,
+          run_book& book,
+          const interference& learned)
+      : book_(book), placer_(settings, book.Workers(), learned) {}
 
   void SetPolicy(const std::string& queue, const queue_policy& policy) {
     policies_[queue] = policy;
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -19,6 +19,7 @@
     TakeRunning(worker, listed, now);
   if (!report.ends_truncated)
     TakeAbsent(worker, report, requested_at, now);
+  learned_.Observe(worker, now);
   guard_.Update(worker, now);
 }
 
--- a/src/submissions/internal/report_processor.h
+++ b/src/submissions/internal/report_processor.h
@@ -12,8 +12,13 @@
 /// Brings the book of runs in line with what a worker lists.
 class report_processor {
  public:
-  report_processor(const scheduler_settings& settings, run_book& book)
-      : settings_(settings), book_(book), guard_(settings) {}
+  report_processor(const scheduler_settings& settings,
+                   run_book& book,
+                   interference& learned)
+      : settings_(settings),
+        book_(book),
+        learned_(learned),
+        guard_(settings, learned) {}
 
   /// Takes in a report. Its ends may be acknowledged once `next_batch` is
   /// committed.
@@ -47,6 +52,7 @@
 
   const scheduler_settings& settings_;
   run_book& book_;
+  interference& learned_;
   latency_guard guard_;
 };
 
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -18,6 +18,7 @@
   run.fills = step.fills;
   run.lasting = step.lasting;
   run.latency_target = step.latency_target;
+  run.image = step.image;
   run.since = now;
   run.progressed_at = now;
   return run;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -23,8 +23,8 @@
       : settings(given),
         on_event(std::move(hook)),
         book(settings, on_event),
-        reports(settings, book),
-        plans(settings, book) {}
+        reports(settings, book, learned),
+        plans(settings, book, learned) {}
 
   /// Lets other workers go first for a moment.
   void Avoid(worker_entry& worker,
@@ -91,10 +91,16 @@
     for (auto& [id, worker] : book.Workers().All()) {
       for (auto& [task, run] : worker.runs) {
         if (!run.fills || run.phase != run_phase::kRunning ||
-            run.throttle_percent == worker.latency.fill_percent)
+            run.throttle_percent == run.wanted_percent)
           continue;
-        run.throttle_percent = worker.latency.fill_percent;
+        run.throttle_percent = run.wanted_percent;
         commands.throttles.push_back({task, run.run, id, run.throttle_percent});
+        book.Emit({.kind = scheduler_event_kind::kFillsThrottled,
+                   .task = task,
+                   .worker = id,
+                   .run = run.run,
+                   .outcome = run.image,
+                   .input = run.throttle_percent});
       }
     }
   }
@@ -114,6 +120,7 @@
   const scheduler_settings settings;
   const scheduler_event_hook on_event;
   internal::run_book book;
+  internal::interference learned;
   internal::report_processor reports;
   internal::planner plans;
   std::uint64_t last_batch = 0;
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -53,14 +53,15 @@
   std::int32_t percent = 0;
   base::time_point progressed_at;
   std::int64_t reading = 0;
-  /// Share of its speed that the worker was told to run it at.
+  std::string image;
+  /// Share of its speed that the worker was told to run it at, and that is
+  /// wanted now.
   std::int32_t throttle_percent = 100;
+  std::int32_t wanted_percent = 100;
 };
 
 /// How far the latency of the worker's services is from its bound.
 struct latency_state {
-  /// Share of their speed that filling tasks may run at.
-  std::int32_t fill_percent = 100;
   base::time_point changed_at;
   /// Since when every service is well within its bound.
   base::time_point calm_since;
