Unknown pairs of images are tried on two workers; disturbing tasks move

Cause: at the start all of the first filling tasks tried unknown pairs on all workers at once, and one that was slowed beside a service stayed there, slowed to a halt as long as the service was busy (p99 of round-plan 33 s). Change: an unknown pair is together on two workers at most; a filling task that is slowed to half or less is stopped, to go on from its checkpoint on a worker with no service that it disturbs, if there is one.

--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -22,6 +22,7 @@
   kWorkerAvoided,
   kWorkerLeaseOver,
   kFillsThrottled,
+  kFillMoved,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -8,6 +8,8 @@
 
 constexpr double kMilli = 1000;
 constexpr std::int32_t kAtWork = 100;
+/// A pair whose slope is this uncertain is still tried out.
+constexpr double kKnownVariance = 0.5;
 
 /// An image that was never seen beside a service is tried; the first seconds
 /// beside it tell. Services' own load moves their latency about as much as
@@ -65,6 +67,13 @@
   return model_.Of(service_image, filling_image, AsWallTime(now)).mean;
 }
 
+bool interference::IsUnknown(const std::string& service_image,
+                             const std::string& filling_image,
+                             base::time_point now) const {
+  return model_.Of(service_image, filling_image, AsWallTime(now)).variance >
+         kKnownVariance;
+}
+
 double interference::WorstAdded(const worker_entry& worker,
                                 const std::string& filling_image,
                                 std::int64_t more_milli,
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -29,6 +29,11 @@
                const std::string& filling_image,
                base::time_point now) const;
 
+  /// Whether too little was seen of the pair to rely on its slope.
+  bool IsUnknown(const std::string& service_image,
+                 const std::string& filling_image,
+                 base::time_point now) const;
+
   /// The largest latency that the filling tasks of a worker, and `more_milli`
   /// processors of another, add to any service there.
   double WorstAdded(const worker_entry& worker,
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -104,6 +104,8 @@
   if (static_cast<double>(worker_table::IdleProcessors(
           worker, settings_.service_load)) < wanted)
     return false;
+  if (!trials_.Allows(worker, step.image, request.now))
+    return false;
   return learned_.WorstAdded(worker, step.image, step.demand.processors_milli,
                              request.now) <= settings_.most_added_latency;
 }
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -6,6 +6,7 @@
 #include "chivecrank/submissions/progress.h"
 #include "chivecrank/submissions/scheduler_settings.h"
 #include "internal/interference.h"
+#include "internal/trial_counter.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
@@ -27,7 +28,18 @@
   placer(const scheduler_settings& settings,
          worker_table& workers,
          const interference& learned)
-      : settings_(settings), workers_(workers), learned_(learned) {}
+      : settings_(settings),
+        workers_(workers),
+        learned_(learned),
+        trials_(learned) {}
+
+  /// Takes stock of the runs; call it before a round of choices.
+  void BeginRound() { trials_.Recount(workers_); }
+  /// The task of the last choice is being assigned.
+  void OnAssign(const worker_entry& worker, const step_request& step) {
+    if (step.fills)
+      trials_.Add(worker, step.image);
+  }
 
   /// The best worker that can take the task now; null when there is none.
   worker_entry* Choose(const placement_request& request) const;
@@ -41,6 +53,7 @@
   const scheduler_settings& settings_;
   worker_table& workers_;
   const interference& learned_;
+  trial_counter trials_;
 };
 
 /// What a run of the step reserves on its worker.
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -8,6 +8,11 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
+/// A filling task that is slowed this far is moved if another worker can take
+/// it, unless it is nearly done.
+constexpr std::int32_t kMoveAtPercent = 50;
+constexpr std::int32_t kNearlyDonePercent = 85;
+
 bool HasWaiting(const live_step& step) {
   return std::ranges::any_of(step.tasks, [](const task_progress& task) {
     return task.phase == task_phase::kWaiting;
@@ -31,6 +36,7 @@
 
 void planner::Plan(base::time_point now,
                    std::chrono::milliseconds since_epoch) {
+  placer_.BeginRound();
   std::vector<ready_step> ready = ReadySteps(since_epoch);
   std::ranges::sort(ready, {}, [](const ready_step& entry) {
     return std::tuple(entry.priority, entry.late, entry.objective,
@@ -90,6 +96,45 @@
   return request;
 }
 
+void planner::MoveDisturbing(base::time_point now) {
+  placer_.BeginRound();
+  for (auto& [id, worker] : book_.Workers().All()) {
+    std::vector<task_ref> slowed;
+    for (const auto& [task, run] : worker.runs)
+      if (run.fills && run.phase == run_phase::kRunning &&
+          run.wanted_percent <= kMoveAtPercent &&
+          run.percent < kNearlyDonePercent)
+        slowed.push_back(task);
+    for (const task_ref& task : slowed)
+      MoveIfBetter(worker, task, now);
+  }
+}
+
+void planner::MoveIfBetter(worker_entry& worker,
+                           const task_ref& task,
+                           base::time_point now) {
+  const live_submission* live = book_.Submissions().Find(task.submission);
+  if (live == nullptr || live->outcome)
+    return;
+  placement_request request;
+  request.step = book_.Submissions().StepOf(task);
+  request.progress = book_.Submissions().Find(task);
+  request.service = &PolicyOf(*live).service;
+  request.task = task;
+  request.now = now;
+  // The task's own worker isn't offered: it runs there.
+  if (placer_.Choose(request) == nullptr)
+    return;
+  active_run& run = worker.runs.at(task);
+  book_.Emit({.kind = scheduler_event_kind::kFillMoved,
+              .task = task,
+              .worker = worker.description.id,
+              .run = run.run,
+              .outcome = run.image,
+              .input = run.wanted_percent});
+  book_.Stop(worker, task, run, now);
+}
+
 void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
   const std::int32_t count =
@@ -103,6 +148,7 @@
     // The other tasks of the step ask for the same.
     if (worker == nullptr)
       return;
+    placer_.OnAssign(*worker, *book_.Submissions().StepOf(task));
     book_.Assign(task, progress.run + 1, *worker, now);
   }
 }
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -25,6 +25,10 @@
 
   void Plan(base::time_point now, std::chrono::milliseconds since_epoch);
 
+  /// Stops filling tasks that disturb a service where they are and would not
+  /// elsewhere; they go on there from their checkpoints.
+  void MoveDisturbing(base::time_point now);
+
  private:
   struct ready_step {
     live_submission* live = nullptr;
@@ -38,6 +42,9 @@
 
   std::vector<ready_step> ReadySteps(std::chrono::milliseconds since_epoch);
   const queue_policy& PolicyOf(const live_submission& live) const;
+  void MoveIfBetter(worker_entry& worker,
+                    const task_ref& task,
+                    base::time_point now);
   void PlaceTasks(const ready_step& ready, base::time_point now);
   void PlaceGang(const ready_step& ready, base::time_point now);
   bool PlaceGangOn(const ready_step& ready,
