Services as queues: own load per run, pressure per pair of images

Cause: slopes stayed near the bound that admits a task (0.2 where 4 was right): latency grows without limit as a service nears saturation, and the service's own load, which swings by half in ten seconds, was taken for the pairs'. Change: one Kalman filter follows the own load of each run and the pressure of each pair; a task goes where no service comes above 0.66.

--- a/apps/chivecrank_instance/instance_program.cc
+++ b/apps/chivecrank_instance/instance_program.cc
@@ -45,19 +45,17 @@
                settings_.runtime,
                Workers(),
                Configuration()),
-      api_(loop_,
-           runtime_.Intake(),
-           [this] { return runtime_.Queues(); }),
+      api_(loop_, runtime_.Intake(), [this] { return runtime_.Queues(); }),
       callers_(loop_,
                {},
                [this](const http::request& request, reactor::responder answer) {
                  api_.Handle(request, std::move(answer));
                }),
-      readiness_(loop_,
-                 {},
-                 adapter::ReadinessHandler(
-                     [this] { return runtime_.IsReady(); },
-                     [this] { return Metrics(); })) {}
+      readiness_(
+          loop_,
+          {},
+          adapter::ReadinessHandler([this] { return runtime_.IsReady(); },
+                                    [this] { return Metrics(); })) {}
 
 process::exit_code instance_program::Run() {
   log_.Write("start", {{"callers", settings::ToString(settings_.callers)},
--- a/apps/chivecrank_instance/instance_program.h
+++ b/apps/chivecrank_instance/instance_program.h
@@ -8,11 +8,11 @@
 #include "chivecrank/adapter/worker_client.h"
 #include "chivecrank/base/boot_clock.h"
 #include "chivecrank/event_log/event_log.h"
-#include "chivecrank/runtime/instance_runtime.h"
 #include "chivecrank/process/program.h"
 #include "chivecrank/process/signal_flags.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/reactor/http_server.h"
+#include "chivecrank/runtime/instance_runtime.h"
 #include "instance_settings.h"
 
 namespace chivecrank::apps {
--- a/src/event_log/include/chivecrank/event_log/event_log.h
+++ b/src/event_log/include/chivecrank/event_log/event_log.h
@@ -28,8 +28,8 @@
   field(std::string_view field_name, bool truth)
       : name(field_name), value(truth) {}
   template <std::integral Integer>
-    requires(!std::same_as<Integer, bool>)
-  field(std::string_view field_name, Integer number)
+  requires(!std::same_as<Integer, bool>)
+      field(std::string_view field_name, Integer number)
       : name(field_name), value(static_cast<std::int64_t>(number)) {}
 };
 
--- a/src/event_log/internal/event_log.cc
+++ b/src/event_log/internal/event_log.cc
@@ -82,8 +82,8 @@
   for (auto& [event, count] : counts_) {
     const event_count ended = std::exchange(count, {});
     if (ended.left_out > 0)
-      Append(LineOf("lines_left_out",
-                    {{"of", event}, {"count", ended.left_out}}));
+      Append(
+          LineOf("lines_left_out", {{"of", event}, {"count", ended.left_out}}));
   }
 }
 
--- a/src/reactor/tests/http_test.cc
+++ b/src/reactor/tests/http_test.cc
@@ -119,11 +119,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(MessagesBeyondTheSocketBuffersArriveWhole) {
-  http_server large_server(
-      loop, {.body_bytes = 8 << 20},
-      [](http::request message, const responder& answer) {
-        answer(Answer(std::move(message.body)));
-      });
+  http_server large_server(loop, {.body_bytes = 8 << 20},
+                           [](http::request message, const responder& answer) {
+                             answer(Answer(std::move(message.body)));
+                           });
   const settings::endpoint large_address{"127.0.0.1", 18433};
   BOOST_REQUIRE(large_server.Start(large_address));
   http_caller large_caller(loop, large_address, {.body_bytes = 8 << 20});
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "chivecrank/event_log/event_log.h"
-#include "chivecrank/runtime/replica.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/replica.h"
 
 namespace chivecrank::runtime {
 
@@ -71,7 +71,8 @@
   bool IsOwnTurn(std::uint32_t shard);
   /// Claims a shard whose owner key is as of revision `expected`.
   void Take(std::uint32_t shard, metadata::revision expected);
-  void OnTaken(std::uint32_t shard, base::result<metadata::commit_answer> answer);
+  void OnTaken(std::uint32_t shard,
+               base::result<metadata::commit_answer> answer);
   void Later(std::chrono::milliseconds delay, std::function<void()> step);
   std::string OwnerKey(std::uint32_t shard) const;
 
--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -10,8 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "chivecrank/runtime/keys.h"
 #include "chivecrank/metadata/types.h"
+#include "chivecrank/runtime/keys.h"
 #include "chivecrank/submissions/types.h"
 
 namespace chivecrank::runtime {
@@ -83,9 +83,7 @@
   const std::map<std::string, known_member>& Members() const {
     return members_;
   }
-  const std::map<std::uint32_t, known_owner>& Owners() const {
-    return owners_;
-  }
+  const std::map<std::uint32_t, known_owner>& Owners() const { return owners_; }
   const std::map<std::uint32_t, shard_status>& Statuses() const {
     return statuses_;
   }
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "chivecrank/event_log/event_log.h"
-#include "chivecrank/runtime/replica.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/replica.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
 #include "chivecrank/submissions/worker_orders.h"
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "chivecrank/event_log/event_log.h"
-#include "chivecrank/runtime/replica.h"
-#include "chivecrank/runtime/submission_service.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/replica.h"
+#include "chivecrank/runtime/submission_service.h"
 
 namespace chivecrank::runtime {
 
@@ -78,7 +78,8 @@
   void Enqueue(pending added);
   void SendNext();
   void Send(group sent);
-  void OnCommit(const group& sent, base::result<metadata::commit_answer> answer);
+  void OnCommit(const group& sent,
+                base::result<metadata::commit_answer> answer);
   void OnFailure(const group& sent, const base::error& failure);
   void OnConflict(const group& sent, const metadata::commit_answer& answer);
   void Answer(pending_write& written, submit_verdict verdict);
--- a/src/runtime/internal/feed.cc
+++ b/src/runtime/internal/feed.cc
@@ -53,11 +53,12 @@
 }
 
 void feed::Watch() {
-  store_.Watch(settings_.prefix, revision_, settings_.wait,
-               [this, alive = alive_](base::result<metadata::change_list> list) {
-                 if (*alive)
-                   OnChanges(std::move(list));
-               });
+  store_.Watch(
+      settings_.prefix, revision_, settings_.wait,
+      [this, alive = alive_](base::result<metadata::change_list> list) {
+        if (*alive)
+          OnChanges(std::move(list));
+      });
 }
 
 void feed::OnChanges(base::result<metadata::change_list> list) {
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -63,30 +63,28 @@
 }
 
 replica::hooks instance_runtime::ReplicaHooks() {
-  return {.on_accepted =
-              [this](const std::string& id) {
-                for (const auto& [shard, driver] : drivers_)
-                  driver->OnAccepted(id);
-              },
-          .on_ended =
-              [this](const std::string& id) {
-                for (const auto& [shard, driver] : drivers_)
-                  driver->OnEnded(id);
-              },
-          .on_owner =
-              [this](std::uint32_t shard) { ownership_.OnOwnerChanged(shard); }};
+  return {
+      .on_accepted =
+          [this](const std::string& id) {
+            for (const auto& [shard, driver] : drivers_)
+              driver->OnAccepted(id);
+          },
+      .on_ended =
+          [this](const std::string& id) {
+            for (const auto& [shard, driver] : drivers_)
+              driver->OnEnded(id);
+          },
+      .on_owner =
+          [this](std::uint32_t shard) { ownership_.OnOwnerChanged(shard); }};
 }
 
 ownership::hooks instance_runtime::OwnershipHooks() {
-  return {.on_won =
-              [this](std::uint32_t shard, metadata::revision fence) {
-                OnWon(shard, fence);
-              },
-          .on_lost = [this](std::uint32_t shard) { OnLost(shard); },
-          .may_take =
-              [this] {
-                return !stopping_ && queues_ && shared_feed_.IsCurrent();
-              }};
+  return {
+      .on_won = [this](std::uint32_t shard,
+                       metadata::revision fence) { OnWon(shard, fence); },
+      .on_lost = [this](std::uint32_t shard) { OnLost(shard); },
+      .may_take =
+          [this] { return !stopping_ && queues_ && shared_feed_.IsCurrent(); }};
 }
 
 feed_hooks instance_runtime::SharedHooks() {
@@ -175,12 +173,11 @@
   auto driver = std::make_shared<shard_driver>(
       loop_, clock_, store_, orders_, shared_, log_, shard, fence,
       settings_.driving,
-      shard_driver::hooks{
-          .is_valid = [this] { return ownership_.IsValid(); },
-          .on_fenced =
-              [this, shard](std::string_view reason) {
-                ownership_.Drop(shard, reason);
-              }});
+      shard_driver::hooks{.is_valid = [this] { return ownership_.IsValid(); },
+                          .on_fenced =
+                              [this, shard](std::string_view reason) {
+                                ownership_.Drop(shard, reason);
+                              }});
   driver->SetQueues(*queues_);
   drivers_[shard] = driver;
   if (directory_.IsListed())
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -75,8 +75,8 @@
     return;
   const base::time_point sent = loop_.Now();
   store_.Grant(settings_.term,
-               [this, sent, alive = alive_](
-                   base::result<metadata::granted_lease> granted) {
+               [this, sent,
+                alive = alive_](base::result<metadata::granted_lease> granted) {
                  if (!*alive)
                    return;
                  if (!granted)
@@ -93,12 +93,12 @@
 
 void ownership::Announce() {
   metadata::transaction announcement;
-  announcement.writes.push_back(
-      {ToString({key_kind::kMember, settings_.node}),
-       std::to_string(settings_.processors_milli), lease_});
+  announcement.writes.push_back({ToString({key_kind::kMember, settings_.node}),
+                                 std::to_string(settings_.processors_milli),
+                                 lease_});
   store_.Commit(std::move(announcement),
-                [this, lease = lease_, alive = alive_](
-                    base::result<metadata::commit_answer> answer) {
+                [this, lease = lease_,
+                 alive = alive_](base::result<metadata::commit_answer> answer) {
                   if (!*alive || lease != lease_)
                     return;
                   if (!answer)
@@ -115,27 +115,26 @@
   if (releasing_ || lease_ == 0)
     return;
   const base::time_point sent = loop_.Now();
-  store_.Renew(
-      lease_, [this, sent, lease = lease_, alive = alive_](
-                  base::result<metadata::granted_lease> renewed) {
-        if (!*alive || lease != lease_ || releasing_)
-          return;
-        if (!renewed && renewed.error().kind == base::error_kind::kNotFound)
-          return LoseLease("the store ended it");
-        if (renewal_failing_ != !renewed)
-          log_.Write(renewed ? "store_regained" : "store_lost",
-                     {{"call", "renew"},
-                      {"error", renewed ? "" : renewed.error().message}});
-        renewal_failing_ = !renewed;
-        if (renewed) {
-          valid_until_ = sent + settings_.term - settings_.margin;
-        } else if (!IsValid() && !owned_.empty()) {
-          // Another instance may own the shards by now.
-          while (!owned_.empty())
-            Drop(owned_.begin()->first, "the lease may be over");
-        }
-        RenewLater();
-      });
+  store_.Renew(lease_, [this, sent, lease = lease_, alive = alive_](
+                           base::result<metadata::granted_lease> renewed) {
+    if (!*alive || lease != lease_ || releasing_)
+      return;
+    if (!renewed && renewed.error().kind == base::error_kind::kNotFound)
+      return LoseLease("the store ended it");
+    if (renewal_failing_ != !renewed)
+      log_.Write(renewed ? "store_regained" : "store_lost",
+                 {{"call", "renew"},
+                  {"error", renewed ? "" : renewed.error().message}});
+    renewal_failing_ = !renewed;
+    if (renewed) {
+      valid_until_ = sent + settings_.term - settings_.margin;
+    } else if (!IsValid() && !owned_.empty()) {
+      // Another instance may own the shards by now.
+      while (!owned_.empty())
+        Drop(owned_.begin()->first, "the lease may be over");
+    }
+    RenewLater();
+  });
 }
 
 void ownership::LoseLease(std::string_view reason) {
@@ -167,7 +166,8 @@
 
 bool ownership::IsOwnTurn(std::uint32_t shard) {
   const base::time_point now = loop_.Now();
-  const base::time_point since = free_since_.try_emplace(shard, now).first->second;
+  const base::time_point since =
+      free_since_.try_emplace(shard, now).first->second;
   // Candidates by processor time per shard, ties in a random order per shard.
   std::map<std::string, std::int64_t> shards_of;
   for (const auto& [owned, owner] : shared_.Owners())
@@ -184,8 +184,8 @@
   std::ranges::sort(candidates, [](const auto& left, const auto& right) {
     return std::tie(left.share, left.tie) > std::tie(right.share, right.tie);
   });
-  const auto own = std::ranges::find(candidates, settings_.node,
-                                     &candidate::node);
+  const auto own =
+      std::ranges::find(candidates, settings_.node, &candidate::node);
   const auto rank = own - candidates.begin();
   return now - since >= settings_.candidate_pause * rank;
 }
@@ -196,8 +196,8 @@
   claim.conditions.push_back({OwnerKey(shard), expected});
   claim.writes.push_back({OwnerKey(shard), settings_.node, lease_});
   store_.Commit(std::move(claim),
-                [this, shard, lease = lease_, alive = alive_](
-                    base::result<metadata::commit_answer> answer) {
+                [this, shard, lease = lease_,
+                 alive = alive_](base::result<metadata::commit_answer> answer) {
                   if (!*alive)
                     return;
                   taking_.erase(shard);
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -101,8 +101,7 @@
 void replica::ApplyPut(const shared_key& key, const metadata::item& item) {
   switch (key.kind) {
     case key_kind::kShardCount:
-      shard_count_ =
-          base::ParseInteger<std::uint32_t>(item.value).value_or(0);
+      shard_count_ = base::ParseInteger<std::uint32_t>(item.value).value_or(0);
       return;
     case key_kind::kMember:
       members_[key.name] = {
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -225,21 +225,21 @@
 void shard_driver::SendStart(const submissions::start_command& command) {
   const submissions::worker_description* worker = WorkerOf(command.worker);
   if (worker == nullptr)
-    return scheduler_.OnStartAnswer(command, submissions::start_answer::kNotSent,
-                                    loop_.Now());
+    return scheduler_.OnStartAnswer(
+        command, submissions::start_answer::kNotSent, loop_.Now());
   scheduler_.OnLeaseSent(command.worker, loop_.Now());
-  orders_.Start(*worker, command, Terms(),
-                [this, command, alive = alive_](
-                    submissions::start_answer answer) {
-                  if (!*alive)
-                    return;
-                  scheduler_.OnStartAnswer(command, answer, loop_.Now());
-                  if (scheduler_.IsFenced())
-                    return hooks_.on_fenced("a worker follows a newer owner");
-                  LookLater(command.worker, settings_.look_spacing);
-                  if (answer != submissions::start_answer::kStarted)
-                    Wake();
-                });
+  orders_.Start(
+      *worker, command, Terms(),
+      [this, command, alive = alive_](submissions::start_answer answer) {
+        if (!*alive)
+          return;
+        scheduler_.OnStartAnswer(command, answer, loop_.Now());
+        if (scheduler_.IsFenced())
+          return hooks_.on_fenced("a worker follows a newer owner");
+        LookLater(command.worker, settings_.look_spacing);
+        if (answer != submissions::start_answer::kStarted)
+          Wake();
+      });
 }
 
 void shard_driver::SendStop(const submissions::stop_command& command) {
@@ -299,8 +299,8 @@
   else if (!tasks_written_)
     entry.tasks = batch_->tasks;
   changes.writes.push_back({key, submissions::EncodeJournalEntry(entry)});
-  const std::size_t last = std::min(outcomes_written_ + kOutcomesPerCommit,
-                                    batch_->outcomes.size());
+  const std::size_t last =
+      std::min(outcomes_written_ + kOutcomesPerCommit, batch_->outcomes.size());
   for (std::size_t i = outcomes_written_; i < last; ++i)
     changes.writes.push_back(
         {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
@@ -354,8 +354,8 @@
                  });
   auto sent = std::make_shared<metadata::transaction>(changes);
   store_.Commit(std::move(changes),
-                [this, sent, alive = alive_](
-                    base::result<metadata::commit_answer> answer) {
+                [this, sent,
+                 alive = alive_](base::result<metadata::commit_answer> answer) {
                   if (*alive)
                     OnCommit(*sent, std::move(answer));
                 });
@@ -368,13 +368,11 @@
                                  {"entry", next_entry_},
                                  {"error", answer.error().message}});
     // The same again: its conditions let it happen only once.
-    return Later(settings_.commit_retry,
-                 [this, changes] { Commit(changes); });
+    return Later(settings_.commit_retry, [this, changes] { Commit(changes); });
   }
   if (answer.value().applied)
     return OnCommitted();
-  const std::string owner_key =
-      ToString({key_kind::kOwner, ShardName(shard_)});
+  const std::string owner_key = ToString({key_kind::kOwner, ShardName(shard_)});
   bool still_owner = false;
   bool applied_before = false;
   for (const metadata::item& item : answer.value().current) {
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -55,8 +55,9 @@
                  done = std::move(done)](submit_verdict verdict) {
     const bool accepted = verdict == submit_verdict::kAccepted;
     const bool rejected = verdict == submit_verdict::kRejected;
-    ++(accepted ? counts_.accepted
-                : rejected ? counts_.rejected : counts_.unknown);
+    ++(accepted   ? counts_.accepted
+       : rejected ? counts_.rejected
+                  : counts_.unknown);
     log_.Write(accepted   ? "submission_accepted"
                : rejected ? "submission_rejected"
                           : "submission_in_doubt",
@@ -79,20 +80,21 @@
                                std::function<void(cancel_verdict)> done) {
   const known_submission* known = shared_.Find(id);
   if (known == nullptr) {
-    return LookUp(id, [this, id, give_up_at, done = std::move(done)](
-                          submission_state state) mutable {
+    return LookUp(id, [this, id, give_up_at,
+                       done = std::move(done)](submission_state state) mutable {
       if (state == submission_state::kUnknown)
         return done(cancel_verdict::kUnknownSubmission);
       if (state == submission_state::kUnavailable)
         return done(cancel_verdict::kUnavailable);
       // Stored by another instance and on its way here.
-      loop_.After(settings_.retry, [this, id, give_up_at, done, alive = alive_] {
-        if (!*alive)
-          return;
-        if (loop_.Now() >= give_up_at)
-          return done(cancel_verdict::kUnavailable);
-        Cancel(id, give_up_at, done);
-      });
+      loop_.After(settings_.retry,
+                  [this, id, give_up_at, done, alive = alive_] {
+                    if (!*alive)
+                      return;
+                    if (loop_.Now() >= give_up_at)
+                      return done(cancel_verdict::kUnavailable);
+                    Cancel(id, give_up_at, done);
+                  });
     });
   }
   if (known->Ended())
@@ -146,8 +148,8 @@
     changes.writes.push_back(written->write);
   }
   store_.Commit(std::move(changes),
-                [this, sent = std::move(sent), alive = alive_](
-                    base::result<metadata::commit_answer> answer) {
+                [this, sent = std::move(sent),
+                 alive = alive_](base::result<metadata::commit_answer> answer) {
                   if (!*alive)
                     return;
                   --in_flight_;
@@ -169,12 +171,13 @@
 
 void submission_intake::OnFailure(const group& sent,
                                   const base::error& failure) {
-  log_.Write("store_write_failed", {{"call", "accept"},
-                                    {"keys", sent.size()},
-                                    {"error", failure.message}});
+  log_.Write(
+      "store_write_failed",
+      {{"call", "accept"}, {"keys", sent.size()}, {"error", failure.message}});
   store_away_until_ = loop_.Now() + settings_.store_pause;
-  const bool had_no_effect = failure.kind == base::error_kind::kUnavailable ||
-                             failure.kind == base::error_kind::kResourceExhausted;
+  const bool had_no_effect =
+      failure.kind == base::error_kind::kUnavailable ||
+      failure.kind == base::error_kind::kResourceExhausted;
   group again;
   for (const pending& written : sent) {
     if (!had_no_effect)
@@ -202,8 +205,8 @@
                                    const metadata::commit_answer& answer) {
   // A key that exists was stored by an earlier attempt; the others go again.
   for (const pending& written : sent) {
-    const bool stored = std::ranges::any_of(
-        answer.current, [&](const metadata::item& item) {
+    const bool stored =
+        std::ranges::any_of(answer.current, [&](const metadata::item& item) {
           return item.key == written->write.key && item.changed_at > 0;
         });
     if (stored)
@@ -213,8 +216,7 @@
   }
 }
 
-void submission_intake::Answer(pending_write& written,
-                               submit_verdict verdict) {
+void submission_intake::Answer(pending_write& written, submit_verdict verdict) {
   if (written.answered)
     return;
   written.answered = true;
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -70,7 +70,8 @@
     now.merge(workers_);
   for (const auto& [id, worker] : now)
     if (!workers_.contains(id))
-      log_.Write("worker_listed", {{"worker", id}, {"born_ms", worker.born_ms}});
+      log_.Write("worker_listed",
+                 {{"worker", id}, {"born_ms", worker.born_ms}});
   for (const auto& [id, worker] : workers_)
     if (!now.contains(id))
       log_.Write("worker_unlisted", {{"worker", id}});
--- a/src/settings/internal/section.cc
+++ b/src/settings/internal/section.cc
@@ -82,7 +82,6 @@
   }
 }
 
-
 std::shared_ptr<internal::section_state> Child(internal::section_state& parent,
                                                const toml::table* table,
                                                std::string prefix) {
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -23,9 +23,8 @@
   double service_load = 0.5;
   /// Share of its processors that a filling task should find idle.
   double fill_share = 0.7;
-  /// Latency that filling tasks may add to a service, in latencies of a quiet
-  /// one.
-  double most_added_latency = 0.6;
+  /// Pressure (1 is saturation) that filling tasks may bring a service to.
+  double most_pressure = 0.66;
   /// Failures in a row, each of another submission, after which a worker is
   /// avoided.
   std::int32_t failures_to_avoid = 2;
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -1,30 +1,30 @@
 #include "internal/interference.h"
 
 #include <algorithm>
-#include <vector>
+#include <cmath>
 
 namespace chivecrank::submissions::internal {
 namespace {
 
 constexpr double kMilli = 1000;
+constexpr double kWholePercent = 100;
 constexpr std::int32_t kAtWork = 100;
-/// A pair whose slope is this uncertain is still tried out.
-constexpr double kKnownVariance = 0.5;
-
-/// An image that was never seen beside a service is tried; the first seconds
-/// beside it tell. Services' own load moves their latency about as much as
-/// these figures allow.
-constexpr scheduling::interference_settings kLearning = {
-    .prior_mean = 0.12,
-    .prior_variance = 4,
-    .level_variance = 0.3,
-    .sample_noise = 0.35,
-    .half_life = std::chrono::seconds(60)};
-
-base::wall_time AsWallTime(base::time_point time) {
-  return base::wall_time(
-      std::chrono::duration_cast<base::wall_time::duration>(
-          time.time_since_epoch()));
+
+/// Belief about a pair that was never seen: pressure per processor.
+constexpr double kPriorSlope = 0.03;
+constexpr double kPriorSlopeVariance = 0.04 * 0.04;
+/// A pair whose slope is more uncertain than this is still tried out.
+constexpr double kKnownSlopeVariance = 0.022 * 0.022;
+/// Time in which what was learned of a pair fades to a half.
+constexpr double kSlopeHalfLifeSeconds = 40;
+/// Variance that a service's own load gains in a second.
+constexpr double kLoadDriftVariance = 0.08 * 0.08;
+constexpr double kMostLoadVariance = 0.2 * 0.2;
+/// Noise of one reading, as pressure.
+constexpr double kReadingNoise = 0.05;
+
+double SecondsBetween(base::time_point from, base::time_point to) {
+  return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
 bool IsServing(const active_run& run) {
@@ -32,69 +32,110 @@
          run.percent >= kAtWork;
 }
 
-/// Processors, in thousandths, that a filling run takes at its speed.
-double UsedMilli(const active_run& run) {
-  const double speed =
-      run.throttle_percent < 0 ? 1 : run.throttle_percent / 100.0;
-  return static_cast<double>(run.processors_milli) * speed;
+double PressureOf(const active_run& service) {
+  const double idle = static_cast<double>(service.latency_target.count()) *
+                      (1 - interference::kPressureAtBound);
+  return 1 - idle / std::max(static_cast<double>(service.reading), idle);
 }
 
-}  // namespace
+/// Processors that a filling run takes at the speed that is wanted.
+double WantedProcessors(const active_run& run) {
+  return static_cast<double>(run.processors_milli) / kMilli *
+         run.wanted_percent / kWholePercent;
+}
 
-interference::interference() : model_(kLearning) {}
+}  // namespace
 
-void interference::Observe(const worker_entry& worker, base::time_point now) {
-  std::map<std::string, double> used;
+void interference::Observe(worker_entry& worker, base::time_point now) {
+  amounts used;
   for (const auto& [task, run] : worker.runs)
     if (run.fills && run.phase == run_phase::kRunning)
       used[run.image] += static_cast<double>(run.reading) / kMilli;
-  std::vector<scheduling::exposure> exposures;
-  for (const auto& [image, processors] : used)
-    exposures.push_back({image, processors});
-  for (const auto& [task, run] : worker.runs) {
-    if (!IsServing(run) || run.reading <= 0)
-      continue;
-    const double quiet =
-        static_cast<double>(run.latency_target.count()) / kBoundOverQuiet;
-    model_.Observe(run.image, exposures,
-                   static_cast<double>(run.reading) / quiet, AsWallTime(now));
+  for (auto& [task, run] : worker.runs)
+    if (IsServing(run) && run.reading > 0)
+      ObserveService(run, used, now);
+}
+
+void interference::ObserveService(active_run& service,
+                                  const amounts& used,
+                                  base::time_point now) {
+  load_belief& load = service.load;
+  load.variance = std::min(
+      kMostLoadVariance,
+      load.variance + kLoadDriftVariance * SecondsBetween(load.updated, now));
+  load.updated = now;
+  double predicted = load.mean;
+  double variance = load.variance + kReadingNoise * kReadingNoise;
+  for (const auto& [image, amount] : used) {
+    const belief slope = Of(service.image, image, now);
+    predicted += amount * slope.mean;
+    variance += amount * amount * slope.variance;
   }
+  const double surprise = PressureOf(service) - predicted;
+  load.mean += load.variance / variance * surprise;
+  load.mean = std::clamp(load.mean, 0.0, 1.0);
+  load.variance *= 1 - load.variance / variance;
+  for (const auto& [image, amount] : used) {
+    belief slope = Of(service.image, image, now);
+    const double gain = slope.variance * amount / variance;
+    slope.mean = std::max(0.0, slope.mean + gain * surprise);
+    slope.variance *= 1 - gain * amount;
+    beliefs_[{service.image, image}] = slope;
+  }
+}
+
+interference::belief interference::Of(const std::string& service_image,
+                                      const std::string& filling_image,
+                                      base::time_point now) const {
+  const auto found = beliefs_.find({service_image, filling_image});
+  if (found == beliefs_.end())
+    return {kPriorSlope, kPriorSlopeVariance, now};
+  belief current = found->second;
+  const double kept =
+      std::exp2(-SecondsBetween(current.updated, now) / kSlopeHalfLifeSeconds);
+  current.mean = kPriorSlope + kept * (current.mean - kPriorSlope);
+  current.variance =
+      kPriorSlopeVariance + kept * (current.variance - kPriorSlopeVariance);
+  current.updated = now;
+  return current;
 }
 
 double interference::Slope(const std::string& service_image,
                            const std::string& filling_image,
                            base::time_point now) const {
-  return model_.Of(service_image, filling_image, AsWallTime(now)).mean;
+  return Of(service_image, filling_image, now).mean;
 }
 
 bool interference::IsUnknown(const std::string& service_image,
                              const std::string& filling_image,
                              base::time_point now) const {
-  return model_.Of(service_image, filling_image, AsWallTime(now)).variance >
-         kKnownVariance;
+  return Of(service_image, filling_image, now).variance > kKnownSlopeVariance;
 }
 
-double interference::WorstAdded(const worker_entry& worker,
-                                const std::string& filling_image,
-                                std::int64_t more_milli,
-                                base::time_point now) const {
-  std::map<std::string, double> used;
-  used[filling_image] += static_cast<double>(more_milli) / kMilli;
+interference::forecast interference::Forecast(const worker_entry& worker,
+                                              const std::string& filling_image,
+                                              std::int64_t more_milli,
+                                              base::time_point now) const {
+  amounts used;
   for (const auto& [task, run] : worker.runs)
     if (run.fills)
-      used[run.image] += UsedMilli(run) / kMilli;
-  double worst = 0;
-  std::map<std::string, bool> seen;
+      used[run.image] += WantedProcessors(run);
+  const double more = static_cast<double>(more_milli) / kMilli;
+  std::map<std::string, double> pressure_of;
+  forecast result;
   for (const auto& [task, run] : worker.runs) {
-    if (run.latency_target.count() <= 0 ||
-        !seen.try_emplace(run.image, true).second)
+    if (run.latency_target.count() <= 0)
       continue;
-    double added = 0;
-    for (const auto& [image, processors] : used)
-      added += processors * Slope(run.image, image, now);
-    worst = std::max(worst, added);
+    auto [known, is_new] = pressure_of.try_emplace(run.image, 0);
+    if (is_new)
+      for (const auto& [image, amount] : used)
+        known->second += amount * Slope(run.image, image, now);
+    const double added = more * Slope(run.image, filling_image, now);
+    result.added = std::max(result.added, added);
+    result.worst =
+        std::max(result.worst, run.load.mean + known->second + added);
   }
-  return worst;
+  return result;
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -3,28 +3,29 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
-#include "chivecrank/scheduling/interference_model.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
 
-/// What filling tasks do to the latency of the services beside them, learned
-/// per pair of images from the workers' reports.
+/// What filling tasks do to the services beside them, learned per pair of
+/// images from the workers' reports.
 ///
-/// Latencies are in units of a quiet service's: a service at its bound is at
-/// kBoundOverQuiet.
+/// A service behaves like a queue: its tail latency is that of an idle one
+/// divided by one minus its pressure. The pressure is its own load, plus for
+/// each processor of a filling image a share that depends on the pair. Own
+/// loads are followed per run and shares per pair, by one Kalman filter with a
+/// diagonal covariance.
 class interference {
  public:
-  /// Latency bounds are about this many times the latency of a quiet service.
-  static constexpr double kBoundOverQuiet = 3;
-
-  interference();
+  /// Pressure of a service at its latency bound.
+  static constexpr double kPressureAtBound = 1 - 1 / 4.5;
 
   /// Learns from the readings of a worker's runs.
-  void Observe(const worker_entry& worker, base::time_point now);
+  void Observe(worker_entry& worker, base::time_point now);
 
-  /// Latency that one processor of a filling image adds to a service's.
+  /// Pressure that one processor of a filling image adds to a service.
   double Slope(const std::string& service_image,
                const std::string& filling_image,
                base::time_point now) const;
@@ -34,15 +35,35 @@
                  const std::string& filling_image,
                  base::time_point now) const;
 
-  /// The largest latency that the filling tasks of a worker, and `more_milli`
-  /// processors of another, add to any service there.
-  double WorstAdded(const worker_entry& worker,
+  /// What a worker's services would be under with more filling work.
+  struct forecast {
+    /// The largest pressure of any service.
+    double worst = 0;
+    /// The most that the additional work adds to any.
+    double added = 0;
+  };
+  forecast Forecast(const worker_entry& worker,
                     const std::string& filling_image,
                     std::int64_t more_milli,
                     base::time_point now) const;
 
  private:
-  scheduling::interference_model model_;
+  struct belief {
+    double mean = 0;
+    double variance = 0;
+    base::time_point updated;
+  };
+  using pair = std::pair<std::string, std::string>;
+  using amounts = std::map<std::string, double>;
+
+  void ObserveService(active_run& service,
+                      const amounts& used,
+                      base::time_point now);
+  belief Of(const std::string& service_image,
+            const std::string& filling_image,
+            base::time_point now) const;
+
+  std::map<pair, belief> beliefs_;
 };
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -11,9 +11,8 @@
 constexpr std::int32_t kRestoreStep = 25;
 /// From this ratio of latency to bound on they are slowed more at a time.
 constexpr double kFarOver = 1.5;
-/// A filling task adds at least this, in latencies of a quiet service, to be
-/// taken for a cause.
-constexpr double kNoticeable = 0.25;
+/// A filling task adds at least this pressure to be taken for a cause.
+constexpr double kNoticeable = 0.04;
 constexpr double kMilli = 1000;
 
 double RatioOf(const active_run& run) {
@@ -60,7 +59,8 @@
   for (auto& [task, run] : worker.runs) {
     if (run.wanted_percent == kFullSpeed)
       continue;
-    run.wanted_percent = std::min(run.wanted_percent + kRestoreStep, kFullSpeed);
+    run.wanted_percent =
+        std::min(run.wanted_percent + kRestoreStep, kFullSpeed);
     worker.latency.changed_at = now;
   }
 }
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -12,10 +12,14 @@
 constexpr double kDataRackBonus = 0.5;
 constexpr double kAvoidPenalty = 4;
 constexpr double kFailedHerePenalty = 2;
-constexpr double kNearLatencyBoundPenalty = 0.3;
+/// Times the pressure that a filling task adds to a service.
+constexpr double kPressurePenalty = 3;
 constexpr double kSameImageBonus = 1;
 constexpr double kOtherImagePenalty = 1;
 
+/// Added pressure below this is taken for none.
+constexpr double kNoPressure = 0.02;
+
 bool HasLabel(const worker_description& worker, const std::string& label) {
   return std::ranges::find(worker.labels, label) != worker.labels.end();
 }
@@ -106,8 +110,10 @@
     return false;
   if (!trials_.Allows(worker, step.image, request.now))
     return false;
-  return learned_.WorstAdded(worker, step.image, step.demand.processors_milli,
-                             request.now) <= settings_.most_added_latency;
+  const auto forecast = learned_.Forecast(
+      worker, step.image, step.demand.processors_milli, request.now);
+  return forecast.added < kNoPressure ||
+         forecast.worst <= settings_.most_pressure;
 }
 
 double placer::ScoreOf(const worker_entry& worker,
@@ -126,7 +132,11 @@
   if (request.progress->failed_on == worker.description.id)
     score -= kFailedHerePenalty;
   if (request.step->fills)
-    score -= kNearLatencyBoundPenalty * worker.latency.worst_ratio;
+    score -= kPressurePenalty *
+             learned_
+                 .Forecast(worker, request.step->image,
+                           request.step->demand.processors_milli, request.now)
+                 .added;
   if (request.step->lasting && !request.step->image.empty())
     score += ImageScore(worker, request.step->image);
   return score;
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -21,6 +21,7 @@
   run.image = step.image;
   run.since = now;
   run.progressed_at = now;
+  run.load.updated = now;
   return run;
 }
 
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -26,6 +26,13 @@
   kStopping,
 };
 
+/// What is believed of a service's own load, from 0 to 1.
+struct load_belief {
+  double mean = 0.45;
+  double variance = 0.03;
+  base::time_point updated;
+};
+
 /// A run that takes capacity of a worker.
 struct active_run {
   /// An order to change the speed was not confirmed.
@@ -54,6 +61,7 @@
   base::time_point progressed_at;
   std::int64_t reading = 0;
   std::string image;
+  load_belief load;
   /// Share of its speed that the worker was told to run it at, and that is
   /// wanted now.
   std::int32_t throttle_percent = 100;
