A worker that doesn't answer gets no new lease with each attempt

From the log: worker unlisted at 9.2 s, its lease counted as over at 44.7 s, after a new owner took over. Ruled out: placing (the tasks were not waiting, they counted as running). Change: after a failed look the next ones carry no lease until one is answered.

--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -78,6 +78,8 @@
  private:
   struct look_state {
     bool in_flight = false;
+    /// The newest look was answered.
+    bool answered = false;
     reactor::timer_id timer = 0;
   };
 
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -434,8 +434,14 @@
   if (scheduler_.HasRuns(worker))
     request.wait = settings_.look_wait;
   const base::time_point now = loop_.Now();
-  scheduler_.OnLeaseSent(worker, now);
-  looks_[worker].in_flight = true;
+  look_state& state = looks_[worker];
+  // A worker that doesn't answer gets no new lease with each attempt, so that
+  // its lease runs out.
+  if (state.answered)
+    scheduler_.OnLeaseSent(worker, now);
+  else
+    request.terms.lease = std::chrono::milliseconds(0);
+  state.in_flight = true;
   orders_.Look(*known, request,
                [this, worker, now, alive = alive_](
                    base::result<submissions::worker_report> report) {
@@ -447,7 +453,9 @@
 void shard_driver::OnLook(const std::string& worker,
                           base::time_point requested_at,
                           base::result<submissions::worker_report> report) {
-  looks_[worker].in_flight = false;
+  look_state& state = looks_[worker];
+  state.in_flight = false;
+  state.answered = report.has_value();
   if (!report) {
     if (report.error().kind == base::error_kind::kFenced)
       return hooks_.on_fenced("a worker follows a newer owner");
--- a/src/submissions/include/chivecrank/submissions/worker_orders.h
+++ b/src/submissions/include/chivecrank/submissions/worker_orders.h
@@ -15,7 +15,8 @@
 struct order_terms {
   /// Grows with each owner of the shard; the worker ignores lower ones.
   std::int64_t fence = 0;
-  /// How long everything on the worker may go on running from now.
+  /// How long everything on the worker may go on running from now; 0 leaves
+  /// its lease as it is.
   std::chrono::milliseconds lease{0};
 };
 
