--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -6,15 +6,14 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
-constexpr double kMilli = 1000;
-constexpr double kWholePercent = 100;
+constexpr std::int64_t kWholePercent = 100;
 constexpr std::int32_t kAtWork = 100;
 
-/// Belief about a pair that was never seen: pressure per processor.
-constexpr double kPriorSlope = 0.03;
-constexpr double kPriorSlopeVariance = 0.04 * 0.04;
+/// Belief about a pair that was never seen: pressure per worker's processors.
+constexpr double kPriorSlope = 0.5;
+constexpr double kPriorSlopeVariance = 0.65 * 0.65;
 /// A pair whose slope is more uncertain than this is still tried out.
-constexpr double kKnownSlopeVariance = 0.022 * 0.022;
+constexpr double kKnownSlopeVariance = 0.35 * 0.35;
 /// Time in which what was learned of a pair fades to a half.
 constexpr double kSlopeHalfLifeSeconds = 40;
 /// Variance that a service's own load gains in a second.
@@ -38,10 +37,16 @@
   return 1 - idle / std::max(static_cast<double>(service.reading), idle);
 }
 
-/// Processors that a filling run takes at the speed that is wanted.
-double WantedProcessors(const active_run& run) {
-  return static_cast<double>(run.processors_milli) / kMilli *
-         run.wanted_percent / kWholePercent;
+/// Share of the worker's processors.
+double ShareOf(std::int64_t processors_milli, const worker_entry& worker) {
+  return static_cast<double>(processors_milli) /
+         static_cast<double>(std::max<std::int64_t>(
+             worker.description.capacity.processors_milli, 1));
+}
+
+/// What a filling run takes at the speed that is wanted.
+std::int64_t WantedMilli(const active_run& run) {
+  return run.processors_milli * run.wanted_percent / kWholePercent;
 }
 
 }  // namespace
@@ -50,7 +55,7 @@
   amounts used;
   for (const auto& [task, run] : worker.runs)
     if (run.fills && run.phase == run_phase::kRunning)
-      used[run.image] += static_cast<double>(run.reading) / kMilli;
+      used[run.image] += ShareOf(run.reading, worker);
   for (auto& [task, run] : worker.runs)
     if (IsServing(run) && run.reading > 0)
       ObserveService(run, used, now);
@@ -119,8 +124,8 @@
   amounts used;
   for (const auto& [task, run] : worker.runs)
     if (run.fills)
-      used[run.image] += WantedProcessors(run);
-  const double more = static_cast<double>(more_milli) / kMilli;
+      used[run.image] += ShareOf(WantedMilli(run), worker);
+  const double more = ShareOf(more_milli, worker);
   std::map<std::string, double> pressure_of;
   forecast result;
   for (const auto& [task, run] : worker.runs) {
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -13,8 +13,9 @@
 /// images from the workers' reports.
 ///
 /// A service behaves like a queue: its tail latency is that of an idle one
-/// divided by one minus its pressure. The pressure is its own load, plus for
-/// each processor of a filling image a share that depends on the pair. Own
+/// divided by one minus its pressure. The pressure is its own load, plus what
+/// filling tasks add: the share of the worker's processors that they use,
+/// times a slope that depends on the pair. Own
 /// loads are followed per run and shares per pair, by one Kalman filter with a
 /// diagonal covariance.
 class interference {
@@ -25,7 +26,8 @@
   /// Learns from the readings of a worker's runs.
   void Observe(worker_entry& worker, base::time_point now);
 
-  /// Pressure that one processor of a filling image adds to a service.
+  /// Pressure that a filling image adds to a service when it uses all
+  /// processors of the worker.
   double Slope(const std::string& service_image,
                const std::string& filling_image,
                base::time_point now) const;
--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -13,7 +13,6 @@
 constexpr double kFarOver = 1.5;
 /// A filling task adds at least this pressure to be taken for a cause.
 constexpr double kNoticeable = 0.04;
-constexpr double kMilli = 1000;
 
 double RatioOf(const active_run& run) {
   if (run.latency_target.count() <= 0 || run.phase != run_phase::kRunning)
@@ -68,12 +67,14 @@
 bool latency_guard::Disturbs(const worker_entry& worker,
                              const active_run& filling,
                              base::time_point now) const {
-  const double processors =
-      static_cast<double>(filling.processors_milli) / kMilli;
+  const double share =
+      static_cast<double>(filling.processors_milli) /
+      static_cast<double>(std::max<std::int64_t>(
+          worker.description.capacity.processors_milli, 1));
   return std::ranges::any_of(worker.runs, [&](const auto& entry) {
     const active_run& service = entry.second;
     return RatioOf(service) > settings_.throttle_above &&
-           processors * learned_.Slope(service.image, filling.image, now) >=
+           share * learned_.Slope(service.image, filling.image, now) >=
                kNoticeable;
   });
 }
