--- a/src/reactor/include/chivecrank/reactor/event_loop.h
+++ b/src/reactor/include/chivecrank/reactor/event_loop.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 #include "chivecrank/base/clock.h"
@@ -41,6 +42,9 @@
   /// Forgets a timer; one that was called already is ignored.
   void Cancel(timer_id timer);
 
+  /// When the next timer is due; nothing when none is pending.
+  std::optional<base::time_point> NextDue() const;
+
   /// Waits at most `longest` for a socket or a timer and serves what is ready.
   void RunOnce(base::duration longest);
 
--- a/src/reactor/internal/event_loop.cc
+++ b/src/reactor/internal/event_loop.cc
@@ -46,6 +46,12 @@
   due_of_timer_.erase(found);
 }
 
+std::optional<base::time_point> event_loop::NextDue() const {
+  if (timers_.empty())
+    return std::nullopt;
+  return timers_.begin()->first.due;
+}
+
 void event_loop::RunOnce(base::duration longest) {
   ServeSockets(WaitUpTo(longest));
   ServeTimers();
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -36,6 +36,10 @@
   /// below which they get their speed back.
   double throttle_above = 0.95;
   double restore_below = 0.75;
+  /// A service that is over its bound for this long gets all filling tasks
+  /// beside it slowed, whatever is known of them, and then halted.
+  std::chrono::milliseconds blame_all_after{1100};
+  std::chrono::milliseconds halt_all_after{2000};
   /// How long a service must be within its bound before that.
   std::chrono::milliseconds calm_before_restore{1200};
   /// Entries of the journal after which a snapshot is written.
--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -35,6 +35,10 @@
   state.worst_ratio = WorstRatio(worker);
   if (state.worst_ratio >= settings_.restore_below)
     state.calm_since = now;
+  if (state.worst_ratio <= 1)
+    state.over_since.reset();
+  else if (!state.over_since)
+    state.over_since = now;
   if (now - state.changed_at < settings_.throttle_interval)
     return;
   if (state.worst_ratio > settings_.throttle_above)
@@ -44,12 +48,20 @@
 }
 
 void latency_guard::Slow(worker_entry& worker, base::time_point now) const {
-  const std::int32_t divisor = worker.latency.worst_ratio > kFarOver ? 4 : 2;
+  const latency_state& state = worker.latency;
+  const bool long_over =
+      state.over_since && now - *state.over_since >= settings_.blame_all_after;
+  const bool too_long =
+      state.over_since && now - *state.over_since >= settings_.halt_all_after;
+  const std::int32_t divisor =
+      state.worst_ratio > kFarOver || long_over ? 4 : 2;
   for (auto& [task, run] : worker.runs) {
-    if (!run.fills || run.wanted_percent == 0 || !Disturbs(worker, run, now))
+    // Many tasks that each add little are a cause together.
+    if (!run.fills || run.wanted_percent == 0 ||
+        (!long_over && !Disturbs(worker, run, now)))
       continue;
     const std::int32_t slower = run.wanted_percent / divisor;
-    run.wanted_percent = slower < kLeastSpeed ? 0 : slower;
+    run.wanted_percent = slower < kLeastSpeed || too_long ? 0 : slower;
     worker.latency.changed_at = now;
   }
 }
@@ -67,10 +79,9 @@
 bool latency_guard::Disturbs(const worker_entry& worker,
                              const active_run& filling,
                              base::time_point now) const {
-  const double share =
-      static_cast<double>(filling.processors_milli) /
-      static_cast<double>(std::max<std::int64_t>(
-          worker.description.capacity.processors_milli, 1));
+  const double share = static_cast<double>(filling.processors_milli) /
+                       static_cast<double>(std::max<std::int64_t>(
+                           worker.description.capacity.processors_milli, 1));
   return std::ranges::any_of(worker.runs, [&](const auto& entry) {
     const active_run& service = entry.second;
     return RatioOf(service) > settings_.throttle_above &&
@@ -80,9 +91,7 @@
 }
 
 bool latency_guard::IsPressed(const worker_entry& worker) {
-  return std::ranges::any_of(worker.runs, [](const auto& entry) {
-    return entry.second.wanted_percent < kFullSpeed;
-  });
+  return worker.latency.over_since.has_value();
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/latency_guard.h
+++ b/src/submissions/internal/latency_guard.h
@@ -17,7 +17,7 @@
   /// Decides the speed of the worker's filling tasks from the newest readings.
   void Update(worker_entry& worker, base::time_point now) const;
 
-  /// Whether the worker's services have no room for more disturbance.
+  /// Whether a service is over its bound now: no filling task is added.
   static bool IsPressed(const worker_entry& worker);
 
  private:
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "chivecrank/scheduling/resources.h"
+#include "internal/latency_guard.h"
 
 namespace chivecrank::submissions::internal {
 namespace {
@@ -108,6 +109,8 @@
   if (static_cast<double>(worker_table::IdleProcessors(
           worker, settings_.service_load)) < wanted)
     return false;
+  if (latency_guard::IsPressed(worker))
+    return false;
   if (!trials_.Allows(worker, step.image, request.now))
     return false;
   const auto forecast = learned_.Forecast(
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "chivecrank/base/clock.h"
@@ -73,6 +74,8 @@
   base::time_point changed_at;
   /// Since when every service is well within its bound.
   base::time_point calm_since;
+  /// Since when some service is over its bound; unset while none is.
+  std::optional<base::time_point> over_since;
   /// The newest largest ratio of a tail latency to its bound.
   double worst_ratio = 0;
 };
--- a/src/submissions/tests/record_codec_test.cc
+++ b/src/submissions/tests/record_codec_test.cc
@@ -0,0 +1,65 @@
+#include <boost/test/unit_test.hpp>
+
+#include "chivecrank/submissions/record_codec.h"
+
+namespace chivecrank::submissions {
+
+BOOST_AUTO_TEST_SUITE(record_codec)
+
+BOOST_AUTO_TEST_CASE(ASubmissionReadsBackAsItWas) {
+  submission written;
+  written.id = "5c0e7a21d94b36f8";
+  written.queue = "queue";
+  written.policy = {"service", 2, 4, 1.5, std::chrono::milliseconds(250)};
+  written.shard = 3;
+  written.accepted_since_epoch = std::chrono::milliseconds(1'700'000'000'123);
+  written.spec = "line\n\"quoted\" \xc3\xa9";
+  step_request step;
+  step.task_count = 4;
+  step.demand = {500, 256, 1};
+  step.estimate = std::chrono::milliseconds(900);
+  step.required_label = "b";
+  step.data_rack = "r1-3";
+  step.most_per_worker = 2;
+  step.most_away = 1;
+  step.image = "image";
+  step.latency_target = std::chrono::milliseconds(18);
+  step.lasting = true;
+  written.steps = {step, step};
+  written.steps[1].after = {0};
+  written.steps[1].gang = true;
+  written.steps[1].same_rack = true;
+  written.steps[1].speculative = true;
+  written.steps[1].fills = true;
+  written.steps[1].checkpoints = true;
+  written.repeats = {3, std::chrono::milliseconds(5),
+                     std::chrono::milliseconds(7)};
+  const auto read = DecodeSubmission(EncodeSubmission(written));
+  BOOST_REQUIRE(read);
+  BOOST_TEST((read.value() == written));
+}
+
+BOOST_AUTO_TEST_CASE(AJournalEntryReadsBackAsItWas) {
+  task_change change;
+  change.task = {"a", 1, 2, 3};
+  change.progress = {
+      task_phase::kAssigned, 5, "w-1", 77, 1, 4, "w-0", "c0ffee"};
+  const auto read = DecodeJournalEntry(EncodeJournalEntry({true, {change}}));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().whole);
+  BOOST_REQUIRE(read.value().tasks.size() == 1u);
+  BOOST_TEST((read.value().tasks[0].task == change.task));
+  BOOST_TEST((read.value().tasks[0].progress == change.progress));
+}
+
+BOOST_AUTO_TEST_CASE(RecordsOfAnotherWriterAreRejected) {
+  BOOST_TEST(!DecodeSubmission("{}"));
+  BOOST_TEST(!DecodeSubmission("\xff"));
+  BOOST_TEST(!DecodeJournalEntry("{\"tasks\":[[1]]}"));
+  BOOST_TEST(!DecodeJournalEntry("{}"));
+  BOOST_TEST(!DecodeOutcome("done"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/src/submissions/tests/scheduler_fixture.h
@@ -0,0 +1,91 @@
+#ifndef CHIVECRANK_SUBMISSIONS_TESTS_SCHEDULER_FIXTURE_H_
+#define CHIVECRANK_SUBMISSIONS_TESTS_SCHEDULER_FIXTURE_H_
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "chivecrank/submissions/shard_scheduler.h"
+
+namespace chivecrank::submissions {
+
+/// A scheduler over four workers of 16 cores, driven step by step.
+struct scheduler_fixture {
+  scheduler_fixture() {
+    for (const std::string id : {"w-1", "w-2", "w-3", "w-4"}) {
+      worker_description worker;
+      worker.id = id;
+      worker.service = "service";
+      worker.rack = id < "w-3" ? "rack-1" : "rack-2";
+      worker.labels = {"a", worker.rack, id};
+      worker.capacity = {16'000, 64'000, 0};
+      worker.born_ms = 1;
+      workers.push_back(worker);
+    }
+    scheduler.FinishRestore(now, now);
+    scheduler.SetWorkers(workers);
+    for (const worker_description& worker : workers)
+      Report(worker.id, {});
+  }
+
+  static submission Request(const std::string& id, const step_request& step) {
+    submission made;
+    made.id = id;
+    made.queue = "queue";
+    made.policy = {"service", 0, 2, 2, std::chrono::milliseconds(1000)};
+    made.spec = "spec of " + id;
+    made.steps = {step};
+    return made;
+  }
+
+  static step_request Step(std::int32_t tasks, std::int64_t processors_milli) {
+    step_request step;
+    step.task_count = tasks;
+    step.demand = {processors_milli, 1000, 0};
+    step.estimate = std::chrono::milliseconds(1000);
+    return step;
+  }
+
+  void Pass(std::chrono::milliseconds time) { now += time; }
+
+  /// A worker's lists, asked for just before.
+  void Report(const std::string& worker, worker_report report) {
+    report.born_ms = 1;
+    scheduler.OnLeaseSent(worker, now);
+    scheduler.OnReport(worker, report, now, now);
+  }
+
+  /// Plans, commits and returns the orders to start, which succeed.
+  std::vector<start_command> Round() {
+    scheduler.Plan(now, since_epoch);
+    if (const auto batch = scheduler.TakeBatch())
+      scheduler.OnCommitted(batch->number);
+    const command_set commands = scheduler.TakeCommands(now);
+    stops = commands.stops;
+    throttles = commands.throttles;
+    for (const start_command& command : commands.starts)
+      scheduler.OnStartAnswer(command, start_answer::kStarted, now);
+    Pass(std::chrono::milliseconds(1));
+    return commands.starts;
+  }
+
+  static listed_run Running(const start_command& command,
+                            std::int64_t reading = 0,
+                            std::int32_t percent = 50) {
+    return {command.task, command.run, {}, percent, reading};
+  }
+
+  scheduler_settings settings;
+  base::time_point now = base::time_point(std::chrono::hours(1));
+  std::chrono::milliseconds since_epoch{1'000'000};
+  std::vector<worker_description> workers;
+  shard_scheduler scheduler{settings, {}};
+  std::vector<stop_command> stops;
+  std::vector<throttle_command> throttles;
+};
+
+}  // namespace chivecrank::submissions
+
+#endif  // CHIVECRANK_SUBMISSIONS_TESTS_SCHEDULER_FIXTURE_H_
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -0,0 +1,265 @@
+#include <set>
+
+#include "scheduler_fixture.h"
+
+namespace chivecrank::submissions {
+
+BOOST_FIXTURE_TEST_SUITE(shard_scheduling, scheduler_fixture)
+
+BOOST_AUTO_TEST_CASE(NothingStartsBeforeItsDecisionIsCommitted) {
+  scheduler.Accept(Request("a", Step(3, 1000)));
+  scheduler.Plan(now, since_epoch);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->tasks.size() == 3u);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.size() == 3u);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnEndIsAcknowledgedOnlyWhenItIsCommitted) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  const std::string worker = starts[0].worker;
+  worker_report report;
+  report.ended = {{7, starts[0].task, starts[0].run, run_end::kDone, ""}};
+  Report(worker, report);
+  BOOST_TEST(scheduler.AcknowledgedEnd(worker) == 0);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_REQUIRE(batch->outcomes.size() == 1u);
+  BOOST_TEST((batch->outcomes[0].outcome == submission_outcome::kCompleted));
+  BOOST_TEST(scheduler.AcknowledgedEnd(worker) == 0);
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(scheduler.AcknowledgedEnd(worker) == 7);
+}
+
+BOOST_AUTO_TEST_CASE(AStepWaitsForTheOnesBeforeIt) {
+  submission request = Request("a", Step(2, 1000));
+  request.steps.push_back(Step(1, 1000));
+  request.steps[1].after = {0};
+  scheduler.Accept(request);
+  const auto first = Round();
+  BOOST_REQUIRE(first.size() == 2u);
+  worker_report report;
+  report.ended = {{1, first[0].task, 1, run_end::kDone, ""}};
+  Report(first[0].worker, report);
+  BOOST_TEST(Round().empty());
+  report.ended = {{1, first[1].task, 1, run_end::kDone, ""}};
+  if (first[1].worker == first[0].worker)
+    report.ended[0].number = 2;
+  Report(first[1].worker, report);
+  const auto second = Round();
+  BOOST_REQUIRE(second.size() == 1u);
+  BOOST_TEST(second[0].task.step == 1);
+}
+
+BOOST_AUTO_TEST_CASE(NoWorkerIsCommittedBeyondItsCapacity) {
+  scheduler.Accept(Request("a", Step(20, 5000)));
+  std::map<std::string, int> tasks_of;
+  for (const start_command& start : Round())
+    ++tasks_of[start.worker];
+  BOOST_TEST(tasks_of.size() == 4u);
+  for (const auto& [worker, tasks] : tasks_of)
+    BOOST_TEST(tasks == 3);
+}
+
+BOOST_AUTO_TEST_CASE(AStepKeepsItsBoundPerWorkerAndItsLabel) {
+  step_request step = Step(8, 500);
+  step.most_per_worker = 1;
+  step.required_label = "rack-2";
+  scheduler.Accept(Request("a", step));
+  std::set<std::string> used;
+  for (const start_command& start : Round())
+    BOOST_TEST(used.insert(start.worker).second);
+  BOOST_TEST((used == std::set<std::string>{"w-3", "w-4"}));
+}
+
+BOOST_AUTO_TEST_CASE(AGangStartsWholeOrNotAtAll) {
+  step_request step = Step(14, 5000);
+  step.gang = true;
+  scheduler.Accept(Request("a", step));
+  BOOST_TEST(Round().empty());
+  step.task_count = 6;
+  step.same_rack = true;
+  scheduler.Accept(Request("b", step));
+  const auto starts = Round();
+  BOOST_TEST(starts.size() == 6u);
+  std::set<bool> first_rack;
+  for (const start_command& start : starts)
+    first_rack.insert(start.worker < "w-3");
+  BOOST_TEST(first_rack.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(OneEndOfAGangStandsForAll) {
+  step_request step = Step(3, 1000);
+  step.gang = true;
+  scheduler.Accept(Request("a", step));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 3u);
+  worker_report report;
+  report.ended = {{1, starts[0].task, 1, run_end::kDone, ""}};
+  Report(starts[0].worker, report);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->outcomes.size() == 1u);
+  BOOST_TEST(scheduler.Load().reserved.processors_milli == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnOccurrenceStartsWhenItIsDue) {
+  submission request = Request("a", Step(1, 1000));
+  request.repeats = {2, since_epoch + std::chrono::milliseconds(500),
+                     std::chrono::milliseconds(1000)};
+  scheduler.Accept(request);
+  BOOST_TEST(Round().empty());
+  since_epoch += std::chrono::milliseconds(500);
+  BOOST_TEST(Round().size() == 1u);
+  since_epoch += std::chrono::milliseconds(1000);
+  const auto second = Round();
+  BOOST_REQUIRE(second.size() == 1u);
+  BOOST_TEST(second[0].task.occurrence == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ATaskFailsItsSubmissionAtTheLimitOfAttempts) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  std::string first_worker;
+  for (std::int32_t attempt = 1; attempt <= 2; ++attempt) {
+    const auto starts = Round();
+    BOOST_REQUIRE(starts.size() == 1u);
+    // Another worker gets the second attempt.
+    BOOST_TEST(starts[0].worker != first_worker);
+    first_worker = starts[0].worker;
+    worker_report report;
+    report.ended = {
+        {attempt, starts[0].task, starts[0].run, run_end::kFailed, ""}};
+    Report(starts[0].worker, report);
+  }
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_REQUIRE(batch->outcomes.size() == 1u);
+  BOOST_TEST((batch->outcomes[0].outcome == submission_outcome::kFailed));
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(Round().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AFailureThatIsListedAgainAfterATakeoverCountsOnce) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  worker_report report;
+  report.ended = {{1, starts[0].task, 1, run_end::kFailed, ""}};
+  Report(starts[0].worker, report);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+
+  shard_scheduler next(settings, {});
+  next.Accept(Request("a", Step(1, 1000)));
+  next.Restore({false, batch->tasks});
+  next.FinishRestore(now, now);
+  next.SetWorkers(workers);
+  report.born_ms = 1;
+  next.OnLeaseSent(starts[0].worker, now);
+  next.OnReport(starts[0].worker, report, now, now);
+  next.Plan(now, since_epoch);
+  const auto second = next.TakeBatch();
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(second->outcomes.empty());
+  BOOST_REQUIRE(second->tasks.size() == 1u);
+  BOOST_TEST(second->tasks[0].progress.failures == 1);
+  BOOST_TEST(second->tasks[0].progress.run == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ARunWhoseStartIsInDoubtIsBarredBeforeItGoesElsewhere) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  scheduler.OnCommitted(scheduler.TakeBatch()->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_REQUIRE(starts.size() == 1u);
+  scheduler.OnStartAnswer(starts[0], start_answer::kUnknown, now);
+  Pass(std::chrono::milliseconds(10));
+  Report(starts[0].worker, {});
+  BOOST_TEST(Round().empty());
+  BOOST_REQUIRE(stops.size() == 1u);
+  scheduler.OnStopAnswer(stops[0], true, now);
+  Pass(std::chrono::milliseconds(10));
+  Report(starts[0].worker, {});
+  const auto again = Round();
+  BOOST_REQUIRE(again.size() == 1u);
+  BOOST_TEST(again[0].run == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatDrainsGetsNothing) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  for (worker_description& worker : workers)
+    worker.draining = true;
+  scheduler.SetWorkers(workers);
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+  BOOST_TEST(Round().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhatNobodyHandedInIsStopped) {
+  worker_report report;
+  report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
+  Report("w-1", report);
+  Round();
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST(stops[0].run == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ManyTasksThatAddLittleAreSlowedWhenAServiceStaysOver) {
+  step_request service = Step(1, 3000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  scheduler.Accept(Request("a", service));
+  const auto serving = Round();
+  BOOST_REQUIRE(serving.size() == 1u);
+  const std::string worker = serving[0].worker;
+  worker_report report;
+  report.running = {Running(serving[0], 20, 100)};
+  Report(worker, report);
+  // Each of these presses by a thousandth of the worker: none is blamed alone.
+  step_request fill = Step(40, 50);
+  fill.fills = true;
+  fill.required_label = worker;
+  fill.image = "fill";
+  scheduler.Accept(Request("b", fill));
+  std::vector<start_command> filling;
+  for (int step = 0; step < 40; ++step) {
+    for (const start_command& start : Round())
+      if (start.worker == worker)
+        filling.push_back(start);
+    report.running = {Running(serving[0], 20, 100)};
+    for (const start_command& start : filling)
+      report.running.push_back(Running(start, 50));
+    for (const worker_description& other : workers)
+      Report(other.id, other.id == worker ? report : worker_report{});
+    Pass(std::chrono::milliseconds(300));
+  }
+  BOOST_REQUIRE(!filling.empty());
+  for (listed_run& listed : report.running)
+    if (listed.task == serving[0].task)
+      listed.reading = 60;
+  std::set<task_ref> halted;
+  for (int step = 0; step < 10; ++step) {
+    Report(worker, report);
+    Round();
+    for (const throttle_command& throttle : throttles)
+      if (throttle.percent == 0)
+        halted.insert(throttle.task);
+    for (const stop_command& stop : stops)
+      halted.insert(stop.task);
+    Pass(std::chrono::milliseconds(350));
+  }
+  BOOST_TEST(halted.size() == filling.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -0,0 +1,142 @@
+#ifndef CHIVECRANK_EMULATOR_EMULATED_WORKERS_H_
+#define CHIVECRANK_EMULATOR_EMULATED_WORKERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/submissions/worker_orders.h"
+
+namespace chivecrank::emulator {
+
+/// What is wrong with one worker now.
+struct worker_faults {
+  /// Nothing reaches it and nothing comes back; it runs on.
+  bool cut_off = false;
+  /// It is dead.
+  bool crashed = false;
+  /// Everything that it starts fails at once.
+  bool fails_all = false;
+  /// What it runs makes no progress.
+  bool hangs = false;
+  /// Work takes so many times as long.
+  double slowness = 1;
+  /// Share of the orders that are carried out and not answered.
+  double lost_share = 0;
+  /// Share of the orders that are carried out seconds later, unanswered.
+  double late_share = 0;
+};
+
+/// How a task really behaves; decided by the day, unknown to the system.
+struct task_truth {
+  std::chrono::milliseconds work{0};
+  /// Fails each time.
+  bool poisoned = false;
+};
+
+/// What broke a promise, as the workers saw it.
+struct broken_promise {
+  std::string name;
+  std::string task;
+  base::time_point at;
+};
+
+struct worker_counts {
+  std::uint64_t starts = 0;
+  std::uint64_t done = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t stopped = 0;
+  std::uint64_t lapsed = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t looks = 0;
+  std::uint64_t no_room = 0;
+};
+
+/// The workers: they run tasks under leases and fences, keep numbered lists of
+/// ends, and record each broken promise. Tasks with a latency target read the
+/// tail latency of a queue that other images press on.
+class emulated_workers {
+ public:
+  using truth_hook =
+      std::function<task_truth(const submissions::task_ref& task)>;
+  /// Pressure that a filling image adds to a service when it has the whole
+  /// worker.
+  using pressure_hook = std::function<double(const std::string& service_image,
+                                             const std::string& fill_image)>;
+
+  emulated_workers(reactor::event_loop& loop,
+                   std::uint64_t seed,
+                   truth_hook truth,
+                   pressure_hook pressure);
+  ~emulated_workers();
+
+  void Add(submissions::worker_description description);
+  /// The orders as one instance gives them. `alive` tells whether it still
+  /// runs: nothing is answered to a dead one.
+  std::unique_ptr<submissions::worker_orders> OrdersFor(
+      const std::string& node);
+
+  worker_faults& FaultsOf(const std::string& id);
+  /// Ends a worker's life; it comes back empty with Restart.
+  void Crash(const std::string& id);
+  void Restart(const std::string& id, std::int64_t born_ms);
+  std::vector<std::string> Ids() const;
+  const submissions::worker_description& DescriptionOf(
+      const std::string& id) const;
+
+  /// What the workers must know of a submission to run its tasks and judge
+  /// the order of its steps.
+  void Know(const submissions::submission& accepted);
+  /// The caller was told that the submission is over: nothing of it may start.
+  void Over(const std::string& submission);
+
+  const worker_counts& Counts() const { return counts_; }
+  const std::vector<broken_promise>& Broken() const { return broken_; }
+  std::size_t Running() const;
+  std::size_t RunningOf(const std::string& submission) const;
+  /// Seconds that services were over their latency bound, in all.
+  double OverBoundSeconds() const { return over_bound_seconds_; }
+
+ private:
+  friend class emulated_orders;
+  struct worker_state;
+  struct run_state;
+
+  void Tick();
+  void Advance(worker_state& worker, double seconds);
+  void EndRun(worker_state& worker,
+              const submissions::task_ref& task,
+              submissions::run_end how);
+  submissions::start_answer Start(worker_state& worker,
+                                  const submissions::start_command& command,
+                                  const submissions::order_terms& terms,
+                                  base::time_point lease_end);
+  bool Stop(worker_state& worker, const submissions::stop_command& command);
+  base::result<submissions::worker_report> Report(worker_state& worker);
+  void CheckStart(const submissions::start_command& command);
+  void Break(std::string_view name, const submissions::task_ref& task);
+  double PressureOn(const worker_state& worker, const run_state& service) const;
+
+  reactor::event_loop& loop_;
+  std::mt19937_64 random_;
+  truth_hook truth_;
+  pressure_hook pressure_;
+  std::map<std::string, std::unique_ptr<worker_state>> workers_;
+  std::map<std::string, submissions::submission> known_;
+  std::set<submissions::task_ref> done_;
+  std::set<submissions::task_ref> acknowledged_done_;
+  std::map<std::string, base::time_point> over_;
+  worker_counts counts_;
+  std::vector<broken_promise> broken_;
+  double over_bound_seconds_ = 0;
+};
+
+}  // namespace chivecrank::emulator
+
+#endif  // CHIVECRANK_EMULATOR_EMULATED_WORKERS_H_
--- /dev/null
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -0,0 +1,151 @@
+#ifndef CHIVECRANK_EMULATOR_EMULATION_H_
+#define CHIVECRANK_EMULATOR_EMULATION_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "chivecrank/base/manual_clock.h"
+#include "chivecrank/emulator/emulated_store.h"
+#include "chivecrank/emulator/emulated_workers.h"
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/instance_runtime.h"
+
+namespace chivecrank::emulator {
+
+/// The shape of the submissions of one queue.
+struct queue_load {
+  std::string name;
+  submissions::queue_policy policy;
+  double per_second = 1;
+  submissions::step_request step;
+  std::int32_t steps = 1;
+  /// What a task really takes.
+  std::chrono::milliseconds work{500};
+  /// Share of the submissions that can never be done.
+  double poisoned_share = 0;
+  /// Images that its tasks are drawn from.
+  std::vector<std::string> images;
+};
+
+struct emulation_settings {
+  std::uint64_t seed = 1;
+  std::size_t instances = 3;
+  std::size_t workers = 12;
+  std::size_t workers_per_rack = 4;
+  coordination::resources capacity{16'000, 64'000, 0};
+  std::int64_t workers_per_shard = 100;
+  std::vector<queue_load> queues;
+  emulated_workers::pressure_hook pressure =
+      [](const std::string&, const std::string&) { return 0.0; };
+};
+
+/// What callers got, by queue.
+struct caller_counts {
+  std::uint64_t offered = 0;
+  std::uint64_t accepted = 0;
+  std::uint64_t rejected = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t in_objective = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cancelled = 0;
+};
+
+/// Several instances with their store, workers and callers, in one process
+/// under a manual clock: the real decision code with no network.
+class emulation {
+ public:
+  explicit emulation(emulation_settings settings);
+  ~emulation();
+
+  /// Lets the time pass; callers hand submissions in while `with_load`.
+  void Run(std::chrono::milliseconds time, bool with_load);
+
+  /// Hands one submission in now, at a random ready instance.
+  std::string Submit(const queue_load& load);
+  void Cancel(const std::string& id);
+
+  /// Ends an instance as SIGKILL does, and starts it again later.
+  void KillInstance(std::size_t index);
+  void StartInstance(std::size_t index);
+  /// Stops an instance in order.
+  void StopInstance(std::size_t index);
+  bool IsAlive(std::size_t index) const;
+  /// The instance that owns a shard; the number of instances when none does.
+  std::size_t OwnerOf(std::uint32_t shard) const;
+  /// Suspends an instance: it neither sends nor reads while the time passes.
+  void Isolate(std::size_t index, bool isolated);
+
+  emulated_store& Store() { return store_; }
+  emulated_workers& Workers() { return workers_; }
+  const std::string& NodeOf(std::size_t index) const {
+    return instances_.at(index).node;
+  }
+  runtime::instance_runtime& InstanceAt(std::size_t index) {
+    return *instances_.at(index).runtime;
+  }
+  /// Removes a worker's entry, or writes it again.
+  void Unlist(const std::string& worker);
+  void List(const std::string& worker);
+
+  const std::map<std::string, caller_counts>& Callers() const {
+    return callers_;
+  }
+  caller_counts Total() const;
+  /// Accepted submissions whose end no caller has seen.
+  std::vector<std::string> Open() const;
+  /// What `id` was last shown as.
+  runtime::submission_state StateOf(const std::string& id) const;
+  base::time_point Now() const { return clock_.Now(); }
+
+ private:
+  struct instance_state {
+    std::string node;
+    std::unique_ptr<event_log::event_log> log;
+    std::unique_ptr<metadata::store> store;
+    std::unique_ptr<submissions::worker_orders> orders;
+    std::unique_ptr<runtime::instance_runtime> runtime;
+  };
+  struct caller_state {
+    const queue_load* load = nullptr;
+    submissions::submission offered;
+    base::time_point since;
+    bool accepted = false;
+    bool over = false;
+    runtime::submission_state shown = runtime::submission_state::kQueued;
+    std::int32_t attempts = 0;
+  };
+
+  runtime::instance_runtime* ReadyInstance();
+  void WriteConfiguration();
+  void Offer(const std::string& id);
+  void OnAnswer(const std::string& id, runtime::submit_answer answer);
+  void Poll(const std::string& id);
+  void OnState(const std::string& id, runtime::submission_state state);
+  void OfferLoad(std::size_t queue);
+  submissions::submission Make(const queue_load& load);
+  task_truth TruthOf(const submissions::task_ref& task) const;
+
+  emulation_settings settings_;
+  base::manual_clock clock_;
+  reactor::event_loop loop_;
+  std::mt19937_64 random_;
+  emulated_store store_;
+  emulated_workers workers_;
+  std::vector<instance_state> instances_;
+  std::map<std::string, caller_state> submitted_;
+  std::map<std::string, caller_counts> callers_;
+  std::map<std::string, bool> poisoned_;
+  std::uint64_t last_id_ = 0;
+  bool loading_ = false;
+};
+
+}  // namespace chivecrank::emulator
+
+#endif  // CHIVECRANK_EMULATOR_EMULATION_H_
--- /dev/null
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -0,0 +1,498 @@
+#include "chivecrank/emulator/emulated_workers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "chivecrank/scheduling/resources.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+constexpr std::chrono::milliseconds kTick{25};
+constexpr std::chrono::milliseconds kOneWay{1};
+constexpr std::chrono::milliseconds kOrderTimeout{1000};
+constexpr std::chrono::milliseconds kLookSlack{700};
+constexpr std::chrono::milliseconds kStopTakes{200};
+constexpr std::chrono::milliseconds kStartUp{400};
+constexpr double kIdleTailOfTarget = 1 / 4.5;
+constexpr double kServiceLoad = 0.45;
+constexpr double kSaturated = 0.97;
+
+base::error NoAnswer(base::error_kind kind) {
+  return {kind, "the worker does not answer", "look again later"};
+}
+
+}  // namespace
+
+struct emulated_workers::run_state {
+  std::int32_t run = 0;
+  std::int64_t processors_milli = 0;
+  coordination::resources reserved;
+  bool lasting = false;
+  bool fills = false;
+  std::string image;
+  std::chrono::milliseconds target{0};
+  std::chrono::milliseconds work{0};
+  bool poisoned = false;
+  double progress = 0;
+  std::int32_t percent_limit = 100;
+  base::time_point started;
+  base::time_point stop_at;
+  bool stopping = false;
+  std::int64_t used_milli = 0;
+};
+
+struct emulated_workers::worker_state {
+  submissions::worker_description description;
+  worker_faults faults;
+  std::int64_t fence = 0;
+  base::time_point lease_end;
+  std::map<submissions::task_ref, run_state> runs;
+  /// Runs that were stopped or ended, or must never start.
+  std::map<submissions::task_ref, std::int32_t> barred;
+  std::vector<submissions::listed_end> ended;
+  std::int64_t last_end = 0;
+  std::vector<std::function<void()>> held_looks;
+};
+
+/// The orders as one instance gives them.
+class emulated_orders final : public submissions::worker_orders {
+ public:
+  explicit emulated_orders(emulated_workers& shared) : shared_(shared) {}
+
+  void Look(const submissions::worker_description& worker,
+            const submissions::look_request& request,
+            std::function<void(base::result<submissions::worker_report>)> done)
+      override {
+    ++shared_.counts_.looks;
+    const base::time_point lease_end = LeaseEnd(request.terms);
+    Later(kOneWay, [this, id = worker.id, request, lease_end, done] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(request.wait + kLookSlack, [done] {
+          done(NoAnswer(base::error_kind::kUnavailable));
+        });
+      if (request.terms.fence < state->fence)
+        return Later(kOneWay,
+                     [done] { done(NoAnswer(base::error_kind::kFenced)); });
+      Renew(*state, request.terms, lease_end);
+      std::erase_if(state->ended, [&](const submissions::listed_end& end) {
+        const bool forgotten = end.number <= request.acknowledged_end;
+        if (forgotten && end.how == submissions::run_end::kDone)
+          shared_.acknowledged_done_.insert(end.task);
+        return forgotten;
+      });
+      auto answered = std::make_shared<bool>(false);
+      const auto answer = [this, id, done, answered] {
+        if (std::exchange(*answered, true))
+          return;
+        auto* now = Reachable(id);
+        if (now == nullptr)
+          return Later(kLookSlack, [done] {
+            done(NoAnswer(base::error_kind::kOutcomeUnknown));
+          });
+        Later(kOneWay, [done, report = shared_.Report(*now)] { done(report); });
+      };
+      if (!state->ended.empty() || request.wait.count() == 0)
+        return answer();
+      state->held_looks.push_back(answer);
+      Later(request.wait, answer);
+    });
+  }
+
+  void Start(const submissions::worker_description& worker,
+             const submissions::start_command& command,
+             const submissions::order_terms& terms,
+             std::function<void(submissions::start_answer)> done) override {
+    const base::time_point lease_end = LeaseEnd(terms);
+    const double dice = Dice();
+    Later(kOneWay, [this, id = worker.id, command, terms, lease_end, done,
+                    dice] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(kOrderTimeout,
+                     [done] { done(submissions::start_answer::kNotSent); });
+      if (dice < state->faults.late_share) {
+        Later(std::chrono::seconds(4), [this, id, command, terms, lease_end] {
+          if (auto* later = Reachable(id))
+            shared_.Start(*later, command, terms, lease_end);
+        });
+        return Later(kOrderTimeout,
+                     [done] { done(submissions::start_answer::kUnknown); });
+      }
+      const auto answer = shared_.Start(*state, command, terms, lease_end);
+      if (dice < state->faults.late_share + state->faults.lost_share)
+        return Later(kOrderTimeout,
+                     [done] { done(submissions::start_answer::kUnknown); });
+      Later(kOneWay, [done, answer] { done(answer); });
+    });
+  }
+
+  void Stop(const submissions::worker_description& worker,
+            const submissions::stop_command& command,
+            const submissions::order_terms& terms,
+            std::function<void(bool)> done) override {
+    Later(kOneWay, [this, id = worker.id, command, terms, done] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(kOrderTimeout, [done] { done(false); });
+      const bool confirmed =
+          terms.fence >= state->fence && shared_.Stop(*state, command);
+      Later(kOneWay, [done, confirmed] { done(confirmed); });
+    });
+  }
+
+  void Throttle(const submissions::worker_description& worker,
+                const submissions::throttle_command& command,
+                const submissions::order_terms& terms,
+                std::function<void(bool)> done) override {
+    Later(kOneWay, [this, id = worker.id, command, terms, done] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(kOrderTimeout, [done] { done(false); });
+      const auto found = state->runs.find(command.task);
+      const bool known = found != state->runs.end() &&
+                         found->second.run == command.run &&
+                         terms.fence >= state->fence;
+      if (known)
+        found->second.percent_limit = command.percent;
+      Later(kOneWay, [done, known] { done(known); });
+    });
+  }
+
+  void Forget(const std::string&) override {}
+
+ private:
+  emulated_workers::worker_state* Reachable(const std::string& id) {
+    const auto found = shared_.workers_.find(id);
+    if (found == shared_.workers_.end() || found->second->faults.cut_off ||
+        found->second->faults.crashed)
+      return nullptr;
+    return found->second.get();
+  }
+
+  base::time_point LeaseEnd(const submissions::order_terms& terms) const {
+    if (terms.lease.count() == 0)
+      return {};
+    return shared_.loop_.Now() + terms.lease;
+  }
+
+  static void Renew(emulated_workers::worker_state& worker,
+                    const submissions::order_terms& terms,
+                    base::time_point lease_end) {
+    worker.fence = std::max(worker.fence, terms.fence);
+    worker.lease_end = std::max(worker.lease_end, lease_end);
+  }
+
+  double Dice() {
+    std::uniform_real_distribution<double> share(0, 1);
+    return share(shared_.random_);
+  }
+
+  void Later(std::chrono::milliseconds delay, std::function<void()> step) {
+    shared_.loop_.After(delay, std::move(step));
+  }
+
+  emulated_workers& shared_;
+};
+
+emulated_workers::emulated_workers(reactor::event_loop& loop,
+                                   std::uint64_t seed,
+                                   truth_hook truth,
+                                   pressure_hook pressure)
+    : loop_(loop),
+      random_(seed),
+      truth_(std::move(truth)),
+      pressure_(std::move(pressure)) {
+  loop_.After(kTick, [this] { Tick(); });
+}
+
+emulated_workers::~emulated_workers() = default;
+
+void emulated_workers::Add(submissions::worker_description description) {
+  auto made = std::make_unique<worker_state>();
+  const std::string id = description.id;
+  made->description = std::move(description);
+  workers_[id] = std::move(made);
+}
+
+std::unique_ptr<submissions::worker_orders> emulated_workers::OrdersFor(
+    const std::string&) {
+  return std::make_unique<emulated_orders>(*this);
+}
+
+worker_faults& emulated_workers::FaultsOf(const std::string& id) {
+  return workers_.at(id)->faults;
+}
+
+void emulated_workers::Crash(const std::string& id) {
+  worker_state& worker = *workers_.at(id);
+  counts_.lost += worker.runs.size();
+  worker.faults.crashed = true;
+  worker.runs.clear();
+  worker.barred.clear();
+  worker.ended.clear();
+  worker.last_end = 0;
+  worker.fence = 0;
+  worker.lease_end = {};
+}
+
+void emulated_workers::Restart(const std::string& id, std::int64_t born_ms) {
+  worker_state& worker = *workers_.at(id);
+  worker.faults = {};
+  worker.description.born_ms = born_ms;
+}
+
+std::vector<std::string> emulated_workers::Ids() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : workers_)
+    ids.push_back(id);
+  return ids;
+}
+
+const submissions::worker_description& emulated_workers::DescriptionOf(
+    const std::string& id) const {
+  return workers_.at(id)->description;
+}
+
+void emulated_workers::Know(const submissions::submission& accepted) {
+  known_[accepted.id] = accepted;
+}
+
+void emulated_workers::Over(const std::string& submission) {
+  over_.try_emplace(submission, loop_.Now());
+}
+
+std::size_t emulated_workers::Running() const {
+  std::size_t running = 0;
+  for (const auto& [id, worker] : workers_)
+    running += worker->runs.size();
+  return running;
+}
+
+std::size_t emulated_workers::RunningOf(const std::string& submission) const {
+  std::size_t running = 0;
+  for (const auto& [id, worker] : workers_)
+    for (const auto& [task, run] : worker->runs)
+      if (task.submission == submission)
+        ++running;
+  return running;
+}
+
+void emulated_workers::Tick() {
+  for (auto& [id, worker] : workers_)
+    if (!worker->faults.crashed)
+      Advance(*worker, std::chrono::duration<double>(kTick).count());
+  loop_.After(kTick, [this] { Tick(); });
+}
+
+void emulated_workers::Advance(worker_state& worker, double seconds) {
+  const base::time_point now = loop_.Now();
+  std::vector<std::pair<submissions::task_ref, submissions::run_end>> ends;
+  for (auto& [task, run] : worker.runs) {
+    if (now >= worker.lease_end) {
+      ends.emplace_back(task, submissions::run_end::kLapsed);
+      continue;
+    }
+    if (run.stopping && now >= run.stop_at) {
+      ends.emplace_back(task, submissions::run_end::kStopped);
+      continue;
+    }
+    if (worker.faults.fails_all || run.poisoned) {
+      ends.emplace_back(task, submissions::run_end::kFailed);
+      continue;
+    }
+    run.used_milli = worker.faults.hangs
+                         ? 0
+                         : run.processors_milli * run.percent_limit / 100;
+    if (run.lasting) {
+      const double tail_ratio =
+          kIdleTailOfTarget /
+          (1 - std::min(PressureOn(worker, run), kSaturated));
+      if (run.target.count() > 0 && tail_ratio > 1)
+        over_bound_seconds_ += seconds;
+      continue;
+    }
+    if (worker.faults.hangs)
+      continue;
+    const double speed = run.percent_limit / 100.0 / worker.faults.slowness;
+    const double whole =
+        std::max(std::chrono::duration<double>(run.work).count(), 0.001);
+    run.progress += seconds * speed / whole;
+    if (run.progress >= 1)
+      ends.emplace_back(task, submissions::run_end::kDone);
+  }
+  for (const auto& [task, how] : ends)
+    EndRun(worker, task, how);
+}
+
+void emulated_workers::EndRun(worker_state& worker,
+                              const submissions::task_ref& task,
+                              submissions::run_end how) {
+  const run_state run = worker.runs.at(task);
+  worker.runs.erase(task);
+  worker.barred[task] = std::max(worker.barred[task], run.run);
+  submissions::listed_end end;
+  end.number = ++worker.last_end;
+  end.task = task;
+  end.run = run.run;
+  end.how = how;
+  if (run.progress > 0.2)
+    end.checkpoint = std::to_string(static_cast<int>(run.progress * 1000));
+  worker.ended.push_back(end);
+  switch (how) {
+    case submissions::run_end::kDone:
+      ++counts_.done;
+      done_.insert(task);
+      break;
+    case submissions::run_end::kFailed:
+      ++counts_.failed;
+      break;
+    case submissions::run_end::kLapsed:
+      ++counts_.lapsed;
+      break;
+    default:
+      ++counts_.stopped;
+  }
+  for (const auto& answer : std::exchange(worker.held_looks, {}))
+    answer();
+}
+
+submissions::start_answer emulated_workers::Start(
+    worker_state& worker,
+    const submissions::start_command& command,
+    const submissions::order_terms& terms,
+    base::time_point lease_end) {
+  using submissions::start_answer;
+  if (terms.fence < worker.fence)
+    return start_answer::kFenced;
+  worker.fence = terms.fence;
+  const auto present = worker.runs.find(command.task);
+  if (present != worker.runs.end() && present->second.run == command.run)
+    return start_answer::kStarted;
+  worker.lease_end = std::max(worker.lease_end, lease_end);
+  const auto barred = worker.barred.find(command.task);
+  if (barred != worker.barred.end() && barred->second >= command.run)
+    return start_answer::kSuperseded;
+  if (worker.lease_end <= loop_.Now())
+    return start_answer::kLeaseEnded;
+  const auto known = known_.find(command.task.submission);
+  if (known == known_.end()) {
+    Break("started what nobody handed in", command.task);
+    return start_answer::kRejected;
+  }
+  const submissions::step_request& step =
+      known->second.steps.at(static_cast<std::size_t>(command.task.step));
+  run_state run;
+  run.run = command.run;
+  run.reserved = step.demand;
+  if (step.fills)
+    run.reserved.processors_milli = 0;
+  coordination::resources reserved;
+  for (const auto& [task, other] : worker.runs)
+    reserved = scheduling::Plus(reserved, other.reserved);
+  if (!scheduling::Fits(run.reserved, reserved, worker.description.capacity)) {
+    ++counts_.no_room;
+    return start_answer::kNoRoom;
+  }
+  CheckStart(command);
+  const task_truth truth = truth_(command.task);
+  run.processors_milli = step.demand.processors_milli;
+  run.lasting = step.lasting;
+  run.fills = step.fills;
+  run.image = step.image;
+  run.target = step.latency_target;
+  run.work = truth.work;
+  run.poisoned = truth.poisoned;
+  run.started = loop_.Now();
+  if (step.checkpoints && !command.checkpoint.empty())
+    run.progress = std::stoi(command.checkpoint) / 1000.0;
+  worker.runs[command.task] = run;
+  ++counts_.starts;
+  return start_answer::kStarted;
+}
+
+bool emulated_workers::Stop(worker_state& worker,
+                            const submissions::stop_command& command) {
+  const auto found = worker.runs.find(command.task);
+  if (found == worker.runs.end() || found->second.run > command.run) {
+    worker.barred[command.task] =
+        std::max(worker.barred[command.task], command.run);
+    return true;
+  }
+  if (!found->second.stopping) {
+    found->second.stopping = true;
+    found->second.stop_at = loop_.Now() + kStopTakes;
+  }
+  return true;
+}
+
+base::result<submissions::worker_report> emulated_workers::Report(
+    worker_state& worker) {
+  submissions::worker_report report;
+  report.born_ms = worker.description.born_ms;
+  report.ended = worker.ended;
+  for (const auto& [task, run] : worker.runs) {
+    submissions::listed_run listed;
+    listed.task = task;
+    listed.run = run.run;
+    listed.percent = static_cast<std::int32_t>(run.progress * 100);
+    if (run.lasting)
+      listed.percent = loop_.Now() - run.started >= kStartUp ? 100 : 50;
+    listed.reading = run.used_milli;
+    if (run.target.count() > 0)
+      listed.reading = static_cast<std::int64_t>(
+          static_cast<double>(run.target.count()) * kIdleTailOfTarget /
+          (1 - std::min(PressureOn(worker, run), kSaturated)));
+    if (run.progress > 0.2)
+      listed.checkpoint = std::to_string(static_cast<int>(run.progress * 1000));
+    report.running.push_back(std::move(listed));
+  }
+  return report;
+}
+
+void emulated_workers::CheckStart(const submissions::start_command& command) {
+  const submissions::task_ref& task = command.task;
+  for (const auto& [id, worker] : workers_)
+    if (!worker->faults.crashed && worker->runs.contains(task))
+      Break("ran twice at the same time", task);
+  if (acknowledged_done_.contains(task))
+    Break("started after it was done", task);
+  const auto over = over_.find(task.submission);
+  if (over != over_.end() &&
+      loop_.Now() - over->second > std::chrono::seconds(3))
+    Break("started after its submission was over", task);
+  const submissions::submission& known = known_.at(task.submission);
+  for (const std::int32_t earlier :
+       known.steps.at(static_cast<std::size_t>(task.step)).after) {
+    submissions::task_ref before{task.submission, task.occurrence, earlier};
+    const auto count =
+        known.steps.at(static_cast<std::size_t>(earlier)).task_count;
+    for (before.index = 0; before.index < count; ++before.index)
+      if (!done_.contains(before))
+        return Break("started before an earlier step was done", task);
+  }
+}
+
+void emulated_workers::Break(std::string_view name,
+                             const submissions::task_ref& task) {
+  broken_.push_back({std::string(name),
+                     task.submission + "." + std::to_string(task.occurrence) +
+                         "." + std::to_string(task.step) + "." +
+                         std::to_string(task.index),
+                     loop_.Now()});
+}
+
+double emulated_workers::PressureOn(const worker_state& worker,
+                                    const run_state& service) const {
+  double pressure = kServiceLoad;
+  for (const auto& [task, run] : worker.runs)
+    if (run.fills)
+      pressure +=
+          pressure_(service.image, run.image) *
+          static_cast<double>(run.used_milli) /
+          static_cast<double>(worker.description.capacity.processors_milli);
+  return pressure;
+}
+
+}  // namespace chivecrank::emulator
--- /dev/null
+++ b/tests/emulator/internal/emulation.cc
@@ -0,0 +1,341 @@
+#include "chivecrank/emulator/emulation.h"
+
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace chivecrank::emulator {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestStep{20};
+constexpr std::chrono::milliseconds kPatience{2800};
+constexpr std::chrono::milliseconds kPollInterval{400};
+constexpr std::int32_t kAttempts = 5;
+constexpr std::string_view kWorkers = "workers/";
+constexpr std::string_view kConfiguration = "operator/queues";
+constexpr std::int64_t kProcessorsMilli = 100;
+
+/// The emulator's own form of a worker's entry: its identifier and whether it
+/// drains; the rest is looked up.
+std::string EntryOf(const submissions::worker_description& worker) {
+  return worker.draining ? "draining" : "ready";
+}
+
+bool IsOver(runtime::submission_state state) {
+  return state == runtime::submission_state::kCompleted ||
+         state == runtime::submission_state::kFailed ||
+         state == runtime::submission_state::kCancelled;
+}
+
+}  // namespace
+
+emulation::emulation(emulation_settings settings)
+    : settings_(std::move(settings)),
+      loop_(clock_),
+      random_(settings_.seed),
+      store_(loop_, settings_.seed + 1),
+      workers_(
+          loop_,
+          settings_.seed + 2,
+          [this](const submissions::task_ref& task) { return TruthOf(task); },
+          settings_.pressure) {
+  for (std::size_t i = 0; i < settings_.workers; ++i) {
+    submissions::worker_description worker;
+    worker.id = absl::StrFormat("w-%03d", i);
+    worker.service = "service";
+    worker.failure_domain = "domain";
+    worker.rack = absl::StrFormat("rack-%d", i / settings_.workers_per_rack);
+    worker.labels = {"a", worker.rack};
+    worker.capacity = settings_.capacity;
+    worker.born_ms = 1;
+    workers_.Add(worker);
+    List(worker.id);
+  }
+  WriteConfiguration();
+  instances_.resize(settings_.instances);
+  for (std::size_t i = 0; i < settings_.instances; ++i)
+    StartInstance(i);
+}
+
+emulation::~emulation() = default;
+
+void emulation::WriteConfiguration() {
+  store_.Put(std::string(kConfiguration), "1");
+}
+
+void emulation::List(const std::string& worker) {
+  store_.Put(std::string(kWorkers) + worker,
+             EntryOf(workers_.DescriptionOf(worker)));
+}
+
+void emulation::Unlist(const std::string& worker) {
+  store_.Delete(std::string(kWorkers) + worker);
+}
+
+void emulation::StartInstance(std::size_t index) {
+  instance_state& made = instances_.at(index);
+  made.node = absl::StrFormat("node-%d", index);
+  made.log = std::make_unique<event_log::event_log>(
+      clock_, made.node, event_log::log_settings{},
+      [](std::string_view bytes) { return bytes.size(); });
+  made.store = store_.ViewFor(made.node);
+  made.orders = workers_.OrdersFor(made.node);
+  runtime::runtime_settings wanted;
+  wanted.owning.node = made.node;
+  wanted.owning.processors_milli = kProcessorsMilli;
+  wanted.driving.node = made.node;
+  wanted.workers_per_shard = settings_.workers_per_shard;
+  runtime::worker_source workers{
+      std::string(kWorkers),
+      [this](std::string_view id, std::string_view entry)
+          -> base::result<submissions::worker_description> {
+        submissions::worker_description worker =
+            workers_.DescriptionOf(std::string(id));
+        worker.draining = entry == "draining";
+        return worker;
+      }};
+  runtime::configuration_source configuration{
+      "operator/", std::string(kConfiguration),
+      [this](std::string_view) -> base::result<submissions::queue_table> {
+        submissions::queue_table table;
+        table.version = 1;
+        for (const queue_load& load : settings_.queues)
+          table.routes.push_back(
+              {load.name, "host", "/" + load.name + "/", load.policy});
+        return table;
+      }};
+  made.runtime = std::make_unique<runtime::instance_runtime>(
+      loop_, clock_, *made.store, *made.orders, *made.log, std::move(wanted),
+      std::move(workers), std::move(configuration));
+  made.runtime->Start();
+}
+
+void emulation::KillInstance(std::size_t index) {
+  instances_.at(index).runtime.reset();
+}
+
+void emulation::StopInstance(std::size_t index) {
+  instances_.at(index).runtime->Stop([this, index] {
+    loop_.After(base::milliseconds(1), [this, index] { KillInstance(index); });
+  });
+}
+
+bool emulation::IsAlive(std::size_t index) const {
+  return instances_.at(index).runtime != nullptr;
+}
+
+std::size_t emulation::OwnerOf(std::uint32_t shard) const {
+  for (std::size_t i = 0; i < instances_.size(); ++i)
+    if (IsAlive(i) && instances_[i].runtime->Owning().Owns(shard))
+      return i;
+  return instances_.size();
+}
+
+void emulation::Isolate(std::size_t index, bool isolated) {
+  const std::string& node = instances_.at(index).node;
+  if (isolated)
+    store_.Faults().rejected_nodes.insert(node);
+  else
+    store_.Faults().rejected_nodes.erase(node);
+}
+
+void emulation::Run(std::chrono::milliseconds time, bool with_load) {
+  const base::time_point end = clock_.Now() + time;
+  if (with_load && !loading_)
+    for (std::size_t i = 0; i < settings_.queues.size(); ++i)
+      OfferLoad(i);
+  loading_ = with_load;
+  while (clock_.Now() < end) {
+    const auto next = loop_.NextDue();
+    base::time_point wake = std::min(end, clock_.Now() + kLongestStep);
+    if (next)
+      wake = std::min(wake, std::max(*next, clock_.Now()));
+    if (wake > clock_.Now())
+      clock_.Advance(wake - clock_.Now());
+    loop_.RunOnce(base::duration::zero());
+  }
+}
+
+void emulation::OfferLoad(std::size_t queue) {
+  const queue_load& load = settings_.queues[queue];
+  std::exponential_distribution<double> pause(load.per_second);
+  const auto wait = std::chrono::duration_cast<base::duration>(
+      std::chrono::duration<double>(pause(random_)));
+  loop_.After(wait, [this, queue] {
+    if (!loading_)
+      return;
+    Submit(settings_.queues[queue]);
+    OfferLoad(queue);
+  });
+}
+
+std::string emulation::Submit(const queue_load& load) {
+  caller_state caller;
+  caller.load = &load;
+  caller.offered = Make(load);
+  caller.since = clock_.Now();
+  const std::string id = caller.offered.id;
+  workers_.Know(caller.offered);
+  std::uniform_real_distribution<double> share(0, 1);
+  poisoned_[id] = share(random_) < load.poisoned_share;
+  submitted_[id] = std::move(caller);
+  ++callers_[load.name].offered;
+  Offer(id);
+  return id;
+}
+
+submissions::submission emulation::Make(const queue_load& load) {
+  submissions::submission made;
+  made.id = absl::StrFormat("%016x", ++last_id_);
+  made.queue = load.name;
+  made.policy = load.policy;
+  made.spec = "spec";
+  for (std::int32_t i = 0; i < load.steps; ++i) {
+    submissions::step_request step = load.step;
+    if (i > 0)
+      step.after = {i - 1};
+    if (!load.images.empty()) {
+      std::uniform_int_distribution<std::size_t> pick(0,
+                                                      load.images.size() - 1);
+      step.image = load.images[pick(random_)];
+    }
+    made.steps.push_back(step);
+  }
+  return made;
+}
+
+runtime::instance_runtime* emulation::ReadyInstance() {
+  std::vector<runtime::instance_runtime*> ready;
+  for (const instance_state& instance : instances_)
+    if (instance.runtime && instance.runtime->IsReady())
+      ready.push_back(instance.runtime.get());
+  if (ready.empty())
+    return nullptr;
+  std::uniform_int_distribution<std::size_t> pick(0, ready.size() - 1);
+  return ready[pick(random_)];
+}
+
+void emulation::Offer(const std::string& id) {
+  caller_state& caller = submitted_.at(id);
+  ++caller.attempts;
+  runtime::instance_runtime* instance = ReadyInstance();
+  if (instance == nullptr)
+    return OnAnswer(id, {runtime::submit_verdict::kRejected,
+                         std::chrono::milliseconds(500)});
+  auto answered = std::make_shared<bool>(false);
+  instance->Intake().Submit(
+      caller.offered, clock_.Now() + kPatience,
+      [this, id, answered](runtime::submit_answer answer) {
+        if (!std::exchange(*answered, true))
+          OnAnswer(id, answer);
+      });
+  // An instance that dies answers nothing.
+  loop_.After(kPatience + base::milliseconds(200), [this, id, answered] {
+    if (!std::exchange(*answered, true))
+      OnAnswer(id, {runtime::submit_verdict::kOutcomeUnknown});
+  });
+}
+
+void emulation::OnAnswer(const std::string& id, runtime::submit_answer answer) {
+  caller_state& caller = submitted_.at(id);
+  caller_counts& counts = callers_[caller.load->name];
+  if (answer.verdict == runtime::submit_verdict::kAccepted) {
+    ++counts.accepted;
+    caller.accepted = true;
+    return Poll(id);
+  }
+  if (caller.attempts < kAttempts) {
+    const auto wait = std::max(answer.retry_after, base::milliseconds(100));
+    loop_.After(wait, [this, id] { Offer(id); });
+    return;
+  }
+  const bool rejected = answer.verdict == runtime::submit_verdict::kRejected;
+  ++(rejected ? counts.rejected : counts.unknown);
+}
+
+void emulation::Poll(const std::string& id) {
+  runtime::instance_runtime* instance = ReadyInstance();
+  if (instance != nullptr)
+    instance->Intake().State(id, [this, id](runtime::submission_state state) {
+      OnState(id, state);
+    });
+  if (!submitted_.at(id).over)
+    loop_.After(kPollInterval, [this, id] { Poll(id); });
+}
+
+void emulation::OnState(const std::string& id,
+                        runtime::submission_state state) {
+  caller_state& caller = submitted_.at(id);
+  caller.shown = state;
+  if (caller.over || !IsOver(state))
+    return;
+  caller.over = true;
+  workers_.Over(id);
+  caller_counts& counts = callers_[caller.load->name];
+  if (state == runtime::submission_state::kFailed)
+    ++counts.failed;
+  if (state == runtime::submission_state::kCancelled)
+    ++counts.cancelled;
+  if (state != runtime::submission_state::kCompleted)
+    return;
+  ++counts.completed;
+  const double chain =
+      std::chrono::duration<double>(caller.load->work).count() *
+      caller.load->steps;
+  const double objective =
+      chain * caller.load->policy.stretch +
+      std::chrono::duration<double>(caller.load->policy.target_run_time)
+          .count();
+  if (std::chrono::duration<double>(clock_.Now() - caller.since).count() <=
+      objective)
+    ++counts.in_objective;
+}
+
+void emulation::Cancel(const std::string& id) {
+  runtime::instance_runtime* instance = ReadyInstance();
+  if (instance == nullptr)
+    return;
+  instance->Intake().Cancel(
+      id, clock_.Now() + kPatience,
+      [this, id](runtime::cancel_verdict verdict) {
+        if (verdict == runtime::cancel_verdict::kCancelled)
+          workers_.Over(id);
+      });
+}
+
+task_truth emulation::TruthOf(const submissions::task_ref& task) const {
+  const auto found = submitted_.find(task.submission);
+  if (found == submitted_.end())
+    return {};
+  return {found->second.load->work, poisoned_.at(task.submission)};
+}
+
+caller_counts emulation::Total() const {
+  caller_counts total;
+  for (const auto& [queue, counts] : callers_) {
+    total.offered += counts.offered;
+    total.accepted += counts.accepted;
+    total.rejected += counts.rejected;
+    total.unknown += counts.unknown;
+    total.completed += counts.completed;
+    total.in_objective += counts.in_objective;
+    total.failed += counts.failed;
+    total.cancelled += counts.cancelled;
+  }
+  return total;
+}
+
+std::vector<std::string> emulation::Open() const {
+  std::vector<std::string> open;
+  for (const auto& [id, caller] : submitted_)
+    if (caller.accepted && !caller.over && !caller.load->step.lasting)
+      open.push_back(id);
+  return open;
+}
+
+runtime::submission_state emulation::StateOf(const std::string& id) const {
+  return submitted_.at(id).shown;
+}
+
+}  // namespace chivecrank::emulator
--- /dev/null
+++ b/tests/emulator/tests/faults_test.cc
@@ -0,0 +1,197 @@
+#include "day_fixture.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(faults, day_fixture)
+
+BOOST_AUTO_TEST_CASE(AWorkerThatIsCutOffLosesItsRunsToOthers) {
+  Day().Run(seconds(4), true);
+  Day().Workers().FaultsOf("w-000").cut_off = true;
+  Day().Workers().FaultsOf("w-001").cut_off = true;
+  Day().Run(seconds(14), true);
+  CheckPromises();
+  BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+}
+
+BOOST_AUTO_TEST_CASE(ACrashedWorkerComesBackEmpty) {
+  Day().Run(seconds(4), true);
+  for (const std::string id : {"w-002", "w-003"}) {
+    Day().Workers().Crash(id);
+    Day().Unlist(id);
+  }
+  Day().Run(seconds(5), true);
+  for (const std::string id : {"w-002", "w-003"}) {
+    Day().Workers().Restart(id, 2);
+    Day().List(id);
+  }
+  Day().Run(seconds(8), true);
+  CheckPromises();
+  BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherInstanceTakesOverWhenTheOwnerDies) {
+  for (int round = 0; round < 3; ++round) {
+    Day().Run(seconds(4), true);
+    const std::size_t owner = Day().OwnerOf(0);
+    BOOST_REQUIRE(owner < settings.instances);
+    Day().KillInstance(owner);
+    Day().Run(milliseconds(4500), true);
+    BOOST_TEST(Day().OwnerOf(0) < settings.instances);
+    Day().StartInstance(owner);
+  }
+  CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(RunsOnWorkersThatAreCutOffWithTheOwnersDeathAreKnown) {
+  // What the owner started in its last milliseconds runs where nobody sees it.
+  settings.queues[0].per_second = 6;
+  settings.queues[1].work = seconds(5);
+  for (int round = 0; round < 4; ++round) {
+    Day().Run(milliseconds(5000 + 7 * round), true);
+    const std::size_t owner = Day().OwnerOf(0);
+    BOOST_REQUIRE(owner < settings.instances);
+    // The store takes none of its records any more; it still reaches workers.
+    Day().Isolate(owner, true);
+    Day().Run(milliseconds(900), true);
+    for (const std::string id : {"w-000", "w-003", "w-005", "w-008", "w-010"})
+      Day().Workers().FaultsOf(id).cut_off = true;
+    Day().KillInstance(owner);
+    Day().Isolate(owner, false);
+    Day().Run(milliseconds(5000), true);
+    for (const std::string& id : Day().Workers().Ids())
+      Day().Workers().FaultsOf(id) = {};
+    Day().StartInstance(owner);
+  }
+  CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(AStoppingOwnerHandsOverAtOnce) {
+  Day().Run(seconds(4), true);
+  const std::size_t owner = Day().OwnerOf(0);
+  Day().StopInstance(owner);
+  Day().Run(milliseconds(1500), true);
+  const std::size_t next = Day().OwnerOf(0);
+  BOOST_TEST(next != owner);
+  BOOST_TEST(next < settings.instances);
+  Day().Run(seconds(4), true);
+  CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasAcceptedOutlivesAllInstances) {
+  Day().Run(seconds(5), true);
+  for (std::size_t i = 0; i < settings.instances; ++i)
+    Day().KillInstance(i);
+  Day().Run(seconds(1), true);
+  for (std::size_t i = 0; i < settings.instances; ++i)
+    Day().StartInstance(i);
+  Day().Run(seconds(12), true);
+  CheckPromises();
+  BOOST_TEST(Day().Total().completed == Day().Total().accepted);
+}
+
+BOOST_AUTO_TEST_CASE(AnOutageOfTheStoreDoublesAndLosesNothing) {
+  Day().Run(seconds(4), true);
+  Day().Store().Faults().rejecting = true;
+  Day().Run(milliseconds(4500), true);
+  Day().Store().Faults().rejecting = false;
+  Day().Run(seconds(6), true);
+  CheckPromises();
+  BOOST_TEST(Day().Workers().Counts().lapsed == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentStoreWhoseLeasesRunOutDoublesNothing) {
+  Day().Run(seconds(4), true);
+  Day().Store().Faults().silent = true;
+  Day().Store().Faults().leases_lapse = true;
+  Day().Run(milliseconds(5000), true);
+  Day().Store().Faults() = {};
+  Day().Run(seconds(8), true);
+  CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswersOfTheStoreDoubleAndLoseNothing) {
+  Day().Run(seconds(3), true);
+  Day().Store().Faults().lost_share = 0.35;
+  Day().Run(seconds(5), true);
+  Day().Store().Faults().lost_share = 0;
+  Day().Run(seconds(5), true);
+  CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(AStoreThatDropsItsHistoryIsListedAnew) {
+  for (int round = 0; round < 5; ++round) {
+    Day().Run(seconds(2), true);
+    Day().Store().Compact();
+  }
+  CheckPromises();
+  BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerWhoseKeysAreTakenAwayIsFenced) {
+  Day().Run(seconds(4), true);
+  const std::size_t owner = Day().OwnerOf(0);
+  Day().Isolate(owner, true);
+  Day().Store().RevokeKeysOf(Day().NodeOf(owner));
+  Day().Run(seconds(6), true);
+  Day().Isolate(owner, false);
+  Day().Run(seconds(6), true);
+  CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(OrdersThatAreCarriedOutLateRunNothingTwice) {
+  for (const std::string& id : Day().Workers().Ids()) {
+    Day().Workers().FaultsOf(id).late_share = 0.06;
+    Day().Workers().FaultsOf(id).lost_share = 0.06;
+  }
+  Day().Run(seconds(10), true);
+  for (const std::string& id : Day().Workers().Ids())
+    Day().Workers().FaultsOf(id) = {};
+  Day().Run(seconds(5), true);
+  CheckPromises();
+  BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatFailsEverythingCostsFewSubmissions) {
+  Day().Run(seconds(3), true);
+  Day().Workers().FaultsOf("w-004").fails_all = true;
+  Day().Run(seconds(10), true);
+  CheckPromises();
+  BOOST_TEST(Day().Total().failed == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(WhatCanNeverBeDoneFailsAndHarmsNothingElse) {
+  settings.queues[0].poisoned_share = 0.3;
+  Day().Run(seconds(12), true);
+  CheckPromises();
+  const caller_counts& urgent = Day().Callers().at("urgent");
+  BOOST_TEST(urgent.failed > 0u);
+  BOOST_TEST(urgent.failed + urgent.completed == urgent.accepted);
+  const caller_counts& filling = Day().Callers().at("filling");
+  BOOST_TEST(filling.completed == filling.accepted);
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledSubmissionStopsAndNeverComesBack) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < 10; ++i)
+    ids.push_back(Day().Submit(settings.queues[1]));
+  Day().Run(seconds(1), false);
+  BOOST_TEST(Day().Workers().Running() > 0u);
+  for (const std::string& id : ids)
+    Day().Cancel(id);
+  Day().Run(milliseconds(1500), false);
+  BOOST_TEST(Day().Workers().Running() == 0u);
+  Day().KillInstance(Day().OwnerOf(0));
+  Day().Run(seconds(8), false);
+  BOOST_TEST(Day().Workers().Running() == 0u);
+  BOOST_TEST(Day().Workers().Broken().size() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::emulator
--- /dev/null
+++ b/tests/emulator/tests/load_test.cc
@@ -0,0 +1,81 @@
+#include "day_fixture.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Presses hard on one of two services, as heavy batch images do.
+double SparsePressure(const std::string& service, const std::string& fill) {
+  const bool heavy = (service == "service-a" && fill == "batch-a") ||
+                     (service == "service-b" && fill == "batch-b");
+  return heavy ? 3.5 : 0;
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(load, day_fixture)
+
+BOOST_AUTO_TEST_CASE(ACalmDayIsServedInTime) {
+  Day().Run(seconds(20), true);
+  CheckPromises();
+  const caller_counts total = Day().Total();
+  BOOST_TEST(total.offered > 40u);
+  BOOST_TEST(total.accepted == total.offered);
+  BOOST_TEST(total.completed == total.offered);
+  BOOST_TEST(total.in_objective * 20 >= total.offered * 19);
+}
+
+BOOST_AUTO_TEST_CASE(TheJournalOutgrowsNoWriteOfTheStore) {
+  // Several snapshots of the shard's state, each with deletes of old entries.
+  settings.queues[0].per_second = 12;
+  Day().Run(seconds(45), true);
+  CheckPromises();
+  BOOST_TEST(Day().Total().completed == Day().Total().accepted);
+}
+
+BOOST_AUTO_TEST_CASE(FillingTasksKeepAwayFromServicesThatTheyDisturb) {
+  settings.pressure = &SparsePressure;
+  settings.queues = {FillingLoad()};
+  settings.queues[0].images = {"batch-a", "batch-b", "batch-c"};
+  queue_load first = LastingLoad();
+  queue_load second = LastingLoad();
+  second.step.image = "service-b";
+  settings.queues.push_back(first);
+  settings.queues.back().per_second = 0.0001;
+  for (int i = 0; i < 4; ++i) {
+    Day().Submit(first);
+    Day().Submit(second);
+  }
+  Day().Run(seconds(3), false);
+  BOOST_TEST(Day().Workers().Running() == 32u);
+  // The pairs are learned.
+  Day().Run(seconds(12), true);
+  const double over_before = Day().Workers().OverBoundSeconds();
+  Day().Run(seconds(20), true);
+  // 32 services for 20 s, one in a hundred over its bound at most.
+  BOOST_TEST(Day().Workers().OverBoundSeconds() - over_before < 6.4);
+  Day().Run(seconds(20), false);
+  const caller_counts& filling = Day().Callers().at("filling");
+  BOOST_TEST(filling.completed == filling.accepted);
+  BOOST_TEST(filling.in_objective * 10 >= filling.accepted * 8);
+}
+
+BOOST_AUTO_TEST_CASE(LastingTasksAreBackSoonAfterTheirWorkerCrashed) {
+  settings.queues = {LastingLoad()};
+  settings.queues[0].per_second = 0.0001;
+  const std::string id = Day().Submit(settings.queues[0]);
+  Day().Run(seconds(2), false);
+  BOOST_TEST(Day().Workers().RunningOf(id) == 4u);
+  for (const std::string& worker : Day().Workers().Ids())
+    if (Day().Workers().RunningOf(id) == 4u)
+      Day().Workers().Crash(worker);
+  // The crashed worker's lease, its margin, and a moment to place.
+  Day().Run(milliseconds(6000 + 900 + 700), false);
+  BOOST_TEST(Day().Workers().RunningOf(id) == 4u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::emulator
