Submissions go to shards by room, and move when theirs has none

Cause: on Tanoa grown (350 workers, 4 shards) 805 of 2086 samples of site-watch were not at work though the fleet had room: every instance gave its first submission to shard 0, and then all chose the emptiest shard of the last status, while a submission could not leave its shard. Ruled out: room in all (the shards' reserved processors differed by half). Change: shards are chosen in proportion to their room less what was sent since; a submission that never started and found no room for 0.9 s is rewritten to a shard with twice that room, under the conditions of owner and record; a lasting one waits 1.6 s for room for all its tasks before it starts in part.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -63,6 +63,8 @@
   struct hooks {
     std::function<void(const std::string& id)> on_accepted;
     std::function<void(const std::string& id)> on_ended;
+    /// The submission belongs to another shard than before.
+    std::function<void(const std::string& id, std::uint32_t from)> on_moved;
     std::function<void(std::uint32_t shard)> on_owner;
   };
 
@@ -96,6 +98,9 @@
  private:
   void ApplyPut(const shared_key& key, const metadata::item& item);
   void ApplyDelete(const shared_key& key);
+  void MoveSubmission(const std::string& id,
+                      known_submission& known,
+                      std::uint32_t shard);
   void TakeSubmission(const std::string& id, const metadata::item& item);
   void End(const std::string& id, known_submission& known);
 
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -41,6 +41,8 @@
   /// Shortest time between two writes of the shard's status.
   std::chrono::milliseconds status_interval{700};
   std::chrono::milliseconds commit_retry{150};
+  /// A submission that found no room for so long goes to a shard that has.
+  std::chrono::milliseconds move_after{900};
 };
 
 /// Runs one shard that this instance owns: restores its state, looks at its
@@ -70,6 +72,7 @@
   void Start();
   void OnAccepted(const std::string& id);
   void OnEnded(const std::string& id);
+  void OnMovedAway(const std::string& id);
   void SetQueues(const submissions::queue_table& queues);
   /// The workers of this shard.
   void SetWorkers(std::vector<submissions::worker_description> workers);
@@ -96,6 +99,11 @@
   void SendStop(const submissions::stop_command& command);
   void SendThrottle(const submissions::throttle_command& command);
 
+  void MoveStranded();
+  void Move(const std::string& id, std::uint32_t to);
+  void OnMove(const std::string& id,
+              const metadata::transaction& change,
+              base::result<metadata::commit_answer> answer);
   void CommitNext();
   void Commit(metadata::transaction changes);
   void OnCommit(const metadata::transaction& changes,
@@ -144,6 +152,7 @@
   std::uint64_t oldest_entry_ = 1;
   std::uint64_t snapshot_entry_ = 0;
   bool commit_in_flight_ = false;
+  std::size_t moves_in_flight_ = 0;
   std::string written_status_;
   base::time_point status_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -72,6 +73,11 @@
     std::function<void(submit_verdict)> done;
     bool answered = false;
   };
+  /// What was sent to a shard since its owner wrote its status.
+  struct sent_to_shard {
+    metadata::revision status_at = 0;
+    std::int64_t reserved_milli = 0;
+  };
   using pending = std::shared_ptr<pending_write>;
   using group = std::vector<pending>;
 
@@ -84,7 +90,8 @@
   void OnConflict(const group& sent, const metadata::commit_answer& answer);
   void Answer(pending_write& written, submit_verdict verdict);
   void GiveUp(pending_write& written);
-  std::uint32_t ChooseShard() const;
+  std::uint32_t ChooseShard(const submissions::submission& offered);
+  std::int64_t RoomOf(std::uint32_t shard, const shard_status& status);
   bool StoreIsAway() const;
   submission_state KnownState(const std::string& id,
                               const known_submission& known) const;
@@ -100,7 +107,7 @@
   std::deque<pending> waiting_;
   std::size_t in_flight_ = 0;
   base::time_point store_away_until_;
-  mutable std::uint64_t next_shard_ = 0;
+  std::map<std::uint32_t, sent_to_shard> sent_since_status_;
   intake_counts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -74,6 +74,14 @@
             for (const auto& [shard, driver] : drivers_)
               driver->OnEnded(id);
           },
+      .on_moved =
+          [this](const std::string& id, std::uint32_t from) {
+            const auto before = drivers_.find(from);
+            if (before != drivers_.end())
+              before->second->OnMovedAway(id);
+            for (const auto& [shard, driver] : drivers_)
+              driver->OnAccepted(id);
+          },
       .on_owner =
           [this](std::uint32_t shard) { ownership_.OnOwnerChanged(shard); }};
 }
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -176,12 +176,14 @@
   if (line_end == std::string::npos || space > line_end)
     return;
   known_submission& known = submissions_[id];
-  if (known.accepted)
-    return;
   const auto shard =
       base::ParseInteger<std::uint32_t>(item.value.substr(0, space));
   if (!shard)
     return;
+  if (known.accepted) {
+    known.accepted_at = item.changed_at;
+    return MoveSubmission(id, known, *shard);
+  }
   known.shard = *shard;
   known.accepted = true;
   known.accepted_at = item.changed_at;
@@ -193,6 +195,16 @@
     hooks_.on_accepted(id);
 }
 
+void replica::MoveSubmission(const std::string& id,
+                             known_submission& known,
+                             std::uint32_t shard) {
+  if (known.shard == shard)
+    return;
+  const std::uint32_t from = std::exchange(known.shard, shard);
+  if (!known.Ended() && hooks_.on_moved)
+    hooks_.on_moved(id, from);
+}
+
 void replica::End(const std::string& id, known_submission& known) {
   known.record.clear();
   known.record.shrink_to_fit();
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReplicaPoll{20};
+/// Submissions that are being given to other shards at once.
+constexpr std::size_t kMovesInFlight = 4;
+/// Room that another shard must have, in times of what the submission reserves.
+constexpr std::int64_t kRoomForMove = 2;
 /// Old entries of the journal that one transaction deletes.
 constexpr std::uint64_t kDeletesPerCommit = 8;
 /// Entries before a snapshot that stay for a while: a write that the store
@@ -149,6 +153,10 @@
   Wake();
 }
 
+void shard_driver::OnMovedAway(const std::string& id) {
+  scheduler_.EndMove(id, true);
+}
+
 void shard_driver::SetQueues(const submissions::queue_table& queues) {
   for (const submissions::queue_route& route : queues.routes)
     scheduler_.SetPolicy(route.name, route.policy);
@@ -205,6 +213,7 @@
 }
 
 void shard_driver::Decide() {
+  MoveStranded();
   Wake();
   Later(settings_.idle_decision, [this] { Decide(); });
 }
@@ -266,6 +275,73 @@
                    });
 }
 
+void shard_driver::MoveStranded() {
+  if (!hooks_.is_valid())
+    return;
+  std::map<std::uint32_t, std::int64_t> room;
+  for (const auto& [shard, status] : shared_.Statuses())
+    if (shard != shard_)
+      room[shard] = status.capacity_milli - status.reserved_milli;
+  for (const auto& stranded :
+       scheduler_.Stranded(loop_.Now(), settings_.move_after)) {
+    if (moves_in_flight_ >= kMovesInFlight)
+      return;
+    const auto roomiest = std::ranges::max_element(
+        room, {}, [](const auto& entry) { return entry.second; });
+    if (roomiest == room.end() ||
+        roomiest->second < kRoomForMove * stranded.reserved_milli)
+      return;
+    roomiest->second -= stranded.reserved_milli;
+    Move(stranded.id, roomiest->first);
+  }
+}
+
+void shard_driver::Move(const std::string& id, std::uint32_t to) {
+  const known_submission* known = shared_.Find(id);
+  if (known == nullptr || known->Ended() || !scheduler_.BeginMove(id))
+    return;
+  auto record = submissions::DecodeSubmission(known->record);
+  if (!record)
+    return;
+  record.value().shard = to;
+  metadata::transaction change;
+  change.conditions.push_back(
+      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
+  const std::string key = ToString({key_kind::kSubmission, id});
+  change.conditions.push_back({key, known->accepted_at});
+  change.writes.push_back({key, EncodeAccepted(record.value())});
+  log_.Write("submission_moved",
+             {{"submission", id}, {"from_shard", shard_}, {"to_shard", to}});
+  ++moves_in_flight_;
+  store_.Commit(change, [this, id, change, alive = alive_](
+                            base::result<metadata::commit_answer> answer) {
+    if (*alive)
+      OnMove(id, change, std::move(answer));
+  });
+}
+
+void shard_driver::OnMove(const std::string& id,
+                          const metadata::transaction& change,
+                          base::result<metadata::commit_answer> answer) {
+  if (!answer && !hooks_.is_valid())
+    return;
+  if (!answer) {
+    // The same again: its conditions let it happen only once.
+    return Later(settings_.commit_retry, [this, id, change] {
+      store_.Commit(change, [this, id, change, alive = alive_](
+                                base::result<metadata::commit_answer> again) {
+        if (*alive)
+          OnMove(id, change, std::move(again));
+      });
+    });
+  }
+  --moves_in_flight_;
+  // When it was not applied it was moved by an attempt before, which the
+  // replica tells, or the ownership is gone.
+  if (answer.value().applied)
+    scheduler_.EndMove(id, true);
+}
+
 void shard_driver::CommitNext() {
   if (commit_in_flight_)
     return;
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -8,6 +8,9 @@
 
 /// Each key takes a condition and a write.
 constexpr std::size_t kKeysPerWrite = metadata::kMostEntries / 2;
+/// A full shard counts as having this part of its capacity free: filling tasks
+/// need none.
+constexpr std::int64_t kLeastRoomDivisor = 50;
 
 }  // namespace
 
@@ -41,7 +44,7 @@
                                        {"reason", "store_away"}});
     return done({submit_verdict::kRejected, settings_.retry_after});
   }
-  offered.shard = ChooseShard();
+  offered.shard = ChooseShard(offered);
   offered.accepted_since_epoch =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           clock_.WallNow().time_since_epoch());
@@ -231,21 +234,40 @@
   Answer(written, submit_verdict::kOutcomeUnknown);
 }
 
-std::uint32_t submission_intake::ChooseShard() const {
+std::uint32_t submission_intake::ChooseShard(
+    const submissions::submission& offered) {
+  const std::uint64_t dice = HashOf(offered.id, "shard of submission");
   const std::uint32_t count = shared_.ShardCount();
-  std::uint32_t best = static_cast<std::uint32_t>(next_shard_++ % count);
-  double best_use = 2;
+  std::vector<std::int64_t> room(count, 0);
+  std::int64_t all_room = 0;
   for (const auto& [shard, status] : shared_.Statuses()) {
-    if (status.capacity_milli <= 0 || shard >= count)
+    if (shard >= count)
       continue;
-    const double use = static_cast<double>(status.reserved_milli) /
-                       static_cast<double>(status.capacity_milli);
-    if (use < best_use) {
-      best = shard;
-      best_use = use;
-    }
+    room[shard] = RoomOf(shard, status);
+    all_room += room[shard];
   }
-  return best;
+  if (all_room <= 0)
+    return static_cast<std::uint32_t>(dice % count);
+  // In proportion to the room, so that instances that decide at the same time
+  // don't all choose the same shard.
+  auto point =
+      static_cast<std::int64_t>(dice % static_cast<std::uint64_t>(all_room));
+  std::uint32_t chosen = 0;
+  while (point >= room[chosen])
+    point -= room[chosen++];
+  sent_since_status_[chosen].reserved_milli +=
+      submissions::ReservedMilli(offered);
+  return chosen;
+}
+
+std::int64_t submission_intake::RoomOf(std::uint32_t shard,
+                                       const shard_status& status) {
+  sent_to_shard& sent = sent_since_status_[shard];
+  if (sent.status_at != status.written_at)
+    sent = {status.written_at, 0};
+  const std::int64_t least = status.capacity_milli / kLeastRoomDivisor;
+  return std::max(least, status.capacity_milli - status.reserved_milli -
+                             sent.reserved_milli);
 }
 
 bool submission_intake::StoreIsAway() const {
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -15,6 +15,9 @@
   std::chrono::milliseconds lease_margin{900};
   /// A worker whose last report is older takes nothing new.
   std::chrono::milliseconds report_fresh{2200};
+  /// How long a lasting submission waits for room for all of its tasks before
+  /// it starts in part.
+  std::chrono::milliseconds whole_room_patience{1600};
   /// How long a worker that refused an order is avoided.
   std::chrono::milliseconds refused_pause{400};
   /// Time between two orders to stop the same run.
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -89,6 +89,22 @@
   std::vector<std::string> NotStarted() const;
   shard_load Load() const;
 
+  /// A submission that this shard has had no room for.
+  struct stranded_submission {
+    std::string id;
+    /// Processors that its waiting tasks reserve.
+    std::int64_t reserved_milli = 0;
+  };
+  /// Submissions that have waited for room for `patience` and never started.
+  std::vector<stranded_submission> Stranded(
+      base::time_point now,
+      std::chrono::milliseconds patience) const;
+  /// Starts nothing of a submission that never started, while it is given to
+  /// another shard. False when it has started or is unknown.
+  bool BeginMove(const std::string& submission);
+  /// Ends the move: the submission is another shard's, or stays.
+  void EndMove(const std::string& submission, bool moved);
+
  private:
   class implementation;
   std::unique_ptr<implementation> implementation_;
--- a/src/submissions/include/chivecrank/submissions/types.h
+++ b/src/submissions/include/chivecrank/submissions/types.h
@@ -96,6 +96,9 @@
   bool operator==(const submission&) const = default;
 };
 
+/// Processors, in thousandths, that the first steps of a submission reserve.
+std::int64_t ReservedMilli(const submission& request);
+
 /// Names one task.
 struct task_ref {
   std::string submission;
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -56,7 +56,7 @@
     std::chrono::milliseconds since_epoch) {
   std::vector<ready_step> ready;
   for (auto& [id, live] : book_.Submissions().All()) {
-    if (live->outcome)
+    if (live->outcome || live->moving)
       continue;
     for (std::size_t k = 0; k < live->occurrences.size(); ++k) {
       const live_occurrence& occurrence = live->occurrences[k];
@@ -137,6 +137,8 @@
 
 void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  if (WaitsForWholeRoom(ready, now))
+    return;
   const std::int32_t count =
       ready.live->request.steps[static_cast<std::size_t>(ready.step)]
           .task_count;
@@ -146,8 +148,11 @@
       continue;
     worker_entry* worker = placer_.Choose(RequestFor(ready, task, now));
     // The other tasks of the step ask for the same.
-    if (worker == nullptr)
+    if (worker == nullptr) {
+      if (!ready.live->no_room_since)
+        ready.live->no_room_since = now;
       return;
+    }
     placer_.OnAssign(*worker, *book_.Submissions().StepOf(task));
     book_.Assign(task, progress.run + 1, *worker, now);
   }
@@ -174,11 +179,25 @@
   const live_step& step =
       ready.live->occurrences[static_cast<std::size_t>(ready.occurrence)]
           .steps[static_cast<std::size_t>(ready.step)];
+  const auto chosen = ChooseForAll(ready, rack, now);
+  if (chosen.empty())
+    return false;
+  const std::int32_t run = HighestRun(step) + 1;
+  task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  for (worker_entry* worker : chosen) {
+    book_.Assign(task, run, *worker, now);
+    ++task.index;
+  }
+  return true;
+}
+
+std::vector<worker_entry*> planner::ChooseForAll(const ready_step& ready,
+                                                 const std::string& rack,
+                                                 base::time_point now) {
   const step_request& wanted =
       ready.live->request.steps[static_cast<std::size_t>(ready.step)];
-  const std::int32_t run = HighestRun(step) + 1;
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
-  // Room is held member by member, and given back unless all find some.
+  // Room is held task by task, and given back before the answer.
   std::vector<worker_entry*> chosen;
   for (task.index = 0; task.index < wanted.task_count; ++task.index) {
     placement_request request = RequestFor(ready, task, now);
@@ -192,15 +211,27 @@
     worker_table::AddRun(*worker, task, held);
     chosen.push_back(worker);
   }
-  for (task.index = 0; static_cast<std::size_t>(task.index) < chosen.size();
-       ++task.index)
-    worker_table::RemoveRun(*chosen[static_cast<std::size_t>(task.index)],
-                            task);
-  if (static_cast<std::int32_t>(chosen.size()) < wanted.task_count)
+  const bool whole =
+      static_cast<std::int32_t>(chosen.size()) == wanted.task_count;
+  task.index = 0;
+  for (worker_entry* worker : chosen) {
+    worker_table::RemoveRun(*worker, task);
+    ++task.index;
+  }
+  if (!whole)
+    chosen.clear();
+  return chosen;
+}
+
+bool planner::WaitsForWholeRoom(const ready_step& ready, base::time_point now) {
+  live_submission& live = *ready.live;
+  const bool lasting =
+      live.request.steps[static_cast<std::size_t>(ready.step)].lasting;
+  if (!lasting || live.started || !ChooseForAll(ready, {}, now).empty())
     return false;
-  for (task.index = 0; task.index < wanted.task_count; ++task.index)
-    book_.Assign(task, run, *chosen[static_cast<std::size_t>(task.index)], now);
-  return true;
+  if (!live.no_room_since)
+    live.no_room_since = now;
+  return now - *live.no_room_since < settings_.whole_room_patience;
 }
 
 std::vector<std::string> planner::RacksByRoom() const {
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -17,7 +17,9 @@
   planner(const scheduler_settings& settings,
           run_book& book,
           const interference& learned)
-      : book_(book), placer_(settings, book.Workers(), learned) {}
+      : settings_(settings),
+        book_(book),
+        placer_(settings, book.Workers(), learned) {}
 
   void SetPolicy(const std::string& queue, const queue_policy& policy) {
     policies_[queue] = policy;
@@ -50,11 +52,20 @@
   bool PlaceGangOn(const ready_step& ready,
                    const std::string& rack,
                    base::time_point now);
+  /// The workers for all tasks of a step together; none when some find no
+  /// room.
+  std::vector<worker_entry*> ChooseForAll(const ready_step& ready,
+                                          const std::string& rack,
+                                          base::time_point now);
+  /// Whether a lasting submission should rather go to a shard with room for
+  /// all of it than start here in part.
+  bool WaitsForWholeRoom(const ready_step& ready, base::time_point now);
   placement_request RequestFor(const ready_step& ready,
                                const task_ref& task,
                                base::time_point now);
   std::vector<std::string> RacksByRoom() const;
 
+  const scheduler_settings& settings_;
   run_book& book_;
   placer placer_;
   std::map<std::string, queue_policy> policies_;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -350,4 +350,37 @@
   return load;
 }
 
+std::vector<shard_scheduler::stranded_submission> shard_scheduler::Stranded(
+    base::time_point now,
+    std::chrono::milliseconds patience) const {
+  std::vector<stranded_submission> stranded;
+  for (const auto& [id, live] : implementation_->book.Submissions().All()) {
+    if (live->started || live->outcome || live->moving ||
+        !live->no_room_since || now - *live->no_room_since < patience)
+      continue;
+    const std::int64_t reserved = submissions::ReservedMilli(live->request);
+    if (reserved > 0)
+      stranded.push_back({id, reserved});
+  }
+  return stranded;
+}
+
+bool shard_scheduler::BeginMove(const std::string& submission) {
+  live_submission* live = implementation_->book.Submissions().Find(submission);
+  if (live == nullptr || live->started || live->outcome)
+    return false;
+  live->moving = true;
+  return true;
+}
+
+void shard_scheduler::EndMove(const std::string& submission, bool moved) {
+  live_submission* live = implementation_->book.Submissions().Find(submission);
+  if (live == nullptr || !live->moving)
+    return;
+  live->moving = false;
+  live->no_room_since.reset();
+  if (moved)
+    implementation_->book.Submissions().Erase(submission);
+}
+
 }  // namespace chivecrank::submissions
--- a/src/submissions/internal/submission_table.h
+++ b/src/submissions/internal/submission_table.h
@@ -37,6 +37,10 @@
   bool started = false;
   /// Runs whose end isn't known.
   std::int32_t active_runs = 0;
+  /// Since when it waits for room without having started; unset for never.
+  std::optional<base::time_point> no_room_since;
+  /// It is being given to another shard: nothing of it starts here.
+  bool moving = false;
   /// Time of day by which it should be done.
   std::chrono::milliseconds objective_since_epoch{0};
 };
--- a/src/submissions/internal/types.cc
+++ b/src/submissions/internal/types.cc
@@ -23,6 +23,14 @@
 
 }  // namespace
 
+std::int64_t ReservedMilli(const submission& request) {
+  std::int64_t reserved = 0;
+  for (const step_request& step : request.steps)
+    if (!step.fills && step.after.empty())
+      reserved += step.demand.processors_milli * step.task_count;
+  return reserved;
+}
+
 std::string_view SubmissionOutcomeName(submission_outcome value) {
   return NameIn(kOutcomeNames, value);
 }
--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -62,6 +62,25 @@
   BOOST_TEST(filling.in_objective * 10 >= filling.accepted * 8);
 }
 
+BOOST_AUTO_TEST_CASE(AWaveOfServicesFindsTheRoomOfAllShards) {
+  settings.workers = 48;
+  settings.workers_per_shard = 12;
+  settings.queues = {LastingLoad()};
+  settings.queues[0].per_second = 0.0001;
+  Day().Run(seconds(2), false);
+  // Four shards of different sizes; the wave takes three quarters of all.
+  std::vector<std::string> ids;
+  for (int i = 0; i < 48; ++i) {
+    ids.push_back(Day().Submit(settings.queues[0]));
+    Day().Run(milliseconds(5), false);
+  }
+  Day().Run(seconds(3), false);
+  int whole = 0;
+  for (const std::string& id : ids)
+    whole += Day().Workers().RunningOf(id) == 4u ? 1 : 0;
+  BOOST_TEST(whole == 48);
+}
+
 BOOST_AUTO_TEST_CASE(LastingTasksAreBackSoonAfterTheirWorkerCrashed) {
   settings.queues = {LastingLoad()};
   settings.queues[0].per_second = 0.0001;
