--- a/apps/chivecrank_instance/instance_program.cc
+++ b/apps/chivecrank_instance/instance_program.cc
@@ -51,11 +51,12 @@
                [this](const http::request& request, reactor::responder answer) {
                  api_.Handle(request, std::move(answer));
                }),
-      readiness_(
-          loop_,
-          {},
-          adapter::ReadinessHandler([this] { return runtime_.IsReady(); },
-                                    [this] { return Metrics(); })) {}
+      readiness_(loop_, {}, adapter::ReadinessHandler([this] {
+                   return runtime_.IsReady();
+                 })),
+      metrics_(loop_, {}, adapter::MetricsHandler([this] {
+                 return Metrics();
+               })) {}
 
 process::exit_code instance_program::Run() {
   log_.Write("start", {{"callers", settings::ToString(settings_.callers)},
@@ -74,11 +75,14 @@
 bool instance_program::Listen() {
   const auto callers = callers_.Start(settings_.callers);
   const auto readiness = readiness_.Start(settings_.readiness);
+  const auto metrics = metrics_.Start(settings_.metrics);
   if (!callers)
     log_.Write("listen_failed", {{"error", callers.error().message}});
   if (!readiness)
     log_.Write("listen_failed", {{"error", readiness.error().message}});
-  return callers && readiness;
+  if (!metrics)
+    log_.Write("listen_failed", {{"error", metrics.error().message}});
+  return callers && readiness && metrics;
 }
 
 void instance_program::Loop() {
@@ -109,8 +113,20 @@
   return released_ && since >= kServeAfterStop && callers_.InFlight() == 0;
 }
 
-std::string instance_program::Metrics() const {
-  return {};
+std::string instance_program::Metrics() {
+  runtime::instance_metrics& metrics = runtime_.Metrics();
+  const adapter::store_call_counts& store = store_.Counts();
+  metrics.SetTotal("store_reads", store.reads);
+  metrics.SetTotal("store_writes", store.writes);
+  metrics.SetTotal("store_renewals", store.renewals);
+  metrics.SetTotal("store_failures", store.failures);
+  const adapter::worker_call_counts& workers = workers_.Counts();
+  metrics.SetTotal("worker_looks", workers.looks);
+  metrics.SetTotal("worker_starts", workers.starts);
+  metrics.SetTotal("worker_stops", workers.stops);
+  metrics.SetTotal("worker_throttles", workers.throttles);
+  metrics.SetTotal("worker_connections", workers_.Opened());
+  return metrics.Text();
 }
 
 }  // namespace chivecrank::apps
--- a/apps/chivecrank_instance/instance_program.h
+++ b/apps/chivecrank_instance/instance_program.h
@@ -29,7 +29,7 @@
   void Loop();
   void BeginStop();
   bool MayExit() const;
-  std::string Metrics() const;
+  std::string Metrics();
 
   const instance_settings settings_;
   base::boot_clock clock_;
@@ -41,6 +41,7 @@
   adapter::caller_api api_;
   reactor::http_server callers_;
   reactor::http_server readiness_;
+  reactor::http_server metrics_;
   process::signal_flags signals_;
   bool stopping_ = false;
   bool released_ = false;
--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -16,6 +16,7 @@
   instance_settings read;
   read.callers = root.Endpoint("callers");
   read.readiness = root.Endpoint("readiness");
+  read.metrics = root.Endpoint("metrics");
   read.store = root.Endpoint("store");
   const std::string node = root.String("node");
   root.String("failure_domain");
--- a/apps/chivecrank_instance/instance_settings.h
+++ b/apps/chivecrank_instance/instance_settings.h
@@ -12,6 +12,7 @@
 struct instance_settings {
   settings::endpoint callers;
   settings::endpoint readiness;
+  settings::endpoint metrics;
   settings::endpoint store;
   runtime::runtime_settings runtime;
 };
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/instance_metrics.h
@@ -0,0 +1,72 @@
+#ifndef CHIVECRANK_RUNTIME_INSTANCE_METRICS_H_
+#define CHIVECRANK_RUNTIME_INSTANCE_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chivecrank/submissions/scheduler_event.h"
+
+namespace chivecrank::runtime {
+
+/// One metric family, for the table in the operators' pages.
+struct metric_description {
+  std::string_view name;
+  std::string_view labels;
+  std::string_view help;
+};
+
+/// The figures of one instance. Labels are of bounded sets.
+class instance_metrics {
+ public:
+  instance_metrics();
+
+  /// All families, in the order of the table.
+  static const std::vector<metric_description>& Descriptions();
+
+  /// A caller got the answer to a submission after `waited`.
+  void OnSubmitAnswer(std::string_view answer, std::chrono::nanoseconds waited);
+  /// An owner's commit took `waited`, or failed.
+  void OnCommit(bool done, std::chrono::nanoseconds waited);
+  void OnLook(bool answered, std::chrono::nanoseconds waited);
+  void OnSchedulerEvent(const submissions::scheduler_event& event);
+  /// A submission ended so long after it was accepted.
+  void OnSubmissionEnded(std::string_view outcome,
+                         std::chrono::milliseconds since_accepted);
+  void SetShardsOwned(std::size_t shards);
+  void SetConfigurationVersion(std::int64_t version);
+  void SetReady(bool ready);
+  /// Totals that others count.
+  void SetTotal(std::string_view what, std::uint64_t total);
+
+  /// In the text format of Prometheus.
+  std::string Text() const;
+
+ private:
+  prometheus::Histogram& Latency(
+      prometheus::Family<prometheus::Histogram>& family,
+      const prometheus::Labels& labels);
+
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>& answers_;
+  prometheus::Family<prometheus::Histogram>& answer_seconds_;
+  prometheus::Family<prometheus::Histogram>& submission_seconds_;
+  prometheus::Family<prometheus::Histogram>& commit_seconds_;
+  prometheus::Family<prometheus::Histogram>& look_seconds_;
+  prometheus::Family<prometheus::Counter>& events_;
+  prometheus::Family<prometheus::Gauge>& state_;
+  prometheus::Family<prometheus::Gauge>& totals_;
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_INSTANCE_METRICS_H_
--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "chivecrank/runtime/feed.h"
+#include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/ownership.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/shard_driver.h"
@@ -55,6 +56,8 @@
   void Stop(std::function<void()> done);
   /// Whether the balancer should send callers here.
   bool IsReady() const;
+  /// The figures as of now.
+  instance_metrics& Metrics();
 
   submission_intake& Intake() { return intake_; }
   const ownership& Owning() const { return ownership_; }
@@ -83,6 +86,7 @@
   event_log::event_log& log_;
   const runtime_settings settings_;
   const configuration_source configuration_;
+  instance_metrics metrics_;
   replica shared_;
   std::shared_ptr<const submissions::queue_table> queues_;
   std::map<std::uint32_t, std::shared_ptr<shard_driver>> drivers_;
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -12,6 +12,7 @@
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
@@ -62,6 +63,7 @@
                submissions::worker_orders& orders,
                const replica& shared,
                event_log::event_log& log,
+               instance_metrics& metrics,
                std::uint32_t shard,
                metadata::revision fence,
                driver_settings settings,
@@ -123,7 +125,7 @@
               base::result<submissions::worker_report> report);
 
   void Later(std::chrono::milliseconds delay, std::function<void()> step);
-  void LogEvent(const submissions::scheduler_event& event);
+  void OnEvent(const submissions::scheduler_event& event);
   submissions::order_terms Terms() const;
   const submissions::worker_description* WorkerOf(const std::string& id) const;
 
@@ -133,6 +135,7 @@
   submissions::worker_orders& orders_;
   const replica& shared_;
   event_log::event_log& log_;
+  instance_metrics& metrics_;
   const std::uint32_t shard_;
   const metadata::revision fence_;
   const driver_settings settings_;
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -12,6 +12,7 @@
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/submission_service.h"
 
@@ -28,14 +29,6 @@
   std::chrono::milliseconds store_pause{300};
 };
 
-/// Numbers of answers since the start.
-struct intake_counts {
-  std::uint64_t accepted = 0;
-  std::uint64_t rejected = 0;
-  std::uint64_t unknown = 0;
-  std::uint64_t cancelled = 0;
-};
-
 /// Takes submissions and cancellations in: each is stored before it is
 /// acknowledged, several in one write. A write is conditional, so that one that
 /// is sent or carried out twice counts once.
@@ -46,6 +39,7 @@
                     metadata::store& store,
                     const replica& shared,
                     event_log::event_log& log,
+                    instance_metrics& metrics,
                     intake_settings settings);
   ~submission_intake() override;
 
@@ -59,8 +53,6 @@
               std::function<void(cancel_verdict)> done) override;
   std::int64_t Waiting(const std::string& queue) const override;
 
-  const intake_counts& Counts() const { return counts_; }
-
  private:
   /// One key that is to be created, for a submission or a cancellation.
   struct pending_write {
@@ -103,12 +95,12 @@
   metadata::store& store_;
   const replica& shared_;
   event_log::event_log& log_;
+  instance_metrics& metrics_;
   const intake_settings settings_;
   std::deque<pending> waiting_;
   std::size_t in_flight_ = 0;
   base::time_point store_away_until_;
   std::map<std::uint32_t, sent_to_shard> sent_since_status_;
-  intake_counts counts_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/runtime/internal/instance_metrics.cc
@@ -0,0 +1,141 @@
+#include "chivecrank/runtime/instance_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace chivecrank::runtime {
+namespace {
+
+/// Upper bounds of the buckets of a latency, in seconds.
+const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60};
+
+enum family : std::size_t {
+  kAnswers,
+  kAnswerSeconds,
+  kSubmissionSeconds,
+  kCommitSeconds,
+  kLookSeconds,
+  kEvents,
+  kState,
+  kTotals,
+};
+
+template <class Builder>
+auto& Made(Builder builder, family which, prometheus::Registry& registry) {
+  const metric_description& wanted = instance_metrics::Descriptions().at(which);
+  return builder.Name(std::string(wanted.name))
+      .Help(std::string(wanted.help))
+      .Register(registry);
+}
+
+double Seconds(std::chrono::nanoseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+const std::vector<metric_description>& instance_metrics::Descriptions() {
+  static const std::vector<metric_description> kDescriptions = {
+      {"chivecrank_submission_answers_total", "answer",
+       "Answers to submissions: accepted, rejected or unknown."},
+      {"chivecrank_submission_answer_seconds", "answer",
+       "Time from a submission to its answer."},
+      {"chivecrank_submission_seconds", "outcome",
+       "Time from a submission's acceptance to its end, at its owner."},
+      {"chivecrank_commit_seconds", "done",
+       "Time that the store took for a commit of a shard's journal."},
+      {"chivecrank_look_seconds", "answered",
+       "Time until a worker answered a look, which it may hold."},
+      {"chivecrank_scheduler_events_total", "event, outcome",
+       "Decisions and observations of the scheduler, as in the log."},
+      {"chivecrank_state", "what",
+       "ready (0 or 1), shards_owned, configuration_version."},
+      {"chivecrank_totals", "what",
+       "Since the start: store and worker calls by kind, connections, log "
+       "lines left out."},
+  };
+  return kDescriptions;
+}
+
+instance_metrics::instance_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      answers_(Made(prometheus::BuildCounter(), kAnswers, *registry_)),
+      answer_seconds_(
+          Made(prometheus::BuildHistogram(), kAnswerSeconds, *registry_)),
+      submission_seconds_(
+          Made(prometheus::BuildHistogram(), kSubmissionSeconds, *registry_)),
+      commit_seconds_(
+          Made(prometheus::BuildHistogram(), kCommitSeconds, *registry_)),
+      look_seconds_(
+          Made(prometheus::BuildHistogram(), kLookSeconds, *registry_)),
+      events_(Made(prometheus::BuildCounter(), kEvents, *registry_)),
+      state_(Made(prometheus::BuildGauge(), kState, *registry_)),
+      totals_(Made(prometheus::BuildGauge(), kTotals, *registry_)) {}
+
+void instance_metrics::OnSubmitAnswer(std::string_view answer,
+                                      std::chrono::nanoseconds waited) {
+  const prometheus::Labels labels = {{"answer", std::string(answer)}};
+  answers_.Add(labels).Increment();
+  Latency(answer_seconds_, labels).Observe(Seconds(waited));
+}
+
+void instance_metrics::OnCommit(bool done, std::chrono::nanoseconds waited) {
+  Latency(commit_seconds_, {{"done", done ? "yes" : "no"}})
+      .Observe(Seconds(waited));
+}
+
+void instance_metrics::OnLook(bool answered, std::chrono::nanoseconds waited) {
+  Latency(look_seconds_, {{"answered", answered ? "yes" : "no"}})
+      .Observe(Seconds(waited));
+}
+
+void instance_metrics::OnSchedulerEvent(
+    const submissions::scheduler_event& event) {
+  // An image is no label: there is no bound on how many there are.
+  const bool names_image =
+      event.kind == submissions::scheduler_event_kind::kFillsThrottled ||
+      event.kind == submissions::scheduler_event_kind::kFillMoved;
+  events_
+      .Add({{"event",
+             std::string(submissions::SchedulerEventKindName(event.kind))},
+            {"outcome", names_image ? "" : std::string(event.outcome)}})
+      .Increment();
+}
+
+void instance_metrics::OnSubmissionEnded(
+    std::string_view outcome,
+    std::chrono::milliseconds since_accepted) {
+  Latency(submission_seconds_, {{"outcome", std::string(outcome)}})
+      .Observe(Seconds(since_accepted));
+}
+
+void instance_metrics::SetShardsOwned(std::size_t shards) {
+  state_.Add({{"what", "shards_owned"}}).Set(static_cast<double>(shards));
+}
+
+void instance_metrics::SetConfigurationVersion(std::int64_t version) {
+  state_.Add({{"what", "configuration_version"}})
+      .Set(static_cast<double>(version));
+}
+
+void instance_metrics::SetReady(bool ready) {
+  state_.Add({{"what", "ready"}}).Set(ready ? 1 : 0);
+}
+
+void instance_metrics::SetTotal(std::string_view what, std::uint64_t total) {
+  totals_.Add({{"what", std::string(what)}}).Set(static_cast<double>(total));
+}
+
+std::string instance_metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+prometheus::Histogram& instance_metrics::Latency(
+    prometheus::Family<prometheus::Histogram>& family,
+    const prometheus::Labels& labels) {
+  return family.Add(labels, kLatencyBuckets);
+}
+
+}  // namespace chivecrank::runtime
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -37,7 +37,7 @@
           ConfigurationHooks()),
       directory_(loop, store, log, std::move(workers), settings_.directory),
       ownership_(loop, store, shared_, log, settings_.owning, OwnershipHooks()),
-      intake_(loop, clock, store, shared_, log, settings_.intake) {
+      intake_(loop, clock, store, shared_, log, metrics_, settings_.intake) {
   shared_.SetHooks(ReplicaHooks());
 }
 
@@ -62,6 +62,14 @@
          shared_.ShardCount() > 0 && ownership_.StoreAnswers();
 }
 
+instance_metrics& instance_runtime::Metrics() {
+  metrics_.SetReady(IsReady());
+  metrics_.SetShardsOwned(ownership_.OwnedCount());
+  metrics_.SetConfigurationVersion(queues_ ? queues_->version : 0);
+  metrics_.SetTotal("log_lines_left_out", log_.LeftOut());
+  return metrics_;
+}
+
 replica::hooks instance_runtime::ReplicaHooks() {
   return {
       .on_accepted =
@@ -179,7 +187,7 @@
 
 void instance_runtime::OnWon(std::uint32_t shard, metadata::revision fence) {
   auto driver = std::make_shared<shard_driver>(
-      loop_, clock_, store_, orders_, shared_, log_, shard, fence,
+      loop_, clock_, store_, orders_, shared_, log_, metrics_, shard, fence,
       settings_.driving,
       shard_driver::hooks{.is_valid = [this] { return ownership_.IsValid(); },
                           .on_fenced =
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -30,6 +30,7 @@
                            submissions::worker_orders& orders,
                            const replica& shared,
                            event_log::event_log& log,
+                           instance_metrics& metrics,
                            std::uint32_t shard,
                            metadata::revision fence,
                            driver_settings settings,
@@ -40,6 +41,7 @@
       orders_(orders),
       shared_(shared),
       log_(log),
+      metrics_(metrics),
       shard_(shard),
       fence_(fence),
       settings_(std::move(settings)),
@@ -47,7 +49,7 @@
       began_(loop.Now()),
       scheduler_(settings_.scheduling,
                  [this](const submissions::scheduler_event& event) {
-                   LogEvent(event);
+                   OnEvent(event);
                  }) {}
 
 shard_driver::~shard_driver() {
@@ -532,6 +534,7 @@
   look_state& state = looks_[worker];
   state.in_flight = false;
   state.answered = report.has_value();
+  metrics_.OnLook(state.answered, loop_.Now() - requested_at);
   if (!report) {
     if (report.error().kind == base::error_kind::kFenced)
       return hooks_.on_fenced("a worker follows a newer owner");
@@ -553,7 +556,11 @@
   });
 }
 
-void shard_driver::LogEvent(const submissions::scheduler_event& event) {
+void shard_driver::OnEvent(const submissions::scheduler_event& event) {
+  metrics_.OnSchedulerEvent(event);
+  if (event.kind == submissions::scheduler_event_kind::kSubmissionEnded)
+    metrics_.OnSubmissionEnded(event.outcome,
+                               std::chrono::milliseconds(event.input));
   log_.Write(submissions::SchedulerEventKindName(event.kind),
              {{"shard", shard_},
               {"submission", event.task.submission},
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -19,12 +19,14 @@
                                      metadata::store& store,
                                      const replica& shared,
                                      event_log::event_log& log,
+                                     instance_metrics& metrics,
                                      intake_settings settings)
     : loop_(loop),
       clock_(clock),
       store_(store),
       shared_(shared),
       log_(log),
+      metrics_(metrics),
       settings_(settings) {}
 
 submission_intake::~submission_intake() {
@@ -38,7 +40,7 @@
   if (known != nullptr)
     return done({submit_verdict::kAccepted});
   if (StoreIsAway() || shared_.ShardCount() == 0) {
-    ++counts_.rejected;
+    metrics_.OnSubmitAnswer("rejected", {});
     log_.Write("submission_rejected", {{"submission", offered.id},
                                        {"queue", offered.queue},
                                        {"reason", "store_away"}});
@@ -53,14 +55,15 @@
   added->write = {ToString({key_kind::kSubmission, offered.id}),
                   EncodeAccepted(offered)};
   added->give_up_at = give_up_at;
-  added->done = [this, id = offered.id, queue = offered.queue,
-                 shard = offered.shard,
+  added->done = [this, since = loop_.Now(), id = offered.id,
+                 queue = offered.queue, shard = offered.shard,
                  done = std::move(done)](submit_verdict verdict) {
     const bool accepted = verdict == submit_verdict::kAccepted;
     const bool rejected = verdict == submit_verdict::kRejected;
-    ++(accepted   ? counts_.accepted
-       : rejected ? counts_.rejected
-                  : counts_.unknown);
+    metrics_.OnSubmitAnswer(accepted   ? "accepted"
+                            : rejected ? "rejected"
+                                       : "unknown",
+                            loop_.Now() - since);
     log_.Write(accepted   ? "submission_accepted"
                : rejected ? "submission_rejected"
                           : "submission_in_doubt",
@@ -108,7 +111,6 @@
   added->give_up_at = give_up_at;
   added->done = [this, id, done = std::move(done)](submit_verdict verdict) {
     const bool accepted = verdict == submit_verdict::kAccepted;
-    counts_.cancelled += accepted ? 1 : 0;
     log_.Write(accepted ? "cancel_accepted" : "cancel_failed",
                {{"submission", id}});
     done(accepted ? cancel_verdict::kCancelled : cancel_verdict::kUnavailable);
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -200,7 +200,8 @@
     outcomes_.push_back({id, outcome});
   Emit({.kind = scheduler_event_kind::kSubmissionEnded,
         .task = {id},
-        .outcome = SubmissionOutcomeName(outcome)});
+        .outcome = SubmissionOutcomeName(outcome),
+        .input = (since_epoch_ - live.request.accepted_since_epoch).count()});
   if (live.active_runs > 0)
     for (auto& [worker_id, worker] : workers_.All())
       for (auto& [task, run] : worker.runs)
--- a/src/submissions/internal/run_book.h
+++ b/src/submissions/internal/run_book.h
@@ -26,6 +26,11 @@
   worker_table& Workers() { return workers_; }
   const worker_table& Workers() const { return workers_; }
 
+  /// The time of day, for the age of submissions.
+  void SetTimeOfDay(std::chrono::milliseconds since_epoch) {
+    since_epoch_ = since_epoch;
+  }
+
   /// Decides run `run` of a waiting task on a worker.
   void Assign(const task_ref& task,
               std::int32_t run,
@@ -87,6 +92,7 @@
   const scheduler_event_hook& on_event_;
   submission_table submissions_;
   worker_table workers_;
+  std::chrono::milliseconds since_epoch_{0};
   std::vector<stop_command> stops_;
   std::vector<start_command> decided_;
   std::vector<outcome_change> outcomes_;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -265,6 +265,7 @@
 
 void shard_scheduler::Plan(base::time_point now,
                            std::chrono::milliseconds since_epoch) {
+  implementation_->book.SetTimeOfDay(since_epoch);
   implementation_->ExpireLeases(now);
   implementation_->plans.MoveDisturbing(now);
   implementation_->plans.Plan(now, since_epoch);
