--- a/apps/chivecrankctl/main.cc
+++ b/apps/chivecrankctl/main.cc
@@ -6,6 +6,7 @@
 #include "chivecrank/process/program.h"
 #include "chivecrank/settings/document.h"
 #include "commands.h"
+#include "explain_command.h"
 
 ABSL_FLAG(std::string,
           admin,
@@ -46,10 +47,14 @@
     std::cerr << "--output must be table or json\n";
     return static_cast<int>(exit_code::kBadUsage);
   }
+  const output_format format =
+      output == "json" ? output_format::kJson : output_format::kTable;
+  if (!arguments.empty() && arguments.front() == "explain")
+    return static_cast<int>(Explain(format, arguments));
   admin_client admin(address, Token());
   command_context context{
       admin,
-      output == "json" ? output_format::kJson : output_format::kTable,
+      format,
       absl::GetFlag(FLAGS_comment),
       absl::GetFlag(FLAGS_dry_run),
       absl::GetFlag(FLAGS_wait),
