Instances that own no shard watch less often

Cause: store calls are priced, and each of seven instances watched the shared keys up to 25 times a second. Change: a watch follows the last one after 120 ms, at an owner after 30 ms.

--- a/src/runtime/include/chivecrank/runtime/feed.h
+++ b/src/runtime/include/chivecrank/runtime/feed.h
@@ -18,6 +18,8 @@
   std::function<void(const metadata::change&)> on_change;
   /// Everything up to this revision has been handed on.
   std::function<void(metadata::revision)> on_revision;
+  /// Whether changes are waited for now; may be empty.
+  std::function<bool()> is_urgent;
 };
 
 struct feed_settings {
@@ -25,8 +27,10 @@
   /// How long the store may hold a watch; also how soon a dead connection is
   /// noticed.
   std::chrono::milliseconds wait{1500};
-  /// Shortest time between two watches, so that changes come together.
-  std::chrono::milliseconds spacing{40};
+  /// Shortest time between two watches, so that changes come together; shorter
+  /// while someone waits for them.
+  std::chrono::milliseconds spacing{120};
+  std::chrono::milliseconds urgent_spacing{30};
   /// Time before the next attempt after an error.
   std::chrono::milliseconds retry{250};
 };
--- a/src/runtime/internal/feed.cc
+++ b/src/runtime/internal/feed.cc
@@ -73,7 +73,9 @@
     hooks_.on_change(change);
   revision_ = std::max(revision_, list.value().current);
   hooks_.on_revision(revision_);
-  Later(settings_.spacing, [this] { Watch(); });
+  const bool urgent = hooks_.is_urgent && hooks_.is_urgent();
+  Later(urgent ? settings_.urgent_spacing : settings_.spacing,
+        [this] { Watch(); });
 }
 
 void feed::Later(std::chrono::milliseconds delay, std::function<void()> step) {
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -121,7 +121,8 @@
           .on_revision =
               [this](metadata::revision revision) {
                 shared_.SetRevision(revision);
-              }};
+              },
+          .is_urgent = [this] { return !drivers_.empty(); }};
 }
 
 feed_hooks instance_runtime::ConfigurationHooks() {
