Filling tasks may bring a service nearer to its bound

Cause: with services packed, filling tasks still wait for pressure while services are within their bound 93% of the time. Change: placement keeps services below a pressure of 0.72 instead of 0.66; the bound is at 0.78.

--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -27,7 +27,7 @@
   /// Share of its processors that a filling task should find idle.
   double fill_share = 0.7;
   /// Pressure (1 is saturation) that filling tasks may bring a service to.
-  double most_pressure = 0.66;
+  double most_pressure = 0.72;
   /// Failures in a row, each of another submission, after which a worker is
   /// avoided.
   std::int32_t failures_to_avoid = 2;
