Ended submissions leave the store after three minutes

Cause: accepted submissions and their ends stayed in the store for ever. A test in the emulator fails without it.

--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -48,10 +48,10 @@
   if (change.now.changed_at <= known)
     return;
   known = change.now.changed_at;
-  if (change.deleted)
-    ApplyDelete(*key);
-  else
-    ApplyPut(*key, change.now);
+  if (!change.deleted)
+    return ApplyPut(*key, change.now);
+  key_revisions_.erase(change.now.key);
+  ApplyDelete(*key);
 }
 
 void replica::Reset(const std::vector<metadata::item>& items) {
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMovesInFlight = 4;
 /// Room that another shard must have, in times of what the submission reserves.
 constexpr std::int64_t kRoomForMove = 2;
+/// Keys of one submission: its record, its end, its cancellation.
+constexpr std::size_t kKeysOfSubmission = 3;
 /// Old entries of the journal that one transaction deletes.
 constexpr std::uint64_t kDeletesPerCommit = 8;
 /// Entries before a snapshot that stay for a while: a write that the store
@@ -89,8 +91,12 @@
 
 void shard_driver::Restore() {
   for (const auto& [id, known] : shared_.Submissions())
-    if (known.accepted && known.shard == shard_ && !known.Ended())
-      Accept(id, known);
+    if (known.accepted && known.shard == shard_) {
+      if (known.Ended())
+        ended_.push_back({id, loop_.Now()});
+      else
+        Accept(id, known);
+    }
   std::vector<submissions::journal_entry> entries;
   for (const metadata::item& item : journal_) {
     const auto number = ParseJournalKey(shard_, item.key);
@@ -125,6 +131,7 @@
     LookLater(id, std::chrono::milliseconds(0));
   Wake();
   Later(settings_.idle_decision, [this] { Decide(); });
+  Later(settings_.clean_interval, [this] { DeleteEnded(); });
 }
 
 void shard_driver::Accept(const std::string& id,
@@ -148,8 +155,10 @@
 
 void shard_driver::OnEnded(const std::string& id) {
   const known_submission* known = shared_.Find(id);
-  if (!restored_ || known == nullptr || known->shard != shard_ ||
-      !known->cancelled)
+  if (!restored_ || known == nullptr || known->shard != shard_)
+    return;
+  ended_.push_back({id, loop_.Now()});
+  if (!known->cancelled)
     return;
   scheduler_.Cancel(id, loop_.Now());
   Wake();
@@ -277,6 +286,34 @@
                    });
 }
 
+void shard_driver::DeleteEnded() {
+  Later(settings_.clean_interval, [this] { DeleteEnded(); });
+  if (!hooks_.is_valid())
+    return;
+  metadata::transaction removal;
+  removal.conditions.push_back(
+      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
+  const base::time_point now = loop_.Now();
+  while (!ended_.empty() && now - ended_.front().since >= settings_.keep_ended &&
+         removal.Entries() + kKeysOfSubmission <= metadata::kMostEntries) {
+    for (const key_kind kind : {key_kind::kSubmission, key_kind::kOutcome,
+                                key_kind::kCancellation})
+      removal.deletes.push_back(ToString({kind, ended_.front().id}));
+    ended_.pop_front();
+  }
+  if (removal.deletes.empty())
+    return;
+  // What a failure leaves is found by the shard's next owner.
+  store_.Commit(std::move(removal),
+                [this, alive = alive_](
+                    base::result<metadata::commit_answer> answer) {
+                  if (*alive && !answer)
+                    log_.Write("clean_failed",
+                               {{"shard", shard_},
+                                {"error", answer.error().message}});
+                });
+}
+
 void shard_driver::MoveStranded() {
   if (!hooks_.is_valid())
     return;
--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -35,6 +35,17 @@
   BOOST_TEST(Day().Total().completed == Day().Total().accepted);
 }
 
+BOOST_AUTO_TEST_CASE(EndedSubmissionsLeaveTheStoreAfterAWhile) {
+  Day().Run(seconds(20), true);
+  Day().Run(seconds(20), false);
+  const std::size_t full = Day().Store().Items().size();
+  BOOST_TEST(full > 2 * Day().Total().accepted);
+  // Callers may ask for three minutes.
+  Day().Run(seconds(240), false);
+  BOOST_TEST(Day().Store().Items().size() < full - 2 * Day().Total().accepted + 10);
+  CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(FillingTasksKeepAwayFromServicesThatTheyDisturb) {
   settings.pressure = &SparsePressure;
   settings.queues = {FillingLoad()};
