What started under an earlier owner moves to no other shard

A submission whose task had used up its attempts when its owner died, before the outcome was written, is failed at restoring instead of started again. Both tests failed before.

--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -149,6 +149,8 @@
       continue;
     if (change.progress.phase == task_phase::kDone)
       submissions.MarkDone(change.task);
+    if (change.progress.run > 0)
+      submissions.Find(change.task.submission)->started = true;
     *progress = change.progress;
   }
 }
@@ -162,9 +164,13 @@
       book.Readopt(change.task, now);
   for (auto& [id, worker] : book.Workers().All())
     worker.lease_over = leases_over;
-  for (auto& [id, live] : book.Submissions().All())
+  // Ends whose outcome the owner before did not get to write.
+  for (auto& [id, live] : book.Submissions().All()) {
     if (internal::submission_table::IsDone(*live))
       book.Finish(*live, submission_outcome::kCompleted, now);
+    else if (internal::submission_table::HasFailed(*live))
+      book.Finish(*live, submission_outcome::kFailed, now);
+  }
 }
 
 void shard_scheduler::Cancel(const std::string& submission,
--- a/src/submissions/internal/submission_table.cc
+++ b/src/submissions/internal/submission_table.cc
@@ -168,4 +168,17 @@
   });
 }
 
+bool submission_table::HasFailed(const live_submission& live) {
+  const std::int32_t limit = live.request.policy.attempt_limit;
+  for (const live_occurrence& occurrence : live.occurrences)
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+      if (!live.request.steps[i].lasting &&
+          std::ranges::any_of(occurrence.steps[i].tasks,
+                              [&](const task_progress& task) {
+                                return task.failures >= limit;
+                              }))
+        return true;
+  return false;
+}
+
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/submission_table.h
+++ b/src/submissions/internal/submission_table.h
@@ -77,6 +77,8 @@
 
   /// Whether every step of every occurrence is done.
   static bool IsDone(const live_submission& live);
+  /// Whether a task has failed as often as its queue allows.
+  static bool HasFailed(const live_submission& live);
 
  private:
   void MarkOneDone(const task_ref& task);
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -172,6 +172,42 @@
   BOOST_TEST(second->tasks[0].progress.run == 2);
 }
 
+BOOST_AUTO_TEST_CASE(WhatStartedUnderAnEarlierOwnerMovesToNoOtherShard) {
+  submission request = Request("a", Step(1, 1000));
+  request.steps.push_back(Step(1, 1000));
+  request.steps[1].after = {0};
+  task_change done;
+  done.task = {"a", 0, 0, 0};
+  done.progress.phase = task_phase::kDone;
+  done.progress.run = 1;
+  shard_scheduler next(settings, {});
+  next.Accept(request);
+  next.Restore({false, {done}});
+  next.FinishRestore(now, now);
+  // No worker answers, so the second step finds no room.
+  next.Plan(now, since_epoch);
+  Pass(std::chrono::seconds(5));
+  next.Plan(now, since_epoch);
+  BOOST_TEST(next.Stranded(now, std::chrono::seconds(1)).empty());
+  BOOST_TEST(!next.BeginMove("a"));
+}
+
+BOOST_AUTO_TEST_CASE(ASubmissionThatFailedBeforeTheTakeoverStaysFailed) {
+  task_change failed;
+  failed.task = {"a", 0, 0, 0};
+  failed.progress.run = 2;
+  failed.progress.failures = 2;
+  failed.progress.counted_run = 2;
+  shard_scheduler next(settings, {});
+  next.Accept(Request("a", Step(1, 1000)));
+  next.Restore({false, {failed}});
+  next.FinishRestore(now, now);
+  const auto batch = next.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_REQUIRE(batch->outcomes.size() == 1u);
+  BOOST_TEST((batch->outcomes[0].outcome == submission_outcome::kFailed));
+}
+
 BOOST_AUTO_TEST_CASE(ARunWhoseStartIsInDoubtIsBarredBeforeItGoesElsewhere) {
   scheduler.Accept(Request("a", Step(1, 1000)));
   scheduler.Plan(now, since_epoch);
