Test: a worker that runs both tasks lists the one that goes on

The report of the step's first end left the second run out, which by now is on the same worker (tasks are packed): a run that isn't listed is lost. The expectation stays.

--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -46,8 +46,11 @@
   BOOST_REQUIRE(first.size() == 2u);
   worker_report report;
   report.ended = {{1, first[0].task, 1, run_end::kDone, ""}};
+  if (first[1].worker == first[0].worker)
+    report.running = {Running(first[1])};
   Report(first[0].worker, report);
   BOOST_TEST(Round().empty());
+  report.running.clear();
   report.ended = {{1, first[1].task, 1, run_end::kDone, ""}};
   if (first[1].worker == first[0].worker)
     report.ended[0].number = 2;
