--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -2,7 +2,6 @@
 #define CHIVECRANK_RUNTIME_SHARD_DRIVER_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +14,7 @@
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/replica.h"
+#include "chivecrank/runtime/shard_housekeeping.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
 #include "chivecrank/submissions/worker_orders.h"
@@ -43,13 +43,7 @@
   /// Shortest time between two writes of the shard's status.
   std::chrono::milliseconds status_interval{700};
   std::chrono::milliseconds commit_retry{150};
-  /// How long callers may ask for a submission after its end; its keys are
-  /// deleted later.
-  std::chrono::milliseconds keep_ended{180'000};
-  /// Time between two deletions of ended submissions.
-  std::chrono::milliseconds clean_interval{2000};
-  /// A submission that found no room for so long goes to a shard that has.
-  std::chrono::milliseconds move_after{900};
+  housekeeping_settings housekeeping;
 };
 
 /// Runs one shard that this instance owns: restores its state, looks at its
@@ -94,11 +88,6 @@
     reactor::timer_id timer = 0;
   };
 
-  struct ended_submission {
-    std::string id;
-    base::time_point since;
-  };
-
   void WaitForReplica();
   void ReadJournal(const std::string& after);
   void OnJournalPage(base::result<metadata::page> page);
@@ -112,12 +101,6 @@
   void SendStop(const submissions::stop_command& command);
   void SendThrottle(const submissions::throttle_command& command);
 
-  void DeleteEnded();
-  void MoveStranded();
-  void Move(const std::string& id, std::uint32_t to);
-  void OnMove(const std::string& id,
-              const metadata::transaction& change,
-              base::result<metadata::commit_answer> answer);
   void CommitNext();
   void Commit(metadata::transaction changes);
   void OnCommit(const metadata::transaction& changes,
@@ -154,6 +137,7 @@
   const hooks hooks_;
   const base::time_point began_;
   submissions::shard_scheduler scheduler_;
+  shard_housekeeping housekeeping_;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, look_state> looks_;
   std::vector<metadata::item> journal_;
@@ -167,9 +151,6 @@
   std::uint64_t oldest_entry_ = 1;
   std::uint64_t snapshot_entry_ = 0;
   bool commit_in_flight_ = false;
-  std::size_t moves_in_flight_ = 0;
-  /// Submissions of the shard that have ended, oldest first.
-  std::deque<ended_submission> ended_;
   std::string written_status_;
   base::time_point status_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/shard_housekeeping.h
@@ -0,0 +1,83 @@
+#ifndef CHIVECRANK_RUNTIME_SHARD_HOUSEKEEPING_H_
+#define CHIVECRANK_RUNTIME_SHARD_HOUSEKEEPING_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/replica.h"
+#include "chivecrank/submissions/shard_scheduler.h"
+
+namespace chivecrank::runtime {
+
+struct housekeeping_settings {
+  /// How long callers may ask for a submission after its end; its keys are
+  /// deleted later.
+  std::chrono::milliseconds keep_ended{180'000};
+  /// Time between two deletions of ended submissions.
+  std::chrono::milliseconds clean_interval{2000};
+  /// A submission that found no room for so long goes to a shard that has.
+  std::chrono::milliseconds move_after{900};
+  /// Time before a move whose outcome is unknown is written again.
+  std::chrono::milliseconds retry{150};
+};
+
+/// What the owner of a shard does beside running tasks: gives submissions that
+/// found no room to other shards, and deletes those that ended long ago.
+class shard_housekeeping {
+ public:
+  shard_housekeeping(reactor::event_loop& loop,
+                     metadata::store& store,
+                     const replica& shared,
+                     event_log::event_log& log,
+                     submissions::shard_scheduler& scheduler,
+                     std::uint32_t shard,
+                     metadata::revision fence,
+                     housekeeping_settings settings,
+                     std::function<bool()> is_valid);
+  ~shard_housekeeping();
+
+  /// Deletes from now on.
+  void Start();
+  /// A submission of the shard has ended.
+  void NoteEnded(const std::string& id);
+  /// Gives submissions that never started to shards with room for them.
+  void MoveStranded();
+
+ private:
+  struct ended_submission {
+    std::string id;
+    base::time_point since;
+  };
+
+  void DeleteEnded();
+  void Move(const std::string& id, std::uint32_t to);
+  void OnMove(const std::string& id,
+              const metadata::transaction& change,
+              base::result<metadata::commit_answer> answer);
+  void Later(std::chrono::milliseconds delay, std::function<void()> step);
+
+  reactor::event_loop& loop_;
+  metadata::store& store_;
+  const replica& shared_;
+  event_log::event_log& log_;
+  submissions::shard_scheduler& scheduler_;
+  const std::uint32_t shard_;
+  const metadata::revision fence_;
+  const housekeeping_settings settings_;
+  const std::function<bool()> is_valid_;
+  std::size_t moves_in_flight_ = 0;
+  /// Oldest first.
+  std::deque<ended_submission> ended_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_SHARD_HOUSEKEEPING_H_
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -12,12 +12,6 @@
 /// The status tells reserved processors in steps of this many thousandths, so
 /// that it doesn't change with each task.
 constexpr std::int64_t kStatusStepMilli = 16'000;
-/// Submissions that are being given to other shards at once.
-constexpr std::size_t kMovesInFlight = 4;
-/// Room that another shard must have, in times of what the submission reserves.
-constexpr std::int64_t kRoomForMove = 2;
-/// Keys of one submission: its record, its end, its cancellation.
-constexpr std::size_t kKeysOfSubmission = 3;
 /// Old entries of the journal that one transaction deletes.
 constexpr std::uint64_t kDeletesPerCommit = 8;
 /// Entries before a snapshot that stay for a while: a write that the store
@@ -55,7 +49,16 @@
       scheduler_(settings_.scheduling,
                  [this](const submissions::scheduler_event& event) {
                    OnEvent(event);
-                 }) {}
+                 }),
+      housekeeping_(loop,
+                    store,
+                    shared,
+                    log,
+                    scheduler_,
+                    shard,
+                    fence,
+                    settings_.housekeeping,
+                    hooks_.is_valid) {}
 
 shard_driver::~shard_driver() {
   *alive_ = false;
@@ -96,7 +99,7 @@
   for (const auto& [id, known] : shared_.Submissions())
     if (known.accepted && known.shard == shard_) {
       if (known.Ended())
-        ended_.push_back({id, loop_.Now()});
+        housekeeping_.NoteEnded(id);
       else
         Accept(id, known);
     }
@@ -134,7 +137,7 @@
     LookLater(id, std::chrono::milliseconds(0));
   Wake();
   Later(settings_.idle_decision, [this] { Decide(); });
-  Later(settings_.clean_interval, [this] { DeleteEnded(); });
+  housekeeping_.Start();
 }
 
 void shard_driver::Accept(const std::string& id,
@@ -160,7 +163,7 @@
   const known_submission* known = shared_.Find(id);
   if (!restored_ || known == nullptr || known->shard != shard_)
     return;
-  ended_.push_back({id, loop_.Now()});
+  housekeeping_.NoteEnded(id);
   if (!known->cancelled)
     return;
   scheduler_.Cancel(id, loop_.Now());
@@ -228,7 +231,7 @@
 }
 
 void shard_driver::Decide() {
-  MoveStranded();
+  housekeeping_.MoveStranded();
   Wake();
   Later(settings_.idle_decision, [this] { Decide(); });
 }
@@ -290,101 +293,6 @@
                    });
 }
 
-void shard_driver::DeleteEnded() {
-  Later(settings_.clean_interval, [this] { DeleteEnded(); });
-  if (!hooks_.is_valid())
-    return;
-  metadata::transaction removal;
-  removal.conditions.push_back(
-      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
-  const base::time_point now = loop_.Now();
-  while (!ended_.empty() &&
-         now - ended_.front().since >= settings_.keep_ended &&
-         removal.Entries() + kKeysOfSubmission <= metadata::kMostEntries) {
-    for (const key_kind kind :
-         {key_kind::kSubmission, key_kind::kOutcome, key_kind::kCancellation})
-      removal.deletes.push_back(ToString({kind, ended_.front().id}));
-    ended_.pop_front();
-  }
-  if (removal.deletes.empty())
-    return;
-  // What a failure leaves is found by the shard's next owner.
-  store_.Commit(
-      std::move(removal),
-      [this, alive = alive_](base::result<metadata::commit_answer> answer) {
-        if (*alive && !answer)
-          log_.Write("clean_failed",
-                     {{"shard", shard_}, {"error", answer.error().message}});
-      });
-}
-
-void shard_driver::MoveStranded() {
-  if (!hooks_.is_valid())
-    return;
-  std::map<std::uint32_t, std::int64_t> room;
-  for (const auto& [shard, status] : shared_.Statuses())
-    if (shard != shard_)
-      room[shard] = status.capacity_milli - status.reserved_milli;
-  for (const auto& stranded :
-       scheduler_.Stranded(loop_.Now(), settings_.move_after)) {
-    if (moves_in_flight_ >= kMovesInFlight)
-      return;
-    const auto roomiest = std::ranges::max_element(
-        room, {}, [](const auto& entry) { return entry.second; });
-    if (roomiest == room.end() ||
-        roomiest->second < kRoomForMove * stranded.reserved_milli)
-      return;
-    roomiest->second -= stranded.reserved_milli;
-    Move(stranded.id, roomiest->first);
-  }
-}
-
-void shard_driver::Move(const std::string& id, std::uint32_t to) {
-  const known_submission* known = shared_.Find(id);
-  if (known == nullptr || known->Ended() || !scheduler_.BeginMove(id))
-    return;
-  auto record = submissions::DecodeSubmission(known->record);
-  if (!record)
-    return;
-  record.value().shard = to;
-  metadata::transaction change;
-  change.conditions.push_back(
-      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
-  const std::string key = ToString({key_kind::kSubmission, id});
-  change.conditions.push_back({key, known->accepted_at});
-  change.writes.push_back({key, EncodeAccepted(record.value())});
-  log_.Write("submission_moved",
-             {{"submission", id}, {"from_shard", shard_}, {"to_shard", to}});
-  ++moves_in_flight_;
-  store_.Commit(change, [this, id, change, alive = alive_](
-                            base::result<metadata::commit_answer> answer) {
-    if (*alive)
-      OnMove(id, change, std::move(answer));
-  });
-}
-
-void shard_driver::OnMove(const std::string& id,
-                          const metadata::transaction& change,
-                          base::result<metadata::commit_answer> answer) {
-  if (!answer && !hooks_.is_valid())
-    return;
-  if (!answer) {
-    // The same again: its conditions let it happen only once.
-    return Later(settings_.commit_retry, [this, id, change] {
-      store_.Commit(change, [this, id, change, alive = alive_](
-                                base::result<metadata::commit_answer> again) {
-        if (*alive)
-          OnMove(id, change, std::move(again));
-      });
-    });
-  }
-  --moves_in_flight_;
-  // When it was not applied it was moved by an attempt before, which the
-  // replica tells, or the ownership is gone.
-  if (answer.value().applied)
-    scheduler_.EndMove(id, true);
-}
-
 void shard_driver::CommitNext() {
   if (commit_in_flight_)
     return;
