--- /dev/null
+++ b/src/runtime/tests/replica_test.cc
@@ -0,0 +1,122 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+#include "chivecrank/runtime/replica.h"
+
+namespace chivecrank::runtime {
+namespace {
+
+submissions::submission Accepted(const std::string& id, std::uint32_t shard) {
+  submissions::submission made;
+  made.id = id;
+  made.queue = "queue";
+  made.shard = shard;
+  made.steps.resize(1);
+  return made;
+}
+
+metadata::item SubmissionItem(const std::string& id,
+                              std::uint32_t shard,
+                              metadata::revision at) {
+  return {ToString({key_kind::kSubmission, id}),
+          EncodeAccepted(Accepted(id, shard)), at, 0};
+}
+
+/// A replica that keeps what its hooks were told.
+struct fixture {
+  fixture() {
+    shared.SetHooks(
+        {.on_accepted =
+             [this](const std::string& id) { accepted.push_back(id); },
+         .on_ended = [this](const std::string& id) { ended.push_back(id); },
+         .on_moved = [this](const std::string& id,
+                            std::uint32_t) { moved.push_back(id); },
+         .on_owner = [this](std::uint32_t shard) { owners.push_back(shard); }});
+  }
+
+  void Put(const shared_key& key, std::string value, metadata::revision at) {
+    shared.Apply({{ToString(key), std::move(value), at, 0}, false});
+  }
+
+  replica shared;
+  std::vector<std::string> accepted;
+  std::vector<std::string> ended;
+  std::vector<std::string> moved;
+  std::vector<std::uint32_t> owners;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(shared_keys, fixture)
+
+BOOST_AUTO_TEST_CASE(KeysReadBack) {
+  for (const key_kind kind :
+       {key_kind::kShardCount, key_kind::kMember, key_kind::kOwner,
+        key_kind::kShardStatus, key_kind::kSubmission, key_kind::kCancellation,
+        key_kind::kOutcome}) {
+    const auto read = ParseSharedKey(ToString({kind, "name"}));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->kind == kind));
+    BOOST_TEST(read->name == "name");
+  }
+  BOOST_TEST(!ParseSharedKey("other/submissions/a").has_value());
+  BOOST_TEST(!ParseSharedKey("chivecrank/strange/a").has_value());
+  BOOST_TEST(*ParseJournalKey(7, JournalKey(7, 123)) == 123u);
+  BOOST_TEST(!ParseJournalKey(8, JournalKey(7, 123)).has_value());
+  BOOST_TEST(JournalKey(7, 9) < JournalKey(7, 10));
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderChangeUndoesNothing) {
+  Put({key_kind::kOwner, ShardName(2)}, "new", 20);
+  Put({key_kind::kOwner, ShardName(2)}, "old", 10);
+  BOOST_TEST(shared.Owners().at(2).node == "new");
+  BOOST_TEST(owners.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AnEndBeforeItsSubmissionIsKept) {
+  Put({key_kind::kOutcome, "a"}, "completed", 5);
+  BOOST_TEST((shared.Find("a") == nullptr));
+  shared.Apply({SubmissionItem("a", 1, 6), false});
+  BOOST_REQUIRE((shared.Find("a") != nullptr));
+  BOOST_TEST(shared.Find("a")->Ended());
+  // Nothing to schedule.
+  BOOST_TEST(accepted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AMovedSubmissionIsToldWithItsNewShard) {
+  shared.Apply({SubmissionItem("a", 1, 5), false});
+  shared.Apply({SubmissionItem("a", 3, 8), false});
+  BOOST_TEST(shared.Find("a")->shard == 3u);
+  BOOST_TEST(shared.Find("a")->accepted_at == 8);
+  BOOST_TEST(accepted.size() == 1u);
+  BOOST_TEST(moved.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(WhatANewListingLacksIsGone) {
+  Put({key_kind::kOwner, ShardName(0)}, "node", 5);
+  shared.Apply({SubmissionItem("a", 0, 6), false});
+  shared.Reset({SubmissionItem("a", 0, 6)});
+  BOOST_TEST(shared.Owners().empty());
+  BOOST_TEST((shared.Find("a") != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(WaitingCountsWhatNoStatusSaysHasStarted) {
+  shared.Apply({SubmissionItem("a", 0, 5), false});
+  shared.Apply({SubmissionItem("b", 0, 6), false});
+  BOOST_TEST(shared.Waiting("queue") == 2);
+  shard_status status;
+  status.not_started = {"b"};
+  Put({key_kind::kShardStatus, ShardName(0)}, EncodeShardStatus(status), 9);
+  BOOST_TEST(shared.Waiting("queue") == 1);
+  shared.Apply({SubmissionItem("c", 0, 10), false});
+  BOOST_TEST(shared.Waiting("queue") == 2);
+  Put({key_kind::kCancellation, "b"}, "1", 11);
+  BOOST_TEST(shared.Waiting("queue") == 1);
+  BOOST_TEST(ended.size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::runtime
