One place for what the change wrote several times; a forecast once a candidate

Behaviour stays as it is, but for one thing: a feed counts as current again after a failure when the whole listing was read, not its first page.

--- a/src/reactor/include/chivecrank/reactor/http_caller.h
+++ b/src/reactor/include/chivecrank/reactor/http_caller.h
@@ -48,9 +48,6 @@
             base::duration timeout,
             answer_callback done);
 
-  /// Drops the kept connections that no call is using.
-  void DropIdle();
-
   const settings::endpoint& Address() const { return address_; }
   /// Connections that were opened so far.
   std::uint64_t Opened() const { return opened_; }
--- a/src/reactor/internal/http_caller.cc
+++ b/src/reactor/internal/http_caller.cc
@@ -85,13 +85,6 @@
   Dispatch();
 }
 
-void http_caller::DropIdle() {
-  const auto kept = channels_;
-  for (const auto& candidate : kept)
-    if (!candidate->current)
-      Discard(candidate);
-}
-
 void http_caller::Dispatch() {
   while (!waiting_.empty()) {
     if (waiting_.front()->ended) {
--- a/src/runtime/include/chivecrank/runtime/feed.h
+++ b/src/runtime/include/chivecrank/runtime/feed.h
@@ -8,6 +8,7 @@
 
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/prefix_listing.h"
 
 namespace chivecrank::runtime {
 
@@ -50,8 +51,7 @@
   bool IsCurrent() const { return listed_ && !failing_; }
 
  private:
-  void ListFrom(const std::string& after);
-  void OnPage(base::result<metadata::page> page);
+  void OnListed(base::result<prefix_listing> listing);
   void Watch();
   void OnChanges(base::result<metadata::change_list> list);
   void Later(std::chrono::milliseconds delay, std::function<void()> step);
@@ -60,8 +60,6 @@
   metadata::store& store_;
   const feed_settings settings_;
   const feed_hooks hooks_;
-  std::vector<metadata::item> listing_;
-  metadata::revision listing_began_ = 0;
   metadata::revision revision_ = 0;
   bool listed_ = false;
   bool failing_ = false;
--- a/src/runtime/include/chivecrank/runtime/keys.h
+++ b/src/runtime/include/chivecrank/runtime/keys.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "chivecrank/metadata/types.h"
+
 /// The keys under which instances share what they know.
 namespace chivecrank::runtime {
 
@@ -42,6 +44,11 @@
 std::optional<shared_key> ParseSharedKey(std::string_view key);
 
 std::string ShardName(std::uint32_t shard);
+std::string OwnerKey(std::uint32_t shard);
+
+/// Holds while the ownership that began at `fence` lasts.
+metadata::condition OwnedSince(std::uint32_t shard, metadata::revision fence);
+
 std::optional<std::uint32_t> ParseShardName(std::string_view name);
 
 /// The keys of a shard's journal; entry numbers sort like their keys. Only
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -76,7 +76,6 @@
   void OnTaken(std::uint32_t shard,
                base::result<metadata::commit_answer> answer);
   void Later(std::chrono::milliseconds delay, std::function<void()> step);
-  std::string OwnerKey(std::uint32_t shard) const;
 
   reactor::event_loop& loop_;
   metadata::store& store_;
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -13,6 +13,7 @@
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/instance_metrics.h"
+#include "chivecrank/runtime/prefix_listing.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/shard_housekeeping.h"
 #include "chivecrank/submissions/queue_table.h"
@@ -89,9 +90,8 @@
   };
 
   void WaitForReplica();
-  void ReadJournal(const std::string& after);
-  void OnJournalPage(base::result<metadata::page> page);
-  void Restore();
+  void ReadJournal();
+  void Restore(const std::vector<metadata::item>& journal);
   void Accept(const std::string& id, const known_submission& known);
 
   void Wake();
@@ -140,7 +140,6 @@
   shard_housekeeping housekeeping_;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, look_state> looks_;
-  std::vector<metadata::item> journal_;
   bool restored_ = false;
   bool decision_due_ = false;
   /// The batch that is being committed, and what of it is still to be written.
--- a/src/runtime/include/chivecrank/runtime/worker_directory.h
+++ b/src/runtime/include/chivecrank/runtime/worker_directory.h
@@ -11,6 +11,7 @@
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/prefix_listing.h"
 #include "chivecrank/submissions/types.h"
 
 namespace chivecrank::runtime {
@@ -52,9 +53,8 @@
 
  private:
   void Poll();
-  void ListFrom(const std::string& after);
-  void OnPage(base::result<metadata::page> page);
-  void Publish();
+  void OnListed(base::result<prefix_listing> listing);
+  void Publish(const std::vector<metadata::item>& items);
   void Later(std::chrono::milliseconds delay);
 
   reactor::event_loop& loop_;
@@ -65,7 +65,6 @@
   std::function<bool()> wanted_;
   std::function<void()> on_listed_;
   worker_map workers_;
-  std::vector<metadata::item> listing_;
   base::time_point last_trouble_;
   bool listed_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/runtime/internal/feed.cc
+++ b/src/runtime/internal/feed.cc
@@ -18,35 +18,20 @@
 }
 
 void feed::Start() {
-  listing_.clear();
-  listing_began_ = 0;
-  ListFrom({});
+  ListAll(store_, settings_.prefix,
+          [this, alive = alive_](base::result<prefix_listing> listing) {
+            if (*alive)
+              OnListed(std::move(listing));
+          });
 }
 
-void feed::ListFrom(const std::string& after) {
-  store_.List(settings_.prefix, after, false,
-              [this, alive = alive_](base::result<metadata::page> page) {
-                if (*alive)
-                  OnPage(std::move(page));
-              });
-}
-
-void feed::OnPage(base::result<metadata::page> page) {
-  if (!page) {
-    failing_ = true;
+void feed::OnListed(base::result<prefix_listing> listing) {
+  failing_ = !listing;
+  if (!listing)
     return Later(settings_.retry, [this] { Start(); });
-  }
-  failing_ = false;
-  metadata::page& read = page.value();
-  // Pages are not a snapshot: what changed since the first one is watched.
-  if (listing_began_ == 0)
-    listing_began_ = read.current;
-  for (metadata::item& item : read.items)
-    listing_.push_back(std::move(item));
-  if (read.truncated && !listing_.empty())
-    return ListFrom(listing_.back().key);
-  hooks_.on_listed(std::exchange(listing_, {}));
-  revision_ = listing_began_;
+  hooks_.on_listed(listing.value().items);
+  // What changed while the pages were read is watched.
+  revision_ = listing.value().began;
   listed_ = true;
   hooks_.on_revision(revision_);
   Watch();
--- a/src/runtime/internal/keys.cc
+++ b/src/runtime/internal/keys.cc
@@ -41,6 +41,14 @@
   return absl::StrFormat("%04d", shard);
 }
 
+std::string OwnerKey(std::uint32_t shard) {
+  return ToString({key_kind::kOwner, ShardName(shard)});
+}
+
+metadata::condition OwnedSince(std::uint32_t shard, metadata::revision fence) {
+  return {OwnerKey(shard), fence};
+}
+
 std::optional<std::uint32_t> ParseShardName(std::string_view name) {
   return base::ParseInteger<std::uint32_t>(name);
 }
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -237,8 +237,4 @@
   });
 }
 
-std::string ownership::OwnerKey(std::uint32_t shard) const {
-  return ToString({key_kind::kOwner, ShardName(shard)});
-}
-
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -71,31 +71,21 @@
 void shard_driver::WaitForReplica() {
   if (shared_.Revision() < fence_)
     return Later(kReplicaPoll, [this] { WaitForReplica(); });
-  ReadJournal({});
+  ReadJournal();
 }
 
-void shard_driver::ReadJournal(const std::string& after) {
-  store_.List(JournalPrefix(shard_), after, false,
-              [this, alive = alive_](base::result<metadata::page> page) {
-                if (*alive)
-                  OnJournalPage(std::move(page));
-              });
+void shard_driver::ReadJournal() {
+  ListAll(store_, JournalPrefix(shard_),
+          [this, alive = alive_](base::result<prefix_listing> listing) {
+            if (!*alive)
+              return;
+            if (!listing)
+              return Later(settings_.commit_retry, [this] { ReadJournal(); });
+            Restore(listing.value().items);
+          });
 }
 
-void shard_driver::OnJournalPage(base::result<metadata::page> page) {
-  if (!page)
-    return Later(settings_.commit_retry, [this] {
-      journal_.clear();
-      ReadJournal({});
-    });
-  for (metadata::item& item : page.value().items)
-    journal_.push_back(std::move(item));
-  if (page.value().truncated && !journal_.empty())
-    return ReadJournal(journal_.back().key);
-  Restore();
-}
-
-void shard_driver::Restore() {
+void shard_driver::Restore(const std::vector<metadata::item>& journal) {
   for (const auto& [id, known] : shared_.Submissions())
     if (known.accepted && known.shard == shard_) {
       if (known.Ended())
@@ -104,7 +94,7 @@
         Accept(id, known);
     }
   std::vector<submissions::journal_entry> entries;
-  for (const metadata::item& item : journal_) {
+  for (const metadata::item& item : journal) {
     const auto number = ParseJournalKey(shard_, item.key);
     auto entry = submissions::DecodeJournalEntry(item.value);
     if (!number || !entry) {
@@ -122,8 +112,6 @@
   }
   for (const submissions::journal_entry& entry : entries)
     scheduler_.Restore(entry);
-  journal_.clear();
-  journal_.shrink_to_fit();
   const base::time_point now = loop_.Now();
   scheduler_.FinishRestore(now, began_ + settings_.owner_term +
                                     settings_.scheduling.worker_lease +
@@ -171,7 +159,7 @@
 }
 
 void shard_driver::OnMovedAway(const std::string& id) {
-  scheduler_.EndMove(id, true);
+  scheduler_.FinishMove(id);
 }
 
 void shard_driver::SetQueues(const submissions::queue_table& queues) {
@@ -315,8 +303,7 @@
   if (!batch_ && changes.writes.empty())
     return changes;
   const std::string key = JournalKey(shard_, next_entry_);
-  changes.conditions.push_back(
-      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
+  changes.conditions.push_back(OwnedSince(shard_, fence_));
   if (!batch_)
     return changes;
   changes.conditions.push_back({key, 0});
@@ -399,7 +386,7 @@
   }
   if (answer.value().applied)
     return OnCommitted();
-  const std::string owner_key = ToString({key_kind::kOwner, ShardName(shard_)});
+  const std::string owner_key = OwnerKey(shard_);
   bool still_owner = false;
   bool applied_before = false;
   for (const metadata::item& item : answer.value().current) {
--- a/src/runtime/internal/shard_housekeeping.cc
+++ b/src/runtime/internal/shard_housekeeping.cc
@@ -54,8 +54,7 @@
   if (!is_valid_())
     return;
   metadata::transaction removal;
-  removal.conditions.push_back(
-      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
+  removal.conditions.push_back(OwnedSince(shard_, fence_));
   const base::time_point now = loop_.Now();
   while (!ended_.empty() &&
          now - ended_.front().since >= settings_.keep_ended &&
@@ -107,8 +106,7 @@
     return;
   record.value().shard = to;
   metadata::transaction change;
-  change.conditions.push_back(
-      {ToString({key_kind::kOwner, ShardName(shard_)}), fence_});
+  change.conditions.push_back(OwnedSince(shard_, fence_));
   const std::string key = ToString({key_kind::kSubmission, id});
   change.conditions.push_back({key, known->accepted_at});
   change.writes.push_back({key, EncodeAccepted(record.value())});
@@ -141,7 +139,7 @@
   // When it was not applied it was moved by an attempt before, which the
   // replica tells, or the ownership is gone.
   if (answer.value().applied)
-    scheduler_.EndMove(id, true);
+    scheduler_.FinishMove(id);
 }
 
 void shard_housekeeping::Later(std::chrono::milliseconds delay,
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -29,34 +29,24 @@
 void worker_directory::Poll() {
   if (!wanted_())
     return Later(settings_.interval);
-  listing_.clear();
-  ListFrom({});
+  ListAll(store_, source_.prefix,
+          [this, alive = alive_](base::result<prefix_listing> listing) {
+            if (*alive)
+              OnListed(std::move(listing));
+          });
 }
 
-void worker_directory::ListFrom(const std::string& after) {
-  store_.List(source_.prefix, after, false,
-              [this, alive = alive_](base::result<metadata::page> page) {
-                if (*alive)
-                  OnPage(std::move(page));
-              });
-}
-
-void worker_directory::OnPage(base::result<metadata::page> page) {
-  if (!page) {
+void worker_directory::OnListed(base::result<prefix_listing> listing) {
+  if (listing)
+    Publish(listing.value().items);
+  else
     last_trouble_ = loop_.Now();
-    return Later(settings_.interval);
-  }
-  for (metadata::item& item : page.value().items)
-    listing_.push_back(std::move(item));
-  if (page.value().truncated && !listing_.empty())
-    return ListFrom(listing_.back().key);
-  Publish();
   Later(settings_.interval);
 }
 
-void worker_directory::Publish() {
+void worker_directory::Publish(const std::vector<metadata::item>& items) {
   worker_map now;
-  for (const metadata::item& item : listing_) {
+  for (const metadata::item& item : items) {
     const std::string id = item.key.substr(source_.prefix.size());
     auto worker = source_.decode(id, item.value);
     if (!worker) {
@@ -77,7 +67,6 @@
       log_.Write("worker_unlisted", {{"worker", id}});
   workers_ = std::move(now);
   listed_ = true;
-  listing_.clear();
   on_listed_();
 }
 
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -21,11 +21,6 @@
 struct shard_load {
   coordination::resources capacity;
   coordination::resources reserved;
-  /// Work that waits or runs in filling tasks, in processor milliseconds per
-  /// processor that they can use.
-  std::chrono::milliseconds fill_backlog{0};
-  std::int64_t waiting_tasks = 0;
-  std::int64_t workers = 0;
 };
 
 /// Decides where the tasks of one shard run. Deterministic: the caller brings
@@ -102,8 +97,8 @@
   /// Starts nothing of a submission that never started, while it is given to
   /// another shard. False when it has started or is unknown.
   bool BeginMove(const std::string& submission);
-  /// Ends the move: the submission is another shard's, or stays.
-  void EndMove(const std::string& submission, bool moved);
+  /// The submission that was being moved is another shard's.
+  void FinishMove(const std::string& submission);
 
  private:
   class implementation;
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -37,13 +37,6 @@
   return 1 - idle / std::max(static_cast<double>(service.reading), idle);
 }
 
-/// Share of the worker's processors.
-double ShareOf(std::int64_t processors_milli, const worker_entry& worker) {
-  return static_cast<double>(processors_milli) /
-         static_cast<double>(std::max<std::int64_t>(
-             worker.description.capacity.processors_milli, 1));
-}
-
 /// What a filling run takes at the speed that is wanted.
 std::int64_t WantedMilli(const active_run& run) {
   return run.processors_milli * run.wanted_percent / kWholePercent;
@@ -55,7 +48,7 @@
   amounts used;
   for (const auto& [task, run] : worker.runs)
     if (run.fills && run.phase == run_phase::kRunning)
-      used[run.image] += ShareOf(run.reading, worker);
+      used[run.image] += worker_table::ShareOfProcessors(worker, run.reading);
   for (auto& [task, run] : worker.runs)
     if (IsServing(run) && run.reading > 0)
       ObserveService(run, used, now);
@@ -124,8 +117,9 @@
   amounts used;
   for (const auto& [task, run] : worker.runs)
     if (run.fills)
-      used[run.image] += ShareOf(WantedMilli(run), worker);
-  const double more = ShareOf(more_milli, worker);
+      used[run.image] +=
+          worker_table::ShareOfProcessors(worker, WantedMilli(run));
+  const double more = worker_table::ShareOfProcessors(worker, more_milli);
   std::map<std::string, double> pressure_of;
   forecast result;
   for (const auto& [task, run] : worker.runs) {
--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -79,9 +79,8 @@
 bool latency_guard::Disturbs(const worker_entry& worker,
                              const active_run& filling,
                              base::time_point now) const {
-  const double share = static_cast<double>(filling.processors_milli) /
-                       static_cast<double>(std::max<std::int64_t>(
-                           worker.description.capacity.processors_milli, 1));
+  const double share =
+      worker_table::ShareOfProcessors(worker, filling.processors_milli);
   return std::ranges::any_of(worker.runs, [&](const auto& entry) {
     const active_run& service = entry.second;
     return RatioOf(service) > settings_.throttle_above &&
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -1,6 +1,7 @@
 #include "internal/placer.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 #include "chivecrank/scheduling/resources.h"
@@ -25,17 +26,11 @@
   return std::ranges::find(worker.labels, label) != worker.labels.end();
 }
 
-double ShareOfProcessors(std::int64_t processors_milli,
-                         const worker_entry& worker) {
-  return static_cast<double>(processors_milli) /
-         static_cast<double>(std::max<std::int64_t>(
-             worker.description.capacity.processors_milli, 1));
-}
-
 /// Tasks that reserve processors are packed, so that some workers stay free of
 /// services: filling tasks disturb nothing there.
 double ReservedShare(const worker_entry& worker) {
-  return ShareOfProcessors(worker.reserved.processors_milli, worker);
+  return worker_table::ShareOfProcessors(worker,
+                                         worker.reserved.processors_milli);
 }
 
 /// Services of one image stay together, so that each filling image finds
@@ -81,9 +76,14 @@
   worker_entry* best = nullptr;
   double best_score = 0;
   for (auto& [id, worker] : workers_.All()) {
-    if (!CanTake(worker, request))
+    if (!HasRoom(worker, request))
+      continue;
+    const auto base = request.step->fills
+                          ? FillingScore(worker, request)
+                          : std::optional(ReservedShare(worker));
+    if (!base)
       continue;
-    const double score = ScoreOf(worker, request);
+    const double score = *base + FitnessOf(worker, request);
     if (best == nullptr || score > best_score) {
       best = &worker;
       best_score = score;
@@ -92,7 +92,7 @@
   return best;
 }
 
-bool placer::CanTake(const worker_entry& worker,
+bool placer::HasRoom(const worker_entry& worker,
                      const placement_request& request) const {
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
@@ -112,51 +112,45 @@
     return false;
   if (worker.runs.contains(request.task))
     return false;
-  if (step.most_per_worker > 0 &&
-      RunsOfStep(worker, request.task) >= step.most_per_worker)
-    return false;
-  if (!step.fills)
-    return true;
+  return step.most_per_worker <= 0 ||
+         RunsOfStep(worker, request.task) < step.most_per_worker;
+}
+
+std::optional<double> placer::FillingScore(
+    const worker_entry& worker,
+    const placement_request& request) const {
+  const step_request& step = *request.step;
+  const std::int64_t idle =
+      worker_table::IdleProcessors(worker, settings_.service_load);
   const double wanted =
       static_cast<double>(step.demand.processors_milli) * settings_.fill_share;
-  if (static_cast<double>(worker_table::IdleProcessors(
-          worker, settings_.service_load)) < wanted)
-    return false;
+  if (static_cast<double>(idle) < wanted)
+    return std::nullopt;
   if (latency_guard::IsPressed(worker))
-    return false;
+    return std::nullopt;
   if (!trials_.Allows(worker, step.image, request.now))
-    return false;
+    return std::nullopt;
   const auto forecast = learned_.Forecast(
       worker, step.image, step.demand.processors_milli, request.now);
-  return forecast.added < kNoPressure ||
-         forecast.worst <= settings_.most_pressure;
-}
-
-double placer::IdleShare(const worker_entry& worker) const {
-  return ShareOfProcessors(
-      worker_table::IdleProcessors(worker, settings_.service_load), worker);
+  if (forecast.added >= kNoPressure && forecast.worst > settings_.most_pressure)
+    return std::nullopt;
+  return worker_table::ShareOfProcessors(worker, idle) -
+         kPressurePenalty * forecast.added;
 }
 
-double placer::ScoreOf(const worker_entry& worker,
-                       const placement_request& request) const {
-  double score =
-      request.step->fills ? IdleShare(worker) : ReservedShare(worker);
+double placer::FitnessOf(const worker_entry& worker,
+                         const placement_request& request) {
+  double fitness = 0;
   if (!request.step->data_rack.empty() &&
       worker.description.rack == request.step->data_rack)
-    score += kDataRackBonus;
+    fitness += kDataRackBonus;
   if (IsAvoided(worker, request.now))
-    score -= kAvoidPenalty;
+    fitness -= kAvoidPenalty;
   if (request.progress->failed_on == worker.description.id)
-    score -= kFailedHerePenalty;
-  if (request.step->fills)
-    score -= kPressurePenalty *
-             learned_
-                 .Forecast(worker, request.step->image,
-                           request.step->demand.processors_milli, request.now)
-                 .added;
+    fitness -= kFailedHerePenalty;
   if (request.step->lasting && !request.step->image.empty())
-    score += ImageScore(worker, request.step->image);
-  return score;
+    fitness += ImageScore(worker, request.step->image);
+  return fitness;
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_SUBMISSIONS_INTERNAL_PLACER_H_
 #define CHIVECRANK_SUBMISSIONS_INTERNAL_PLACER_H_
 
+#include <optional>
 #include <string>
 
 #include "chivecrank/submissions/progress.h"
@@ -45,11 +46,17 @@
   worker_entry* Choose(const placement_request& request) const;
 
  private:
-  bool CanTake(const worker_entry& worker,
+  /// Whether the worker can take the task as far as reservations and bindings
+  /// go.
+  bool HasRoom(const worker_entry& worker,
                const placement_request& request) const;
-  double IdleShare(const worker_entry& worker) const;
-  double ScoreOf(const worker_entry& worker,
-                 const placement_request& request) const;
+  /// How good the worker is for a filling task; nothing when it would find too
+  /// little idle or disturb too much there.
+  std::optional<double> FillingScore(const worker_entry& worker,
+                                     const placement_request& request) const;
+  /// What speaks for and against the worker beside its room.
+  static double FitnessOf(const worker_entry& worker,
+                          const placement_request& request);
 
   const scheduler_settings& settings_;
   worker_table& workers_;
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -37,6 +37,7 @@
 void planner::Plan(base::time_point now,
                    std::chrono::milliseconds since_epoch) {
   placer_.BeginRound();
+  MoveDisturbing(now);
   std::vector<ready_step> ready = ReadySteps(since_epoch);
   std::ranges::sort(ready, {}, [](const ready_step& entry) {
     return std::tuple(entry.priority, entry.late, entry.objective,
@@ -84,20 +85,19 @@
   return found == policies_.end() ? live.request.policy : found->second;
 }
 
-placement_request planner::RequestFor(const ready_step& ready,
+placement_request planner::RequestFor(const live_submission& live,
                                       const task_ref& task,
                                       base::time_point now) {
   placement_request request;
   request.step = book_.Submissions().StepOf(task);
   request.progress = book_.Submissions().Find(task);
-  request.service = &PolicyOf(*ready.live).service;
+  request.service = &PolicyOf(live).service;
   request.task = task;
   request.now = now;
   return request;
 }
 
 void planner::MoveDisturbing(base::time_point now) {
-  placer_.BeginRound();
   for (auto& [id, worker] : book_.Workers().All()) {
     std::vector<task_ref> slowed;
     for (const auto& [task, run] : worker.runs)
@@ -116,14 +116,8 @@
   const live_submission* live = book_.Submissions().Find(task.submission);
   if (live == nullptr || live->outcome)
     return;
-  placement_request request;
-  request.step = book_.Submissions().StepOf(task);
-  request.progress = book_.Submissions().Find(task);
-  request.service = &PolicyOf(*live).service;
-  request.task = task;
-  request.now = now;
   // The task's own worker isn't offered: it runs there.
-  if (placer_.Choose(request) == nullptr)
+  if (placer_.Choose(RequestFor(*live, task, now)) == nullptr)
     return;
   active_run& run = worker.runs.at(task);
   book_.Emit({.kind = scheduler_event_kind::kFillMoved,
@@ -146,7 +140,7 @@
     const task_progress& progress = *book_.Submissions().Find(task);
     if (progress.phase != task_phase::kWaiting)
       continue;
-    worker_entry* worker = placer_.Choose(RequestFor(ready, task, now));
+    worker_entry* worker = placer_.Choose(RequestFor(*ready.live, task, now));
     // The other tasks of the step ask for the same.
     if (worker == nullptr) {
       if (!ready.live->no_room_since)
@@ -200,7 +194,7 @@
   // Room is held task by task, and given back before the answer.
   std::vector<worker_entry*> chosen;
   for (task.index = 0; task.index < wanted.task_count; ++task.index) {
-    placement_request request = RequestFor(ready, task, now);
+    placement_request request = RequestFor(*ready.live, task, now);
     request.rack = rack;
     worker_entry* worker = placer_.Choose(request);
     if (worker == nullptr)
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -25,12 +25,9 @@
     policies_[queue] = policy;
   }
 
+  /// Moves what disturbs a service, then assigns what can start.
   void Plan(base::time_point now, std::chrono::milliseconds since_epoch);
 
-  /// Stops filling tasks that disturb a service where they are and would not
-  /// elsewhere; they go on there from their checkpoints.
-  void MoveDisturbing(base::time_point now);
-
  private:
   struct ready_step {
     live_submission* live = nullptr;
@@ -44,6 +41,9 @@
 
   std::vector<ready_step> ReadySteps(std::chrono::milliseconds since_epoch);
   const queue_policy& PolicyOf(const live_submission& live) const;
+  /// Stops filling tasks that disturb a service where they are and would not
+  /// elsewhere; they go on there from their checkpoints.
+  void MoveDisturbing(base::time_point now);
   void MoveIfBetter(worker_entry& worker,
                     const task_ref& task,
                     base::time_point now);
@@ -60,7 +60,7 @@
   /// Whether a lasting submission should rather go to a shard with room for
   /// all of it than start here in part.
   bool WaitsForWholeRoom(const ready_step& ready, base::time_point now);
-  placement_request RequestFor(const ready_step& ready,
+  placement_request RequestFor(const live_submission& live,
                                const task_ref& task,
                                base::time_point now);
   std::vector<std::string> RacksByRoom() const;
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -79,8 +79,6 @@
                                       base::time_point now) {
   if (!listed.checkpoint.empty())
     run.checkpoint = listed.checkpoint;
-  if (listed.percent != run.percent)
-    run.progressed_at = now;
   run.percent = listed.percent;
   run.reading = listed.reading;
   if (run.phase == run_phase::kStopping) {
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -20,7 +20,6 @@
   run.latency_target = step.latency_target;
   run.image = step.image;
   run.since = now;
-  run.progressed_at = now;
   run.load.updated = now;
   return run;
 }
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -272,7 +272,6 @@
                            std::chrono::milliseconds since_epoch) {
   implementation_->book.SetTimeOfDay(since_epoch);
   implementation_->ExpireLeases(now);
-  implementation_->plans.MoveDisturbing(now);
   implementation_->plans.Plan(now, since_epoch);
 }
 
@@ -348,7 +347,6 @@
   for (const auto& [id, worker] : implementation_->book.Workers().All()) {
     if (!worker.listed || worker.description.draining)
       continue;
-    ++load.workers;
     load.capacity =
         scheduling::Plus(load.capacity, worker.description.capacity);
     load.reserved = scheduling::Plus(load.reserved, worker.reserved);
@@ -379,13 +377,9 @@
   return true;
 }
 
-void shard_scheduler::EndMove(const std::string& submission, bool moved) {
+void shard_scheduler::FinishMove(const std::string& submission) {
   live_submission* live = implementation_->book.Submissions().Find(submission);
-  if (live == nullptr || !live->moving)
-    return;
-  live->moving = false;
-  live->no_room_since.reset();
-  if (moved)
+  if (live != nullptr && live->moving)
     implementation_->book.Submissions().Erase(submission);
 }
 
--- a/src/submissions/internal/worker_table.cc
+++ b/src/submissions/internal/worker_table.cc
@@ -1,5 +1,7 @@
 #include "internal/worker_table.h"
 
+#include <algorithm>
+
 #include "chivecrank/scheduling/resources.h"
 
 namespace chivecrank::submissions::internal {
@@ -29,6 +31,13 @@
   worker.runs.erase(found);
 }
 
+double worker_table::ShareOfProcessors(const worker_entry& worker,
+                                       std::int64_t processors_milli) {
+  return static_cast<double>(processors_milli) /
+         static_cast<double>(std::max<std::int64_t>(
+             worker.description.capacity.processors_milli, 1));
+}
+
 std::int64_t worker_table::IdleProcessors(const worker_entry& worker,
                                           double service_load) {
   std::int64_t idle = worker.description.capacity.processors_milli;
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -59,7 +59,6 @@
   base::time_point stop_sent;
   std::string checkpoint;
   std::int32_t percent = 0;
-  base::time_point progressed_at;
   std::int64_t reading = 0;
   std::string image;
   load_belief load;
@@ -133,6 +132,10 @@
                      const active_run& run);
   static void RemoveRun(worker_entry& worker, const task_ref& task);
 
+  /// Share of the worker's processors that `processors_milli` are.
+  static double ShareOfProcessors(const worker_entry& worker,
+                                  std::int64_t processors_milli);
+
   /// Processors that filling tasks could still get, in thousandths, when a
   /// service uses `service_load` of what it reserves.
   static std::int64_t IdleProcessors(const worker_entry& worker,
