A kept connection waits as long as the call that uses it allows

Ruled out: the store stand-in's outage (the cut-off came from the caller's side), load (the machine was idle in some of the failing runs).

Change: each call sets the bounds on a connected socket as well. All daemons of the product's own interface call each other through this client.

Test: EachCallHasItsOwnTimeoutOnAKeptConnection failed before.

--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -21,6 +21,17 @@
  public:
   using net::HTTPClientSession::HTTPClientSession;
 
+  /// Bounds each wait of the next call. POCO sets what it is given only when it
+  /// connects, so a kept connection would have the bound of an earlier call.
+  void BoundWaits(std::chrono::milliseconds timeout) {
+    const Poco::Timespan bound(timeout.count() * Poco::Timespan::MILLISECONDS);
+    setTimeout(bound);
+    if (!connected())
+      return;
+    socket().setSendTimeout(bound);
+    socket().setReceiveTimeout(bound);
+  }
+
   /// Nothing was asked, so anything to read is the end of the connection or
   /// no answer to the next request.
   bool IsUsable() {
@@ -131,9 +142,8 @@
                                     std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   auto session = Take();
-  session->setTimeout(
-      Poco::Timespan(timeout.count() * Poco::Timespan::MILLISECONDS));
   try {
+    session->BoundWaits(timeout);
     Write(*session, message);
   } catch (const Poco::Net::ConnectionRefusedException& failure) {
     return Unsent(address_, failure.displayText());
--- a/src/http/tests/server_test.cc
+++ b/src/http/tests/server_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 #include "chivecrank/http/client.h"
 #include "harness/network.h"
 
@@ -9,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::seconds kTimeout{5};
+/// Longer than what the first call of a pair leaves of its time.
+constexpr std::chrono::milliseconds kSlow{1500};
 
 response Echo(const request& message) {
   return {200, {{"X-Method", message.method}}, message.body};
@@ -48,6 +52,22 @@
   BOOST_TEST(answer.value().code == static_cast<int>(status::kPayloadTooLarge));
 }
 
+BOOST_AUTO_TEST_CASE(EachCallHasItsOwnTimeoutOnAKeptConnection) {
+  server slow(address, {}, [](const request& message) {
+    std::this_thread::sleep_for(kSlow);
+    return Echo(message);
+  });
+  BOOST_REQUIRE(slow.Start().has_value());
+  client caller(address);
+  // Little of this call's time is left when its answer comes.
+  const auto first =
+      caller.Call({"POST", "/", {}, "a"}, kSlow + std::chrono::seconds(1));
+  BOOST_REQUIRE(first.has_value());
+  const auto second = caller.Call({"POST", "/", {}, "b"}, 10 * kSlow);
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(second.value().body == "b");
+}
+
 BOOST_AUTO_TEST_CASE(RefusedConnectionIsCertainlyUnsent) {
   client caller({network.Host(1, 1), 18081});
   const auto answer = caller.Call({"GET", "/", {}, ""}, kTimeout);
