One shard for up to 600 workers; services leave workers before these leave

Change: workers_per_shard 600; a relocator moves lasting tasks, and tasks with checkpoints that would hardly end in time, off draining workers, half of a step's tasks on a worker at a time; a service's task is never late in the order; the worker nearest to having room for it takes nothing else meanwhile.

Tests (each failed first): ServicesLeaveAWorkerBeforeItDoes, ALongTaskLeavesWithItsCheckpointAndAShortOneStays, AServiceThatLostATaskGetsRoomBeforeTheQueueBehindIt; AWorkerThatLeavesKeepsItsServicesWhileNoOtherHasRoom guards the other side.

--- a/src/event_log/internal/story.cc
+++ b/src/event_log/internal/story.cc
@@ -137,6 +137,7 @@
       {"start_refused", "orders to start were refused or unanswered"},
       {"fills_throttled", "changes of speed beside a service near its bound"},
       {"fill_moved", "runs were moved away from a service"},
+      {"task_evacuated", "runs were moved off a worker that leaves"},
   };
   for (const auto& [event, text] : counted)
     if (const std::size_t times = Count(events, event))
--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -33,7 +33,7 @@
   directory_settings directory;
   /// Workers that one shard should have; decides how many shards there are
   /// when the first instance starts.
-  std::int64_t workers_per_shard = 180;
+  std::int64_t workers_per_shard = 600;
 };
 
 /// One instance: its copy of the shared keys, the configuration in force, the
--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -96,7 +96,8 @@
   // An image is no label: there is no bound on how many there are.
   const bool names_image =
       event.kind == submissions::scheduler_event_kind::kFillsThrottled ||
-      event.kind == submissions::scheduler_event_kind::kFillMoved;
+      event.kind == submissions::scheduler_event_kind::kFillMoved ||
+      event.kind == submissions::scheduler_event_kind::kTaskEvacuated;
   events_
       .Add({{"event",
              std::string(submissions::SchedulerEventKindName(event.kind))},
--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -23,6 +23,7 @@
   kWorkerLeaseOver,
   kFillsThrottled,
   kFillMoved,
+  kTaskEvacuated,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/internal/full_shapes.cc
+++ b/src/submissions/internal/full_shapes.cc
@@ -25,6 +25,7 @@
           .image = request.image,
           .demand = step.demand,
           .fills = step.fills,
+          .lasting = step.lasting,
           .required_label = step.required_label,
           .most_per_worker = step.most_per_worker,
           .rack = request.rack};
--- a/src/submissions/internal/full_shapes.h
+++ b/src/submissions/internal/full_shapes.h
@@ -26,6 +26,7 @@
     image_number image = 0;
     coordination::resources demand;
     bool fills = false;
+    bool lasting = false;
     std::string required_label;
     std::int32_t most_per_worker = 0;
     std::string rack;
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -42,6 +42,16 @@
          kOtherImagePenalty * static_cast<double>(others);
 }
 
+/// Whether the demand fits beside the worker's lasting runs alone.
+bool FitsBesideServices(const worker_entry& worker,
+                        const coordination::resources& demand) {
+  coordination::resources services;
+  for (const auto& [task, run] : worker.runs)
+    if (run.lasting)
+      services = scheduling::Plus(services, run.reserved);
+  return scheduling::Fits(demand, services, worker.description.capacity);
+}
+
 bool IsAvoided(const worker_entry& worker, base::time_point now) {
   return worker.health.avoid_until > now;
 }
@@ -57,15 +67,6 @@
          occupied.other_milli;
 }
 
-std::int32_t RunsOfStep(const worker_entry& worker, const task_ref& task) {
-  return static_cast<std::int32_t>(
-      std::ranges::count_if(worker.runs, [&](const auto& entry) {
-        const task_ref& other = entry.first;
-        return other.submission == task.submission &&
-               other.occurrence == task.occurrence && other.step == task.step;
-      }));
-}
-
 }  // namespace
 
 coordination::resources ReservedBy(const step_request& step) {
@@ -78,6 +79,8 @@
 void placer::BeginRound(base::time_point now) {
   learned_.Advance(now);
   trials_.Recount(workers_);
+  for (auto& [id, worker] : workers_.All())
+    worker.held_for_service = false;
 }
 
 void placer::OnAssign(worker_entry& worker, const placement_request& request) {
@@ -97,8 +100,35 @@
   return *base + FitnessOf(worker, request);
 }
 
+void placer::HoldRoomFor(const placement_request& request) {
+  worker_entry* nearest = nullptr;
+  std::int64_t most_free = 0;
+  for (auto& [id, worker] : workers_.All()) {
+    if (worker.held_for_service || !IsEligible(worker, request) ||
+        !FitsBesideServices(worker, request.step->demand))
+      continue;
+    const std::int64_t free = worker.description.capacity.processors_milli -
+                              worker.reserved.processors_milli;
+    if (nearest != nullptr && free <= most_free)
+      continue;
+    nearest = &worker;
+    most_free = free;
+  }
+  if (nearest != nullptr)
+    nearest->held_for_service = true;
+}
+
 bool placer::HasRoom(const worker_entry& worker,
                      const placement_request& request) const {
+  const bool held = worker.held_for_service && !request.step->lasting;
+  return !held &&
+         scheduling::Fits(ReservedBy(*request.step), worker.reserved,
+                          worker.description.capacity) &&
+         IsEligible(worker, request);
+}
+
+bool placer::IsEligible(const worker_entry& worker,
+                        const placement_request& request) const {
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
   if (!worker.listed || !worker.reported || description.draining ||
@@ -112,15 +142,22 @@
   if (!step.required_label.empty() &&
       !HasLabel(description, step.required_label))
     return false;
-  if (!scheduling::Fits(ReservedBy(step), worker.reserved,
-                        description.capacity))
-    return false;
   if (worker.runs.contains(request.task))
     return false;
   return step.most_per_worker <= 0 ||
          RunsOfStep(worker, request.task) < step.most_per_worker;
 }
 
+std::int32_t placer::RunsOfStep(const worker_entry& worker,
+                                const task_ref& task) {
+  return static_cast<std::int32_t>(
+      std::ranges::count_if(worker.runs, [&](const auto& entry) {
+        const task_ref& other = entry.first;
+        return other.submission == task.submission &&
+               other.occurrence == task.occurrence && other.step == task.step;
+      }));
+}
+
 std::optional<double> placer::FillingScore(
     worker_entry& worker,
     const placement_request& request) const {
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -41,10 +41,17 @@
   /// The task of `request` is about to be assigned to the worker.
   void OnAssign(worker_entry& worker, const placement_request& request);
   worker_table& Workers() const { return workers_; }
+  /// Keeps other work off the worker that is nearest to having room for a
+  /// service's task, until the round ends.
+  void HoldRoomFor(const placement_request& request);
 
   /// Workers that were scored so far, which is what placing costs.
   std::uint64_t Scored() const { return scored_; }
 
+  /// Runs of the task's step on the worker.
+  static std::int32_t RunsOfStep(const worker_entry& worker,
+                                 const task_ref& task);
+
   /// How good the worker is for the task; nothing when it can't take it.
   std::optional<double> ScoreOf(worker_entry& worker,
                                 const placement_request& request) const;
@@ -54,6 +61,9 @@
   /// go.
   bool HasRoom(const worker_entry& worker,
                const placement_request& request) const;
+  /// Whether the worker could take the task, but for what runs there.
+  bool IsEligible(const worker_entry& worker,
+                  const placement_request& request) const;
   /// How good the worker is for a filling task; nothing when it would find too
   /// little idle or disturb too much there.
   std::optional<double> FillingScore(worker_entry& worker,
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -9,11 +9,6 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
-/// A filling task that is slowed this far is moved if another worker can take
-/// it, unless it is nearly done.
-constexpr std::int32_t kMoveAtPercent = 50;
-constexpr std::int32_t kNearlyDonePercent = 85;
-
 bool HasWaiting(const live_step& step) {
   return std::ranges::any_of(step.tasks, [](const task_progress& task) {
     return task.phase == task_phase::kWaiting;
@@ -39,7 +34,8 @@
                    std::chrono::milliseconds since_epoch) {
   placer_.BeginRound(now);
   full_.Clear();
-  MoveDisturbing(now);
+  relocator_.MoveDisturbing(now);
+  relocator_.EmptyDraining(now);
   std::vector<ready_step> ready = ReadySteps(since_epoch);
   std::ranges::sort(ready, {}, [](const ready_step& entry) {
     return std::tuple(entry.priority, entry.late, entry.objective,
@@ -53,6 +49,7 @@
     else
       PlaceTasks(entry, now);
   }
+  relocator_.EndRound();
 }
 
 std::vector<planner::ready_step> planner::ReadySteps(
@@ -73,9 +70,12 @@
             std::max(live->objective_since_epoch,
                      occurrence.due_since_epoch + live->objective_since_epoch -
                          live->request.accepted_since_epoch);
+        // A service is to run at any time: it is never too late for it.
+        const bool late =
+            objective < since_epoch && !live->request.steps[s].lasting;
         ready.push_back({live.get(), static_cast<std::int32_t>(k),
                          static_cast<std::int32_t>(s), PolicyOf(*live).priority,
-                         objective < since_epoch, objective});
+                         late, objective});
       }
     }
   }
@@ -100,39 +100,6 @@
   return request;
 }
 
-void planner::MoveDisturbing(base::time_point now) {
-  for (auto& [id, worker] : book_.Workers().All()) {
-    std::vector<task_ref> slowed;
-    for (const auto& [task, run] : worker.runs)
-      if (run.fills && run.phase == run_phase::kRunning &&
-          run.wanted_percent <= kMoveAtPercent &&
-          run.percent < kNearlyDonePercent)
-        slowed.push_back(task);
-    for (const task_ref& task : slowed)
-      MoveIfBetter(worker, task, now);
-  }
-}
-
-void planner::MoveIfBetter(worker_entry& worker,
-                           const task_ref& task,
-                           base::time_point now) {
-  const live_submission* live = book_.Submissions().Find(task.submission);
-  if (live == nullptr || live->outcome)
-    return;
-  // The task's own worker isn't offered: it runs there.
-  const placement_request request = RequestFor(*live, task, now);
-  if (candidate_queue(placer_, request).Take(request) == nullptr)
-    return;
-  active_run& run = worker.runs.at(task);
-  book_.Emit({.kind = scheduler_event_kind::kFillMoved,
-              .task = task,
-              .worker = worker.description.id,
-              .run = run.run,
-              .outcome = book_.Images().NameOf(run.image),
-              .input = run.wanted_percent});
-  book_.Stop(worker, task, run, now);
-}
-
 void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
   if (WaitsForWholeRoom(ready, now))
@@ -160,6 +127,8 @@
       continue;
     // The other tasks of the step ask for the same.
     full_.Add(request, 1);
+    if (request.step->lasting)
+      placer_.HoldRoomFor(request);
     if (!ready.live->no_room_since)
       ready.live->no_room_since = now;
     return;
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -8,6 +8,7 @@
 #include "internal/candidate_queue.h"
 #include "internal/full_shapes.h"
 #include "internal/placer.h"
+#include "internal/relocator.h"
 #include "internal/run_book.h"
 
 namespace chivecrank::submissions::internal {
@@ -21,13 +22,21 @@
           interference& learned)
       : settings_(settings),
         book_(book),
-        placer_(settings, book.Workers(), learned) {}
+        placer_(settings, book.Workers(), learned),
+        relocator_(book,
+                   placer_,
+                   full_,
+                   [this](const live_submission& live,
+                          const task_ref& task,
+                          base::time_point now) {
+                     return RequestFor(live, task, now);
+                   }) {}
 
   void SetPolicy(const std::string& queue, const queue_policy& policy) {
     policies_[queue] = policy;
   }
 
-  /// Moves what disturbs a service, then assigns what can start.
+  /// Moves what should not stay where it is, then assigns what can start.
   void Plan(base::time_point now, std::chrono::milliseconds since_epoch);
 
   const placer& Placer() const { return placer_; }
@@ -45,12 +54,6 @@
 
   std::vector<ready_step> ReadySteps(std::chrono::milliseconds since_epoch);
   const queue_policy& PolicyOf(const live_submission& live) const;
-  /// Stops filling tasks that disturb a service where they are and would not
-  /// elsewhere; they go on there from their checkpoints.
-  void MoveDisturbing(base::time_point now);
-  void MoveIfBetter(worker_entry& worker,
-                    const task_ref& task,
-                    base::time_point now);
   void PlaceTasks(const ready_step& ready, base::time_point now);
   /// Assigns the task to the best worker; false when there is none.
   bool PlaceTask(const placement_request& request, candidate_queue& workers);
@@ -75,6 +78,7 @@
   run_book& book_;
   placer placer_;
   full_shapes full_;
+  relocator relocator_;
   std::map<std::string, queue_policy> policies_;
 };
 
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -116,6 +116,8 @@
   std::deque<pending_ack> pending_acks;
   latency_state latency;
   health_state health;
+  /// In this round it takes nothing but services: one waits for room on it.
+  bool held_for_service = false;
   /// What the runs add up to; unset after one of them changed.
   std::optional<occupancy> occupied;
 };
