A run that a worker's next life began isn't begun elsewhere as well

A worker begins anew while an order to start is on its way; the order names the worker, not its life, and is carried out. The first report of the new life then made the scheduler take the run for lost with the old one, though the report listed it, and it began elsewhere at once.

Change: what this owner started is judged by the worker's lists alone, as any other run: listed, it stands; asked for after its start was confirmed and not listed, it is lost; unconfirmed, it is barred by an order to stop first. Only runs of an earlier owner, whose orders the worker's fence keeps out, are given up with the life, unless they are listed.

--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -2,9 +2,21 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace chivecrank::submissions::internal {
+namespace {
+
+bool IsListed(const worker_report& report,
+              const task_ref& task,
+              std::int32_t run) {
+  return std::ranges::any_of(report.running, [&](const listed_run& listed) {
+    return listed.task == task && listed.run == run;
+  });
+}
+
+}  // namespace
 
 void report_processor::Process(worker_entry& worker,
                                const worker_report& report,
@@ -35,15 +47,13 @@
   worker.pending_acks.clear();
   worker.health = {};
   worker.latency = {};
+  // What this owner started may have reached the new life; its lists tell, as
+  // for any other run.
   std::vector<task_ref> gone;
-  for (const auto& [task, run] : worker.runs) {
-    const task_progress* progress = book_.Submissions().Find(task);
-    // A run that was never sent may still begin in the new life.
-    const bool unsent = run.own && run.phase == run_phase::kDeciding;
-    if (!unsent &&
-        (progress == nullptr || progress->worker_born_ms != report.born_ms))
+  for (const auto& [task, run] : worker.runs)
+    if (!run.own && !IsListed(report, task, run.run) &&
+        IsOfEarlierLife(worker, task))
       gone.push_back(task);
-  }
   for (const task_ref& task : gone)
     book_.Lose(worker, task, "worker_restarted");
   if (known_before)
@@ -52,6 +62,13 @@
                 .input = report.born_ms});
 }
 
+bool report_processor::IsOfEarlierLife(const worker_entry& worker,
+                                       const task_ref& task) {
+  const task_progress* progress = book_.Submissions().Find(task);
+  return progress == nullptr ||
+         progress->worker_born_ms != worker.reported_born_ms;
+}
+
 void report_processor::TakeEnds(worker_entry& worker,
                                 const worker_report& report,
                                 base::time_point now,
@@ -130,7 +147,9 @@
   const bool may_still_start =
       run.own && !run.barred && run.phase != run_phase::kRunning;
   if (!may_still_start)
-    return book_.Lose(worker, task, "not_listed");
+    return book_.Lose(
+        worker, task,
+        IsOfEarlierLife(worker, task) ? "worker_restarted" : "not_listed");
   if (now - run.stop_sent < settings_.stop_interval)
     return;
   run.stop_sent = now;
--- a/src/submissions/internal/report_processor.h
+++ b/src/submissions/internal/report_processor.h
@@ -30,6 +30,8 @@
 
  private:
   void NoticeRestart(worker_entry& worker, const worker_report& report);
+  /// Whether the task was assigned in a life of the worker that is over.
+  bool IsOfEarlierLife(const worker_entry& worker, const task_ref& task);
   void TakeEnds(worker_entry& worker,
                 const worker_report& report,
                 base::time_point now,
--- a/src/submissions/tests/scheduler_fixture.h
+++ b/src/submissions/tests/scheduler_fixture.h
@@ -52,7 +52,8 @@
 
   /// A worker's lists, asked for just before.
   void Report(const std::string& worker, worker_report report) {
-    report.born_ms = 1;
+    if (report.born_ms == 0)
+      report.born_ms = 1;
     scheduler.OnLeaseSent(worker, now);
     scheduler.OnReport(worker, report, now, now);
   }
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -358,6 +358,65 @@
   BOOST_TEST(stops[0].task.submission == "long");
 }
 
+BOOST_AUTO_TEST_CASE(AnOrderThatTheWorkersNextLifeCarriedOutStands) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  // The worker had begun anew just before the order came.
+  Pass(std::chrono::milliseconds(50));
+  worker_report report;
+  report.born_ms = 2;
+  report.running = {Running(starts[0])};
+  Report(starts[0].worker, report);
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.empty());
+  report.running.clear();
+  report.ended = {{1, starts[0].task, 1, run_end::kDone, ""}};
+  Pass(std::chrono::milliseconds(50));
+  Report(starts[0].worker, report);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->outcomes.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderOnItsWayMayReachTheWorkersNextLife) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  scheduler.OnCommitted(scheduler.TakeBatch()->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_REQUIRE(starts.size() == 1u);
+  Pass(std::chrono::milliseconds(5));
+  worker_report report;
+  report.born_ms = 2;
+  Report(starts[0].worker, report);
+  // It may begin there yet.
+  BOOST_TEST(Round().empty());
+  scheduler.OnStartAnswer(starts[0], start_answer::kStarted, now);
+  BOOST_TEST(Round().empty());
+  Pass(std::chrono::milliseconds(50));
+  report.running = {Running(starts[0])};
+  Report(starts[0].worker, report);
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RunsOfAWorkersLastLifeBeginAgainElsewhere) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  Pass(std::chrono::milliseconds(50));
+  worker_report report;
+  report.running = {Running(starts[0])};
+  Report(starts[0].worker, report);
+  Pass(std::chrono::milliseconds(50));
+  report = {};
+  report.born_ms = 2;
+  Report(starts[0].worker, report);
+  const auto again = Round();
+  BOOST_REQUIRE(again.size() == 1u);
+  BOOST_TEST(again[0].run == 2);
+}
+
 BOOST_AUTO_TEST_CASE(WhatNobodyHandedInIsStopped) {
   worker_report report;
   report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
