--- /dev/null
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -0,0 +1,91 @@
+#ifndef CHIVECRANK_EMULATOR_DAY_H_
+#define CHIVECRANK_EMULATOR_DAY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chivecrank/emulator/emulation.h"
+#include "chivecrank/settings/types.h"
+
+namespace chivecrank::emulator {
+
+/// What a day can cause.
+enum class fault_kind {
+  kKillInstances,
+  kStopInstances,
+  kIsolateInstances,
+  kCrashWorkers,
+  kCutWorkers,
+  kDrainWorkers,
+  kFailingWorkers,
+  kHangingWorkers,
+  kSlowWorkers,
+  kLateOrders,
+  kStoreDown,
+  kStoreSilent,
+  kStoreSlow,
+  kStoreLosesAnswers,
+  kStoreCompacts,
+  kBurst,
+};
+
+std::string_view FaultKindName(fault_kind value);
+
+/// One fault: it begins at `at`, counted from the begin of the load, and is
+/// over `lasts` later.
+struct day_fault {
+  fault_kind kind = fault_kind::kKillInstances;
+  std::chrono::milliseconds at{0};
+  std::chrono::milliseconds lasts{0};
+  /// Instances or workers that it hits, drawn by the seed.
+  std::size_t count = 1;
+  /// How strong it is: the factor of slowness or of a burst, or the share of
+  /// answers lost.
+  double strength = 1;
+};
+
+/// A day for the emulator.
+struct day_description {
+  emulation_settings system;
+  /// How long callers hand submissions in, and how long all have to end then.
+  std::chrono::milliseconds load{20'000};
+  std::chrono::milliseconds rest{30'000};
+  std::vector<day_fault> faults;
+};
+
+/// A day's file as it was read, with all that is wrong with it.
+struct day_file {
+  day_description day;
+  std::vector<settings::problem> problems;
+};
+
+day_file ReadDay(const std::string& path);
+
+/// What became of a day.
+struct day_report {
+  std::map<std::string, caller_counts> queues;
+  worker_counts workers;
+  /// Submissions that were accepted and did not end, which breaks a promise.
+  std::vector<std::string> open;
+  std::vector<broken_promise> broken;
+  std::uint64_t store_calls = 0;
+  std::uint64_t store_writes = 0;
+  double services_over_bound_seconds = 0;
+  /// Least share of a window's submissions that ended in time, by queue.
+  std::map<std::string, double> worst_window;
+
+  bool KeepsPromises() const { return open.empty() && broken.empty(); }
+};
+
+/// Plays a day with the real decision code under the manual clock.
+day_report PlayDay(const day_description& day, std::uint64_t seed);
+
+std::string ReportAsJson(const day_report& report);
+std::string ReportAsText(const day_report& report);
+
+}  // namespace chivecrank::emulator
+
+#endif  // CHIVECRANK_EMULATOR_DAY_H_
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -41,6 +41,8 @@
   coordination::resources capacity{16'000, 64'000, 0};
   std::int64_t workers_per_shard = 100;
   std::vector<queue_load> queues;
+  /// Gets the instances' log lines.
+  std::function<void(std::string_view)> on_log_line = [](std::string_view) {};
   emulated_workers::pressure_hook pressure =
       [](const std::string&, const std::string&) { return 0.0; };
 };
@@ -92,6 +94,10 @@
   }
   /// Removes a worker's entry, or writes it again.
   void Unlist(const std::string& worker);
+  /// The worker's entry says that it is about to leave, or that it is ready.
+  void SetDraining(const std::string& worker, bool draining);
+  /// Callers hand in so many times their usual load from now on.
+  void SetLoadFactor(double factor) { load_factor_ = factor; }
   void List(const std::string& worker);
 
   const std::map<std::string, caller_counts>& Callers() const {
@@ -100,6 +106,10 @@
   caller_counts Total() const;
   /// Accepted submissions whose end no caller has seen.
   std::vector<std::string> Open() const;
+  /// By queue, the least share of the submissions offered within one of the
+  /// windows that ended in time. Queues of services are left out.
+  std::map<std::string, double> WorstWindows(
+      std::chrono::milliseconds window) const;
   /// What `id` was last shown as.
   runtime::submission_state StateOf(const std::string& id) const;
   base::time_point Now() const { return clock_.Now(); }
@@ -118,6 +128,7 @@
     base::time_point since;
     bool accepted = false;
     bool over = false;
+    bool in_objective = false;
     runtime::submission_state shown = runtime::submission_state::kQueued;
     std::int32_t attempts = 0;
   };
@@ -146,6 +157,7 @@
   std::map<std::string, bool> poisoned_;
   std::uint64_t last_id_ = 0;
   bool loading_ = false;
+  double load_factor_ = 1;
 };
 
 }  // namespace chivecrank::emulator
--- /dev/null
+++ b/tests/emulator/internal/day_player.cc
@@ -0,0 +1,205 @@
+#include "internal/day_player.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace chivecrank::emulator::internal {
+namespace {
+
+/// Before callers come: instances find each other and the workers.
+constexpr std::chrono::milliseconds kWarmUp{6000};
+constexpr std::chrono::milliseconds kWindow{2000};
+/// Time for a worker that drains before it leaves.
+constexpr std::chrono::milliseconds kDrain{3000};
+
+}  // namespace
+
+day_player::day_player(const day_description& day, std::uint64_t seed)
+    : day_(day), random_(seed), emulation_(Seeded(day.system, seed)) {}
+
+emulation_settings day_player::Seeded(emulation_settings settings,
+                                      std::uint64_t seed) {
+  settings.seed = seed;
+  return settings;
+}
+
+day_report day_player::Play() {
+  for (const day_fault& fault : day_.faults)
+    Schedule(fault);
+  emulation_.Run(kWarmUp, false);
+  std::chrono::milliseconds now{0};
+  for (auto& [time, action] : steps_) {
+    const auto until = std::min(time, day_.load);
+    if (until > now)
+      emulation_.Run(until - now, true);
+    now = std::max(now, until);
+    action();
+  }
+  emulation_.Run(day_.load - now, true);
+  emulation_.Run(day_.rest, false);
+  return {
+      .queues = emulation_.Callers(),
+      .workers = emulation_.Workers().Counts(),
+      .open = emulation_.Open(),
+      .broken = emulation_.Workers().Broken(),
+      .store_calls = emulation_.Store().Calls(),
+      .store_writes = emulation_.Store().Writes(),
+      .services_over_bound_seconds = emulation_.Workers().OverBoundSeconds(),
+      .worst_window = emulation_.WorstWindows(kWindow)};
+}
+
+void day_player::At(std::chrono::milliseconds time, step action) {
+  steps_.emplace(time, std::move(action));
+}
+
+void day_player::Schedule(const day_fault& fault) {
+  switch (fault.kind) {
+    case fault_kind::kKillInstances:
+    case fault_kind::kStopInstances:
+    case fault_kind::kIsolateInstances:
+      return HitInstances(fault);
+    case fault_kind::kCrashWorkers:
+    case fault_kind::kCutWorkers:
+    case fault_kind::kDrainWorkers:
+    case fault_kind::kFailingWorkers:
+    case fault_kind::kHangingWorkers:
+    case fault_kind::kSlowWorkers:
+    case fault_kind::kLateOrders:
+      return HitWorkers(fault);
+    case fault_kind::kStoreDown:
+    case fault_kind::kStoreSilent:
+    case fault_kind::kStoreSlow:
+    case fault_kind::kStoreLosesAnswers:
+    case fault_kind::kStoreCompacts:
+      return HitStore(fault);
+    case fault_kind::kBurst:
+      return Burst(fault);
+  }
+}
+
+void day_player::HitInstances(const day_fault& fault) {
+  for (const std::size_t index : DrawInstances(fault.count)) {
+    At(fault.at, [this, index, kind = fault.kind] {
+      if (!emulation_.IsAlive(index))
+        return;
+      if (kind == fault_kind::kKillInstances)
+        emulation_.KillInstance(index);
+      if (kind == fault_kind::kStopInstances)
+        emulation_.StopInstance(index);
+      if (kind == fault_kind::kIsolateInstances)
+        emulation_.Isolate(index, true);
+    });
+    At(fault.at + fault.lasts, [this, index, kind = fault.kind] {
+      if (kind == fault_kind::kIsolateInstances)
+        emulation_.Isolate(index, false);
+      else
+        emulation_.StartInstance(index);
+    });
+  }
+}
+
+void day_player::HitWorkers(const day_fault& fault) {
+  for (const std::string& id : DrawWorkers(fault.count)) {
+    At(fault.at, [this, id, fault] { SetWorkerFault(id, fault, true); });
+    if (fault.kind == fault_kind::kDrainWorkers)
+      At(fault.at + kDrain, [this, id] {
+        emulation_.Workers().Crash(id);
+        emulation_.Unlist(id);
+      });
+    At(fault.at + fault.lasts,
+       [this, id, fault] { SetWorkerFault(id, fault, false); });
+  }
+}
+
+void day_player::SetWorkerFault(const std::string& worker,
+                                const day_fault& fault,
+                                bool begins) {
+  worker_faults& faults = emulation_.Workers().FaultsOf(worker);
+  switch (fault.kind) {
+    case fault_kind::kCrashWorkers:
+      if (begins) {
+        emulation_.Workers().Crash(worker);
+        return emulation_.Unlist(worker);
+      }
+      return Revive(worker);
+    case fault_kind::kDrainWorkers:
+      if (!begins)
+        return Revive(worker);
+      return emulation_.SetDraining(worker, true);
+    case fault_kind::kCutWorkers:
+      faults.cut_off = begins;
+      return;
+    case fault_kind::kFailingWorkers:
+      faults.fails_all = begins;
+      return;
+    case fault_kind::kHangingWorkers:
+      faults.hangs = begins;
+      return;
+    case fault_kind::kSlowWorkers:
+      faults.slowness = begins ? fault.strength : 1;
+      return;
+    case fault_kind::kLateOrders:
+      faults.late_share = begins ? fault.strength : 0;
+      return;
+    default:
+      return;
+  }
+}
+
+void day_player::Revive(const std::string& worker) {
+  // Another fault may have brought it back before.
+  emulation_.Workers().Crash(worker);
+  emulation_.Workers().Restart(worker, ++last_life_);
+  emulation_.List(worker);
+}
+
+void day_player::HitStore(const day_fault& fault) {
+  At(fault.at, [this, fault] {
+    store_faults& faults = emulation_.Store().Faults();
+    if (fault.kind == fault_kind::kStoreDown)
+      faults.rejecting = true;
+    if (fault.kind == fault_kind::kStoreSilent)
+      faults.silent = true;
+    if (fault.kind == fault_kind::kStoreSlow)
+      faults.slowness = fault.strength;
+    if (fault.kind == fault_kind::kStoreLosesAnswers)
+      faults.lost_share = fault.strength;
+    if (fault.kind == fault_kind::kStoreCompacts)
+      emulation_.Store().Compact();
+  });
+  At(fault.at + fault.lasts, [this] {
+    store_faults& faults = emulation_.Store().Faults();
+    faults = {.rejected_nodes = faults.rejected_nodes};
+  });
+}
+
+void day_player::Burst(const day_fault& fault) {
+  At(fault.at, [this, fault] { emulation_.SetLoadFactor(fault.strength); });
+  At(fault.at + fault.lasts, [this] { emulation_.SetLoadFactor(1); });
+}
+
+std::vector<std::string> day_player::DrawWorkers(std::size_t count) {
+  std::vector<std::string> ids = emulation_.Workers().Ids();
+  std::shuffle(ids.begin(), ids.end(), random_);
+  ids.resize(std::min(count, ids.size()));
+  return ids;
+}
+
+std::vector<std::size_t> day_player::DrawInstances(std::size_t count) {
+  std::vector<std::size_t> places(day_.system.instances);
+  std::iota(places.begin(), places.end(), std::size_t{0});
+  std::shuffle(places.begin(), places.end(), random_);
+  places.resize(std::min(count, places.size()));
+  return places;
+}
+
+}  // namespace chivecrank::emulator::internal
+
+namespace chivecrank::emulator {
+
+day_report PlayDay(const day_description& day, std::uint64_t seed) {
+  return internal::day_player(day, seed).Play();
+}
+
+}  // namespace chivecrank::emulator
--- /dev/null
+++ b/tests/emulator/internal/day_player.h
@@ -0,0 +1,50 @@
+#ifndef CHIVECRANK_EMULATOR_INTERNAL_DAY_PLAYER_H_
+#define CHIVECRANK_EMULATOR_INTERNAL_DAY_PLAYER_H_
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "chivecrank/emulator/day.h"
+
+namespace chivecrank::emulator::internal {
+
+/// Plays one day: causes its faults and ends them at their times.
+class day_player {
+ public:
+  day_player(const day_description& day, std::uint64_t seed);
+
+  day_report Play();
+
+ private:
+  using step = std::function<void()>;
+
+  static emulation_settings Seeded(emulation_settings settings,
+                                   std::uint64_t seed);
+  void Schedule(const day_fault& fault);
+  void At(std::chrono::milliseconds time, step action);
+  void HitInstances(const day_fault& fault);
+  void HitWorkers(const day_fault& fault);
+  void HitStore(const day_fault& fault);
+  void Burst(const day_fault& fault);
+  void SetWorkerFault(const std::string& worker,
+                      const day_fault& fault,
+                      bool begins);
+  /// Begins a new, empty life of a worker.
+  void Revive(const std::string& worker);
+  /// `count` of them, drawn by the seed.
+  std::vector<std::string> DrawWorkers(std::size_t count);
+  std::vector<std::size_t> DrawInstances(std::size_t count);
+
+  const day_description& day_;
+  std::mt19937_64 random_;
+  emulation emulation_;
+  std::multimap<std::chrono::milliseconds, step> steps_;
+  std::int64_t last_life_ = 1;
+};
+
+}  // namespace chivecrank::emulator::internal
+
+#endif  // CHIVECRANK_EMULATOR_INTERNAL_DAY_PLAYER_H_
--- /dev/null
+++ b/tests/emulator/internal/day_reader.cc
@@ -0,0 +1,136 @@
+#include <array>
+#include <optional>
+
+#include "chivecrank/emulator/day.h"
+#include "chivecrank/settings/document.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+constexpr settings::integer_range kCounts = {1, 10'000};
+constexpr settings::integer_range kNoneOrMore = {0, 10'000};
+constexpr settings::integer_range kTimesMs = {0, 3'600'000};
+constexpr settings::integer_range kAmounts = {0, 1'000'000'000};
+constexpr settings::number_range kRates = {0, 10'000};
+constexpr settings::number_range kShares = {0, 1};
+constexpr settings::number_range kStrengths = {0, 1000};
+
+constexpr std::array<std::string_view, 16> kFaultNames = {
+    "kill_instances",    "stop_instances",
+    "isolate_instances", "crash_workers",
+    "cut_workers",       "drain_workers",
+    "failing_workers",   "hanging_workers",
+    "slow_workers",      "late_orders",
+    "store_down",        "store_silent",
+    "store_slow",        "store_loses_answers",
+    "store_compacts",    "burst"};
+
+std::optional<fault_kind> FaultKindOf(std::string_view name) {
+  for (std::size_t i = 0; i < kFaultNames.size(); ++i)
+    if (kFaultNames[i] == name)
+      return static_cast<fault_kind>(i);
+  return std::nullopt;
+}
+
+std::size_t CountOr(settings::section& from,
+                    std::string_view key,
+                    std::size_t fallback) {
+  return static_cast<std::size_t>(
+      from.IntegerOr(key, kCounts, static_cast<std::int64_t>(fallback)));
+}
+
+submissions::step_request ReadStep(settings::section& from) {
+  submissions::step_request step;
+  step.task_count =
+      static_cast<std::int32_t>(from.IntegerOr("tasks", kCounts, 1));
+  step.demand.processors_milli = from.Integer("processors_milli", kAmounts);
+  step.demand.memory_mib = from.Integer("memory_mib", kAmounts);
+  step.fills = from.BooleanOr("fills", false);
+  step.lasting = from.BooleanOr("lasting", false);
+  step.checkpoints = from.BooleanOr("checkpoints", false);
+  step.gang = from.BooleanOr("gang", false);
+  step.same_rack = from.BooleanOr("same_rack", false);
+  step.most_per_worker = static_cast<std::int32_t>(
+      from.IntegerOr("most_per_worker", kNoneOrMore, 0));
+  step.most_away =
+      static_cast<std::int32_t>(from.IntegerOr("most_away", kNoneOrMore, 0));
+  step.latency_target =
+      from.MillisecondsOr("latency_target_ms", kTimesMs, step.latency_target);
+  step.image = from.StringOr("image", "");
+  return step;
+}
+
+queue_load ReadQueue(settings::section& from) {
+  queue_load load;
+  load.name = from.String("name");
+  load.per_second = from.Number("per_second", kRates);
+  load.steps = static_cast<std::int32_t>(from.IntegerOr("steps", kCounts, 1));
+  load.work = from.MillisecondsOr("work_ms", kTimesMs, load.work);
+  if (from.Has("poisoned_share"))
+    load.poisoned_share = from.Number("poisoned_share", kShares);
+  load.policy.service = "service";
+  load.policy.priority =
+      static_cast<std::int32_t>(from.IntegerOr("priority", kNoneOrMore, 0));
+  load.policy.attempt_limit =
+      static_cast<std::int32_t>(from.IntegerOr("attempts", kCounts, 3));
+  load.policy.stretch = from.Number("stretch", kStrengths);
+  load.policy.target_run_time = from.MillisecondsOr(
+      "target_run_time_ms", kTimesMs, load.policy.target_run_time);
+  load.step = ReadStep(from);
+  load.step.estimate = load.work;
+  return load;
+}
+
+day_fault ReadFault(settings::section& from) {
+  day_fault fault;
+  const std::string name = from.String("kind");
+  const auto kind = FaultKindOf(name);
+  if (kind)
+    fault.kind = *kind;
+  else
+    from.Reject("kind", "no fault is called \"" + name + "\"",
+                "use one of those that docs/operations/emulator.md lists");
+  fault.at = from.MillisecondsOr("at_ms", kTimesMs, fault.at);
+  fault.lasts = from.MillisecondsOr("lasts_ms", kTimesMs, fault.lasts);
+  fault.count = CountOr(from, "count", fault.count);
+  if (from.Has("strength"))
+    fault.strength = from.Number("strength", kStrengths);
+  return fault;
+}
+
+}  // namespace
+
+std::string_view FaultKindName(fault_kind value) {
+  return kFaultNames.at(static_cast<std::size_t>(value));
+}
+
+day_file ReadDay(const std::string& path) {
+  settings::document file = settings::document::FromFile(path);
+  settings::section root = file.Root();
+  day_file read;
+  day_description& day = read.day;
+  emulation_settings& system = day.system;
+  system.instances = CountOr(root, "instances", system.instances);
+  system.workers = CountOr(root, "workers", system.workers);
+  system.workers_per_rack =
+      CountOr(root, "workers_per_rack", system.workers_per_rack);
+  system.workers_per_shard =
+      root.IntegerOr("workers_per_shard", kCounts, system.workers_per_shard);
+  system.capacity.processors_milli = root.IntegerOr(
+      "processors_milli", kAmounts, system.capacity.processors_milli);
+  system.capacity.memory_mib =
+      root.IntegerOr("memory_mib", kAmounts, system.capacity.memory_mib);
+  day.load = root.MillisecondsOr("load_ms", kTimesMs, day.load);
+  day.rest = root.MillisecondsOr("rest_ms", kTimesMs, day.rest);
+  for (settings::section& queue : root.Tables("queue"))
+    system.queues.push_back(ReadQueue(queue));
+  for (settings::section& fault : root.Tables("fault"))
+    day.faults.push_back(ReadFault(fault));
+  if (system.queues.empty())
+    root.Reject("queue", "nobody hands anything in",
+                "describe at least one [[queue]]");
+  read.problems = file.Finish();
+  return read;
+}
+
+}  // namespace chivecrank::emulator
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -73,6 +73,12 @@
   store_.Delete(std::string(kWorkers) + worker);
 }
 
+void emulation::SetDraining(const std::string& worker, bool draining) {
+  submissions::worker_description entry = workers_.DescriptionOf(worker);
+  entry.draining = draining;
+  store_.Put(std::string(kWorkers) + worker, EntryOf(entry));
+}
+
 void emulation::StartInstance(std::size_t index) {
   instance_state& made = instances_.at(index);
   // Calls of the life before may still be on their way.
@@ -80,7 +86,10 @@
   made.node = absl::StrFormat("node-%d", index);
   made.log = std::make_unique<event_log::event_log>(
       clock_, made.node, event_log::log_settings{},
-      [](std::string_view bytes) { return bytes.size(); });
+      [this](std::string_view bytes) {
+        settings_.on_log_line(bytes);
+        return bytes.size();
+      });
   made.store = store_.ViewFor(made.node);
   made.orders = workers_.OrdersFor(made.node);
   runtime::runtime_settings wanted;
@@ -156,12 +165,15 @@
     if (wake > clock_.Now())
       clock_.Advance(wake - clock_.Now());
     loop_.RunOnce(base::duration::zero());
+    for (const instance_state& instance : instances_)
+      if (instance.log)
+        instance.log->Flush();
   }
 }
 
 void emulation::OfferLoad(std::size_t queue) {
   const queue_load& load = settings_.queues[queue];
-  std::exponential_distribution<double> pause(load.per_second);
+  std::exponential_distribution<double> pause(load.per_second * load_factor_);
   const auto wait = std::chrono::duration_cast<base::duration>(
       std::chrono::duration<double>(pause(random_)));
   loop_.After(wait, [this, queue] {
@@ -290,8 +302,10 @@
       std::chrono::duration<double>(caller.load->policy.target_run_time)
           .count();
   if (std::chrono::duration<double>(clock_.Now() - caller.since).count() <=
-      objective)
+      objective) {
+    caller.in_objective = true;
     ++counts.in_objective;
+  }
 }
 
 void emulation::Cancel(const std::string& id) {
@@ -336,6 +350,30 @@
   return open;
 }
 
+std::map<std::string, double> emulation::WorstWindows(
+    std::chrono::milliseconds window) const {
+  struct tally {
+    double offered = 0;
+    double in_objective = 0;
+  };
+  std::map<std::string, std::map<std::int64_t, tally>> windows;
+  for (const auto& [id, caller] : submitted_) {
+    if (caller.load->step.lasting)
+      continue;
+    tally& counted =
+        windows[caller.load->name][caller.since.time_since_epoch() / window];
+    ++counted.offered;
+    counted.in_objective += caller.in_objective ? 1 : 0;
+  }
+  std::map<std::string, double> worst;
+  for (const auto& [queue, counted] : windows) {
+    double& least = worst.try_emplace(queue, 1).first->second;
+    for (const auto& [number, one] : counted)
+      least = std::min(least, one.in_objective / one.offered);
+  }
+  return worst;
+}
+
 runtime::submission_state emulation::StateOf(const std::string& id) const {
   return submitted_.at(id).shown;
 }
