A new owner takes over what was learned of pairs of images

Cause: what filling tasks do to services was lost at each takeover, with one shard for all of it at once; the new owner tried every pair out again, on services that were within their bounds.

Test: ANewOwnerKnowsWhatItsPredecessorLearned (it found, too, that a fresh estimator faded what it took over by the whole time since the machine started).

--- a/src/submissions/include/chivecrank/submissions/record_codec.h
+++ b/src/submissions/include/chivecrank/submissions/record_codec.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "chivecrank/base/result.h"
+#include "chivecrank/submissions/learned_pair.h"
 #include "chivecrank/submissions/progress.h"
 #include "chivecrank/submissions/types.h"
 
@@ -18,10 +19,12 @@
 base::result<submission> DecodeSubmission(std::string_view text);
 
 /// One entry of a shard's journal. `whole` marks a snapshot: entries before it
-/// no longer count.
+/// no longer count. A snapshot also holds what was learned of pairs of images,
+/// so that a new owner needn't disturb services to learn it again.
 struct journal_entry {
   bool whole = false;
   std::vector<task_change> tasks;
+  std::vector<learned_pair> learned;
 };
 
 std::string EncodeJournalEntry(const journal_entry& entry);
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -45,9 +45,10 @@
 }  // namespace
 
 void interference::Advance(base::time_point now) {
+  const base::time_point before = advanced_to_.value_or(now);
   const double kept =
-      std::exp2(-SecondsBetween(advanced_to_, now) / kSlopeHalfLifeSeconds);
-  advanced_to_ = std::max(advanced_to_, now);
+      std::exp2(-SecondsBetween(before, now) / kSlopeHalfLifeSeconds);
+  advanced_to_ = std::max(before, now);
   for (auto& [images, slope] : beliefs_) {
     slope.mean = kPriorSlope + kept * (slope.mean - kPriorSlope);
     slope.variance =
@@ -103,6 +104,24 @@
   }
 }
 
+std::vector<learned_pair> interference::Learned(
+    const image_index& images) const {
+  std::vector<learned_pair> learned;
+  learned.reserve(beliefs_.size());
+  for (const auto& [of, slope] : beliefs_)
+    learned.push_back({images.NameOf(of.first), images.NameOf(of.second),
+                       slope.mean, slope.variance});
+  return learned;
+}
+
+void interference::TakeOver(const std::vector<learned_pair>& learned,
+                            image_index& images) {
+  for (const learned_pair& known : learned)
+    beliefs_.try_emplace({images.NumberOf(known.service_image),
+                          images.NumberOf(known.filling_image)},
+                         belief{known.slope, known.variance});
+}
+
 interference::belief interference::Of(image_number service_image,
                                       image_number filling_image) const {
   const auto found = beliefs_.find(pair(service_image, filling_image));
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -3,9 +3,11 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "chivecrank/submissions/learned_pair.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
@@ -30,6 +32,11 @@
   /// Learns from the readings of a worker's runs.
   void Observe(worker_entry& worker, base::time_point now);
 
+  /// All pairs that anything was seen of; and takes over what another has
+  /// learned, for pairs that nothing was seen of here.
+  std::vector<learned_pair> Learned(const image_index& images) const;
+  void TakeOver(const std::vector<learned_pair>& learned, image_index& images);
+
   /// Pressure that a filling image adds to a service when it uses all
   /// processors of the worker.
   double Slope(image_number service_image, image_number filling_image) const;
@@ -73,7 +80,8 @@
   belief Of(image_number service_image, image_number filling_image) const;
 
   absl::flat_hash_map<pair, belief> beliefs_;
-  base::time_point advanced_to_;
+  /// Unset before the first call of Advance: what was taken over is as new.
+  std::optional<base::time_point> advanced_to_;
 };
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -1,5 +1,7 @@
 #include "chivecrank/submissions/record_codec.h"
 
+#include <cmath>
+
 #include <array>
 #include <utility>
 
@@ -9,6 +11,10 @@
 namespace chivecrank::submissions {
 namespace {
 
+/// Learned figures are written in thousandths.
+constexpr double kLearnedScale = 1000;
+constexpr rapidjson::SizeType kLearnedColumns = 4;
+
 /// Elements of a task's row in a journal entry, in this order.
 enum task_column : std::size_t {
   kSubmission,
@@ -143,6 +149,28 @@
   return change;
 }
 
+void WriteLearned(json::writer& text,
+                  const std::vector<learned_pair>& learned) {
+  text.Key("learned").BeginArray();
+  for (const learned_pair& pair : learned)
+    text.BeginArray()
+        .String(pair.service_image)
+        .String(pair.filling_image)
+        .Integer(std::lround(pair.slope * kLearnedScale))
+        .Integer(std::lround(pair.variance * kLearnedScale))
+        .EndArray();
+  text.EndArray();
+}
+
+base::result<learned_pair> ReadLearned(const json::value& row) {
+  if (!row.IsArray() || row.Size() < kLearnedColumns)
+    return Corrupt("a learned pair");
+  return learned_pair{
+      json::StringAt(row, 0), json::StringAt(row, 1),
+      static_cast<double>(json::IntegerAt(row, 2)) / kLearnedScale,
+      static_cast<double>(json::IntegerAt(row, 3)) / kLearnedScale};
+}
+
 }  // namespace
 
 std::string EncodeSubmission(const submission& accepted) {
@@ -209,7 +237,10 @@
   text.BeginObject().Flag("whole", entry.whole).Key("tasks").BeginArray();
   for (const task_change& change : entry.tasks)
     WriteTask(text, change);
-  text.EndArray().EndObject();
+  text.EndArray();
+  if (!entry.learned.empty())
+    WriteLearned(text, entry.learned);
+  text.EndObject();
   return text.Text();
 }
 
@@ -226,6 +257,11 @@
     BOOST_OUTCOME_TRY(change, ReadTask(row));
     entry.tasks.push_back(std::move(change));
   }
+  if (const json::value* learned = json::ArrayOf(parsed.value(), "learned"))
+    for (const json::value& row : learned->GetArray()) {
+      BOOST_OUTCOME_TRY(pair, ReadLearned(row));
+      entry.learned.push_back(std::move(pair));
+    }
   return entry;
 }
 
--- a/src/submissions/internal/run_book.h
+++ b/src/submissions/internal/run_book.h
@@ -26,6 +26,7 @@
   worker_table& Workers() { return workers_; }
   const worker_table& Workers() const { return workers_; }
   image_index& Images() { return images_; }
+  const image_index& Images() const { return images_; }
 
   /// The time of day, for the age of submissions.
   void SetTimeOfDay(std::chrono::milliseconds since_epoch) {
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -153,6 +153,8 @@
       submissions.Find(change.task.submission)->started = true;
     *progress = change.progress;
   }
+  implementation_->learned.TakeOver(entry.learned,
+                                    implementation_->book.Images());
 }
 
 void shard_scheduler::FinishRestore(base::time_point now,
@@ -338,7 +340,8 @@
 }
 
 journal_entry shard_scheduler::Snapshot() const {
-  return {true, implementation_->book.Submissions().Everything()};
+  return {true, implementation_->book.Submissions().Everything(),
+          implementation_->learned.Learned(implementation_->book.Images())};
 }
 
 std::vector<std::string> shard_scheduler::NotStarted() const {
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -1,5 +1,6 @@
 #include <set>
 
+#include "chivecrank/submissions/record_codec.h"
 #include "scheduler_fixture.h"
 
 namespace chivecrank::submissions {
@@ -417,6 +418,62 @@
   BOOST_TEST(again[0].run == 2);
 }
 
+BOOST_AUTO_TEST_CASE(ANewOwnerKnowsWhatItsPredecessorLearned) {
+  step_request service = Step(1, 3000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  step_request filling = Step(1, 6000);
+  filling.fills = true;
+  filling.image = "heavy";
+  // One worker only, where both meet.
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(Request("a", service));
+  const auto serving = Round();
+  scheduler.Accept(Request("b", filling));
+  const auto beside = Round();
+  BOOST_REQUIRE(beside.size() == 1u);
+  worker_report report;
+  report.running = {Running(serving[0], 120, 100),
+                    Running(beside[0], 6000, 20)};
+  for (int i = 0; i < 10; ++i) {
+    Pass(std::chrono::milliseconds(300));
+    Report("w-1", report);
+  }
+  const auto entry =
+      DecodeJournalEntry(EncodeJournalEntry(scheduler.Snapshot()));
+  BOOST_REQUIRE(entry.has_value());
+  BOOST_REQUIRE(entry.value().learned.size() == 1u);
+  BOOST_TEST(entry.value().learned[0].service_image == "service");
+  BOOST_TEST(entry.value().learned[0].filling_image == "heavy");
+  BOOST_TEST(entry.value().learned[0].slope > 0.6);
+
+  report.born_ms = 1;
+  report.running = {Running(serving[0], 20, 100)};
+  for (const bool knows : {false, true}) {
+    journal_entry restored = entry.value();
+    if (!knows)
+      restored.learned.clear();
+    shard_scheduler next(settings, {});
+    next.Accept(Request("a", service));
+    next.Accept(Request("c", filling));
+    next.Restore(restored);
+    next.FinishRestore(now, now + settings.worker_lease);
+    next.SetWorkers(workers);
+    next.OnLeaseSent("w-1", now);
+    next.OnReport("w-1", report, now, now);
+    next.Plan(now, since_epoch);
+    // One who knows nothing of the pair tries it out.
+    const auto batch = next.TakeBatch();
+    const bool tried =
+        batch && std::ranges::any_of(batch->tasks, [](const auto& change) {
+          return change.task.submission == "c";
+        });
+    BOOST_TEST(tried == !knows);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(WhatNobodyHandedInIsStopped) {
   worker_report report;
   report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
