Queues whose steps start only with a permit

Cause: a queue may let a step run only on workers that a service of its own names; such starts were sent without what that service issues, rejected, and tried again for ever, so an accepted submission never ended.

Change: queue_policy has permit terms; permit_book keeps who was granted, turned down or asked for a step; placing offers only workers with a valid permit; a step without any asks about the thirty best that nothing is known of, one question under way a step; orders to start carry the permit; a worker's refusal forgets it. platform/ has a client and a codec for the service, and the template passes its address on where there is one.

Ways weighed: asking at acceptance (permits grow old before there is room), asking for all workers (the service takes a time per worker and one question at a time), asking for the best few when there is no worker with a permit: chosen.

--- a/apps/chivecrank_instance/instance_program.h
+++ b/apps/chivecrank_instance/instance_program.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "chivecrank/adapter/caller_api.h"
+#include "chivecrank/adapter/permit_client.h"
 #include "chivecrank/adapter/store_client.h"
 #include "chivecrank/adapter/worker_client.h"
 #include "chivecrank/base/boot_clock.h"
@@ -37,6 +38,7 @@
   event_log::event_log log_;
   adapter::store_client store_;
   adapter::worker_client workers_;
+  adapter::permit_client permits_;
   runtime::instance_runtime runtime_;
   adapter::caller_api api_;
   reactor::http_server callers_;
--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -18,6 +18,8 @@
   read.readiness = root.Endpoint("readiness");
   read.metrics = root.Endpoint("metrics");
   read.store = root.Endpoint("store");
+  if (root.Has("permits"))
+    read.permits = root.Endpoint("permits");
   const std::string node = root.String("node");
   root.String("failure_domain");
   read.runtime.workers_per_shard = root.IntegerOr(
--- a/apps/chivecrank_instance/instance_settings.h
+++ b/apps/chivecrank_instance/instance_settings.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_APPS_INSTANCE_SETTINGS_H_
 #define CHIVECRANK_APPS_INSTANCE_SETTINGS_H_
 
+#include <optional>
 #include <string>
 
 #include "chivecrank/runtime/instance_runtime.h"
@@ -14,6 +15,8 @@
   settings::endpoint readiness;
   settings::endpoint metrics;
   settings::endpoint store;
+  /// The service that grants permits to start; unset where there is none.
+  std::optional<settings::endpoint> permits;
   runtime::runtime_settings runtime;
 };
 
--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -44,6 +44,7 @@
                    base::clock& clock,
                    metadata::store& store,
                    submissions::worker_orders& orders,
+                   submissions::permit_service& permits,
                    event_log::event_log& log,
                    runtime_settings settings,
                    worker_source workers,
@@ -83,6 +84,7 @@
   base::clock& clock_;
   metadata::store& store_;
   submissions::worker_orders& orders_;
+  submissions::permit_service& permits_;
   event_log::event_log& log_;
   const runtime_settings settings_;
   const configuration_source configuration_;
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -16,6 +16,7 @@
 #include "chivecrank/runtime/prefix_listing.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/shard_housekeeping.h"
+#include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
 #include "chivecrank/submissions/worker_orders.h"
@@ -62,6 +63,7 @@
                base::clock& clock,
                metadata::store& store,
                submissions::worker_orders& orders,
+               submissions::permit_service& permits,
                const replica& shared,
                event_log::event_log& log,
                instance_metrics& metrics,
@@ -99,6 +101,7 @@
   void SendCommands();
   void SendStart(const submissions::start_command& command);
   void SendStop(const submissions::stop_command& command);
+  void SendQuestion(const submissions::permit_request& question);
   void SendThrottle(const submissions::throttle_command& command);
 
   void CommitNext();
@@ -128,6 +131,7 @@
   base::clock& clock_;
   metadata::store& store_;
   submissions::worker_orders& orders_;
+  submissions::permit_service& permits_;
   const replica& shared_;
   event_log::event_log& log_;
   instance_metrics& metrics_;
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -15,6 +15,7 @@
                                    base::clock& clock,
                                    metadata::store& store,
                                    submissions::worker_orders& orders,
+                                   submissions::permit_service& permits,
                                    event_log::event_log& log,
                                    runtime_settings settings,
                                    worker_source workers,
@@ -23,6 +24,7 @@
       clock_(clock),
       store_(store),
       orders_(orders),
+      permits_(permits),
       log_(log),
       settings_(std::move(settings)),
       configuration_(std::move(configuration)),
@@ -195,8 +197,8 @@
 
 void instance_runtime::OnWon(std::uint32_t shard, metadata::revision fence) {
   auto driver = std::make_shared<shard_driver>(
-      loop_, clock_, store_, orders_, shared_, log_, metrics_, shard, fence,
-      settings_.driving,
+      loop_, clock_, store_, orders_, permits_, shared_, log_, metrics_, shard,
+      fence, settings_.driving,
       shard_driver::hooks{.is_valid = [this] { return ownership_.IsValid(); },
                           .on_fenced =
                               [this, shard](std::string_view reason) {
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -27,6 +27,7 @@
                            base::clock& clock,
                            metadata::store& store,
                            submissions::worker_orders& orders,
+                           submissions::permit_service& permits,
                            const replica& shared,
                            event_log::event_log& log,
                            instance_metrics& metrics,
@@ -38,6 +39,7 @@
       clock_(clock),
       store_(store),
       orders_(orders),
+      permits_(permits),
       shared_(shared),
       log_(log),
       metrics_(metrics),
@@ -235,6 +237,27 @@
     SendStop(command);
   for (const submissions::throttle_command& command : commands.throttles)
     SendThrottle(command);
+  for (const submissions::permit_request& question : commands.permits)
+    SendQuestion(question);
+}
+
+void shard_driver::SendQuestion(const submissions::permit_request& question) {
+  permits_.Ask(
+      question,
+      [this, question, alive = alive_](
+          base::result<std::vector<submissions::start_permit>> granted) {
+        if (!*alive)
+          return;
+        log_.Write("permits_answered",
+                   {{"submission", question.step.submission},
+                    {"step", question.step.step},
+                    {"asked", question.workers.size()},
+                    {"granted", granted ? granted.value().size() : 0},
+                    {"error", granted ? "" : granted.error().message}});
+        scheduler_.OnPermits(question, granted ? &granted.value() : nullptr,
+                             loop_.Now());
+        Wake();
+      });
 }
 
 void shard_driver::SendStart(const submissions::start_command& command) {
--- a/src/submissions/include/chivecrank/submissions/commands.h
+++ b/src/submissions/include/chivecrank/submissions/commands.h
@@ -16,6 +16,8 @@
   std::string worker;
   std::string spec;
   std::string checkpoint;
+  /// Empty where the queue asks for none.
+  std::string permit;
 };
 
 /// Stop a run on a worker, or make sure that it never starts there.
@@ -33,11 +35,26 @@
   std::int32_t percent = 100;
 };
 
-/// Orders to workers that are due now.
+/// Ask on which of these workers the tasks of a step may start.
+struct permit_request {
+  /// The step; its index doesn't count.
+  task_ref step;
+  std::vector<std::string> workers;
+  permit_terms terms;
+};
+
+/// A task of the step may start on the worker with this.
+struct start_permit {
+  std::string worker;
+  std::string permit;
+};
+
+/// Orders to workers, and questions, that are due now.
 struct command_set {
   std::vector<start_command> starts;
   std::vector<stop_command> stops;
   std::vector<throttle_command> throttles;
+  std::vector<permit_request> permits;
 };
 
 }  // namespace chivecrank::submissions
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -61,6 +61,10 @@
   void OnStopAnswer(const stop_command& command,
                     bool done,
                     base::time_point now);
+  /// The answer to a question for permits; null when there was none.
+  void OnPermits(const permit_request& request,
+                 const std::vector<start_permit>* granted,
+                 base::time_point now);
   void OnThrottleAnswer(const throttle_command& command, bool done);
 
   /// Places what can be placed. `since_epoch` is the time of day.
--- a/src/submissions/include/chivecrank/submissions/types.h
+++ b/src/submissions/include/chivecrank/submissions/types.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -16,6 +17,15 @@
 /// decisions about it. State, event and time in, typed actions out.
 namespace chivecrank::submissions {
 
+/// How long the service that grants permits takes, and how long one is valid.
+struct permit_terms {
+  std::chrono::milliseconds per_request{0};
+  std::chrono::milliseconds per_worker{0};
+  std::chrono::milliseconds valid{0};
+
+  bool operator==(const permit_terms&) const = default;
+};
+
 /// How a queue treats its submissions.
 struct queue_policy {
   /// The service whose workers run the tasks.
@@ -28,6 +38,8 @@
   /// estimates, and `target_run_time` more.
   double stretch = 1;
   std::chrono::milliseconds target_run_time{0};
+  /// Set when a task starts only with a permit for its step and worker.
+  std::optional<permit_terms> permits;
 
   bool operator==(const queue_policy&) const = default;
 };
@@ -199,6 +211,8 @@
   /// The worker's lease was over.
   kLeaseEnded,
   kNoRoom,
+  /// The permit is missing, too old, or of another life of the worker.
+  kNoPermit,
   /// The worker can't carry out such an order.
   kRejected,
   /// The worker did nothing because it is unhealthy.
--- a/src/submissions/internal/full_shapes.cc
+++ b/src/submissions/internal/full_shapes.cc
@@ -35,7 +35,8 @@
                             std::int32_t count) {
   const bool whole_step = count == request.step->task_count;
   const bool bound_by_itself = request.step->most_per_worker > 0 && !whole_step;
-  return request.progress->run == 0 && !bound_by_itself;
+  return request.progress->run == 0 && !bound_by_itself &&
+         request.permits == nullptr;
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -144,6 +144,9 @@
     return false;
   if (worker.runs.contains(request.task))
     return false;
+  if (request.permits != nullptr &&
+      request.permits->Find(request.task, worker, request.now) == nullptr)
+    return false;
   return step.most_per_worker <= 0 ||
          RunsOfStep(worker, request.task) < step.most_per_worker;
 }
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -8,6 +8,7 @@
 #include "chivecrank/submissions/progress.h"
 #include "chivecrank/submissions/scheduler_settings.h"
 #include "internal/interference.h"
+#include "internal/permit_book.h"
 #include "internal/trial_counter.h"
 #include "internal/worker_table.h"
 
@@ -22,6 +23,8 @@
   task_ref task;
   /// Only workers of this rack; empty for any.
   std::string rack;
+  /// Set when the task needs a permit for its worker.
+  const permit_book* permits = nullptr;
   base::time_point now;
 };
 
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -9,6 +9,9 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
+/// Workers that one question for permits names.
+constexpr std::size_t kWorkersPerQuestion = 30;
+
 /// An end is of use until this many times the time allowed.
 constexpr int kOfUseFor = 3;
 
@@ -119,9 +122,35 @@
   request.image = book_.Images().NumberOf(request.step->image);
   request.task = task;
   request.now = now;
+  if (PolicyOf(live).permits)
+    request.permits = &permits_;
   return request;
 }
 
+void planner::AskForPermits(const ready_step& ready,
+                            const placement_request& request) {
+  if (request.permits == nullptr ||
+      permits_.IsAsking(request.task, request.now))
+    return;
+  placement_request any = request;
+  any.permits = nullptr;
+  candidate_queue workers(placer_, any);
+  permit_request question;
+  question.step = request.task;
+  question.terms = *PolicyOf(*ready.live).permits;
+  while (question.workers.size() < kWorkersPerQuestion) {
+    const worker_entry* worker = workers.Take(any);
+    if (worker == nullptr)
+      break;
+    if (permits_.MayAsk(request.task, *worker, request.now))
+      question.workers.push_back(worker->description.id);
+  }
+  if (question.workers.empty())
+    return;
+  permits_.OnAsked(question, book_.Workers(), request.now);
+  questions_.push_back(std::move(question));
+}
+
 void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
   if (WaitsForWholeRoom(ready, now))
@@ -149,6 +178,7 @@
       continue;
     // The other tasks of the step ask for the same.
     full_.Add(request, 1);
+    AskForPermits(ready, request);
     if (request.step->lasting)
       placer_.HoldRoomFor(request);
     if (!ready.live->no_room_since)
@@ -238,6 +268,7 @@
   }
   if (whole)
     return chosen;
+  AskForPermits(ready, request);
   full_.Add(request, wanted.task_count);
   return {};
 }
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "internal/candidate_queue.h"
@@ -21,9 +22,11 @@
  public:
   planner(const scheduler_settings& settings,
           run_book& book,
-          interference& learned)
+          interference& learned,
+          permit_book& permits)
       : settings_(settings),
         book_(book),
+        permits_(permits),
         placer_(settings, book.Workers(), learned),
         relocator_(book,
                    placer_,
@@ -42,6 +45,13 @@
   void Plan(base::time_point now, std::chrono::milliseconds since_epoch);
 
   const placer& Placer() const { return placer_; }
+  bool NeedsPermit(const live_submission& live) const {
+    return PolicyOf(live).permits.has_value();
+  }
+  /// Questions for permits that the last rounds left open.
+  std::vector<permit_request> TakeQuestions() {
+    return std::exchange(questions_, {});
+  }
 
  private:
   /// What a step can still reach, in the order in which steps are served.
@@ -71,6 +81,9 @@
   void PlaceTasks(const ready_step& ready, base::time_point now);
   /// Assigns the task to the best worker; false when there is none.
   bool PlaceTask(const placement_request& request, candidate_queue& workers);
+  /// Asks for permits on the best workers that nothing is known of, if the
+  /// step needs any.
+  void AskForPermits(const ready_step& ready, const placement_request& request);
   void PlaceGang(const ready_step& ready, base::time_point now);
   bool PlaceGangOn(const ready_step& ready,
                    const std::string& rack,
@@ -90,6 +103,8 @@
 
   const scheduler_settings& settings_;
   run_book& book_;
+  permit_book& permits_;
+  std::vector<permit_request> questions_;
   placer placer_;
   full_shapes full_;
   relocator relocator_;
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -186,6 +186,10 @@
       .Field("accepted", accepted.accepted_since_epoch.count())
       .Field("spec", accepted.spec);
   text.Key("stretch").Number(accepted.policy.stretch);
+  if (const auto& permits = accepted.policy.permits)
+    text.Field("permit_request", permits->per_request.count())
+        .Field("permit_worker", permits->per_worker.count())
+        .Field("permit_valid", permits->valid.count());
   if (accepted.repeats.times > 0) {
     text.Field("times", accepted.repeats.times)
         .Field("first_due", accepted.repeats.first_due_since_epoch.count())
@@ -217,6 +221,11 @@
   read.policy.target_run_time =
       std::chrono::milliseconds(json::IntegerOf(object, "target"));
   read.policy.stretch = json::NumberOf(object, "stretch", 1);
+  if (json::MemberOf(object, "permit_valid") != nullptr)
+    read.policy.permits = permit_terms{
+        std::chrono::milliseconds(json::IntegerOf(object, "permit_request")),
+        std::chrono::milliseconds(json::IntegerOf(object, "permit_worker")),
+        std::chrono::milliseconds(json::IntegerOf(object, "permit_valid"))};
   read.shard = static_cast<std::uint32_t>(json::IntegerOf(object, "shard"));
   read.accepted_since_epoch =
       std::chrono::milliseconds(json::IntegerOf(object, "accepted"));
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -23,7 +23,7 @@
         on_event(std::move(hook)),
         book(settings, on_event),
         reports(settings, book, learned),
-        plans(settings, book, learned) {}
+        plans(settings, book, learned, permits) {}
 
   /// Lets other workers go first for a moment.
   void Avoid(worker_entry& worker,
@@ -65,7 +65,7 @@
 
   /// Whether a committed decision to start still holds; otherwise it is
   /// taken back.
-  bool Confirm(const start_command& command, base::time_point now) {
+  bool Confirm(start_command& command, base::time_point now) {
     worker_entry* worker = book.Workers().Find(command.worker);
     if (worker == nullptr)
       return false;
@@ -75,8 +75,14 @@
       return false;
     const live_submission* live =
         book.Submissions().Find(command.task.submission);
-    const bool holds = live != nullptr && !live->outcome && worker->listed &&
-                       !worker->description.draining;
+    bool holds = live != nullptr && !live->outcome && worker->listed &&
+                 !worker->description.draining;
+    if (holds && plans.NeedsPermit(*live)) {
+      const std::string* permit = permits.Find(command.task, *worker, now);
+      holds = permit != nullptr;
+      if (holds)
+        command.permit = *permit;
+    }
     if (!holds) {
       book.Revert(*worker, command.task);
       return false;
@@ -121,6 +127,7 @@
   const scheduler_event_hook on_event;
   internal::run_book book;
   internal::interference learned;
+  internal::permit_book permits;
   internal::report_processor reports;
   internal::planner plans;
   std::uint64_t last_batch = 0;
@@ -181,6 +188,7 @@
   if (live == nullptr)
     return;
   implementation_->book.Finish(*live, submission_outcome::kCancelled, now);
+  implementation_->permits.Erase(submission);
   implementation_->book.EraseIfOver(submission);
 }
 
@@ -248,7 +256,10 @@
     run->since = now;
     return;
   }
-  state.Avoid(worker, state.settings.refused_pause, now);
+  if (answer == start_answer::kNoPermit)
+    state.permits.Forget(command.task, command.worker);
+  else
+    state.Avoid(worker, state.settings.refused_pause, now);
   state.book.Revert(worker, command.task);
 }
 
@@ -263,6 +274,14 @@
   run->since = now;
 }
 
+void shard_scheduler::OnPermits(const permit_request& request,
+                                const std::vector<start_permit>* granted,
+                                base::time_point now) {
+  if (granted == nullptr)
+    return implementation_->permits.OnUnanswered(request, now);
+  implementation_->permits.OnGranted(request, *granted);
+}
+
 void shard_scheduler::OnThrottleAnswer(const throttle_command& command,
                                        bool done) {
   active_run* run =
@@ -302,8 +321,10 @@
   for (start_command& command : state.in_commit)
     state.committed.push_back(std::move(command));
   state.in_commit.clear();
-  for (const outcome_change& change : state.outcomes_in_commit)
+  for (const outcome_change& change : state.outcomes_in_commit) {
+    state.permits.Erase(change.submission);
     state.book.EraseIfOver(change.submission);
+  }
   state.outcomes_in_commit.clear();
 }
 
@@ -314,6 +335,7 @@
     if (state.Confirm(command, now))
       commands.starts.push_back(std::move(command));
   commands.stops = state.book.TakeStops();
+  commands.permits = state.plans.TakeQuestions();
   state.CollectThrottles(commands);
   return commands;
 }
--- a/src/submissions/internal/types.cc
+++ b/src/submissions/internal/types.cc
@@ -11,9 +11,10 @@
 constexpr std::array<std::string_view, 6> kRunEndNames = {
     "done", "failed", "stopped", "lapsed", "gang_broken", "gang_incomplete"};
 
-constexpr std::array<std::string_view, 10> kStartAnswerNames = {
-    "started",  "fenced",    "superseded", "lease_ended", "no_room",
-    "rejected", "unhealthy", "other_life", "not_sent",    "unknown"};
+constexpr std::array<std::string_view, 11> kStartAnswerNames = {
+    "started",    "fenced",    "superseded", "lease_ended",
+    "no_room",    "no_permit", "rejected",   "unhealthy",
+    "other_life", "not_sent",  "unknown"};
 
 template <class Enum, std::size_t kCount>
 std::string_view NameIn(const std::array<std::string_view, kCount>& names,
--- a/src/submissions/tests/record_codec_test.cc
+++ b/src/submissions/tests/record_codec_test.cc
@@ -11,6 +11,9 @@
   written.id = "5c0e7a21d94b36f8";
   written.queue = "queue";
   written.policy = {"service", 2, 4, 1.5, std::chrono::milliseconds(250)};
+  written.policy.permits =
+      permit_terms{std::chrono::milliseconds(20), std::chrono::milliseconds(3),
+                   std::chrono::milliseconds(3000)};
   written.shard = 3;
   written.accepted_since_epoch = std::chrono::milliseconds(1'700'000'000'123);
   written.spec = "line\n\"quoted\" \xc3\xa9";
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -56,6 +56,7 @@
   std::uint64_t lost = 0;
   std::uint64_t looks = 0;
   std::uint64_t no_room = 0;
+  std::uint64_t no_permit = 0;
 };
 
 /// The workers: they run tasks under leases and fences, keep numbered lists of
@@ -65,6 +66,9 @@
  public:
   using truth_hook =
       std::function<task_truth(const submissions::task_ref& task)>;
+  /// Whether the order's permit is good.
+  using permit_hook =
+      std::function<bool(const submissions::start_command& command)>;
   /// Pressure that a filling image adds to a service when it has the whole
   /// worker.
   using pressure_hook = std::function<double(const std::string& service_image,
@@ -73,6 +77,7 @@
   emulated_workers(reactor::event_loop& loop,
                    std::uint64_t seed,
                    truth_hook truth,
+                   permit_hook has_permit,
                    pressure_hook pressure);
   ~emulated_workers();
 
@@ -126,6 +131,7 @@
   reactor::event_loop& loop_;
   std::mt19937_64 random_;
   truth_hook truth_;
+  permit_hook has_permit_;
   pressure_hook pressure_;
   std::map<std::string, std::unique_ptr<worker_state>> workers_;
   std::map<std::string, submissions::submission> known_;
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chivecrank/base/manual_clock.h"
+#include "chivecrank/emulator/emulated_permits.h"
 #include "chivecrank/emulator/emulated_store.h"
 #include "chivecrank/emulator/emulated_workers.h"
 #include "chivecrank/event_log/event_log.h"
@@ -86,6 +87,7 @@
 
   emulated_store& Store() { return store_; }
   emulated_workers& Workers() { return workers_; }
+  emulated_permits& Permits() { return permits_; }
   const std::string& NodeOf(std::size_t index) const {
     return instances_.at(index).node;
   }
@@ -120,6 +122,7 @@
     std::unique_ptr<event_log::event_log> log;
     std::unique_ptr<metadata::store> store;
     std::unique_ptr<submissions::worker_orders> orders;
+    std::unique_ptr<submissions::permit_service> permits;
     std::unique_ptr<runtime::instance_runtime> runtime;
   };
   struct caller_state {
@@ -148,6 +151,7 @@
   reactor::event_loop loop_;
   std::mt19937_64 random_;
   emulated_store store_;
+  emulated_permits permits_;
   emulated_workers workers_;
   std::vector<instance_state> instances_;
   /// Connections of instances that were started anew.
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -199,10 +199,12 @@
 emulated_workers::emulated_workers(reactor::event_loop& loop,
                                    std::uint64_t seed,
                                    truth_hook truth,
+                                   permit_hook has_permit,
                                    pressure_hook pressure)
     : loop_(loop),
       random_(seed),
       truth_(std::move(truth)),
+      has_permit_(std::move(has_permit)),
       pressure_(std::move(pressure)) {
   loop_.After(kTick, [this] { Tick(); });
 }
@@ -381,6 +383,10 @@
     Break("started what nobody handed in", command.task);
     return start_answer::kRejected;
   }
+  if (known->second.policy.permits && !has_permit_(command)) {
+    ++counts_.no_permit;
+    return start_answer::kNoPermit;
+  }
   const submissions::step_request& step =
       known->second.steps.at(static_cast<std::size_t>(command.task.step));
   run_state run;
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -35,10 +35,14 @@
       loop_(clock_),
       random_(settings_.seed),
       store_(loop_, settings_.seed + 1),
+      permits_(loop_),
       workers_(
           loop_,
           settings_.seed + 2,
           [this](const submissions::task_ref& task) { return TruthOf(task); },
+          [this](const submissions::start_command& command) {
+            return permits_.Holds(command);
+          },
           settings_.pressure) {
   for (std::size_t i = 0; i < settings_.workers; ++i) {
     submissions::worker_description worker;
@@ -92,6 +96,7 @@
       });
   made.store = store_.ViewFor(made.node);
   made.orders = workers_.OrdersFor(made.node);
+  made.permits = permits_.View();
   runtime::runtime_settings wanted;
   wanted.owning.node = made.node;
   wanted.owning.processors_milli = kProcessorsMilli;
@@ -117,8 +122,8 @@
         return table;
       }};
   made.runtime = std::make_unique<runtime::instance_runtime>(
-      loop_, clock_, *made.store, *made.orders, *made.log, std::move(wanted),
-      std::move(workers), std::move(configuration));
+      loop_, clock_, *made.store, *made.orders, *made.permits, *made.log,
+      std::move(wanted), std::move(workers), std::move(configuration));
   made.runtime->Start();
 }
 
--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -122,6 +122,27 @@
   BOOST_TEST(Day().Total().completed == Day().Total().accepted);
 }
 
+BOOST_AUTO_TEST_CASE(TasksThatNeedPermitsAskForThemAndRun) {
+  queue_load guarded = UrgentLoad();
+  guarded.policy.permits = submissions::permit_terms{
+      milliseconds(20), milliseconds(3), milliseconds(1500)};
+  guarded.policy.target_run_time = milliseconds(800);
+  settings.queues = {guarded};
+  Day().Run(seconds(12), true);
+  Day().Permits().SetSilent(true);
+  Day().Run(seconds(3), true);
+  Day().Permits().SetSilent(false);
+  Day().Run(seconds(10), true);
+  CheckPromises();
+  const caller_counts total = Day().Total();
+  BOOST_TEST(total.completed == total.accepted);
+  BOOST_TEST(total.in_objective * 10 >= total.offered * 7);
+  // One question a step does where nothing fails.
+  BOOST_TEST(Day().Permits().Questions() < 4 * total.offered);
+  BOOST_TEST(Day().Workers().Counts().no_permit * 20 <=
+             Day().Workers().Counts().starts);
+}
+
 BOOST_AUTO_TEST_CASE(LastingTasksAreBackSoonAfterTheirWorkerCrashed) {
   settings.queues = {LastingLoad()};
   settings.queues[0].per_second = 0.0001;
