--- a/src/event_log/internal/story.cc
+++ b/src/event_log/internal/story.cc
@@ -18,6 +18,8 @@
 
 /// From this wait before the first run on, waiting is named as a cause.
 constexpr std::int64_t kLongWaitMs = 1000;
+/// A task that starts this long after the first of its step waited for room.
+constexpr std::int64_t kWaitForRoomMs = 200;
 /// A run of this length is named.
 constexpr std::int64_t kLongRunMs = 4000;
 /// Events without a submission count when they happened while it was open, or
@@ -123,6 +125,42 @@
   }
 }
 
+/// The tasks of a step can all start at once when there is room.
+void ExplainWaitsForRoom(const std::vector<story_event>& events,
+                         std::vector<std::string>& causes) {
+  struct first_runs {
+    std::int64_t first_ms = 0;
+    std::int64_t last_ms = 0;
+  };
+  std::map<std::pair<std::int64_t, std::int64_t>, first_runs> steps;
+  for (const story_event& event : events) {
+    if (event.event != "task_assigned" || event.Number("run") != 1)
+      continue;
+    const auto [found, is_new] =
+        steps.try_emplace({event.Number("occurrence"), event.Number("step")},
+                          first_runs{event.time_ms, event.time_ms});
+    found->second.last_ms = event.time_ms;
+  }
+  for (const auto& [step, runs] : steps)
+    if (runs.last_ms - runs.first_ms >= kWaitForRoomMs)
+      causes.push_back(
+          "tasks of step " + std::to_string(step.second) + " waited up to " +
+          std::to_string(runs.last_ms - runs.first_ms) + " ms for room");
+}
+
+/// What is left when nothing went wrong that the logs know of.
+void ExplainRest(const std::vector<story_event>& events,
+                 std::vector<std::string>& causes) {
+  const story_event* accepted = First(events, "submission_accepted");
+  const story_event* ended = First(events, "submission_ended");
+  if (!causes.empty() || accepted == nullptr || ended == nullptr)
+    return;
+  causes.push_back("took " +
+                   std::to_string(ended->time_ms - accepted->time_ms) +
+                   " ms from acceptance to end, the tasks' own time; any more "
+                   "was before its acceptance");
+}
+
 void ExplainDelay(const std::vector<story_event>& events,
                   std::vector<std::string>& causes) {
   const story_event* accepted = First(events, "submission_accepted");
@@ -132,6 +170,7 @@
     causes.push_back("waited " +
                      std::to_string(assigned->time_ms - accepted->time_ms) +
                      " ms for its first run");
+  ExplainWaitsForRoom(events, causes);
   const std::pair<std::string_view, std::string_view> counted[] = {
       {"run_lost", "runs were lost with their worker or its lease"},
       {"start_refused", "orders to start were refused or unanswered"},
@@ -234,6 +273,7 @@
   ExplainRuns(own_, told.causes);
   ExplainDelay(own_, told.causes);
   ExplainSurroundings(own_, ambient_, told);
+  ExplainRest(own_, told.causes);
   if (own_.empty())
     told.gaps.push_back(
         "no log holds the submission: it reached no instance "
--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -71,6 +71,8 @@
   /// Submissions that were accepted and did not end, which breaks a promise.
   std::vector<std::string> open;
   std::vector<broken_promise> broken;
+  /// Submissions that were rejected or in doubt, failed, or ended late.
+  std::vector<std::string> missed;
   std::uint64_t store_calls = 0;
   std::uint64_t store_writes = 0;
   double services_over_bound_seconds = 0;
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -112,6 +112,8 @@
   /// windows that ended in time. Queues of services are left out.
   std::map<std::string, double> WorstWindows(
       std::chrono::milliseconds window) const;
+  /// Submissions that were rejected or in doubt, failed, or ended late.
+  std::vector<std::string> Missed() const;
   /// What `id` was last shown as.
   runtime::submission_state StateOf(const std::string& id) const;
   base::time_point Now() const { return clock_.Now(); }
@@ -132,6 +134,8 @@
     bool accepted = false;
     bool over = false;
     bool in_objective = false;
+    /// Given up without an acceptance.
+    bool given_up = false;
     runtime::submission_state shown = runtime::submission_state::kQueued;
     std::int32_t attempts = 0;
   };
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -43,6 +43,7 @@
       .workers = emulation_.Workers().Counts(),
       .open = emulation_.Open(),
       .broken = emulation_.Workers().Broken(),
+      .missed = emulation_.Missed(),
       .store_calls = emulation_.Store().Calls(),
       .store_writes = emulation_.Store().Writes(),
       .services_over_bound_seconds = emulation_.Workers().OverBoundSeconds(),
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -269,6 +269,7 @@
     loop_.After(wait, [this, id] { Offer(id); });
     return;
   }
+  caller.given_up = true;
   const bool rejected = answer.verdict == runtime::submit_verdict::kRejected;
   ++(rejected ? counts.rejected : counts.unknown);
 }
@@ -379,6 +380,18 @@
   return worst;
 }
 
+std::vector<std::string> emulation::Missed() const {
+  std::vector<std::string> missed;
+  for (const auto& [id, caller] : submitted_) {
+    const bool ended_badly =
+        caller.over && !caller.in_objective &&
+        caller.shown != runtime::submission_state::kCancelled;
+    if (caller.given_up || ended_badly)
+      missed.push_back(id);
+  }
+  return missed;
+}
+
 runtime::submission_state emulation::StateOf(const std::string& id) const {
   return submitted_.at(id).shown;
 }
