Demands above one that found no room aren't tried in the same round

Change: a shape that found no room covers all of its kind that ask for as much or more; which image runs counts only for filling tasks; a task that never ran isn't looked for; effects of an image are read by number within a round.

Test: AQueueOfGrowingDemandsCostsNoMoreThanTheSmallest (300 steps of growing demand on full workers weigh at most two rounds of workers; before, one each).

--- a/src/submissions/internal/full_shapes.cc
+++ b/src/submissions/internal/full_shapes.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 
+#include "chivecrank/scheduling/resources.h"
+
 namespace chivecrank::submissions::internal {
 
 void full_shapes::Add(const placement_request& request, std::int32_t count) {
   if (IsGeneral(request, count) && !Covers(request, count))
-    full_.push_back({ShapeOf(request), count});
+    full_.push_back({ShapeOf(request), request.step->demand, count});
 }
 
 bool full_shapes::Covers(const placement_request& request,
@@ -15,15 +17,17 @@
     return false;
   const shape wanted = ShapeOf(request);
   return std::ranges::any_of(full_, [&](const full_shape& full) {
-    return full.count <= count && full.of == wanted;
+    return full.count <= count &&
+           scheduling::IsWithin(full.demand, request.step->demand) &&
+           full.of == wanted;
   });
 }
 
 full_shapes::shape full_shapes::ShapeOf(const placement_request& request) {
   const step_request& step = *request.step;
+  // Only for filling tasks it matters which image they run.
   return {.service = *request.service,
-          .image = request.image,
-          .demand = step.demand,
+          .image = step.fills ? request.image : image_number{0},
           .fills = step.fills,
           .lasting = step.lasting,
           .required_label = step.required_label,
--- a/src/submissions/internal/full_shapes.h
+++ b/src/submissions/internal/full_shapes.h
@@ -10,7 +10,8 @@
 namespace chivecrank::submissions::internal {
 
 /// Remembers, for one round of choices, which steps found no room. Room only
-/// shrinks within a round, so steps that ask for the same needn't look again.
+/// shrinks within a round, so steps that ask for as much or more needn't look
+/// again.
 class full_shapes {
  public:
   void Clear() { full_.clear(); }
@@ -20,11 +21,10 @@
   bool Covers(const placement_request& request, std::int32_t count) const;
 
  private:
-  /// What decides where a task that never ran can go.
+  /// What decides, beside its demand, where a task that never ran can go.
   struct shape {
     std::string service;
     image_number image = 0;
-    coordination::resources demand;
     bool fills = false;
     bool lasting = false;
     std::string required_label;
@@ -35,6 +35,7 @@
   };
   struct full_shape {
     shape of;
+    coordination::resources demand;
     std::int32_t count = 0;
   };
 
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -45,6 +45,7 @@
 }  // namespace
 
 void interference::Advance(base::time_point now) {
+  effects_.clear();
   const base::time_point before = advanced_to_.value_or(now);
   const double kept =
       std::exp2(-SecondsBetween(before, now) / kSlopeHalfLifeSeconds);
@@ -104,6 +105,22 @@
   }
 }
 
+const interference::effects& interference::EffectsOf(
+    image_number filling_image) const {
+  const auto [found, is_new] = effects_.try_emplace(filling_image);
+  if (!is_new)
+    return found->second;
+  for (const auto& [of, slope] : beliefs_) {
+    if (of.second != filling_image)
+      continue;
+    auto& on = found->second.on;
+    if (on.size() <= of.first)
+      on.resize(of.first + 1, {kPriorSlope, kPriorSlopeVariance});
+    on[of.first] = slope;
+  }
+  return found->second;
+}
+
 std::vector<learned_pair> interference::Learned(
     const image_index& images) const {
   std::vector<learned_pair> learned;
@@ -137,7 +154,15 @@
 
 bool interference::IsUnknown(image_number service_image,
                              image_number filling_image) const {
-  return Of(service_image, filling_image).variance > kKnownSlopeVariance;
+  return EffectOn(service_image, filling_image).variance > kKnownSlopeVariance;
+}
+
+interference::belief interference::EffectOn(image_number service_image,
+                                            image_number filling_image) const {
+  const effects& known = EffectsOf(filling_image);
+  if (service_image >= known.on.size())
+    return {kPriorSlope, kPriorSlopeVariance};
+  return known.on[service_image];
 }
 
 const occupancy& interference::OccupancyOf(worker_entry& worker) const {
@@ -172,7 +197,7 @@
                                               double more) const {
   forecast result;
   for (const service_pressure& service : worker.services) {
-    const double added = more * Slope(service.image, filling_image);
+    const double added = more * EffectOn(service.image, filling_image).mean;
     result.added = std::max(result.added, added);
     result.worst = std::max(result.worst, service.pressure + added);
   }
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -73,13 +73,25 @@
   };
   using shares = std::vector<image_share>;
 
+  /// What one filling image does to each service's image, by its number.
+  struct effects {
+    std::vector<belief> on;
+  };
+
   static void AddTo(shares& used, image_number image, double share);
   void ObserveService(active_run& service,
                       const shares& used,
                       base::time_point now);
   belief Of(image_number service_image, image_number filling_image) const;
 
+  /// The same as Of, for the many looks of a round of choices.
+  belief EffectOn(image_number service_image, image_number filling_image) const;
+  const effects& EffectsOf(image_number filling_image) const;
+
   absl::flat_hash_map<pair, belief> beliefs_;
+  /// Made from the beliefs when they are needed; dropped by Advance, which
+  /// goes before each change of a belief.
+  mutable absl::flat_hash_map<image_number, effects> effects_;
   /// Unset before the first call of Advance: what was taken over is as new.
   std::optional<base::time_point> advanced_to_;
 };
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -142,7 +142,7 @@
   if (!step.required_label.empty() &&
       !HasLabel(description, step.required_label))
     return false;
-  if (worker.runs.contains(request.task))
+  if (request.progress->run > 0 && worker.runs.contains(request.task))
     return false;
   if (request.permits != nullptr &&
       request.permits->Find(request.task, worker, request.now) == nullptr)
--- a/src/submissions/tests/placing_cost_test.cc
+++ b/src/submissions/tests/placing_cost_test.cc
@@ -55,6 +55,21 @@
   BOOST_TEST(cost <= 2 * kWorkers);
 }
 
+BOOST_AUTO_TEST_CASE(AQueueOfGrowingDemandsCostsNoMoreThanTheSmallest) {
+  for (std::size_t i = 0; i < kWorkers / kTasksOfStep + 1; ++i)
+    scheduler.Accept(
+        Request("a-" + std::to_string(i), Step(kTasksOfStep, 15'000)));
+  CostOfRound();
+  BOOST_TEST(started == kWorkers);
+  // Each asks for a little more than the one before it, and none fits.
+  for (int i = 0; i < 300; ++i)
+    scheduler.Accept(Request("b-" + std::to_string(1000 + i),
+                             Step(kTasksOfStep, 2000 + i)));
+  const std::uint64_t cost = CostOfRound();
+  BOOST_TEST(started == 0u);
+  BOOST_TEST(cost <= 2 * kWorkers);
+}
+
 BOOST_AUTO_TEST_CASE(
     AServiceThatWaitsForWholeRoomIsWeighedOnceForAllOfItsKind) {
   step_request service = Step(kTasksOfStep, 16'000);
