A worker that turned a start down is asked again only after its next report

Ruled out: workers whose reports were old (all had just reported), labels.

Change: a worker lacks room from a refusal, or from a report with a run that nobody knows, until a report shows otherwise; it takes nothing meanwhile.

Tests: both fail without the change.

--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -26,6 +26,7 @@
   NoticeRestart(worker, report);
   worker.reported = true;
   worker.reported_at = now;
+  worker.lacks_room = false;
   TakeEnds(worker, report, now, next_batch);
   for (const listed_run& listed : report.running)
     TakeRunning(worker, listed, now);
@@ -112,6 +113,7 @@
 
 void report_processor::StopStray(worker_entry& worker,
                                  const listed_run& listed) {
+  worker.lacks_room = true;
   book_.AddStop({listed.task, listed.run, worker.description.id});
   book_.Emit({.kind = scheduler_event_kind::kStrayStopped,
               .task = listed.task,
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -256,6 +256,8 @@
     run->since = now;
     return;
   }
+  if (answer == start_answer::kNoRoom)
+    worker.lacks_room = true;
   if (answer == start_answer::kNoPermit)
     state.permits.Forget(command.task, command.worker);
   else
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -116,6 +116,9 @@
   std::deque<pending_ack> pending_acks;
   latency_state latency;
   health_state health;
+  /// It has less room than the runs tell, until a report says otherwise: it
+  /// runs what nobody here knows, or turned a start down.
+  bool lacks_room = false;
   /// In this round it takes nothing but services: one waits for room on it.
   bool held_for_service = false;
   /// What the runs add up to; unset after one of them changed.
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -474,6 +474,37 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerWithStraysTakesNothingUntilTheyAreGone) {
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  worker_report report;
+  report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
+  Report("w-1", report);
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.size() == 1u);
+  Pass(std::chrono::milliseconds(300));
+  report.running.clear();
+  report.ended = {{1, {"stranger", 0, 0, 0}, 3, run_end::kStopped, ""}};
+  Report("w-1", report);
+  BOOST_TEST(Round().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerWithoutRoomIsAskedAgainOnlyAfterItsNextReport) {
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  scheduler.OnCommitted(scheduler.TakeBatch()->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_REQUIRE(starts.size() == 1u);
+  scheduler.OnStartAnswer(starts[0], start_answer::kNoRoom, now);
+  Pass(std::chrono::milliseconds(700));
+  BOOST_TEST(Round().empty());
+  Report("w-1", {});
+  BOOST_TEST(Round().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(WhatNobodyHandedInIsStopped) {
   worker_report report;
   report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
