--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/driver_settings.h
@@ -0,0 +1,40 @@
+#ifndef CHIVECRANK_RUNTIME_DRIVER_SETTINGS_H_
+#define CHIVECRANK_RUNTIME_DRIVER_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+
+#include "chivecrank/runtime/shard_housekeeping.h"
+#include "chivecrank/submissions/scheduler_settings.h"
+
+namespace chivecrank::runtime {
+
+/// How an owner runs a shard.
+struct driver_settings {
+  std::string node;
+  submissions::scheduler_settings scheduling;
+  /// Term of the previous owner's lease, which may go on for so long after
+  /// its key is gone.
+  std::chrono::milliseconds owner_term{2000};
+  /// Time between changes and the decisions that they lead to, so that
+  /// several are decided together.
+  std::chrono::milliseconds decide_after{8};
+  /// Time between two decisions when nothing happens.
+  std::chrono::milliseconds idle_decision{200};
+  /// How long a worker with runs may hold its lists, and time before the next
+  /// look.
+  std::chrono::milliseconds look_wait{600};
+  std::chrono::milliseconds look_spacing{80};
+  /// Time between two looks at a worker without runs.
+  std::chrono::milliseconds idle_look{1200};
+  /// Time before a failed look is repeated.
+  std::chrono::milliseconds look_retry{250};
+  /// Shortest time between two writes of the shard's status.
+  std::chrono::milliseconds status_interval{700};
+  std::chrono::milliseconds commit_retry{150};
+  housekeeping_settings housekeeping;
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_DRIVER_SETTINGS_H_
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -5,17 +5,18 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/driver_settings.h"
 #include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/prefix_listing.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/shard_housekeeping.h"
+#include "chivecrank/runtime/shard_journal.h"
 #include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
@@ -23,31 +24,6 @@
 
 namespace chivecrank::runtime {
 
-struct driver_settings {
-  std::string node;
-  submissions::scheduler_settings scheduling;
-  /// Term of the previous owner's lease, which may go on for so long after
-  /// its key is gone.
-  std::chrono::milliseconds owner_term{2000};
-  /// Time between changes and the decisions that they lead to, so that
-  /// several are decided together.
-  std::chrono::milliseconds decide_after{8};
-  /// Time between two decisions when nothing happens.
-  std::chrono::milliseconds idle_decision{200};
-  /// How long a worker with runs may hold its lists, and time before the next
-  /// look.
-  std::chrono::milliseconds look_wait{600};
-  std::chrono::milliseconds look_spacing{80};
-  /// Time between two looks at a worker without runs.
-  std::chrono::milliseconds idle_look{1200};
-  /// Time before a failed look is repeated.
-  std::chrono::milliseconds look_retry{250};
-  /// Shortest time between two writes of the shard's status.
-  std::chrono::milliseconds status_interval{700};
-  std::chrono::milliseconds commit_retry{150};
-  housekeeping_settings housekeeping;
-};
-
 /// Runs one shard that this instance owns: restores its state, looks at its
 /// workers, commits what the scheduler decides and sends the orders.
 class shard_driver {
@@ -104,18 +80,6 @@
   void SendQuestion(const submissions::permit_request& question);
   void SendThrottle(const submissions::throttle_command& command);
 
-  void CommitNext();
-  void Commit(metadata::transaction changes);
-  void OnCommit(const metadata::transaction& changes,
-                base::result<metadata::commit_answer> answer);
-  void OnCommitted();
-  metadata::transaction NextTransaction();
-  bool SnapshotDue() const;
-  /// The oldest entry of the journal that must stay.
-  std::uint64_t KeptFrom() const;
-  std::optional<metadata::write> StatusWrite();
-  shard_status CurrentStatus() const;
-
   void LookLater(const std::string& worker, std::chrono::milliseconds delay);
   void Look(const std::string& worker);
   void OnLook(const std::string& worker,
@@ -142,20 +106,11 @@
   const base::time_point began_;
   submissions::shard_scheduler scheduler_;
   shard_housekeeping housekeeping_;
+  shard_journal journal_;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, look_state> looks_;
   bool restored_ = false;
   bool decision_due_ = false;
-  /// The batch that is being committed, and what of it is still to be written.
-  std::optional<submissions::progress_batch> batch_;
-  std::size_t outcomes_written_ = 0;
-  bool tasks_written_ = false;
-  std::uint64_t next_entry_ = 1;
-  std::uint64_t oldest_entry_ = 1;
-  std::uint64_t snapshot_entry_ = 0;
-  bool commit_in_flight_ = false;
-  std::string written_status_;
-  base::time_point status_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -0,0 +1,97 @@
+#ifndef CHIVECRANK_RUNTIME_SHARD_JOURNAL_H_
+#define CHIVECRANK_RUNTIME_SHARD_JOURNAL_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/driver_settings.h"
+#include "chivecrank/runtime/instance_metrics.h"
+#include "chivecrank/runtime/replica.h"
+#include "chivecrank/submissions/record_codec.h"
+#include "chivecrank/submissions/shard_scheduler.h"
+
+namespace chivecrank::runtime {
+
+/// The journal of one shard in the store: numbered entries, each written under
+/// the condition that this owner still owns the shard and that the entry does
+/// not exist. One transaction is under way at a time and carries all changes
+/// since the last one; the outcomes of submissions and the shard's status go
+/// with it.
+class shard_journal {
+ public:
+  struct hooks {
+    /// Whether the ownership holds now; asked before every transaction.
+    std::function<bool()> is_valid;
+    /// The store knows a newer owner.
+    std::function<void(std::string_view reason)> on_fenced;
+    /// A transaction is in the store: what it decided may be carried out.
+    std::function<void()> on_committed;
+  };
+
+  shard_journal(reactor::event_loop& loop,
+                metadata::store& store,
+                event_log::event_log& log,
+                instance_metrics& metrics,
+                submissions::shard_scheduler& scheduler,
+                std::uint32_t shard,
+                metadata::revision fence,
+                const driver_settings& settings,
+                hooks handlers);
+  ~shard_journal();
+
+  /// Reads the entries that an earlier owner left, from the newest snapshot on,
+  /// and goes on after the last one.
+  std::vector<submissions::journal_entry> Continue(
+      const std::vector<metadata::item>& items);
+  std::uint64_t NextEntry() const { return next_entry_; }
+
+  /// Writes what changed, unless a transaction is under way.
+  void WriteNext();
+
+ private:
+  metadata::transaction NextTransaction();
+  bool SnapshotDue() const;
+  /// The oldest entry that must stay.
+  std::uint64_t KeptFrom() const;
+  std::optional<metadata::write> StatusWrite();
+  shard_status CurrentStatus() const;
+  void Commit(metadata::transaction changes);
+  void OnCommit(const metadata::transaction& changes,
+                base::result<metadata::commit_answer> answer);
+  void OnCommitted();
+  void NoteBatchWritten();
+  void Later(std::chrono::milliseconds delay, std::function<void()> step);
+
+  reactor::event_loop& loop_;
+  metadata::store& store_;
+  event_log::event_log& log_;
+  instance_metrics& metrics_;
+  submissions::shard_scheduler& scheduler_;
+  const std::uint32_t shard_;
+  const metadata::revision fence_;
+  const driver_settings& settings_;
+  const hooks hooks_;
+  /// The batch that is being committed, and what of it is still to be written.
+  std::optional<submissions::progress_batch> batch_;
+  std::size_t outcomes_written_ = 0;
+  bool tasks_written_ = false;
+  std::uint64_t next_entry_ = 1;
+  std::uint64_t oldest_entry_ = 1;
+  std::uint64_t snapshot_entry_ = 0;
+  bool in_flight_ = false;
+  std::string written_status_;
+  base::time_point status_at_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_SHARD_JOURNAL_H_
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -9,17 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReplicaPoll{20};
-/// The status tells reserved processors in steps of this many thousandths, so
-/// that it doesn't change with each task.
-constexpr std::int64_t kStatusStepMilli = 16'000;
-/// Old entries of the journal that one transaction deletes.
-constexpr std::uint64_t kDeletesPerCommit = 8;
-/// Entries before a snapshot that stay for a while: a write that the store
-/// carries out late must meet its entry, and fail.
-constexpr std::uint64_t kKeptEntries = 128;
-/// Outcomes that one transaction writes, beside the journal's own entries.
-constexpr std::size_t kOutcomesPerCommit =
-    metadata::kMostEntries - kDeletesPerCommit - 4;
 
 }  // namespace
 
@@ -60,7 +49,17 @@
                     shard,
                     fence,
                     settings_.housekeeping,
-                    hooks_.is_valid) {}
+                    hooks_.is_valid),
+      journal_(
+          loop,
+          store,
+          log,
+          metrics,
+          scheduler_,
+          shard,
+          fence,
+          settings_,
+          {hooks_.is_valid, hooks_.on_fenced, [this] { SendCommands(); }}) {}
 
 shard_driver::~shard_driver() {
   *alive_ = false;
@@ -95,23 +94,8 @@
       else
         Accept(id, known);
     }
-  std::vector<submissions::journal_entry> entries;
-  for (const metadata::item& item : journal) {
-    const auto number = ParseJournalKey(shard_, item.key);
-    auto entry = submissions::DecodeJournalEntry(item.value);
-    if (!number || !entry) {
-      log_.Write("journal_entry_rejected", {{"key", item.key}});
-      continue;
-    }
-    if (entries.empty())
-      oldest_entry_ = *number;
-    if (entry.value().whole) {
-      entries.clear();
-      snapshot_entry_ = *number;
-    }
-    entries.push_back(std::move(entry.value()));
-    next_entry_ = *number + 1;
-  }
+  const std::vector<submissions::journal_entry> entries =
+      journal_.Continue(journal);
   for (const submissions::journal_entry& entry : entries)
     scheduler_.Restore(entry);
   const base::time_point now = loop_.Now();
@@ -122,7 +106,7 @@
   log_.Write("shard_restored", {{"shard", shard_},
                                 {"fence", fence_},
                                 {"entries", entries.size()},
-                                {"next_entry", next_entry_}});
+                                {"next_entry", journal_.NextEntry()}});
   for (const auto& [id, worker] : workers_)
     LookLater(id, std::chrono::milliseconds(0));
   Wake();
@@ -215,7 +199,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             clock_.WallNow().time_since_epoch());
     scheduler_.Plan(loop_.Now(), since_epoch);
-    CommitNext();
+    journal_.WriteNext();
     SendCommands();
   });
 }
@@ -304,147 +288,6 @@
                    });
 }
 
-void shard_driver::CommitNext() {
-  if (commit_in_flight_)
-    return;
-  if (!batch_) {
-    batch_ = scheduler_.TakeBatch();
-    outcomes_written_ = 0;
-    tasks_written_ = false;
-  }
-  metadata::transaction changes = NextTransaction();
-  if (changes.writes.empty())
-    return;
-  commit_in_flight_ = true;
-  Commit(std::move(changes));
-}
-
-metadata::transaction shard_driver::NextTransaction() {
-  metadata::transaction changes;
-  if (auto status = StatusWrite())
-    changes.writes.push_back(std::move(*status));
-  if (!batch_ && changes.writes.empty())
-    return changes;
-  const std::string key = JournalKey(shard_, next_entry_);
-  changes.conditions.push_back(OwnedSince(shard_, fence_));
-  if (!batch_)
-    return changes;
-  changes.conditions.push_back({key, 0});
-  submissions::journal_entry entry;
-  if (SnapshotDue())
-    entry = scheduler_.Snapshot();
-  else if (!tasks_written_)
-    entry.tasks = batch_->tasks;
-  changes.writes.push_back({key, submissions::EncodeJournalEntry(entry)});
-  const std::size_t last =
-      std::min(outcomes_written_ + kOutcomesPerCommit, batch_->outcomes.size());
-  for (std::size_t i = outcomes_written_; i < last; ++i)
-    changes.writes.push_back(
-        {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
-         submissions::EncodeOutcome(batch_->outcomes[i].outcome)});
-  for (std::uint64_t old = oldest_entry_;
-       old < KeptFrom() && changes.deletes.size() < kDeletesPerCommit; ++old)
-    changes.deletes.push_back(JournalKey(shard_, old));
-  return changes;
-}
-
-bool shard_driver::SnapshotDue() const {
-  return next_entry_ - std::max(snapshot_entry_, oldest_entry_) >=
-         settings_.scheduling.entries_per_snapshot;
-}
-
-std::uint64_t shard_driver::KeptFrom() const {
-  return snapshot_entry_ > kKeptEntries ? snapshot_entry_ - kKeptEntries : 0;
-}
-
-std::optional<metadata::write> shard_driver::StatusWrite() {
-  const base::time_point now = loop_.Now();
-  if (now - status_at_ < settings_.status_interval)
-    return std::nullopt;
-  std::string status = EncodeShardStatus(CurrentStatus());
-  if (status == written_status_)
-    return std::nullopt;
-  status_at_ = now;
-  written_status_ = status;
-  return metadata::write{ToString({key_kind::kShardStatus, ShardName(shard_)}),
-                         std::move(status)};
-}
-
-shard_status shard_driver::CurrentStatus() const {
-  const submissions::shard_load load = scheduler_.Load();
-  shard_status status;
-  status.capacity_milli = load.capacity.processors_milli;
-  status.reserved_milli =
-      load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
-  for (std::string& id : scheduler_.NotStarted())
-    status.not_started.insert(std::move(id));
-  return status;
-}
-
-void shard_driver::Commit(metadata::transaction changes) {
-  if (!hooks_.is_valid())
-    return Later(settings_.commit_retry,
-                 [this, changes = std::move(changes)]() mutable {
-                   Commit(std::move(changes));
-                 });
-  auto sent = std::make_shared<metadata::transaction>(changes);
-  store_.Commit(std::move(changes),
-                [this, sent, since = loop_.Now(),
-                 alive = alive_](base::result<metadata::commit_answer> answer) {
-                  if (!*alive)
-                    return;
-                  metrics_.OnCommit(answer.has_value(), loop_.Now() - since);
-                  OnCommit(*sent, std::move(answer));
-                });
-}
-
-void shard_driver::OnCommit(const metadata::transaction& changes,
-                            base::result<metadata::commit_answer> answer) {
-  if (!answer) {
-    log_.Write("commit_failed", {{"shard", shard_},
-                                 {"entry", next_entry_},
-                                 {"error", answer.error().message}});
-    // The same again: its conditions let it happen only once.
-    return Later(settings_.commit_retry, [this, changes] { Commit(changes); });
-  }
-  if (answer.value().applied)
-    return OnCommitted();
-  const std::string owner_key = OwnerKey(shard_);
-  bool still_owner = false;
-  bool applied_before = false;
-  for (const metadata::item& item : answer.value().current) {
-    if (item.key == owner_key && item.changed_at == fence_)
-      still_owner = true;
-    for (const metadata::write& written : changes.writes)
-      if (item.key == written.key && item.value == written.value)
-        applied_before = true;
-  }
-  if (!still_owner || !applied_before)
-    return hooks_.on_fenced("the store knows another owner");
-  OnCommitted();
-}
-
-void shard_driver::OnCommitted() {
-  commit_in_flight_ = false;
-  if (batch_) {
-    const bool snapshot_due = SnapshotDue();
-    oldest_entry_ = std::min(oldest_entry_ + kDeletesPerCommit,
-                             std::max(KeptFrom(), oldest_entry_));
-    if (snapshot_due)
-      snapshot_entry_ = next_entry_;
-    ++next_entry_;
-    tasks_written_ = true;
-    outcomes_written_ = std::min(outcomes_written_ + kOutcomesPerCommit,
-                                 batch_->outcomes.size());
-    if (outcomes_written_ == batch_->outcomes.size()) {
-      scheduler_.OnCommitted(batch_->number);
-      batch_.reset();
-    }
-  }
-  CommitNext();
-  SendCommands();
-}
-
 void shard_driver::LookLater(const std::string& worker,
                              std::chrono::milliseconds delay) {
   look_state& state = looks_[worker];
--- /dev/null
+++ b/src/runtime/internal/shard_journal.cc
@@ -0,0 +1,220 @@
+#include "chivecrank/runtime/shard_journal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivecrank::runtime {
+namespace {
+
+/// The status tells reserved processors in steps of this many thousandths, so
+/// that it doesn't change with each task.
+constexpr std::int64_t kStatusStepMilli = 16'000;
+/// Old entries of the journal that one transaction deletes.
+constexpr std::uint64_t kDeletesPerCommit = 8;
+/// Entries before a snapshot that stay for a while: a write that the store
+/// carries out late must meet its entry, and fail.
+constexpr std::uint64_t kKeptEntries = 128;
+/// Outcomes that one transaction writes, beside the journal's own entries.
+constexpr std::size_t kOutcomesPerCommit =
+    metadata::kMostEntries - kDeletesPerCommit - 4;
+
+}  // namespace
+
+shard_journal::shard_journal(reactor::event_loop& loop,
+                             metadata::store& store,
+                             event_log::event_log& log,
+                             instance_metrics& metrics,
+                             submissions::shard_scheduler& scheduler,
+                             std::uint32_t shard,
+                             metadata::revision fence,
+                             const driver_settings& settings,
+                             hooks handlers)
+    : loop_(loop),
+      store_(store),
+      log_(log),
+      metrics_(metrics),
+      scheduler_(scheduler),
+      shard_(shard),
+      fence_(fence),
+      settings_(settings),
+      hooks_(std::move(handlers)) {}
+
+shard_journal::~shard_journal() {
+  *alive_ = false;
+}
+
+std::vector<submissions::journal_entry> shard_journal::Continue(
+    const std::vector<metadata::item>& items) {
+  std::vector<submissions::journal_entry> entries;
+  for (const metadata::item& item : items) {
+    const auto number = ParseJournalKey(shard_, item.key);
+    auto entry = submissions::DecodeJournalEntry(item.value);
+    if (!number || !entry) {
+      log_.Write("journal_entry_rejected", {{"key", item.key}});
+      continue;
+    }
+    if (entries.empty())
+      oldest_entry_ = *number;
+    if (entry.value().whole) {
+      entries.clear();
+      snapshot_entry_ = *number;
+    }
+    entries.push_back(std::move(entry.value()));
+    next_entry_ = *number + 1;
+  }
+  return entries;
+}
+
+void shard_journal::WriteNext() {
+  if (in_flight_)
+    return;
+  if (!batch_) {
+    batch_ = scheduler_.TakeBatch();
+    outcomes_written_ = 0;
+    tasks_written_ = false;
+  }
+  metadata::transaction changes = NextTransaction();
+  if (changes.writes.empty())
+    return;
+  in_flight_ = true;
+  Commit(std::move(changes));
+}
+
+metadata::transaction shard_journal::NextTransaction() {
+  metadata::transaction changes;
+  if (auto status = StatusWrite())
+    changes.writes.push_back(std::move(*status));
+  if (!batch_ && changes.writes.empty())
+    return changes;
+  const std::string key = JournalKey(shard_, next_entry_);
+  changes.conditions.push_back(OwnedSince(shard_, fence_));
+  if (!batch_)
+    return changes;
+  changes.conditions.push_back({key, 0});
+  submissions::journal_entry entry;
+  if (SnapshotDue())
+    entry = scheduler_.Snapshot();
+  else if (!tasks_written_)
+    entry.tasks = batch_->tasks;
+  changes.writes.push_back({key, submissions::EncodeJournalEntry(entry)});
+  const std::size_t last =
+      std::min(outcomes_written_ + kOutcomesPerCommit, batch_->outcomes.size());
+  for (std::size_t i = outcomes_written_; i < last; ++i)
+    changes.writes.push_back(
+        {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
+         submissions::EncodeOutcome(batch_->outcomes[i].outcome)});
+  for (std::uint64_t old = oldest_entry_;
+       old < KeptFrom() && changes.deletes.size() < kDeletesPerCommit; ++old)
+    changes.deletes.push_back(JournalKey(shard_, old));
+  return changes;
+}
+
+bool shard_journal::SnapshotDue() const {
+  return next_entry_ - std::max(snapshot_entry_, oldest_entry_) >=
+         settings_.scheduling.entries_per_snapshot;
+}
+
+std::uint64_t shard_journal::KeptFrom() const {
+  return snapshot_entry_ > kKeptEntries ? snapshot_entry_ - kKeptEntries : 0;
+}
+
+std::optional<metadata::write> shard_journal::StatusWrite() {
+  const base::time_point now = loop_.Now();
+  if (now - status_at_ < settings_.status_interval)
+    return std::nullopt;
+  std::string status = EncodeShardStatus(CurrentStatus());
+  if (status == written_status_)
+    return std::nullopt;
+  status_at_ = now;
+  written_status_ = status;
+  return metadata::write{ToString({key_kind::kShardStatus, ShardName(shard_)}),
+                         std::move(status)};
+}
+
+shard_status shard_journal::CurrentStatus() const {
+  const submissions::shard_load load = scheduler_.Load();
+  shard_status status;
+  status.capacity_milli = load.capacity.processors_milli;
+  status.reserved_milli =
+      load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
+  for (std::string& id : scheduler_.NotStarted())
+    status.not_started.insert(std::move(id));
+  return status;
+}
+
+void shard_journal::Commit(metadata::transaction changes) {
+  if (!hooks_.is_valid())
+    return Later(settings_.commit_retry,
+                 [this, changes = std::move(changes)]() mutable {
+                   Commit(std::move(changes));
+                 });
+  auto sent = std::make_shared<metadata::transaction>(changes);
+  store_.Commit(std::move(changes),
+                [this, sent, since = loop_.Now(),
+                 alive = alive_](base::result<metadata::commit_answer> answer) {
+                  if (!*alive)
+                    return;
+                  metrics_.OnCommit(answer.has_value(), loop_.Now() - since);
+                  OnCommit(*sent, std::move(answer));
+                });
+}
+
+void shard_journal::OnCommit(const metadata::transaction& changes,
+                             base::result<metadata::commit_answer> answer) {
+  if (!answer) {
+    log_.Write("commit_failed", {{"shard", shard_},
+                                 {"entry", next_entry_},
+                                 {"error", answer.error().message}});
+    // The same again: its conditions let it happen only once.
+    return Later(settings_.commit_retry, [this, changes] { Commit(changes); });
+  }
+  if (answer.value().applied)
+    return OnCommitted();
+  const std::string owner_key = OwnerKey(shard_);
+  bool still_owner = false;
+  bool applied_before = false;
+  for (const metadata::item& item : answer.value().current) {
+    if (item.key == owner_key && item.changed_at == fence_)
+      still_owner = true;
+    for (const metadata::write& written : changes.writes)
+      if (item.key == written.key && item.value == written.value)
+        applied_before = true;
+  }
+  if (!still_owner || !applied_before)
+    return hooks_.on_fenced("the store knows another owner");
+  OnCommitted();
+}
+
+void shard_journal::OnCommitted() {
+  in_flight_ = false;
+  if (batch_)
+    NoteBatchWritten();
+  WriteNext();
+  hooks_.on_committed();
+}
+
+void shard_journal::NoteBatchWritten() {
+  const bool snapshot_due = SnapshotDue();
+  oldest_entry_ = std::min(oldest_entry_ + kDeletesPerCommit,
+                           std::max(KeptFrom(), oldest_entry_));
+  if (snapshot_due)
+    snapshot_entry_ = next_entry_;
+  ++next_entry_;
+  tasks_written_ = true;
+  outcomes_written_ =
+      std::min(outcomes_written_ + kOutcomesPerCommit, batch_->outcomes.size());
+  if (outcomes_written_ == batch_->outcomes.size()) {
+    scheduler_.OnCommitted(batch_->number);
+    batch_.reset();
+  }
+}
+
+void shard_journal::Later(std::chrono::milliseconds delay,
+                          std::function<void()> step) {
+  loop_.After(delay, [alive = alive_, step = std::move(step)] {
+    if (*alive)
+      step();
+  });
+}
+
+}  // namespace chivecrank::runtime
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -132,8 +132,7 @@
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
   if (!worker.listed || !worker.reported || description.draining ||
-      worker.lacks_room ||
-      request.now >= worker.lease_over ||
+      worker.lacks_room || request.now >= worker.lease_over ||
       request.now - worker.reported_at > settings_.report_fresh)
     return false;
   if (description.service != *request.service)
--- a/src/submissions/tests/placing_cost_test.cc
+++ b/src/submissions/tests/placing_cost_test.cc
@@ -63,8 +63,8 @@
   BOOST_TEST(started == kWorkers);
   // Each asks for a little more than the one before it, and none fits.
   for (int i = 0; i < 300; ++i)
-    scheduler.Accept(Request("b-" + std::to_string(1000 + i),
-                             Step(kTasksOfStep, 2000 + i)));
+    scheduler.Accept(
+        Request("b-" + std::to_string(1000 + i), Step(kTasksOfStep, 2000 + i)));
   const std::uint64_t cost = CostOfRound();
   BOOST_TEST(started == 0u);
   BOOST_TEST(cost <= 2 * kWorkers);
