--- a/src/runtime/include/chivecrank/runtime/driver_settings.h
+++ b/src/runtime/include/chivecrank/runtime/driver_settings.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_RUNTIME_DRIVER_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 
 #include "chivecrank/runtime/shard_housekeeping.h"
@@ -32,6 +33,9 @@
   /// Shortest time between two writes of the shard's status.
   std::chrono::milliseconds status_interval{700};
   std::chrono::milliseconds commit_retry{150};
+  /// An entry of the journal is split above this; the store takes values of a
+  /// mebibyte at most.
+  std::size_t most_entry_bytes = 400 * 1024;
   housekeeping_settings housekeeping;
 };
 
--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -58,6 +58,11 @@
 
  private:
   metadata::transaction NextTransaction();
+  /// Writes the entry, in several when it is large. A snapshot in several is
+  /// one transaction: its first part makes the entries before it void.
+  void AddEntry(const submissions::journal_entry& entry,
+                metadata::transaction& changes);
+  void AddOutcomes(metadata::transaction& changes);
   bool SnapshotDue() const;
   /// The oldest entry that must stay.
   std::uint64_t KeptFrom() const;
@@ -83,6 +88,10 @@
   std::optional<submissions::progress_batch> batch_;
   std::size_t outcomes_written_ = 0;
   bool tasks_written_ = false;
+  /// What the transaction under way writes of the batch.
+  std::uint64_t entries_in_flight_ = 0;
+  std::size_t outcomes_in_flight_ = 0;
+  std::uint64_t deletes_in_flight_ = 0;
   std::uint64_t next_entry_ = 1;
   std::uint64_t oldest_entry_ = 1;
   std::uint64_t snapshot_entry_ = 0;
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -14,9 +14,6 @@
 /// Entries before a snapshot that stay for a while: a write that the store
 /// carries out late must meet its entry, and fail.
 constexpr std::uint64_t kKeptEntries = 128;
-/// Outcomes that one transaction writes, beside the journal's own entries.
-constexpr std::size_t kOutcomesPerCommit =
-    metadata::kMostEntries - kDeletesPerCommit - 4;
 
 }  // namespace
 
@@ -82,33 +79,57 @@
 
 metadata::transaction shard_journal::NextTransaction() {
   metadata::transaction changes;
+  entries_in_flight_ = 0;
+  outcomes_in_flight_ = 0;
+  deletes_in_flight_ = 0;
   if (auto status = StatusWrite())
     changes.writes.push_back(std::move(*status));
   if (!batch_ && changes.writes.empty())
     return changes;
-  const std::string key = JournalKey(shard_, next_entry_);
   changes.conditions.push_back(OwnedSince(shard_, fence_));
   if (!batch_)
     return changes;
-  changes.conditions.push_back({key, 0});
-  submissions::journal_entry entry;
   if (SnapshotDue())
-    entry = scheduler_.Snapshot();
-  else if (!tasks_written_)
-    entry.tasks = batch_->tasks;
-  changes.writes.push_back({key, submissions::EncodeJournalEntry(entry)});
-  const std::size_t last =
-      std::min(outcomes_written_ + kOutcomesPerCommit, batch_->outcomes.size());
-  for (std::size_t i = outcomes_written_; i < last; ++i)
-    changes.writes.push_back(
-        {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
-         submissions::EncodeOutcome(batch_->outcomes[i].outcome)});
+    AddEntry(scheduler_.Snapshot(), changes);
+  else if (tasks_written_)
+    AddEntry({}, changes);
+  else
+    AddEntry({.tasks = batch_->tasks}, changes);
+  AddOutcomes(changes);
   for (std::uint64_t old = oldest_entry_;
-       old < KeptFrom() && changes.deletes.size() < kDeletesPerCommit; ++old)
+       old < KeptFrom() && deletes_in_flight_ < kDeletesPerCommit &&
+       changes.Entries() < metadata::kMostEntries;
+       ++old, ++deletes_in_flight_)
     changes.deletes.push_back(JournalKey(shard_, old));
   return changes;
 }
 
+void shard_journal::AddEntry(const submissions::journal_entry& entry,
+                             metadata::transaction& changes) {
+  std::string text = submissions::EncodeJournalEntry(entry);
+  if (text.size() > settings_.most_entry_bytes && entry.tasks.size() > 1) {
+    const auto middle = entry.tasks.begin() +
+                        static_cast<std::ptrdiff_t>(entry.tasks.size() / 2);
+    AddEntry({entry.whole, {entry.tasks.begin(), middle}, entry.learned},
+             changes);
+    return AddEntry({.tasks = {middle, entry.tasks.end()}}, changes);
+  }
+  const std::string key = JournalKey(shard_, next_entry_ + entries_in_flight_);
+  changes.conditions.push_back({key, 0});
+  changes.writes.push_back({key, std::move(text)});
+  ++entries_in_flight_;
+}
+
+void shard_journal::AddOutcomes(metadata::transaction& changes) {
+  for (std::size_t i = outcomes_written_;
+       i < batch_->outcomes.size() &&
+       changes.Entries() + kDeletesPerCommit < metadata::kMostEntries;
+       ++i, ++outcomes_in_flight_)
+    changes.writes.push_back(
+        {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
+         submissions::EncodeOutcome(batch_->outcomes[i].outcome)});
+}
+
 bool shard_journal::SnapshotDue() const {
   return next_entry_ - std::max(snapshot_entry_, oldest_entry_) >=
          settings_.scheduling.entries_per_snapshot;
@@ -194,15 +215,13 @@
 }
 
 void shard_journal::NoteBatchWritten() {
-  const bool snapshot_due = SnapshotDue();
-  oldest_entry_ = std::min(oldest_entry_ + kDeletesPerCommit,
-                           std::max(KeptFrom(), oldest_entry_));
-  if (snapshot_due)
+  const bool was_snapshot = SnapshotDue();
+  oldest_entry_ += deletes_in_flight_;
+  if (was_snapshot)
     snapshot_entry_ = next_entry_;
-  ++next_entry_;
+  next_entry_ += entries_in_flight_;
   tasks_written_ = true;
-  outcomes_written_ =
-      std::min(outcomes_written_ + kOutcomesPerCommit, batch_->outcomes.size());
+  outcomes_written_ += outcomes_in_flight_;
   if (outcomes_written_ == batch_->outcomes.size()) {
     scheduler_.OnCommitted(batch_->number);
     batch_.reset();
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -126,9 +126,9 @@
 worker_entry* relocator::FindRoom(const live_submission& live,
                                   const task_ref& task,
                                   base::time_point now) {
-  static const task_progress kNeverRan;
+  static const task_progress never_ran;
   placement_request request = request_for_(live, task, now);
-  request.progress = &kNeverRan;
+  request.progress = &never_ran;
   worker_entry* found = nullptr;
   // The task's own worker isn't offered: it runs there.
   if (!full_.Covers(request, 1))
--- a/tests/emulator/include/chivecrank/emulator/emulated_store.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_store.h
@@ -46,6 +46,8 @@
   /// Writes for the operator and the workers, which no fault hits.
   void Put(const std::string& key, std::string value);
   void Delete(const std::string& key);
+  /// Values above this are turned down.
+  void SetValueLimit(std::size_t bytes) { value_limit_ = bytes; }
   /// Drops the history: watches from before must list anew.
   void Compact();
   /// Takes the keys of a node's lease away.
@@ -92,6 +94,7 @@
   metadata::revision revision_ = 100;
   metadata::revision history_begins_ = 100;
   metadata::lease_id last_lease_ = 0;
+  std::size_t value_limit_ = std::size_t{1} << 20;
   std::uint64_t calls_ = 0;
   std::uint64_t writes_ = 0;
 };
--- a/tests/emulator/internal/emulated_store.cc
+++ b/tests/emulator/internal/emulated_store.cc
@@ -100,6 +100,10 @@
     Call<metadata::commit_answer>(
         true, std::move(done),
         [this, changes]() -> base::result<metadata::commit_answer> {
+          for (const metadata::write& written : changes.writes)
+            if (written.value.size() > shared_.value_limit_)
+              return base::error{base::error_kind::kInvalidArgument,
+                                 "the value is too large", "split it"};
           bool lease_missing = false;
           auto answer = shared_.Apply(changes, lease_missing);
           if (lease_missing)
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -56,6 +56,7 @@
     workers_.Add(worker);
     List(worker.id);
   }
+  store_.SetValueLimit(settings_.value_bytes);
   WriteConfiguration();
   instances_.resize(settings_.instances);
   for (std::size_t i = 0; i < settings_.instances; ++i)
@@ -101,6 +102,7 @@
   wanted.owning.node = made.node;
   wanted.owning.processors_milli = kProcessorsMilli;
   wanted.driving.node = made.node;
+  wanted.driving.most_entry_bytes = settings_.most_entry_bytes;
   wanted.workers_per_shard = settings_.workers_per_shard;
   runtime::worker_source workers{
       std::string(kWorkers),
