--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,10 +59,18 @@
 
  private:
   metadata::transaction NextTransaction();
-  /// Writes the entry, in several when it is large. A snapshot in several is
-  /// one transaction: its first part makes the entries before it void.
-  void AddEntry(const submissions::journal_entry& entry,
-                metadata::transaction& changes);
+  /// Adds a snapshot in one or more entries. All are written at once, since
+  /// the first makes the entries before it void; false when they are too many.
+  bool AddSnapshot(metadata::transaction& changes);
+  /// Adds what of the batch's tasks is not written yet, as far as it fits.
+  void AddTasks(metadata::transaction& changes);
+  /// Whether the transaction writes the last of the batch's tasks.
+  bool TasksGoOut() const;
+  /// Adds `entry` with as many of the tasks as fit into it, and returns how
+  /// many these are.
+  std::size_t AddEntry(const submissions::journal_entry& entry,
+                       std::span<const submissions::task_change> tasks,
+                       metadata::transaction& changes);
   void AddOutcomes(metadata::transaction& changes);
   bool SnapshotDue() const;
   /// The oldest entry that must stay.
@@ -87,14 +96,18 @@
   /// The batch that is being committed, and what of it is still to be written.
   std::optional<submissions::progress_batch> batch_;
   std::size_t outcomes_written_ = 0;
-  bool tasks_written_ = false;
+  std::size_t tasks_written_ = 0;
   /// What the transaction under way writes of the batch.
   std::uint64_t entries_in_flight_ = 0;
+  bool snapshot_in_flight_ = false;
+  std::size_t tasks_in_flight_ = 0;
   std::size_t outcomes_in_flight_ = 0;
   std::uint64_t deletes_in_flight_ = 0;
   std::uint64_t next_entry_ = 1;
   std::uint64_t oldest_entry_ = 1;
   std::uint64_t snapshot_entry_ = 0;
+  /// Where a snapshot was too large to be written; unset for nowhere.
+  std::uint64_t too_large_at_ = 0;
   bool in_flight_ = false;
   std::string written_status_;
   base::time_point status_at_;
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -14,6 +14,10 @@
 /// Entries before a snapshot that stay for a while: a write that the store
 /// carries out late must meet its entry, and fail.
 constexpr std::uint64_t kKeptEntries = 128;
+/// Entries that one transaction writes; each needs a condition of its own, and
+/// the owner's key and the status go with them.
+constexpr std::uint64_t kMostParts =
+    (metadata::kMostEntries - kDeletesPerCommit - 2) / 2;
 
 }  // namespace
 
@@ -68,7 +72,7 @@
   if (!batch_) {
     batch_ = scheduler_.TakeBatch();
     outcomes_written_ = 0;
-    tasks_written_ = false;
+    tasks_written_ = 0;
   }
   metadata::transaction changes = NextTransaction();
   if (changes.writes.empty())
@@ -80,6 +84,8 @@
 metadata::transaction shard_journal::NextTransaction() {
   metadata::transaction changes;
   entries_in_flight_ = 0;
+  snapshot_in_flight_ = false;
+  tasks_in_flight_ = 0;
   outcomes_in_flight_ = 0;
   deletes_in_flight_ = 0;
   if (auto status = StatusWrite())
@@ -89,13 +95,10 @@
   changes.conditions.push_back(OwnedSince(shard_, fence_));
   if (!batch_)
     return changes;
-  if (SnapshotDue())
-    AddEntry(scheduler_.Snapshot(), changes);
-  else if (tasks_written_)
-    AddEntry({}, changes);
-  else
-    AddEntry({.tasks = batch_->tasks}, changes);
-  AddOutcomes(changes);
+  if (!SnapshotDue() || !AddSnapshot(changes))
+    AddTasks(changes);
+  if (TasksGoOut())
+    AddOutcomes(changes);
   for (std::uint64_t old = oldest_entry_;
        old < KeptFrom() && deletes_in_flight_ < kDeletesPerCommit &&
        changes.Entries() < metadata::kMostEntries;
@@ -104,20 +107,55 @@
   return changes;
 }
 
-void shard_journal::AddEntry(const submissions::journal_entry& entry,
-                             metadata::transaction& changes) {
-  std::string text = submissions::EncodeJournalEntry(entry);
-  if (text.size() > settings_.most_entry_bytes && entry.tasks.size() > 1) {
-    const auto middle = entry.tasks.begin() +
-                        static_cast<std::ptrdiff_t>(entry.tasks.size() / 2);
-    AddEntry({entry.whole, {entry.tasks.begin(), middle}, entry.learned},
-             changes);
-    return AddEntry({.tasks = {middle, entry.tasks.end()}}, changes);
+bool shard_journal::AddSnapshot(metadata::transaction& changes) {
+  const submissions::journal_entry snapshot = scheduler_.Snapshot();
+  // Only the first entry tells that it is a snapshot, and what was learned.
+  const submissions::journal_entry further;
+  metadata::transaction with = changes;
+  std::span<const submissions::task_change> rest = snapshot.tasks;
+  do {
+    const bool first = entries_in_flight_ == 0;
+    rest = rest.subspan(AddEntry(first ? snapshot : further, rest, with));
+  } while (!rest.empty());
+  if (entries_in_flight_ > kMostParts) {
+    log_.Write("snapshot_too_large",
+               {{"shard", shard_}, {"parts", entries_in_flight_}});
+    entries_in_flight_ = 0;
+    too_large_at_ = next_entry_;
+    return false;
+  }
+  changes = std::move(with);
+  snapshot_in_flight_ = true;
+  tasks_in_flight_ = batch_->tasks.size() - tasks_written_;
+  return true;
+}
+
+void shard_journal::AddTasks(metadata::transaction& changes) {
+  const std::span<const submissions::task_change> tasks = batch_->tasks;
+  do
+    tasks_in_flight_ +=
+        AddEntry({}, tasks.subspan(tasks_written_ + tasks_in_flight_), changes);
+  while (!TasksGoOut() && entries_in_flight_ < kMostParts);
+}
+
+bool shard_journal::TasksGoOut() const {
+  return tasks_written_ + tasks_in_flight_ == batch_->tasks.size();
+}
+
+std::size_t shard_journal::AddEntry(
+    const submissions::journal_entry& entry,
+    std::span<const submissions::task_change> tasks,
+    metadata::transaction& changes) {
+  std::string text = submissions::EncodeJournalEntry(entry, tasks);
+  while (text.size() > settings_.most_entry_bytes && tasks.size() > 1) {
+    tasks = tasks.first(tasks.size() / 2);
+    text = submissions::EncodeJournalEntry(entry, tasks);
   }
   const std::string key = JournalKey(shard_, next_entry_ + entries_in_flight_);
   changes.conditions.push_back({key, 0});
   changes.writes.push_back({key, std::move(text)});
   ++entries_in_flight_;
+  return tasks.size();
 }
 
 void shard_journal::AddOutcomes(metadata::transaction& changes) {
@@ -131,7 +169,8 @@
 }
 
 bool shard_journal::SnapshotDue() const {
-  return next_entry_ - std::max(snapshot_entry_, oldest_entry_) >=
+  return next_entry_ -
+             std::max({snapshot_entry_, oldest_entry_, too_large_at_}) >=
          settings_.scheduling.entries_per_snapshot;
 }
 
@@ -215,14 +254,15 @@
 }
 
 void shard_journal::NoteBatchWritten() {
-  const bool was_snapshot = SnapshotDue();
   oldest_entry_ += deletes_in_flight_;
-  if (was_snapshot)
+  if (snapshot_in_flight_)
     snapshot_entry_ = next_entry_;
   next_entry_ += entries_in_flight_;
-  tasks_written_ = true;
+  tasks_written_ += tasks_in_flight_;
   outcomes_written_ += outcomes_in_flight_;
-  if (outcomes_written_ == batch_->outcomes.size()) {
+  const bool whole = tasks_written_ == batch_->tasks.size() &&
+                     outcomes_written_ == batch_->outcomes.size();
+  if (whole) {
     scheduler_.OnCommitted(batch_->number);
     batch_.reset();
   }
--- a/src/submissions/include/chivecrank/submissions/record_codec.h
+++ b/src/submissions/include/chivecrank/submissions/record_codec.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_SUBMISSIONS_RECORD_CODEC_H_
 #define CHIVECRANK_SUBMISSIONS_RECORD_CODEC_H_
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,9 @@
 };
 
 std::string EncodeJournalEntry(const journal_entry& entry);
+/// The entry without its tasks, and these in their place.
+std::string EncodeJournalEntry(const journal_entry& entry,
+                               std::span<const task_change> tasks);
 
 /// kCorrupt when `text` is no such entry.
 base::result<journal_entry> DecodeJournalEntry(std::string_view text);
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -242,9 +242,14 @@
 }
 
 std::string EncodeJournalEntry(const journal_entry& entry) {
+  return EncodeJournalEntry(entry, entry.tasks);
+}
+
+std::string EncodeJournalEntry(const journal_entry& entry,
+                               std::span<const task_change> tasks) {
   json::writer text;
   text.BeginObject().Flag("whole", entry.whole).Key("tasks").BeginArray();
-  for (const task_change& change : entry.tasks)
+  for (const task_change& change : tasks)
     WriteTask(text, change);
   text.EndArray();
   if (!entry.learned.empty())
--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -65,6 +65,21 @@
   BOOST_TEST(Day().Total().completed == Day().Total().accepted);
 }
 
+BOOST_AUTO_TEST_CASE(AShardTooLargeForASnapshotGoesOn) {
+  settings.value_bytes = 6 * 1024;
+  settings.most_entry_bytes = 1024;
+  settings.queues[1].step.task_count = 30;
+  settings.queues[0].per_second = 6;
+  Day().Run(seconds(30), true);
+  const std::size_t owner = Day().OwnerOf(0);
+  BOOST_REQUIRE(owner < settings.instances);
+  Day().KillInstance(owner);
+  Day().Run(seconds(10), true);
+  Day().Run(seconds(60), false);
+  CheckPromises();
+  BOOST_TEST(Day().Total().completed == Day().Total().accepted);
+}
+
 BOOST_AUTO_TEST_CASE(EndedSubmissionsLeaveTheStoreAfterAWhile) {
   Day().Run(seconds(20), true);
   Day().Run(seconds(20), false);
