One guard for callbacks that may outlive their owner

Seven classes of src/runtime each kept a flag, a destructor that clears it, a check in every callback and, five of them, a timer of their own around it. reactor::callback_guard does that once: Wrap for callbacks, Later for timers. A move to another shard is committed in one place, first time and again.

--- /dev/null
+++ b/src/reactor/include/chivecrank/reactor/callback_guard.h
@@ -0,0 +1,43 @@
+#ifndef CHIVECRANK_REACTOR_CALLBACK_GUARD_H_
+#define CHIVECRANK_REACTOR_CALLBACK_GUARD_H_
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "chivecrank/reactor/event_loop.h"
+
+namespace chivecrank::reactor {
+
+/// Ties callbacks to the object that they belong to: what was wrapped does
+/// nothing once the guard is gone. Declare it as the owner's last member, so
+/// that it goes first. For one thread.
+class callback_guard {
+ public:
+  explicit callback_guard(event_loop& loop) : loop_(loop) {}
+  ~callback_guard() { *alive_ = false; }
+  callback_guard(const callback_guard&) = delete;
+  callback_guard& operator=(const callback_guard&) = delete;
+
+  template <class Callback>
+  auto Wrap(Callback callback) const {
+    return [alive = alive_,
+            callback = std::move(callback)](auto&&... arguments) mutable {
+      if (*alive)
+        callback(std::forward<decltype(arguments)>(arguments)...);
+    };
+  }
+
+  /// Calls back once, `delay` from now.
+  void Later(base::duration delay, std::function<void()> step) const {
+    loop_.After(delay, Wrap(std::move(step)));
+  }
+
+ private:
+  event_loop& loop_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace chivecrank::reactor
+
+#endif  // CHIVECRANK_REACTOR_CALLBACK_GUARD_H_
--- a/src/runtime/include/chivecrank/runtime/feed.h
+++ b/src/runtime/include/chivecrank/runtime/feed.h
@@ -2,11 +2,11 @@
 #define CHIVECRANK_RUNTIME_FEED_H_
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/prefix_listing.h"
 
@@ -44,7 +44,6 @@
        metadata::store& store,
        feed_settings settings,
        feed_hooks hooks);
-  ~feed();
 
   void Start();
   /// The last call succeeded, and the prefix was listed.
@@ -54,7 +53,6 @@
   void OnListed(base::result<prefix_listing> listing);
   void Watch();
   void OnChanges(base::result<metadata::change_list> list);
-  void Later(std::chrono::milliseconds delay, std::function<void()> step);
 
   reactor::event_loop& loop_;
   metadata::store& store_;
@@ -63,8 +61,7 @@
   metadata::revision revision_ = 0;
   bool listed_ = false;
   bool failing_ = false;
-  /// Guards callbacks that outlive this object.
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -4,11 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/replica.h"
 
@@ -46,7 +46,6 @@
             event_log::event_log& log,
             ownership_settings settings,
             hooks handlers);
-  ~ownership();
 
   void Start();
   /// Gives all shards up and ends the lease; `done` is called at the end.
@@ -75,7 +74,6 @@
   void Take(std::uint32_t shard, metadata::revision expected);
   void OnTaken(std::uint32_t shard,
                base::result<metadata::commit_answer> answer);
-  void Later(std::chrono::milliseconds delay, std::function<void()> step);
 
   reactor::event_loop& loop_;
   metadata::store& store_;
@@ -93,7 +91,7 @@
   std::map<std::uint32_t, base::time_point> taking_;
   /// Since when a shard has had no owner.
   std::map<std::uint32_t, base::time_point> free_since_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -4,12 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/driver_settings.h"
 #include "chivecrank/runtime/instance_metrics.h"
@@ -47,7 +47,6 @@
                metadata::revision fence,
                driver_settings settings,
                hooks handlers);
-  ~shard_driver();
 
   /// Begins as soon as the replica is as new as the ownership.
   void Start();
@@ -86,7 +85,6 @@
               base::time_point requested_at,
               base::result<submissions::worker_report> report);
 
-  void Later(std::chrono::milliseconds delay, std::function<void()> step);
   void OnEvent(const submissions::scheduler_event& event);
   submissions::order_terms Terms() const;
   const submissions::worker_description* WorkerOf(const std::string& id) const;
@@ -111,7 +109,7 @@
   std::map<std::string, look_state> looks_;
   bool restored_ = false;
   bool decision_due_ = false;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/shard_housekeeping.h
+++ b/src/runtime/include/chivecrank/runtime/shard_housekeeping.h
@@ -5,11 +5,11 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <memory>
 #include <string>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/submissions/shard_scheduler.h"
@@ -41,7 +41,6 @@
                      metadata::revision fence,
                      housekeeping_settings settings,
                      std::function<bool()> is_valid);
-  ~shard_housekeeping();
 
   /// Deletes from now on.
   void Start();
@@ -58,10 +57,10 @@
 
   void DeleteEnded();
   void Move(const std::string& id, std::uint32_t to);
+  void CommitMove(const std::string& id, metadata::transaction change);
   void OnMove(const std::string& id,
               const metadata::transaction& change,
               base::result<metadata::commit_answer> answer);
-  void Later(std::chrono::milliseconds delay, std::function<void()> step);
 
   reactor::event_loop& loop_;
   metadata::store& store_;
@@ -75,7 +74,7 @@
   std::size_t moves_in_flight_ = 0;
   /// Oldest first.
   std::deque<ended_submission> ended_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -12,6 +11,7 @@
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/driver_settings.h"
 #include "chivecrank/runtime/instance_metrics.h"
@@ -46,7 +46,6 @@
                 metadata::revision fence,
                 const driver_settings& settings,
                 hooks handlers);
-  ~shard_journal();
 
   /// Reads the entries that an earlier owner left, from the newest snapshot on,
   /// and goes on after the last one.
@@ -82,7 +81,6 @@
                 base::result<metadata::commit_answer> answer);
   void OnCommitted();
   void NoteBatchWritten();
-  void Later(std::chrono::milliseconds delay, std::function<void()> step);
 
   reactor::event_loop& loop_;
   metadata::store& store_;
@@ -111,7 +109,7 @@
   bool in_flight_ = false;
   std::string written_status_;
   base::time_point status_at_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -11,6 +11,7 @@
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/replica.h"
@@ -44,7 +45,6 @@
                     instance_metrics& metrics,
                     intake_settings settings,
                     std::function<bool()> store_answers);
-  ~submission_intake() override;
 
   void Submit(submissions::submission offered,
               base::time_point give_up_at,
@@ -107,7 +107,7 @@
   std::size_t in_flight_ = 0;
   base::time_point store_away_until_;
   std::map<std::uint32_t, sent_to_shard> sent_since_status_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/worker_directory.h
+++ b/src/runtime/include/chivecrank/runtime/worker_directory.h
@@ -3,13 +3,13 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "chivecrank/base/result.h"
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/prefix_listing.h"
 #include "chivecrank/submissions/types.h"
@@ -43,7 +43,6 @@
                    event_log::event_log& log,
                    worker_source source,
                    directory_settings settings);
-  ~worker_directory();
 
   /// Lists from now on while `wanted` holds; `on_listed` is called after each
   /// listing.
@@ -53,9 +52,9 @@
 
  private:
   void Poll();
+  void PollLater();
   void OnListed(base::result<prefix_listing> listing);
   void Publish(const std::vector<metadata::item>& items);
-  void Later(std::chrono::milliseconds delay);
 
   reactor::event_loop& loop_;
   metadata::store& store_;
@@ -67,7 +66,7 @@
   worker_map workers_;
   base::time_point last_trouble_;
   bool listed_ = false;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  reactor::callback_guard guard_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/feed.cc
+++ b/src/runtime/internal/feed.cc
@@ -11,24 +11,20 @@
     : loop_(loop),
       store_(store),
       settings_(std::move(settings)),
-      hooks_(std::move(hooks)) {}
-
-feed::~feed() {
-  *alive_ = false;
-}
+      hooks_(std::move(hooks)),
+      guard_(loop) {}
 
 void feed::Start() {
   ListAll(store_, settings_.prefix,
-          [this, alive = alive_](base::result<prefix_listing> listing) {
-            if (*alive)
-              OnListed(std::move(listing));
-          });
+          guard_.Wrap([this](base::result<prefix_listing> listing) {
+            OnListed(std::move(listing));
+          }));
 }
 
 void feed::OnListed(base::result<prefix_listing> listing) {
   failing_ = !listing;
   if (!listing)
-    return Later(settings_.retry, [this] { Start(); });
+    return guard_.Later(settings_.retry, [this] { Start(); });
   hooks_.on_listed(listing.value().items);
   // What changed while the pages were read is watched.
   revision_ = listing.value().began;
@@ -38,18 +34,16 @@
 }
 
 void feed::Watch() {
-  store_.Watch(
-      settings_.prefix, revision_, settings_.wait,
-      [this, alive = alive_](base::result<metadata::change_list> list) {
-        if (*alive)
-          OnChanges(std::move(list));
-      });
+  store_.Watch(settings_.prefix, revision_, settings_.wait,
+               guard_.Wrap([this](base::result<metadata::change_list> list) {
+                 OnChanges(std::move(list));
+               }));
 }
 
 void feed::OnChanges(base::result<metadata::change_list> list) {
   if (!list) {
     failing_ = true;
-    return Later(settings_.retry, [this] { Watch(); });
+    return guard_.Later(settings_.retry, [this] { Watch(); });
   }
   failing_ = false;
   if (list.value().history_gone)
@@ -59,15 +53,8 @@
   revision_ = std::max(revision_, list.value().current);
   hooks_.on_revision(revision_);
   const bool urgent = hooks_.is_urgent && hooks_.is_urgent();
-  Later(urgent ? settings_.urgent_spacing : settings_.spacing,
-        [this] { Watch(); });
-}
-
-void feed::Later(std::chrono::milliseconds delay, std::function<void()> step) {
-  loop_.After(delay, [alive = alive_, step = std::move(step)] {
-    if (*alive)
-      step();
-  });
+  guard_.Later(urgent ? settings_.urgent_spacing : settings_.spacing,
+               [this] { Watch(); });
 }
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -23,11 +23,8 @@
       shared_(shared),
       log_(log),
       settings_(std::move(settings)),
-      hooks_(std::move(handlers)) {}
-
-ownership::~ownership() {
-  *alive_ = false;
-}
+      hooks_(std::move(handlers)),
+      guard_(loop) {}
 
 void ownership::Start() {
   Grant();
@@ -74,21 +71,19 @@
   if (releasing_)
     return;
   const base::time_point sent = loop_.Now();
-  store_.Grant(settings_.term,
-               [this, sent,
-                alive = alive_](base::result<metadata::granted_lease> granted) {
-                 if (!*alive)
-                   return;
-                 if (!granted)
-                   return Later(kRetry, [this] { Grant(); });
-                 lease_ = granted.value().id;
-                 valid_until_ = sent + granted.value().term - settings_.margin;
-                 announced_ = false;
-                 renewal_failing_ = false;
-                 log_.Write("lease_granted", {{"lease", lease_}});
-                 Announce();
-                 RenewLater();
-               });
+  store_.Grant(
+      settings_.term,
+      guard_.Wrap([this, sent](base::result<metadata::granted_lease> granted) {
+        if (!granted)
+          return guard_.Later(kRetry, [this] { Grant(); });
+        lease_ = granted.value().id;
+        valid_until_ = sent + granted.value().term - settings_.margin;
+        announced_ = false;
+        renewal_failing_ = false;
+        log_.Write("lease_granted", {{"lease", lease_}});
+        Announce();
+        RenewLater();
+      }));
 }
 
 void ownership::Announce() {
@@ -97,45 +92,47 @@
                                  std::to_string(settings_.processors_milli),
                                  lease_});
   store_.Commit(std::move(announcement),
-                [this, lease = lease_,
-                 alive = alive_](base::result<metadata::commit_answer> answer) {
-                  if (!*alive || lease != lease_)
+                guard_.Wrap([this, lease = lease_](
+                                base::result<metadata::commit_answer> answer) {
+                  if (lease != lease_)
                     return;
                   if (!answer)
-                    return Later(kRetry, [this] { Announce(); });
+                    return guard_.Later(kRetry, [this] { Announce(); });
                   announced_ = true;
-                });
+                }));
 }
 
 void ownership::RenewLater() {
-  Later(renewal_failing_ ? settings_.probe_interval : settings_.renew_interval,
-        [this] { Renew(); });
+  guard_.Later(
+      renewal_failing_ ? settings_.probe_interval : settings_.renew_interval,
+      [this] { Renew(); });
 }
 
 void ownership::Renew() {
   if (releasing_ || lease_ == 0)
     return;
   const base::time_point sent = loop_.Now();
-  store_.Renew(lease_, [this, sent, lease = lease_, alive = alive_](
-                           base::result<metadata::granted_lease> renewed) {
-    if (!*alive || lease != lease_ || releasing_)
-      return;
-    if (!renewed && renewed.error().kind == base::error_kind::kNotFound)
-      return LoseLease("the store ended it");
-    if (renewal_failing_ != !renewed)
-      log_.Write(renewed ? "store_regained" : "store_lost",
-                 {{"call", "renew"},
-                  {"error", renewed ? "" : renewed.error().message}});
-    renewal_failing_ = !renewed;
-    if (renewed) {
-      valid_until_ = sent + settings_.term - settings_.margin;
-    } else if (!IsValid() && !owned_.empty()) {
-      // Another instance may own the shards by now.
-      while (!owned_.empty())
-        Drop(owned_.begin()->first, "the lease may be over");
-    }
-    RenewLater();
-  });
+  store_.Renew(
+      lease_, guard_.Wrap([this, sent, lease = lease_](
+                              base::result<metadata::granted_lease> renewed) {
+        if (lease != lease_ || releasing_)
+          return;
+        if (!renewed && renewed.error().kind == base::error_kind::kNotFound)
+          return LoseLease("the store ended it");
+        if (renewal_failing_ != !renewed)
+          log_.Write(renewed ? "store_regained" : "store_lost",
+                     {{"call", "renew"},
+                      {"error", renewed ? "" : renewed.error().message}});
+        renewal_failing_ = !renewed;
+        if (renewed) {
+          valid_until_ = sent + settings_.term - settings_.margin;
+        } else if (!IsValid() && !owned_.empty()) {
+          // Another instance may own the shards by now.
+          while (!owned_.empty())
+            Drop(owned_.begin()->first, "the lease may be over");
+        }
+        RenewLater();
+      }));
 }
 
 void ownership::LoseLease(std::string_view reason) {
@@ -149,7 +146,7 @@
 void ownership::TakeFreeShards() {
   if (releasing_)
     return;
-  Later(kTakeInterval, [this] { TakeFreeShards(); });
+  guard_.Later(kTakeInterval, [this] { TakeFreeShards(); });
   if (!IsValid() || !announced_ || !hooks_.may_take())
     return;
   for (std::uint32_t shard = 0; shard < shared_.ShardCount(); ++shard) {
@@ -197,14 +194,12 @@
   claim.conditions.push_back({OwnerKey(shard), expected});
   claim.writes.push_back({OwnerKey(shard), settings_.node, lease_});
   store_.Commit(std::move(claim),
-                [this, shard, lease = lease_,
-                 alive = alive_](base::result<metadata::commit_answer> answer) {
-                  if (!*alive)
-                    return;
+                guard_.Wrap([this, shard, lease = lease_](
+                                base::result<metadata::commit_answer> answer) {
                   taking_.erase(shard);
                   if (lease == lease_)
                     OnTaken(shard, std::move(answer));
-                });
+                }));
 }
 
 void ownership::OnTaken(std::uint32_t shard,
@@ -229,12 +224,4 @@
   hooks_.on_won(shard, fence);
 }
 
-void ownership::Later(std::chrono::milliseconds delay,
-                      std::function<void()> step) {
-  loop_.After(delay, [alive = alive_, step = std::move(step)] {
-    if (*alive)
-      step();
-  });
-}
-
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -50,20 +50,16 @@
                     fence,
                     settings_.housekeeping,
                     hooks_.is_valid),
-      journal_(
-          loop,
-          store,
-          log,
-          metrics,
-          scheduler_,
-          shard,
-          fence,
-          settings_,
-          {hooks_.is_valid, hooks_.on_fenced, [this] { SendCommands(); }}) {}
-
-shard_driver::~shard_driver() {
-  *alive_ = false;
-}
+      journal_(loop,
+               store,
+               log,
+               metrics,
+               scheduler_,
+               shard,
+               fence,
+               settings_,
+               {hooks_.is_valid, hooks_.on_fenced, [this] { SendCommands(); }}),
+      guard_(loop) {}
 
 void shard_driver::Start() {
   WaitForReplica();
@@ -71,19 +67,18 @@
 
 void shard_driver::WaitForReplica() {
   if (shared_.Revision() < fence_)
-    return Later(kReplicaPoll, [this] { WaitForReplica(); });
+    return guard_.Later(kReplicaPoll, [this] { WaitForReplica(); });
   ReadJournal();
 }
 
 void shard_driver::ReadJournal() {
   ListAll(store_, JournalPrefix(shard_),
-          [this, alive = alive_](base::result<prefix_listing> listing) {
-            if (!*alive)
-              return;
+          guard_.Wrap([this](base::result<prefix_listing> listing) {
             if (!listing)
-              return Later(settings_.commit_retry, [this] { ReadJournal(); });
+              return guard_.Later(settings_.commit_retry,
+                                  [this] { ReadJournal(); });
             Restore(listing.value().items);
-          });
+          }));
 }
 
 void shard_driver::Restore(const std::vector<metadata::item>& journal) {
@@ -110,7 +105,7 @@
   for (const auto& [id, worker] : workers_)
     LookLater(id, std::chrono::milliseconds(0));
   Wake();
-  Later(settings_.idle_decision, [this] { Decide(); });
+  guard_.Later(settings_.idle_decision, [this] { Decide(); });
   housekeeping_.Start();
 }
 
@@ -189,9 +184,7 @@
   if (decision_due_ || !restored_)
     return;
   decision_due_ = true;
-  loop_.After(settings_.decide_after, [this, alive = alive_] {
-    if (!*alive)
-      return;
+  guard_.Later(settings_.decide_after, [this] {
     decision_due_ = false;
     if (!hooks_.is_valid())
       return;
@@ -207,7 +200,7 @@
 void shard_driver::Decide() {
   housekeeping_.MoveStranded();
   Wake();
-  Later(settings_.idle_decision, [this] { Decide(); });
+  guard_.Later(settings_.idle_decision, [this] { Decide(); });
 }
 
 void shard_driver::SendCommands() {
@@ -228,20 +221,19 @@
 void shard_driver::SendQuestion(const submissions::permit_request& question) {
   permits_.Ask(
       question,
-      [this, question, alive = alive_](
-          base::result<std::vector<submissions::start_permit>> granted) {
-        if (!*alive)
-          return;
-        log_.Write("permits_answered",
-                   {{"submission", question.step.submission},
-                    {"step", question.step.step},
-                    {"asked", question.workers.size()},
-                    {"granted", granted ? granted.value().size() : 0},
-                    {"error", granted ? "" : granted.error().message}});
-        scheduler_.OnPermits(question, granted ? &granted.value() : nullptr,
-                             loop_.Now());
-        Wake();
-      });
+      guard_.Wrap(
+          [this, question](
+              base::result<std::vector<submissions::start_permit>> granted) {
+            log_.Write("permits_answered",
+                       {{"submission", question.step.submission},
+                        {"step", question.step.step},
+                        {"asked", question.workers.size()},
+                        {"granted", granted ? granted.value().size() : 0},
+                        {"error", granted ? "" : granted.error().message}});
+            scheduler_.OnPermits(question, granted ? &granted.value() : nullptr,
+                                 loop_.Now());
+            Wake();
+          }));
 }
 
 void shard_driver::SendStart(const submissions::start_command& command) {
@@ -250,18 +242,15 @@
     return scheduler_.OnStartAnswer(
         command, submissions::start_answer::kNotSent, loop_.Now());
   scheduler_.OnLeaseSent(command.worker, loop_.Now());
-  orders_.Start(
-      *worker, command, Terms(),
-      [this, command, alive = alive_](submissions::start_answer answer) {
-        if (!*alive)
-          return;
-        scheduler_.OnStartAnswer(command, answer, loop_.Now());
-        if (scheduler_.IsFenced())
-          return hooks_.on_fenced("a worker follows a newer owner");
-        LookLater(command.worker, settings_.look_spacing);
-        if (answer != submissions::start_answer::kStarted)
-          Wake();
-      });
+  orders_.Start(*worker, command, Terms(),
+                guard_.Wrap([this, command](submissions::start_answer answer) {
+                  scheduler_.OnStartAnswer(command, answer, loop_.Now());
+                  if (scheduler_.IsFenced())
+                    return hooks_.on_fenced("a worker follows a newer owner");
+                  LookLater(command.worker, settings_.look_spacing);
+                  if (answer != submissions::start_answer::kStarted)
+                    Wake();
+                }));
 }
 
 void shard_driver::SendStop(const submissions::stop_command& command) {
@@ -269,12 +258,10 @@
   if (worker == nullptr)
     return;
   orders_.Stop(*worker, command, Terms(),
-               [this, command, alive = alive_](bool done) {
-                 if (!*alive)
-                   return;
+               guard_.Wrap([this, command](bool done) {
                  scheduler_.OnStopAnswer(command, done, loop_.Now());
                  LookLater(command.worker, settings_.look_spacing);
-               });
+               }));
 }
 
 void shard_driver::SendThrottle(const submissions::throttle_command& command) {
@@ -282,10 +269,9 @@
   if (worker == nullptr)
     return;
   orders_.Throttle(*worker, command, Terms(),
-                   [this, command, alive = alive_](bool done) {
-                     if (*alive)
-                       scheduler_.OnThrottleAnswer(command, done);
-                   });
+                   guard_.Wrap([this, command](bool done) {
+                     scheduler_.OnThrottleAnswer(command, done);
+                   }));
 }
 
 void shard_driver::LookLater(const std::string& worker,
@@ -294,10 +280,8 @@
   if (state.in_flight)
     return;
   loop_.Cancel(state.timer);
-  state.timer = loop_.After(delay, [this, worker, alive = alive_] {
-    if (*alive)
-      Look(worker);
-  });
+  state.timer =
+      loop_.After(delay, guard_.Wrap([this, worker] { Look(worker); }));
 }
 
 void shard_driver::Look(const std::string& worker) {
@@ -322,12 +306,12 @@
   else
     request.terms.lease = std::chrono::milliseconds(0);
   state.in_flight = true;
-  orders_.Look(*known, request,
-               [this, worker, now, alive = alive_](
-                   base::result<submissions::worker_report> report) {
-                 if (*alive)
-                   OnLook(worker, now, std::move(report));
-               });
+  orders_.Look(
+      *known, request,
+      guard_.Wrap(
+          [this, worker, now](base::result<submissions::worker_report> report) {
+            OnLook(worker, now, std::move(report));
+          }));
 }
 
 void shard_driver::OnLook(const std::string& worker,
@@ -350,14 +334,6 @@
   Wake();
 }
 
-void shard_driver::Later(std::chrono::milliseconds delay,
-                         std::function<void()> step) {
-  loop_.After(delay, [alive = alive_, step = std::move(step)] {
-    if (*alive)
-      step();
-  });
-}
-
 void shard_driver::OnEvent(const submissions::scheduler_event& event) {
   metrics_.OnSchedulerEvent(event);
   if (event.kind == submissions::scheduler_event_kind::kSubmissionEnded)
--- a/src/runtime/internal/shard_housekeeping.cc
+++ b/src/runtime/internal/shard_housekeeping.cc
@@ -35,14 +35,11 @@
       shard_(shard),
       fence_(fence),
       settings_(settings),
-      is_valid_(std::move(is_valid)) {}
-
-shard_housekeeping::~shard_housekeeping() {
-  *alive_ = false;
-}
+      is_valid_(std::move(is_valid)),
+      guard_(loop) {}
 
 void shard_housekeeping::Start() {
-  Later(settings_.clean_interval, [this] { DeleteEnded(); });
+  guard_.Later(settings_.clean_interval, [this] { DeleteEnded(); });
 }
 
 void shard_housekeeping::NoteEnded(const std::string& id) {
@@ -50,7 +47,7 @@
 }
 
 void shard_housekeeping::DeleteEnded() {
-  Later(settings_.clean_interval, [this] { DeleteEnded(); });
+  guard_.Later(settings_.clean_interval, [this] { DeleteEnded(); });
   if (!is_valid_())
     return;
   metadata::transaction removal;
@@ -69,11 +66,11 @@
   // What a failure leaves is found by the shard's next owner.
   store_.Commit(
       std::move(removal),
-      [this, alive = alive_](base::result<metadata::commit_answer> answer) {
-        if (*alive && !answer)
+      guard_.Wrap([this](base::result<metadata::commit_answer> answer) {
+        if (!answer)
           log_.Write("clean_failed",
                      {{"shard", shard_}, {"error", answer.error().message}});
-      });
+      }));
 }
 
 void shard_housekeeping::MoveStranded() {
@@ -113,11 +110,16 @@
   log_.Write("submission_moved",
              {{"submission", id}, {"from_shard", shard_}, {"to_shard", to}});
   ++moves_in_flight_;
-  store_.Commit(change, [this, id, change, alive = alive_](
-                            base::result<metadata::commit_answer> answer) {
-    if (*alive)
-      OnMove(id, change, std::move(answer));
-  });
+  CommitMove(id, std::move(change));
+}
+
+void shard_housekeeping::CommitMove(const std::string& id,
+                                    metadata::transaction change) {
+  store_.Commit(change,
+                guard_.Wrap([this, id, change](
+                                base::result<metadata::commit_answer> answer) {
+                  OnMove(id, change, std::move(answer));
+                }));
 }
 
 void shard_housekeeping::OnMove(const std::string& id,
@@ -125,16 +127,10 @@
                                 base::result<metadata::commit_answer> answer) {
   if (!answer && !is_valid_())
     return;
-  if (!answer) {
-    // The same again: its conditions let it happen only once.
-    return Later(settings_.retry, [this, id, change] {
-      store_.Commit(change, [this, id, change, alive = alive_](
-                                base::result<metadata::commit_answer> again) {
-        if (*alive)
-          OnMove(id, change, std::move(again));
-      });
-    });
-  }
+  // The same again: its conditions let it happen only once.
+  if (!answer)
+    return guard_.Later(settings_.retry,
+                        [this, id, change] { CommitMove(id, change); });
   --moves_in_flight_;
   // When it was not applied it was moved by an attempt before, which the
   // replica tells, or the ownership is gone.
@@ -142,12 +138,4 @@
     scheduler_.FinishMove(id);
 }
 
-void shard_housekeeping::Later(std::chrono::milliseconds delay,
-                               std::function<void()> step) {
-  loop_.After(delay, [alive = alive_, step = std::move(step)] {
-    if (*alive)
-      step();
-  });
-}
-
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -38,11 +38,8 @@
       shard_(shard),
       fence_(fence),
       settings_(settings),
-      hooks_(std::move(handlers)) {}
-
-shard_journal::~shard_journal() {
-  *alive_ = false;
-}
+      hooks_(std::move(handlers)),
+      guard_(loop) {}
 
 std::vector<submissions::journal_entry> shard_journal::Continue(
     const std::vector<metadata::item>& items) {
@@ -204,19 +201,17 @@
 
 void shard_journal::Commit(metadata::transaction changes) {
   if (!hooks_.is_valid())
-    return Later(settings_.commit_retry,
-                 [this, changes = std::move(changes)]() mutable {
-                   Commit(std::move(changes));
-                 });
+    return guard_.Later(settings_.commit_retry,
+                        [this, changes = std::move(changes)]() mutable {
+                          Commit(std::move(changes));
+                        });
   auto sent = std::make_shared<metadata::transaction>(changes);
   store_.Commit(std::move(changes),
-                [this, sent, since = loop_.Now(),
-                 alive = alive_](base::result<metadata::commit_answer> answer) {
-                  if (!*alive)
-                    return;
+                guard_.Wrap([this, sent, since = loop_.Now()](
+                                base::result<metadata::commit_answer> answer) {
                   metrics_.OnCommit(answer.has_value(), loop_.Now() - since);
                   OnCommit(*sent, std::move(answer));
-                });
+                }));
 }
 
 void shard_journal::OnCommit(const metadata::transaction& changes,
@@ -226,7 +221,8 @@
                                  {"entry", next_entry_},
                                  {"error", answer.error().message}});
     // The same again: its conditions let it happen only once.
-    return Later(settings_.commit_retry, [this, changes] { Commit(changes); });
+    return guard_.Later(settings_.commit_retry,
+                        [this, changes] { Commit(changes); });
   }
   if (answer.value().applied)
     return OnCommitted();
@@ -268,12 +264,4 @@
   }
 }
 
-void shard_journal::Later(std::chrono::milliseconds delay,
-                          std::function<void()> step) {
-  loop_.After(delay, [alive = alive_, step = std::move(step)] {
-    if (*alive)
-      step();
-  });
-}
-
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -29,11 +29,8 @@
       log_(log),
       metrics_(metrics),
       settings_(settings),
-      store_answers_(std::move(store_answers)) {}
-
-submission_intake::~submission_intake() {
-  *alive_ = false;
-}
+      store_answers_(std::move(store_answers)),
+      guard_(loop) {}
 
 void submission_intake::Submit(submissions::submission offered,
                                base::time_point give_up_at,
@@ -97,14 +94,11 @@
       if (state == submission_state::kUnavailable)
         return done(cancel_verdict::kUnavailable);
       // Stored by another instance and on its way here.
-      loop_.After(settings_.retry,
-                  [this, id, give_up_at, done, alive = alive_] {
-                    if (!*alive)
-                      return;
-                    if (loop_.Now() >= give_up_at)
-                      return done(cancel_verdict::kUnavailable);
-                    Cancel(id, give_up_at, done);
-                  });
+      guard_.Later(settings_.retry, [this, id, give_up_at, done] {
+        if (loop_.Now() >= give_up_at)
+          return done(cancel_verdict::kUnavailable);
+        Cancel(id, give_up_at, done);
+      });
     });
   }
   if (known->Ended())
@@ -127,10 +121,8 @@
 }
 
 void submission_intake::Enqueue(pending added) {
-  loop_.After(added->give_up_at - loop_.Now(), [this, added, alive = alive_] {
-    if (*alive)
-      GiveUp(*added);
-  });
+  guard_.Later(added->give_up_at - loop_.Now(),
+               [this, added] { GiveUp(*added); });
   waiting_.push_back(std::move(added));
   SendNext();
 }
@@ -158,14 +150,12 @@
     changes.writes.push_back(written->write);
   }
   store_.Commit(std::move(changes),
-                [this, sent = std::move(sent),
-                 alive = alive_](base::result<metadata::commit_answer> answer) {
-                  if (!*alive)
-                    return;
+                guard_.Wrap([this, sent = std::move(sent)](
+                                base::result<metadata::commit_answer> answer) {
                   --in_flight_;
                   OnCommit(sent, std::move(answer));
                   SendNext();
-                });
+                }));
 }
 
 void submission_intake::OnCommit(const group& sent,
@@ -201,9 +191,7 @@
     return;
   // What may have been stored is sent again: its condition tells whether it
   // was, and lets it happen only once.
-  loop_.After(settings_.retry, [this, again, alive = alive_] {
-    if (!*alive)
-      return;
+  guard_.Later(settings_.retry, [this, again] {
     for (const pending& written : again)
       if (!written->answered)
         waiting_.push_front(written);
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -13,11 +13,8 @@
       store_(store),
       log_(log),
       source_(std::move(source)),
-      settings_(settings) {}
-
-worker_directory::~worker_directory() {
-  *alive_ = false;
-}
+      settings_(settings),
+      guard_(loop) {}
 
 void worker_directory::Start(std::function<bool()> wanted,
                              std::function<void()> on_listed) {
@@ -28,12 +25,11 @@
 
 void worker_directory::Poll() {
   if (!wanted_())
-    return Later(settings_.interval);
+    return PollLater();
   ListAll(store_, source_.prefix,
-          [this, alive = alive_](base::result<prefix_listing> listing) {
-            if (*alive)
-              OnListed(std::move(listing));
-          });
+          guard_.Wrap([this](base::result<prefix_listing> listing) {
+            OnListed(std::move(listing));
+          }));
 }
 
 void worker_directory::OnListed(base::result<prefix_listing> listing) {
@@ -41,7 +37,7 @@
     Publish(listing.value().items);
   else
     last_trouble_ = loop_.Now();
-  Later(settings_.interval);
+  PollLater();
 }
 
 void worker_directory::Publish(const std::vector<metadata::item>& items) {
@@ -70,11 +66,8 @@
   on_listed_();
 }
 
-void worker_directory::Later(std::chrono::milliseconds delay) {
-  loop_.After(delay, [this, alive = alive_] {
-    if (*alive)
-      Poll();
-  });
+void worker_directory::PollLater() {
+  guard_.Later(settings_.interval, [this] { Poll(); });
 }
 
 }  // namespace chivecrank::runtime
