A slowed task is not moved to the worker that it runs on

When it was the best one for a slowed filling task, the room held there took the place of the run in the table: an order to stop a run 0 went out, the run was forgotten, later stopped as a stray, and its task waited for an end that nobody counted any more.

Ruled out: workers that drain (they are never offered).

Change: a request names the worker that the task runs on, which is left out.

Test: ASlowedTaskIsNotMovedToWhereItRuns failed before.

--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -135,7 +135,7 @@
       worker.lacks_room || request.now >= worker.lease_over ||
       request.now - worker.reported_at > settings_.report_fresh)
     return false;
-  if (description.service != *request.service)
+  if (description.service != *request.service || &worker == request.runs_on)
     return false;
   if (!request.rack.empty() && description.rack != request.rack)
     return false;
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -21,6 +21,8 @@
   const std::string* service = nullptr;
   image_number image = 0;
   task_ref task;
+  /// Where it runs now and is to leave; null when it runs nowhere.
+  const worker_entry* runs_on = nullptr;
   /// Only workers of this rack; empty for any.
   std::string rack;
   /// Set when the task needs a permit for its worker.
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -110,7 +110,7 @@
   const live_submission* live = book_.Submissions().Find(task.submission);
   if (live == nullptr || live->outcome)
     return false;
-  if (FindRoom(*live, task, now) == nullptr)
+  if (FindRoom(worker, *live, task, now) == nullptr)
     return false;
   active_run& run = worker.runs.at(task);
   book_.Emit({.kind = why,
@@ -123,14 +123,15 @@
   return true;
 }
 
-worker_entry* relocator::FindRoom(const live_submission& live,
+worker_entry* relocator::FindRoom(const worker_entry& runs_on,
+                                  const live_submission& live,
                                   const task_ref& task,
                                   base::time_point now) {
   static const task_progress never_ran;
   placement_request request = request_for_(live, task, now);
   request.progress = &never_ran;
+  request.runs_on = &runs_on;
   worker_entry* found = nullptr;
-  // The task's own worker isn't offered: it runs there.
   if (!full_.Covers(request, 1))
     found = candidate_queue(placer_, request).Take(request);
   if (found == nullptr) {
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -59,7 +59,8 @@
             const task_ref& task,
             scheduler_event_kind why,
             base::time_point now);
-  worker_entry* FindRoom(const live_submission& live,
+  worker_entry* FindRoom(const worker_entry& runs_on,
+                         const live_submission& live,
                          const task_ref& task,
                          base::time_point now);
 
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -505,6 +505,49 @@
   BOOST_TEST(Round().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(ASlowedTaskIsNotMovedToWhereItRuns) {
+  step_request service = Step(1, 3000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  step_request filling = Step(1, 4000);
+  filling.fills = true;
+  filling.image = "batch";
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(Request("a", service));
+  const auto serving = Round();
+  scheduler.Accept(Request("b", filling));
+  const auto beside = Round();
+  BOOST_REQUIRE(beside.size() == 1u);
+  const auto report_reading = [&](std::int64_t tail_ms) {
+    worker_report report;
+    report.running = {Running(serving[0], tail_ms, 100),
+                      Running(beside[0], 4000, 20)};
+    Report("w-1", report);
+  };
+  // Near its bound once, and calm after that: the task is slowed for a while.
+  report_reading(44);
+  Round();
+  BOOST_REQUIRE(throttles.size() == 1u);
+  BOOST_TEST(throttles[0].percent == 50);
+  for (int i = 0; i < 3; ++i) {
+    Pass(std::chrono::milliseconds(200));
+    report_reading(13);
+    BOOST_TEST(Round().empty());
+    BOOST_TEST(stops.empty());
+  }
+  // It goes on and ends there.
+  worker_report report;
+  report.running = {Running(serving[0], 13, 100)};
+  report.ended = {{1, beside[0].task, 1, run_end::kDone, ""}};
+  Pass(std::chrono::milliseconds(200));
+  Report("w-1", report);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->outcomes.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(WhatNobodyHandedInIsStopped) {
   worker_report report;
   report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
