What the change wrote twice stands once

- The longest chain through a submission's steps was walked forwards for its objective and backwards for what is left: LongestChain uses WorkFromSteps.
- worker_table::Find for those who only look.

--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -57,6 +57,18 @@
   void WriteNext();
 
  private:
+  /// What the transaction under way writes.
+  struct part_in_flight {
+    std::uint64_t entries = 0;
+    /// The entries are a snapshot.
+    bool is_snapshot = false;
+    /// Of the batch.
+    std::size_t tasks = 0;
+    std::size_t outcomes = 0;
+    /// Old entries that go.
+    std::uint64_t deletes = 0;
+  };
+
   metadata::transaction NextTransaction();
   /// Adds a snapshot in one or more entries. All are written at once, since
   /// the first makes the entries before it void; false when they are too many.
@@ -95,12 +107,7 @@
   std::optional<submissions::progress_batch> batch_;
   std::size_t outcomes_written_ = 0;
   std::size_t tasks_written_ = 0;
-  /// What the transaction under way writes of the batch.
-  std::uint64_t entries_in_flight_ = 0;
-  bool snapshot_in_flight_ = false;
-  std::size_t tasks_in_flight_ = 0;
-  std::size_t outcomes_in_flight_ = 0;
-  std::uint64_t deletes_in_flight_ = 0;
+  part_in_flight part_;
   std::uint64_t next_entry_ = 1;
   std::uint64_t oldest_entry_ = 1;
   std::uint64_t snapshot_entry_ = 0;
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -80,11 +80,7 @@
 
 metadata::transaction shard_journal::NextTransaction() {
   metadata::transaction changes;
-  entries_in_flight_ = 0;
-  snapshot_in_flight_ = false;
-  tasks_in_flight_ = 0;
-  outcomes_in_flight_ = 0;
-  deletes_in_flight_ = 0;
+  part_ = {};
   if (auto status = StatusWrite())
     changes.writes.push_back(std::move(*status));
   if (!batch_ && changes.writes.empty())
@@ -97,9 +93,9 @@
   if (TasksGoOut())
     AddOutcomes(changes);
   for (std::uint64_t old = oldest_entry_;
-       old < KeptFrom() && deletes_in_flight_ < kDeletesPerCommit &&
+       old < KeptFrom() && part_.deletes < kDeletesPerCommit &&
        changes.Entries() < metadata::kMostEntries;
-       ++old, ++deletes_in_flight_)
+       ++old, ++part_.deletes)
     changes.deletes.push_back(JournalKey(shard_, old));
   return changes;
 }
@@ -111,32 +107,32 @@
   metadata::transaction with = changes;
   std::span<const submissions::task_change> rest = snapshot.tasks;
   do {
-    const bool first = entries_in_flight_ == 0;
+    const bool first = part_.entries == 0;
     rest = rest.subspan(AddEntry(first ? snapshot : further, rest, with));
   } while (!rest.empty());
-  if (entries_in_flight_ > kMostParts) {
+  if (part_.entries > kMostParts) {
     log_.Write("snapshot_too_large",
-               {{"shard", shard_}, {"parts", entries_in_flight_}});
-    entries_in_flight_ = 0;
+               {{"shard", shard_}, {"parts", part_.entries}});
+    part_.entries = 0;
     too_large_at_ = next_entry_;
     return false;
   }
   changes = std::move(with);
-  snapshot_in_flight_ = true;
-  tasks_in_flight_ = batch_->tasks.size() - tasks_written_;
+  part_.is_snapshot = true;
+  part_.tasks = batch_->tasks.size() - tasks_written_;
   return true;
 }
 
 void shard_journal::AddTasks(metadata::transaction& changes) {
   const std::span<const submissions::task_change> tasks = batch_->tasks;
   do
-    tasks_in_flight_ +=
-        AddEntry({}, tasks.subspan(tasks_written_ + tasks_in_flight_), changes);
-  while (!TasksGoOut() && entries_in_flight_ < kMostParts);
+    part_.tasks +=
+        AddEntry({}, tasks.subspan(tasks_written_ + part_.tasks), changes);
+  while (!TasksGoOut() && part_.entries < kMostParts);
 }
 
 bool shard_journal::TasksGoOut() const {
-  return tasks_written_ + tasks_in_flight_ == batch_->tasks.size();
+  return tasks_written_ + part_.tasks == batch_->tasks.size();
 }
 
 std::size_t shard_journal::AddEntry(
@@ -148,10 +144,10 @@
     tasks = tasks.first(tasks.size() / 2);
     text = submissions::EncodeJournalEntry(entry, tasks);
   }
-  const std::string key = JournalKey(shard_, next_entry_ + entries_in_flight_);
+  const std::string key = JournalKey(shard_, next_entry_ + part_.entries);
   changes.conditions.push_back({key, 0});
   changes.writes.push_back({key, std::move(text)});
-  ++entries_in_flight_;
+  ++part_.entries;
   return tasks.size();
 }
 
@@ -159,7 +155,7 @@
   for (std::size_t i = outcomes_written_;
        i < batch_->outcomes.size() &&
        changes.Entries() + kDeletesPerCommit < metadata::kMostEntries;
-       ++i, ++outcomes_in_flight_)
+       ++i, ++part_.outcomes)
     changes.writes.push_back(
         {ToString({key_kind::kOutcome, batch_->outcomes[i].submission}),
          submissions::EncodeOutcome(batch_->outcomes[i].outcome)});
@@ -250,12 +246,12 @@
 }
 
 void shard_journal::NoteBatchWritten() {
-  oldest_entry_ += deletes_in_flight_;
-  if (snapshot_in_flight_)
+  oldest_entry_ += part_.deletes;
+  if (part_.is_snapshot)
     snapshot_entry_ = next_entry_;
-  next_entry_ += entries_in_flight_;
-  tasks_written_ += tasks_in_flight_;
-  outcomes_written_ += outcomes_in_flight_;
+  next_entry_ += part_.entries;
+  tasks_written_ += part_.tasks;
+  outcomes_written_ += part_.outcomes;
   const bool whole = tasks_written_ == batch_->tasks.size() &&
                      outcomes_written_ == batch_->outcomes.size();
   if (whole) {
--- a/src/submissions/include/chivecrank/submissions/commands.h
+++ b/src/submissions/include/chivecrank/submissions/commands.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_SUBMISSIONS_COMMANDS_H_
 #define CHIVECRANK_SUBMISSIONS_COMMANDS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -41,6 +42,12 @@
   task_ref step;
   std::vector<std::string> workers;
   permit_terms terms;
+
+  /// What the service needs to answer.
+  std::chrono::milliseconds AnswerTime() const {
+    return terms.per_request +
+           terms.per_worker * static_cast<std::int64_t>(workers.size());
+  }
 };
 
 /// A task of the step may start on the worker with this.
--- a/src/submissions/include/chivecrank/submissions/types.h
+++ b/src/submissions/include/chivecrank/submissions/types.h
@@ -132,6 +132,9 @@
   }
 };
 
+/// The task's step, as its first task.
+task_ref FirstOfStep(const task_ref& task);
+
 /// How a submission ended.
 enum class submission_outcome { kCompleted, kFailed, kCancelled };
 
--- a/src/submissions/internal/permit_book.cc
+++ b/src/submissions/internal/permit_book.cc
@@ -10,12 +10,6 @@
 /// An answer that takes longer than the service needs by this doesn't come.
 constexpr std::chrono::milliseconds kLongestWait{4000};
 
-std::chrono::milliseconds AnswerTime(const permit_request& request) {
-  return request.terms.per_request +
-         request.terms.per_worker *
-             static_cast<std::int64_t>(request.workers.size());
-}
-
 }  // namespace
 
 const std::string* permit_book::Find(const task_ref& task,
@@ -41,27 +35,26 @@
 void permit_book::OnAsked(const permit_request& request,
                           const worker_table& workers,
                           base::time_point now) {
-  step_permits& step = steps_[StepOf(request.step)];
-  step.ask_again = now + AnswerTime(request) + kLongestWait;
+  step_permits& step = steps_[FirstOfStep(request.step)];
+  step.ask_again = now + request.AnswerTime() + kLongestWait;
   for (const std::string& id : request.workers) {
     known_permit& asked = step.workers[id];
     asked.state = standing::kAsked;
-    const auto worker = workers.All().find(id);
-    if (worker != workers.All().end())
-      asked.born_ms = worker->second.reported_born_ms;
+    if (const worker_entry* worker = workers.Find(id))
+      asked.born_ms = worker->reported_born_ms;
     // The time of an answer counts against its permits.
     asked.valid_until = now + request.terms.valid - kArrival;
   }
 }
 
 bool permit_book::IsAsking(const task_ref& task, base::time_point now) const {
-  const auto found = steps_.find(StepOf(task));
+  const auto found = steps_.find(FirstOfStep(task));
   return found != steps_.end() && now < found->second.ask_again;
 }
 
 void permit_book::OnGranted(const permit_request& request,
                             const std::vector<start_permit>& granted) {
-  const auto found = steps_.find(StepOf(request.step));
+  const auto found = steps_.find(FirstOfStep(request.step));
   if (found == steps_.end())
     return;
   found->second.ask_again = {};
@@ -76,7 +69,7 @@
 
 void permit_book::OnUnanswered(const permit_request& request,
                                base::time_point now) {
-  const auto found = steps_.find(StepOf(request.step));
+  const auto found = steps_.find(FirstOfStep(request.step));
   if (found == steps_.end())
     return;
   found->second.ask_again = now + kAskAgain;
@@ -85,7 +78,7 @@
 }
 
 void permit_book::Forget(const task_ref& task, const std::string& worker) {
-  const auto found = steps_.find(StepOf(task));
+  const auto found = steps_.find(FirstOfStep(task));
   if (found != steps_.end())
     found->second.workers.erase(worker);
 }
@@ -96,16 +89,10 @@
   });
 }
 
-task_ref permit_book::StepOf(const task_ref& task) {
-  task_ref step = task;
-  step.index = 0;
-  return step;
-}
-
 const permit_book::known_permit* permit_book::FindKnown(
     const task_ref& task,
     const std::string& worker) const {
-  const auto step = steps_.find(StepOf(task));
+  const auto step = steps_.find(FirstOfStep(task));
   if (step == steps_.end())
     return nullptr;
   const auto known = step->second.workers.find(worker);
--- a/src/submissions/internal/permit_book.h
+++ b/src/submissions/internal/permit_book.h
@@ -56,7 +56,6 @@
     base::time_point ask_again;
   };
 
-  static task_ref StepOf(const task_ref& task);
   const known_permit* FindKnown(const task_ref& task,
                                 const std::string& worker) const;
 
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -103,15 +103,13 @@
          found->second.percent >= kWholePercent;
 }
 
-bool relocator::Move(worker_entry& worker,
+void relocator::Move(worker_entry& worker,
                      const task_ref& task,
                      scheduler_event_kind why,
                      base::time_point now) {
   const live_submission* live = book_.Submissions().Find(task.submission);
-  if (live == nullptr || live->outcome)
-    return false;
-  if (FindRoom(worker, *live, task, now) == nullptr)
-    return false;
+  if (live == nullptr || live->outcome || !HoldRoom(worker, *live, task, now))
+    return;
   active_run& run = worker.runs.at(task);
   book_.Emit({.kind = why,
               .task = task,
@@ -120,13 +118,12 @@
               .outcome = book_.Images().NameOf(run.image),
               .input = run.wanted_percent});
   book_.Stop(worker, task, run, now);
-  return true;
 }
 
-worker_entry* relocator::FindRoom(const worker_entry& runs_on,
-                                  const live_submission& live,
-                                  const task_ref& task,
-                                  base::time_point now) {
+bool relocator::HoldRoom(const worker_entry& runs_on,
+                         const live_submission& live,
+                         const task_ref& task,
+                         base::time_point now) {
   static const task_progress never_ran;
   placement_request request = request_for_(live, task, now);
   request.progress = &never_ran;
@@ -138,7 +135,7 @@
     full_.Add(request, 1);
     if (request.step->lasting)
       placer_.HoldRoomFor(request);
-    return nullptr;
+    return false;
   }
   active_run held;
   held.reserved = ReservedBy(*request.step);
@@ -148,7 +145,7 @@
   held.lasting = request.step->lasting;
   worker_table::AddRun(*found, task, held);
   held_.push_back({found, task});
-  return found;
+  return true;
 }
 
 void relocator::EndRound() {
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -55,14 +55,16 @@
   std::int32_t TasksAway(const task_ref& task);
   bool IsAtWork(const task_ref& task);
   /// Stops the run if another worker has room for its task.
-  bool Move(worker_entry& worker,
+  void Move(worker_entry& worker,
             const task_ref& task,
             scheduler_event_kind why,
             base::time_point now);
-  worker_entry* FindRoom(const worker_entry& runs_on,
-                         const live_submission& live,
-                         const task_ref& task,
-                         base::time_point now);
+  /// Holds room for the task on another worker until the round ends; false when
+  /// there is none.
+  bool HoldRoom(const worker_entry& runs_on,
+                const live_submission& live,
+                const task_ref& task,
+                base::time_point now);
 
   run_book& book_;
   placer& placer_;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -344,15 +344,15 @@
 
 std::int64_t shard_scheduler::AcknowledgedEnd(
     const std::string& worker_id) const {
-  const auto& workers = implementation_->book.Workers().All();
-  const auto found = workers.find(worker_id);
-  return found == workers.end() ? 0 : found->second.committed_end;
+  const worker_entry* worker =
+      std::as_const(implementation_->book).Workers().Find(worker_id);
+  return worker == nullptr ? 0 : worker->committed_end;
 }
 
 bool shard_scheduler::HasRuns(const std::string& worker_id) const {
-  const auto& workers = implementation_->book.Workers().All();
-  const auto found = workers.find(worker_id);
-  return found != workers.end() && !found->second.runs.empty();
+  const worker_entry* worker =
+      std::as_const(implementation_->book).Workers().Find(worker_id);
+  return worker != nullptr && !worker->runs.empty();
 }
 
 std::uint64_t shard_scheduler::ScoredWorkers() const {
--- a/src/submissions/internal/submission_table.cc
+++ b/src/submissions/internal/submission_table.cc
@@ -33,26 +33,13 @@
 
 }  // namespace
 
-std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps) {
-  std::vector<std::chrono::milliseconds> ends(steps.size());
-  std::chrono::milliseconds longest{0};
-  for (std::size_t i = 0; i < steps.size(); ++i) {
-    std::chrono::milliseconds begin{0};
-    for (const std::int32_t earlier : steps[i].after)
-      if (earlier >= 0 && static_cast<std::size_t>(earlier) < i)
-        begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-    ends[i] = begin + steps[i].estimate;
-    longest = std::max(longest, ends[i]);
-  }
-  return longest;
-}
-
 std::vector<std::chrono::milliseconds> WorkFromSteps(
-    const std::vector<step_request>& steps) {
+    const std::vector<step_request>& steps,
+    std::chrono::milliseconds overhead) {
   std::vector<std::chrono::milliseconds> after(steps.size());
   std::vector<std::chrono::milliseconds> from(steps.size());
   for (std::size_t i = steps.size(); i-- > 0;) {
-    from[i] = steps[i].estimate + kStepOverhead + after[i];
+    from[i] = steps[i].estimate + overhead + after[i];
     for (const std::int32_t earlier : steps[i].after)
       if (earlier >= 0 && static_cast<std::size_t>(earlier) < i) {
         auto& then = after[static_cast<std::size_t>(earlier)];
@@ -62,6 +49,12 @@
   return from;
 }
 
+std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps) {
+  const auto from = WorkFromSteps(steps, std::chrono::milliseconds(0));
+  return from.empty() ? std::chrono::milliseconds(0)
+                      : *std::ranges::max_element(from);
+}
+
 live_submission& submission_table::Add(const submission& accepted) {
   auto& slot = submissions_[accepted.id];
   if (slot)
@@ -69,7 +62,7 @@
   slot = std::make_unique<live_submission>();
   slot->request = accepted;
   slot->objective_since_epoch = ObjectiveOf(accepted);
-  slot->work_from = WorkFromSteps(accepted.steps);
+  slot->work_from = WorkFromSteps(accepted.steps, kStepOverhead);
   const std::int32_t occurrences = std::max(accepted.repeats.times, 1);
   for (std::int32_t number = 0; number < occurrences; ++number)
     slot->occurrences.push_back(MakeOccurrence(accepted, number));
--- a/src/submissions/internal/submission_table.h
+++ b/src/submissions/internal/submission_table.h
@@ -91,9 +91,10 @@
 };
 
 /// Per step, the longest chain of estimates from its begin to the end of the
-/// last step, with what passes between steps.
+/// last step, with `overhead` for each step.
 std::vector<std::chrono::milliseconds> WorkFromSteps(
-    const std::vector<step_request>& steps);
+    const std::vector<step_request>& steps,
+    std::chrono::milliseconds overhead);
 
 /// The longest chain of estimates through the steps.
 std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps);
--- a/src/submissions/internal/types.cc
+++ b/src/submissions/internal/types.cc
@@ -40,6 +40,12 @@
   return NameIn(kRunEndNames, value);
 }
 
+task_ref FirstOfStep(const task_ref& task) {
+  task_ref first = task;
+  first.index = 0;
+  return first;
+}
+
 std::string_view StartAnswerName(start_answer value) {
   return NameIn(kStartAnswerNames, value);
 }
--- a/src/submissions/internal/worker_table.cc
+++ b/src/submissions/internal/worker_table.cc
@@ -16,6 +16,11 @@
   return found == workers_.end() ? nullptr : &found->second;
 }
 
+const worker_entry* worker_table::Find(const std::string& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
 void worker_table::AddRun(worker_entry& worker,
                           const task_ref& task,
                           const active_run& run) {
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -131,6 +131,7 @@
   using map = std::map<std::string, worker_entry>;
 
   worker_entry* Find(const std::string& id);
+  const worker_entry* Find(const std::string& id) const;
   worker_entry& FindOrAdd(const std::string& id) { return workers_[id]; }
   map& All() { return workers_; }
   const map& All() const { return workers_; }
--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "chivecrank/emulator/emulation.h"
@@ -32,8 +31,6 @@
   kBurst,
 };
 
-std::string_view FaultKindName(fault_kind value);
-
 /// One fault: it begins at `at`, counted from the begin of the load, and is
 /// over `lasts` later.
 struct day_fault {
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -100,10 +100,6 @@
 
 }  // namespace
 
-std::string_view FaultKindName(fault_kind value) {
-  return kFaultNames.at(static_cast<std::size_t>(value));
-}
-
 day_file ReadDay(const std::string& path) {
   settings::document file = settings::document::FromFile(path);
   settings::section root = file.Root();
--- a/tests/emulator/internal/emulated_permits.cc
+++ b/tests/emulator/internal/emulated_permits.cc
@@ -9,11 +9,6 @@
 /// A question that is not answered is given up after this.
 constexpr std::chrono::milliseconds kGivenUpAfter{2000};
 
-submissions::task_ref StepOf(submissions::task_ref task) {
-  task.index = 0;
-  return task;
-}
-
 }  // namespace
 
 /// The service as one instance reaches it.
@@ -33,12 +28,10 @@
       });
       return;
     }
-    const auto needed = request.terms.per_request +
-                        request.terms.per_worker *
-                            static_cast<std::int64_t>(request.workers.size());
-    shared_.loop_.After(needed, [this, request, done = std::move(done)] {
-      done(shared_.Grant(request));
-    });
+    shared_.loop_.After(request.AnswerTime(),
+                        [this, request, done = std::move(done)] {
+                          done(shared_.Grant(request));
+                        });
   }
 
  private:
@@ -62,7 +55,7 @@
     const submissions::permit_request& request) {
   std::vector<submissions::start_permit> granted;
   for (const std::string& worker : request.workers) {
-    const submissions::task_ref step = StepOf(request.step);
+    const submissions::task_ref step = submissions::FirstOfStep(request.step);
     if (!IsAllowed(step, worker))
       continue;
     std::string permit = "permit-" + std::to_string(issued_.size());
@@ -74,7 +67,8 @@
 
 bool emulated_permits::Holds(const submissions::start_command& command) const {
   const auto found = issued_.find(command.permit);
-  return found != issued_.end() && found->second.step == StepOf(command.task) &&
+  return found != issued_.end() &&
+         found->second.step == submissions::FirstOfStep(command.task) &&
          found->second.worker == command.worker &&
          loop_.Now() < found->second.valid_until;
 }
