Tests of the scheduler by what they are about; the emulator's orders by themselves

The 27 cases stand in three files now (scheduling, the lives of workers, sharing a worker), each as it was; the orders as an instance gives them are apart from the workers that carry them out. A field of feed that the guard made unused is gone.

--- a/src/runtime/include/chivecrank/runtime/feed.h
+++ b/src/runtime/include/chivecrank/runtime/feed.h
@@ -54,7 +54,6 @@
   void Watch();
   void OnChanges(base::result<metadata::change_list> list);
 
-  reactor::event_loop& loop_;
   metadata::store& store_;
   const feed_settings settings_;
   const feed_hooks hooks_;
--- a/src/runtime/internal/feed.cc
+++ b/src/runtime/internal/feed.cc
@@ -8,8 +8,7 @@
            metadata::store& store,
            feed_settings settings,
            feed_hooks hooks)
-    : loop_(loop),
-      store_(store),
+    : store_(store),
       settings_(std::move(settings)),
       hooks_(std::move(hooks)),
       guard_(loop) {}
--- /dev/null
+++ b/src/submissions/tests/sharing_test.cc
@@ -0,0 +1,159 @@
+#include <set>
+
+#include "chivecrank/submissions/record_codec.h"
+#include "scheduler_fixture.h"
+
+namespace chivecrank::submissions {
+
+BOOST_FIXTURE_TEST_SUITE(sharing, scheduler_fixture)
+
+BOOST_AUTO_TEST_CASE(ANewOwnerKnowsWhatItsPredecessorLearned) {
+  step_request service = Step(1, 3000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  step_request filling = Step(1, 6000);
+  filling.fills = true;
+  filling.image = "heavy";
+  // One worker only, where both meet.
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(Request("a", service));
+  const auto serving = Round();
+  scheduler.Accept(Request("b", filling));
+  const auto beside = Round();
+  BOOST_REQUIRE(beside.size() == 1u);
+  worker_report report;
+  report.running = {Running(serving[0], 120, 100),
+                    Running(beside[0], 6000, 20)};
+  for (int i = 0; i < 10; ++i) {
+    Pass(std::chrono::milliseconds(300));
+    Report("w-1", report);
+  }
+  const auto entry =
+      DecodeJournalEntry(EncodeJournalEntry(scheduler.Snapshot()));
+  BOOST_REQUIRE(entry.has_value());
+  BOOST_REQUIRE(entry.value().learned.size() == 1u);
+  BOOST_TEST(entry.value().learned[0].service_image == "service");
+  BOOST_TEST(entry.value().learned[0].filling_image == "heavy");
+  BOOST_TEST(entry.value().learned[0].slope > 0.6);
+
+  report.born_ms = 1;
+  report.running = {Running(serving[0], 20, 100)};
+  for (const bool knows : {false, true}) {
+    journal_entry restored = entry.value();
+    if (!knows)
+      restored.learned.clear();
+    shard_scheduler next(settings, {});
+    next.Accept(Request("a", service));
+    next.Accept(Request("c", filling));
+    next.Restore(restored);
+    next.FinishRestore(now, now + settings.worker_lease);
+    next.SetWorkers(workers);
+    next.OnLeaseSent("w-1", now);
+    next.OnReport("w-1", report, now, now);
+    next.Plan(now, since_epoch);
+    // One who knows nothing of the pair tries it out.
+    const auto batch = next.TakeBatch();
+    const bool tried =
+        batch && std::ranges::any_of(batch->tasks, [](const auto& change) {
+          return change.task.submission == "c";
+        });
+    BOOST_TEST(tried == !knows);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ASlowedTaskIsNotMovedToWhereItRuns) {
+  step_request service = Step(1, 3000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  step_request filling = Step(1, 4000);
+  filling.fills = true;
+  filling.image = "batch";
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(Request("a", service));
+  const auto serving = Round();
+  scheduler.Accept(Request("b", filling));
+  const auto beside = Round();
+  BOOST_REQUIRE(beside.size() == 1u);
+  const auto report_reading = [&](std::int64_t tail_ms) {
+    worker_report report;
+    report.running = {Running(serving[0], tail_ms, 100),
+                      Running(beside[0], 4000, 20)};
+    Report("w-1", report);
+  };
+  // Near its bound once, and calm after that: the task is slowed for a while.
+  report_reading(44);
+  Round();
+  BOOST_REQUIRE(throttles.size() == 1u);
+  BOOST_TEST(throttles[0].percent == 50);
+  for (int i = 0; i < 3; ++i) {
+    Pass(std::chrono::milliseconds(200));
+    report_reading(13);
+    BOOST_TEST(Round().empty());
+    BOOST_TEST(stops.empty());
+  }
+  // It goes on and ends there.
+  worker_report report;
+  report.running = {Running(serving[0], 13, 100)};
+  report.ended = {{1, beside[0].task, 1, run_end::kDone, ""}};
+  Pass(std::chrono::milliseconds(200));
+  Report("w-1", report);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->outcomes.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ManyTasksThatAddLittleAreSlowedWhenAServiceStaysOver) {
+  step_request service = Step(1, 3000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  scheduler.Accept(Request("a", service));
+  const auto serving = Round();
+  BOOST_REQUIRE(serving.size() == 1u);
+  const std::string worker = serving[0].worker;
+  worker_report report;
+  report.running = {Running(serving[0], 20, 100)};
+  Report(worker, report);
+  // Each of these presses by a thousandth of the worker: none is blamed alone.
+  step_request fill = Step(40, 50);
+  fill.fills = true;
+  fill.required_label = worker;
+  fill.image = "fill";
+  scheduler.Accept(Request("b", fill));
+  std::vector<start_command> filling;
+  for (int step = 0; step < 40; ++step) {
+    for (const start_command& start : Round())
+      if (start.worker == worker)
+        filling.push_back(start);
+    report.running = {Running(serving[0], 20, 100)};
+    for (const start_command& start : filling)
+      report.running.push_back(Running(start, 50));
+    for (const worker_description& other : workers)
+      Report(other.id, other.id == worker ? report : worker_report{});
+    Pass(std::chrono::milliseconds(300));
+  }
+  BOOST_REQUIRE(!filling.empty());
+  for (listed_run& listed : report.running)
+    if (listed.task == serving[0].task)
+      listed.reading = 60;
+  std::set<task_ref> halted;
+  for (int step = 0; step < 10; ++step) {
+    Report(worker, report);
+    Round();
+    for (const throttle_command& throttle : throttles)
+      if (throttle.percent == 0)
+        halted.insert(throttle.task);
+    for (const stop_command& stop : stops)
+      halted.insert(stop.task);
+    Pass(std::chrono::milliseconds(350));
+  }
+  BOOST_TEST(halted.size() == filling.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/src/submissions/tests/worker_life_test.cc
@@ -0,0 +1,236 @@
+#include "scheduler_fixture.h"
+
+namespace chivecrank::submissions {
+
+BOOST_FIXTURE_TEST_SUITE(worker_life, scheduler_fixture)
+
+BOOST_AUTO_TEST_CASE(AWorkerThatDrainsGetsNothing) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  for (worker_description& worker : workers)
+    worker.draining = true;
+  scheduler.SetWorkers(workers);
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+  BOOST_TEST(Round().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ServicesLeaveAWorkerBeforeItDoes) {
+  step_request service = Step(4, 3000);
+  service.lasting = true;
+  service.most_away = 1;
+  scheduler.Accept(Request("a", service));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 4u);
+  const std::string worker = starts[0].worker;
+  worker_report report;
+  for (const start_command& start : starts)
+    report.running.push_back(Running(start, 0, 100));
+  Report(worker, report);
+  workers[static_cast<std::size_t>(worker[2] - '1')].draining = true;
+  scheduler.SetWorkers(workers);
+  // Half of them at a time.
+  BOOST_TEST(Round().empty());
+  BOOST_REQUIRE(stops.size() == 2u);
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.empty());
+  Pass(std::chrono::milliseconds(400));
+  report.running.clear();
+  for (const start_command& start : starts) {
+    const bool stopped = start.task.index < 2;
+    if (stopped)
+      report.ended.push_back({start.task.index + 1, start.task, start.run,
+                              run_end::kStopped, "at-its-stop"});
+    else
+      report.running.push_back(Running(start, 0, 100));
+  }
+  Report(worker, report);
+  const auto moved = Round();
+  BOOST_REQUIRE(moved.size() == 2u);
+  for (const start_command& start : moved) {
+    BOOST_TEST(start.worker != worker);
+    BOOST_TEST(start.checkpoint == "at-its-stop");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatLeavesKeepsItsServicesWhileNoOtherHasRoom) {
+  step_request service = Step(4, 16'000);
+  service.lasting = true;
+  scheduler.Accept(Request("a", service));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 4u);
+  for (const start_command& start : starts) {
+    worker_report report;
+    report.running = {Running(start, 0, 100)};
+    Report(start.worker, report);
+  }
+  workers[0].draining = true;
+  scheduler.SetWorkers(workers);
+  Round();
+  BOOST_TEST(stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AServiceThatLostATaskGetsRoomBeforeTheQueueBehindIt) {
+  step_request service = Step(1, 10'000);
+  service.lasting = true;
+  scheduler.Accept(Request("service", service));
+  const auto serving = Round();
+  BOOST_REQUIRE(serving.size() == 1u);
+  // Small tasks take all that is left, and more of them wait.
+  scheduler.Accept(Request("small", Step(200, 2000)));
+  std::map<std::string, std::vector<start_command>> small_on;
+  for (const start_command& start : Round())
+    small_on[start.worker].push_back(start);
+  // The service's task fails; its worker's small tasks and those of another
+  // one end one after the other.
+  const std::string first = serving[0].worker;
+  std::int64_t number = 0;
+  worker_report report;
+  report.ended = {{++number, serving[0].task, 1, run_end::kFailed, ""}};
+  for (const start_command& start : small_on[first])
+    report.running.push_back(Running(start));
+  workers[static_cast<std::size_t>(first[2] - '1')].draining = true;
+  scheduler.SetWorkers(workers);
+  Report(first, report);
+  const std::string second = first == "w-1" ? "w-2" : "w-1";
+  worker_report of_second;
+  std::vector<start_command> restarted;
+  for (std::size_t i = 0; i < small_on[second].size(); ++i) {
+    of_second.running.clear();
+    for (std::size_t k = i + 1; k < small_on[second].size(); ++k)
+      of_second.running.push_back(Running(small_on[second][k]));
+    of_second.ended.push_back({static_cast<std::int64_t>(i) + 1,
+                               small_on[second][i].task, 1, run_end::kDone,
+                               ""});
+    Report(second, of_second);
+    restarted = Round();
+    if (i + 1 < 5)
+      BOOST_TEST(restarted.empty());
+    else
+      break;
+  }
+  // Five ended: ten cores, as much as the service asks for.
+  BOOST_REQUIRE(restarted.size() == 1u);
+  BOOST_TEST(restarted[0].task.submission == "service");
+  BOOST_TEST(restarted[0].worker == second);
+}
+
+BOOST_AUTO_TEST_CASE(ALongTaskLeavesWithItsCheckpointAndAShortOneStays) {
+  step_request step = Step(1, 3000);
+  step.checkpoints = true;
+  step.estimate = std::chrono::milliseconds(20'000);
+  scheduler.Accept(Request("long", step));
+  step.estimate = std::chrono::milliseconds(1000);
+  scheduler.Accept(Request("short", step));
+  Round();
+  for (worker_description& worker : workers)
+    worker.draining = worker.id != "w-4";
+  scheduler.SetWorkers(workers);
+  Round();
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST(stops[0].task.submission == "long");
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderThatTheWorkersNextLifeCarriedOutStands) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  // The worker had begun anew just before the order came.
+  Pass(std::chrono::milliseconds(50));
+  worker_report report;
+  report.born_ms = 2;
+  report.running = {Running(starts[0])};
+  Report(starts[0].worker, report);
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.empty());
+  report.running.clear();
+  report.ended = {{1, starts[0].task, 1, run_end::kDone, ""}};
+  Pass(std::chrono::milliseconds(50));
+  Report(starts[0].worker, report);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->outcomes.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderOnItsWayMayReachTheWorkersNextLife) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  scheduler.OnCommitted(scheduler.TakeBatch()->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_REQUIRE(starts.size() == 1u);
+  Pass(std::chrono::milliseconds(5));
+  worker_report report;
+  report.born_ms = 2;
+  Report(starts[0].worker, report);
+  // It may begin there yet.
+  BOOST_TEST(Round().empty());
+  scheduler.OnStartAnswer(starts[0], start_answer::kStarted, now);
+  BOOST_TEST(Round().empty());
+  Pass(std::chrono::milliseconds(50));
+  report.running = {Running(starts[0])};
+  Report(starts[0].worker, report);
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RunsOfAWorkersLastLifeBeginAgainElsewhere) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  Pass(std::chrono::milliseconds(50));
+  worker_report report;
+  report.running = {Running(starts[0])};
+  Report(starts[0].worker, report);
+  Pass(std::chrono::milliseconds(50));
+  report = {};
+  report.born_ms = 2;
+  Report(starts[0].worker, report);
+  const auto again = Round();
+  BOOST_REQUIRE(again.size() == 1u);
+  BOOST_TEST(again[0].run == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerWithStraysTakesNothingUntilTheyAreGone) {
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  worker_report report;
+  report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
+  Report("w-1", report);
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(stops.size() == 1u);
+  Pass(std::chrono::milliseconds(300));
+  report.running.clear();
+  report.ended = {{1, {"stranger", 0, 0, 0}, 3, run_end::kStopped, ""}};
+  Report("w-1", report);
+  BOOST_TEST(Round().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerWithoutRoomIsAskedAgainOnlyAfterItsNextReport) {
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  scheduler.OnCommitted(scheduler.TakeBatch()->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_REQUIRE(starts.size() == 1u);
+  scheduler.OnStartAnswer(starts[0], start_answer::kNoRoom, now);
+  Pass(std::chrono::milliseconds(700));
+  BOOST_TEST(Round().empty());
+  Report("w-1", {});
+  BOOST_TEST(Round().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(WhatNobodyHandedInIsStopped) {
+  worker_report report;
+  report.running = {{{"stranger", 0, 0, 0}, 3, "", 10, 0}};
+  Report("w-1", report);
+  Round();
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST(stops[0].run == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::submissions
--- /dev/null
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -0,0 +1,166 @@
+#include <algorithm>
+#include <utility>
+
+#include "chivecrank/emulator/emulated_workers.h"
+#include "internal/emulated_worker_state.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+constexpr std::chrono::milliseconds kOneWay{1};
+constexpr std::chrono::milliseconds kOrderTimeout{1000};
+constexpr std::chrono::milliseconds kLookSlack{700};
+
+base::error NoAnswer(base::error_kind kind) {
+  return {kind, "the worker does not answer", "look again later"};
+}
+
+}  // namespace
+
+/// The orders as one instance gives them.
+class emulated_orders final : public submissions::worker_orders {
+ public:
+  explicit emulated_orders(emulated_workers& shared) : shared_(shared) {}
+
+  void Look(const submissions::worker_description& worker,
+            const submissions::look_request& request,
+            std::function<void(base::result<submissions::worker_report>)> done)
+      override {
+    ++shared_.counts_.looks;
+    const base::time_point lease_end = LeaseEnd(request.terms);
+    Later(kOneWay, [this, id = worker.id, request, lease_end, done] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(request.wait + kLookSlack, [done] {
+          done(NoAnswer(base::error_kind::kUnavailable));
+        });
+      if (request.terms.fence < state->fence)
+        return Later(kOneWay,
+                     [done] { done(NoAnswer(base::error_kind::kFenced)); });
+      Renew(*state, request.terms, lease_end);
+      std::erase_if(state->ended, [&](const submissions::listed_end& end) {
+        const bool forgotten = end.number <= request.acknowledged_end;
+        if (forgotten && end.how == submissions::run_end::kDone)
+          shared_.acknowledged_done_.insert(end.task);
+        return forgotten;
+      });
+      auto answered = std::make_shared<bool>(false);
+      const auto answer = [this, id, done, answered] {
+        if (std::exchange(*answered, true))
+          return;
+        auto* now = Reachable(id);
+        if (now == nullptr)
+          return Later(kLookSlack, [done] {
+            done(NoAnswer(base::error_kind::kOutcomeUnknown));
+          });
+        Later(kOneWay, [done, report = shared_.Report(*now)] { done(report); });
+      };
+      if (!state->ended.empty() || request.wait.count() == 0)
+        return answer();
+      state->held_looks.push_back(answer);
+      Later(request.wait, answer);
+    });
+  }
+
+  void Start(const submissions::worker_description& worker,
+             const submissions::start_command& command,
+             const submissions::order_terms& terms,
+             std::function<void(submissions::start_answer)> done) override {
+    const base::time_point lease_end = LeaseEnd(terms);
+    const double dice = Dice();
+    Later(kOneWay, [this, id = worker.id, command, terms, lease_end, done,
+                    dice] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(kOrderTimeout,
+                     [done] { done(submissions::start_answer::kNotSent); });
+      if (dice < state->faults.late_share) {
+        Later(std::chrono::seconds(4), [this, id, command, terms, lease_end] {
+          if (auto* later = Reachable(id))
+            shared_.Start(*later, command, terms, lease_end);
+        });
+        return Later(kOrderTimeout,
+                     [done] { done(submissions::start_answer::kUnknown); });
+      }
+      const auto answer = shared_.Start(*state, command, terms, lease_end);
+      if (dice < state->faults.late_share + state->faults.lost_share)
+        return Later(kOrderTimeout,
+                     [done] { done(submissions::start_answer::kUnknown); });
+      Later(kOneWay, [done, answer] { done(answer); });
+    });
+  }
+
+  void Stop(const submissions::worker_description& worker,
+            const submissions::stop_command& command,
+            const submissions::order_terms& terms,
+            std::function<void(bool)> done) override {
+    Later(kOneWay, [this, id = worker.id, command, terms, done] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(kOrderTimeout, [done] { done(false); });
+      const bool confirmed =
+          terms.fence >= state->fence && shared_.Stop(*state, command);
+      Later(kOneWay, [done, confirmed] { done(confirmed); });
+    });
+  }
+
+  void Throttle(const submissions::worker_description& worker,
+                const submissions::throttle_command& command,
+                const submissions::order_terms& terms,
+                std::function<void(bool)> done) override {
+    Later(kOneWay, [this, id = worker.id, command, terms, done] {
+      auto* state = Reachable(id);
+      if (state == nullptr)
+        return Later(kOrderTimeout, [done] { done(false); });
+      const auto found = state->runs.find(command.task);
+      const bool known = found != state->runs.end() &&
+                         found->second.run == command.run &&
+                         terms.fence >= state->fence;
+      if (known)
+        found->second.percent_limit = command.percent;
+      Later(kOneWay, [done, known] { done(known); });
+    });
+  }
+
+  void Forget(const std::string&) override {}
+
+ private:
+  emulated_workers::worker_state* Reachable(const std::string& id) {
+    const auto found = shared_.workers_.find(id);
+    if (found == shared_.workers_.end() || found->second->faults.cut_off ||
+        found->second->faults.crashed)
+      return nullptr;
+    return found->second.get();
+  }
+
+  base::time_point LeaseEnd(const submissions::order_terms& terms) const {
+    if (terms.lease.count() == 0)
+      return {};
+    return shared_.loop_.Now() + terms.lease;
+  }
+
+  static void Renew(emulated_workers::worker_state& worker,
+                    const submissions::order_terms& terms,
+                    base::time_point lease_end) {
+    worker.fence = std::max(worker.fence, terms.fence);
+    worker.lease_end = std::max(worker.lease_end, lease_end);
+  }
+
+  double Dice() {
+    std::uniform_real_distribution<double> share(0, 1);
+    return share(shared_.random_);
+  }
+
+  void Later(std::chrono::milliseconds delay, std::function<void()> step) {
+    shared_.loop_.After(delay, std::move(step));
+  }
+
+  emulated_workers& shared_;
+};
+
+std::unique_ptr<submissions::worker_orders> emulated_workers::OrdersFor(
+    const std::string&) {
+  return std::make_unique<emulated_orders>(*this);
+}
+
+}  // namespace chivecrank::emulator
