A new owner lists the workers before it starts anything on them

Its log: the owner stands still, another one wins the shard at 10.61 s and starts tasks at 10.89 s on workers that say since 5.82 s that they leave. Only owners list the workers, every 0.7 s; a new owner went by what it had listed when it last owned something, or at its start.

Change: who wins a shard lists the workers at once, and the shard gets its workers from that.

--- a/src/runtime/include/chivecrank/runtime/worker_directory.h
+++ b/src/runtime/include/chivecrank/runtime/worker_directory.h
@@ -47,8 +47,10 @@
   /// Lists from now on while `wanted` holds; `on_listed` is called after each
   /// listing.
   void Start(std::function<bool()> wanted, std::function<void()> on_listed);
+  /// Lists at once: what was listed last may be from long ago, when this
+  /// instance owned something.
+  void Refresh();
   const worker_map& Workers() const { return workers_; }
-  bool IsListed() const { return listed_; }
 
  private:
   void Poll();
@@ -65,7 +67,8 @@
   std::function<void()> on_listed_;
   worker_map workers_;
   base::time_point last_trouble_;
-  bool listed_ = false;
+  bool listing_ = false;
+  reactor::timer_id next_poll_ = 0;
   reactor::callback_guard guard_;
 };
 
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -206,9 +206,8 @@
                               }});
   driver->SetQueues(*queues_);
   drivers_[shard] = driver;
-  if (directory_.IsListed())
-    GiveWorkers(shard, *driver);
   driver->Start();
+  directory_.Refresh();
 }
 
 void instance_runtime::OnLost(std::uint32_t shard) {
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -23,9 +23,18 @@
   Poll();
 }
 
+void worker_directory::Refresh() {
+  // The answer to one that is under way is new enough.
+  if (listing_)
+    return;
+  loop_.Cancel(next_poll_);
+  Poll();
+}
+
 void worker_directory::Poll() {
   if (!wanted_())
     return PollLater();
+  listing_ = true;
   ListAll(store_, source_.prefix,
           guard_.Wrap([this](base::result<prefix_listing> listing) {
             OnListed(std::move(listing));
@@ -33,6 +42,7 @@
 }
 
 void worker_directory::OnListed(base::result<prefix_listing> listing) {
+  listing_ = false;
   if (listing)
     Publish(listing.value().items);
   else
@@ -62,12 +72,11 @@
     if (!now.contains(id))
       log_.Write("worker_unlisted", {{"worker", id}});
   workers_ = std::move(now);
-  listed_ = true;
   on_listed_();
 }
 
 void worker_directory::PollLater() {
-  guard_.Later(settings_.interval, [this] { Poll(); });
+  next_poll_ = loop_.After(settings_.interval, guard_.Wrap([this] { Poll(); }));
 }
 
 }  // namespace chivecrank::runtime
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -95,6 +95,9 @@
   const submissions::worker_description& DescriptionOf(
       const std::string& id) const;
 
+  /// The worker has said that it leaves: soon nothing may start there.
+  void Leaves(const std::string& id);
+
   /// What the workers must know of a submission to run its tasks and judge
   /// the order of its steps.
   void Know(const submissions::submission& accepted);
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -99,8 +99,8 @@
   }
   /// Removes a worker's entry, or writes it again.
   void Unlist(const std::string& worker);
-  /// The worker's entry says that it is about to leave, or that it is ready.
-  void SetDraining(const std::string& worker, bool draining);
+  /// The worker's entry says that it is about to leave.
+  void Drain(const std::string& worker);
   /// Callers hand in so many times their usual load from now on.
   void SetLoadFactor(double factor) { load_factor_ = factor; }
   void List(const std::string& worker);
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -127,7 +127,7 @@
     case fault_kind::kDrainWorkers:
       if (!begins)
         return Revive(worker);
-      return emulation_.SetDraining(worker, true);
+      return emulation_.Drain(worker);
     case fault_kind::kCutWorkers:
       faults.cut_off = begins;
       return;
--- a/tests/emulator/internal/emulated_worker_state.h
+++ b/tests/emulator/internal/emulated_worker_state.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
 struct emulated_workers::worker_state {
   submissions::worker_description description;
   worker_faults faults;
+  /// Since when it says that it leaves; unset while it doesn't.
+  std::optional<base::time_point> leaves_since;
   std::int64_t fence = 0;
   base::time_point lease_end;
   std::map<submissions::task_ref, run_state> runs;
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -11,6 +11,8 @@
 
 constexpr std::chrono::milliseconds kTick{25};
 constexpr std::chrono::milliseconds kStopTakes{200};
+/// From then on every instance has to know that a worker leaves.
+constexpr std::chrono::milliseconds kLeavingIsKnown{2000};
 constexpr std::chrono::milliseconds kStartUp{400};
 constexpr double kIdleTailOfTarget = 1 / 4.5;
 constexpr double kServiceLoad = 0.45;
@@ -59,9 +61,14 @@
 void emulated_workers::Restart(const std::string& id, std::int64_t born_ms) {
   worker_state& worker = *workers_.at(id);
   worker.faults = {};
+  worker.leaves_since.reset();
   worker.description.born_ms = born_ms;
 }
 
+void emulated_workers::Leaves(const std::string& id) {
+  workers_.at(id)->leaves_since = loop_.Now();
+}
+
 std::vector<std::string> emulated_workers::Ids() const {
   std::vector<std::string> ids;
   for (const auto& [id, worker] : workers_)
@@ -279,6 +286,9 @@
   for (const auto& [id, worker] : workers_)
     if (!worker->faults.crashed && worker->runs.contains(task))
       Break("ran twice at the same time", task);
+  const auto& leaves_since = workers_.at(command.worker)->leaves_since;
+  if (leaves_since && loop_.Now() - *leaves_since > kLeavingIsKnown)
+    Break("started on a worker that leaves", task);
   if (acknowledged_done_.contains(task))
     Break("started after it was done", task);
   const auto over = over_.find(task.submission);
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -78,10 +78,11 @@
   store_.Delete(std::string(kWorkers) + worker);
 }
 
-void emulation::SetDraining(const std::string& worker, bool draining) {
+void emulation::Drain(const std::string& worker) {
   submissions::worker_description entry = workers_.DescriptionOf(worker);
-  entry.draining = draining;
+  entry.draining = true;
   store_.Put(std::string(kWorkers) + worker, EntryOf(entry));
+  workers_.Leaves(worker);
 }
 
 void emulation::StartInstance(std::size_t index) {
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -71,6 +71,24 @@
   CheckPromises();
 }
 
+BOOST_AUTO_TEST_CASE(ANewOwnerKnowsWhichWorkersLeave) {
+  for (int round = 0; round < 5; ++round) {
+    Day().Run(milliseconds(2000 + 90 * round), true);
+    const std::size_t owner = Day().OwnerOf(0);
+    BOOST_REQUIRE(owner < settings.instances);
+    const std::string leaving =
+        Day().Workers().Ids().at(static_cast<std::size_t>(round));
+    Day().Drain(leaving);
+    Day().Run(seconds(3), true);
+    // Only the owner has looked at the workers' entries since.
+    Day().KillInstance(owner);
+    Day().Run(milliseconds(4500), true);
+    BOOST_TEST(Day().OwnerOf(0) < settings.instances);
+    Day().StartInstance(owner);
+  }
+  CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(AStoppingOwnerHandsOverAtOnce) {
   Day().Run(seconds(4), true);
   const std::size_t owner = Day().OwnerOf(0);
