--- a/src/shards/include/chivecrank/shards/shard_runner.h
+++ b/src/shards/include/chivecrank/shards/shard_runner.h
@@ -69,7 +69,9 @@
 
   shard_totals Totals();
 
-  /// Starts no more calls and waits for those in progress.
+  /// Renews the leases of workers that answer, so that the next owner has the
+  /// whole term to reach them; then starts no more calls and waits for those
+  /// in progress.
   void Close();
 
   const std::string& shard() const { return shard_; }
@@ -78,6 +80,7 @@
  private:
   /// A worker with what is needed to call it.
   struct worker_entry;
+  void RenewLast();
   base::result<void> CheckFull() const;
   base::result<void> CheckNotFenced() const;
   void UpdateWorkers(const std::vector<coordination::instance>& workers);
@@ -126,6 +129,8 @@
   base::time_point next_write_{};
   base::time_point next_plan_{};
   bool fenced_ = false;
+  /// Rounds have ended; what goes out only renews leases.
+  bool renewing_last_ = false;
   bool closing_ = false;
   int calls_in_progress_ = 0;
 
--- a/src/shards/internal/shard_runner.cc
+++ b/src/shards/internal/shard_runner.cc
@@ -17,6 +17,9 @@
 constexpr std::uint64_t kStagedLimit = 20'000;
 /// A lease is renewed at least this often within its term.
 constexpr int kSyncsPerTerm = 4;
+/// A lease counts from the worker's answer to the sync before, so that the
+/// second of two syncs in a row gives it the whole term.
+constexpr int kSyncsToRenew = 2;
 /// Time after which decisions are due though nothing happened: delays pass,
 /// and due times come near.
 constexpr std::chrono::seconds kPlanInterval{1};
@@ -91,12 +94,30 @@
 }
 
 void shard_runner::Close() {
+  RenewLast();
   std::unique_lock lock(mutex_);
   closing_ = true;
   changed_.notify_all();
   changed_.wait(lock, [this] { return calls_in_progress_ == 0; });
 }
 
+void shard_runner::RenewLast() {
+  for (int i = 0; i < kSyncsToRenew; ++i) {
+    {
+      std::lock_guard lock(mutex_);
+      renewing_last_ = true;
+      // Silent workers would only hold up the end.
+      for (auto& [id, entry] : workers_) {
+        entry.next_sync =
+            entry.failures == 0 ? base::time_point() : base::time_point::max();
+      }
+    }
+    Dispatch();
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return calls_in_progress_ == 0; });
+  }
+}
+
 base::result<void> shard_runner::Open() {
   std::lock_guard lock(mutex_);
   BOOST_OUTCOME_TRY(records, journal_.Open(epoch_));
@@ -118,6 +139,8 @@
   {
     std::lock_guard lock(mutex_);
     BOOST_OUTCOME_TRY(CheckNotFenced());
+    if (renewing_last_)
+      return base::Success();
     const protocol::authority may = held_->At(clock_.Now());
     if (may == protocol::authority::kNone)
       return CheckFull();
--- a/src/shards/tests/shard_runner_test.cc
+++ b/src/shards/tests/shard_runner_test.cc
@@ -22,6 +22,7 @@
   base::result<workers::sync_report> Sync(
       const settings::endpoint& /*worker*/,
       const workers::sync_command& command) override {
+    ++calls;
     if (unreachable)
       return base::error{base::error_kind::kUnavailable, "cut off", "wait"};
     return Deliver(command);
@@ -75,6 +76,7 @@
   std::vector<workers::start_command> started;
   workers::sync_command last;
   std::chrono::milliseconds saved_by_stops{0};
+  int calls = 0;
   int starts = 0;
   bool unreachable = false;
 
@@ -273,6 +275,29 @@
   BOOST_TEST(agents.Running() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(ClosingRenewsTheLeasesForWhoeverFollows) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  RunRounds(*runner);
+  clock.Advance(settings.sync_interval / 2);
+  runner->Close();
+  // The next owner may need nearly the whole term to reach the worker.
+  clock.Advance(settings.task_lease - std::chrono::milliseconds(1));
+  BOOST_TEST(agents.Running() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ClosingDoesNotWaitForSilentWorkers) {
+  BOOST_REQUIRE(runner->Open().has_value());
+  BOOST_REQUIRE(runner->Submit(Request()).has_value());
+  RunRounds(*runner);
+  agents.unreachable = true;
+  RunRounds(*runner);
+  const int calls = agents.calls;
+  runner->Close();
+  BOOST_TEST(agents.calls == calls);
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsStartedAfterTheLease) {
   BOOST_REQUIRE(runner->Open().has_value());
   BOOST_REQUIRE(runner->Submit(Request()).has_value());
