--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,8 @@
     /// The newest look was answered.
     bool answered = false;
     reactor::timer_id timer = 0;
+    /// When the timer goes off; unset when it doesn't run.
+    std::optional<base::time_point> due;
   };
 
   void WaitForReplica();
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -279,12 +279,19 @@
   look_state& state = looks_[worker];
   if (state.in_flight)
     return;
+  // What was arranged earlier stands: orders one after the other must not put
+  // the look off.
+  const base::time_point due = loop_.Now() + delay;
+  if (state.due && *state.due <= due)
+    return;
   loop_.Cancel(state.timer);
+  state.due = due;
   state.timer =
       loop_.After(delay, guard_.Wrap([this, worker] { Look(worker); }));
 }
 
 void shard_driver::Look(const std::string& worker) {
+  looks_[worker].due.reset();
   const submissions::worker_description* known = WorkerOf(worker);
   if (known == nullptr) {
     looks_.erase(worker);
--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -156,6 +156,27 @@
   BOOST_TEST(Day().Total().completed == Day().Total().accepted);
 }
 
+BOOST_AUTO_TEST_CASE(OrdersToABusyWorkerDoNotPutOffItsLooks) {
+  // One worker gets an order every 40 ms; each task is seen to end soon after
+  // it did.
+  settings.workers = 1;
+  settings.capacity = {64'000, 250'000, 0};
+  queue_load brief = UrgentLoad();
+  brief.per_second = 25;
+  brief.steps = 1;
+  brief.step.task_count = 1;
+  brief.work = milliseconds(300);
+  brief.step.estimate = brief.work;
+  brief.policy.stretch = 1;
+  // Callers ask every 400 ms.
+  brief.policy.target_run_time = milliseconds(640);
+  settings.queues = {brief};
+  Day().Run(seconds(20), true);
+  CheckPromises();
+  const caller_counts total = Day().Total();
+  BOOST_TEST(total.in_objective * 100 >= total.offered * 98);
+}
+
 BOOST_AUTO_TEST_CASE(TasksThatNeedPermitsAskForThemAndRun) {
   queue_load guarded = UrgentLoad();
   guarded.policy.permits = submissions::permit_terms{
