--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -61,6 +61,7 @@
         (!long_over && !Disturbs(worker, run)))
       continue;
     const std::int32_t slower = run.wanted_percent / divisor;
+    run.is_typical = false;
     run.wanted_percent = slower < kLeastSpeed || too_long ? 0 : slower;
     worker.latency.changed_at = now;
   }
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <tuple>
 
 #include "chivecrank/scheduling/resources.h"
 
@@ -12,8 +11,9 @@
 /// Workers that one question for permits names.
 constexpr std::size_t kWorkersPerQuestion = 30;
 
-/// An end is of use until this many times the time allowed.
-constexpr int kOfUseFor = 3;
+/// What is expected of a submission is worked out anew after this time, since
+/// others may have told more about its queue.
+constexpr std::chrono::milliseconds kForesight{500};
 
 bool HasWaiting(const live_step& step) {
   return std::ranges::any_of(step.tasks, [](const task_progress& task) {
@@ -42,15 +42,10 @@
   full_.Clear();
   relocator_.MoveDisturbing(now);
   relocator_.EmptyDraining(now);
-  std::vector<ready_step> ready = ReadySteps(since_epoch);
-  std::ranges::sort(ready, {}, [](const ready_step& entry) {
-    return std::tuple(entry.priority, entry.kind, entry.deadline,
-                      entry.live->request.id, entry.occurrence, entry.step);
-  });
+  std::vector<ready_step> ready = ReadySteps(now, since_epoch);
+  SortByUrgency(ready, since_epoch);
   for (const ready_step& entry : ready) {
-    const auto& step =
-        entry.live->request.steps[static_cast<std::size_t>(entry.step)];
-    if (step.gang)
+    if (entry.Request().gang)
       PlaceGang(entry, now);
     else
       PlaceTasks(entry, now);
@@ -58,35 +53,15 @@
   relocator_.EndRound();
 }
 
-void planner::SetUrgency(ready_step& ready,
-                         std::chrono::milliseconds since_epoch) {
-  const live_submission& live = *ready.live;
-  const auto step = static_cast<std::size_t>(ready.step);
-  const auto due =
-      std::max(live.request.accepted_since_epoch,
-               live.occurrences[static_cast<std::size_t>(ready.occurrence)]
-                   .due_since_epoch);
-  const auto allowed =
-      live.objective_since_epoch - live.request.accepted_since_epoch;
-  ready.deadline = due + allowed;
-  // A service is to run at any time: it is never too late for it.
-  if (live.request.steps[step].lasting)
-    return;
-  const auto earliest_end = since_epoch + live.work_from[step];
-  if (earliest_end <= ready.deadline)
-    return;
-  ready.kind = urgency::kLate;
-  ready.deadline = due + kOfUseFor * allowed;
-  if (earliest_end > ready.deadline)
-    ready.kind = urgency::kTooLate;
-}
-
-std::vector<planner::ready_step> planner::ReadySteps(
+std::vector<ready_step> planner::ReadySteps(
+    base::time_point now,
     std::chrono::milliseconds since_epoch) {
   std::vector<ready_step> ready;
   for (auto& [id, live] : book_.Submissions().All()) {
     if (live->outcome || live->moving)
       continue;
+    if (!live->foreseen_at || now - *live->foreseen_at >= kForesight)
+      submission_table::Foresee(*live, book_.RunTimes(), now);
     for (std::size_t k = 0; k < live->occurrences.size(); ++k) {
       const live_occurrence& occurrence = live->occurrences[k];
       if (occurrence.due_since_epoch > since_epoch)
@@ -100,7 +75,6 @@
         entry.occurrence = static_cast<std::int32_t>(k);
         entry.step = static_cast<std::int32_t>(s);
         entry.priority = PolicyOf(*live).priority;
-        SetUrgency(entry, since_epoch);
       }
     }
   }
@@ -155,9 +129,7 @@
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
   if (WaitsForWholeRoom(ready, now))
     return;
-  const std::int32_t count =
-      ready.live->request.steps[static_cast<std::size_t>(ready.step)]
-          .task_count;
+  const std::int32_t count = ready.Request().task_count;
   std::optional<candidate_queue> workers;
   for (task.index = 0; task.index < count; ++task.index) {
     const task_progress& progress = *book_.Submissions().Find(task);
@@ -200,12 +172,10 @@
 
 void planner::PlaceGang(const ready_step& ready, base::time_point now) {
   const live_step& step =
-      ready.live->occurrences[static_cast<std::size_t>(ready.occurrence)]
-          .steps[static_cast<std::size_t>(ready.step)];
+      ready.Occurrence().steps[static_cast<std::size_t>(ready.step)];
   if (!AllWait(step))
     return;
-  const bool same_rack =
-      ready.live->request.steps[static_cast<std::size_t>(ready.step)].same_rack;
+  const bool same_rack = ready.Request().same_rack;
   if (same_rack)
     for (const std::string& rack : RacksByRoom())
       if (PlaceGangOn(ready, rack, now))
@@ -217,8 +187,7 @@
                           const std::string& rack,
                           base::time_point now) {
   const live_step& step =
-      ready.live->occurrences[static_cast<std::size_t>(ready.occurrence)]
-          .steps[static_cast<std::size_t>(ready.step)];
+      ready.Occurrence().steps[static_cast<std::size_t>(ready.step)];
   const auto chosen = ChooseForAll(ready, rack, now);
   if (chosen.empty())
     return false;
@@ -234,8 +203,7 @@
 std::vector<worker_entry*> planner::ChooseForAll(const ready_step& ready,
                                                  const std::string& rack,
                                                  base::time_point now) {
-  const step_request& wanted =
-      ready.live->request.steps[static_cast<std::size_t>(ready.step)];
+  const step_request& wanted = ready.Request();
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
   // Room is held task by task, and given back before the answer.
   std::vector<worker_entry*> chosen;
@@ -275,9 +243,8 @@
 
 bool planner::WaitsForWholeRoom(const ready_step& ready, base::time_point now) {
   live_submission& live = *ready.live;
-  const bool lasting =
-      live.request.steps[static_cast<std::size_t>(ready.step)].lasting;
-  if (!lasting || live.started || !ChooseForAll(ready, {}, now).empty())
+  if (!ready.Request().lasting || live.started ||
+      !ChooseForAll(ready, {}, now).empty())
     return false;
   if (!live.no_room_since)
     live.no_room_since = now;
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -11,13 +11,11 @@
 #include "internal/placer.h"
 #include "internal/relocator.h"
 #include "internal/run_book.h"
+#include "internal/step_order.h"
 
 namespace chivecrank::submissions::internal {
 
-/// Chooses which waiting tasks start, and in which order: by the priority of
-/// their queue, then by the time at which the submission should be done. When
-/// there is more work than room, what can't be done in time any more stands
-/// back, so that the rest is.
+/// Chooses which waiting tasks start; see SortByUrgency for the order.
 class planner {
  public:
   planner(const scheduler_settings& settings,
@@ -54,29 +52,8 @@
   }
 
  private:
-  /// What a step can still reach, in the order in which steps are served.
-  enum class urgency {
-    /// Its submission's objective.
-    kInTime,
-    /// An end that is late and still of use.
-    kLate,
-    kTooLate,
-  };
-
-  struct ready_step {
-    live_submission* live = nullptr;
-    std::int32_t occurrence = 0;
-    std::int32_t step = 0;
-    /// Sorted by, smallest first.
-    std::int32_t priority = 0;
-    urgency kind = urgency::kInTime;
-    std::chrono::milliseconds deadline{0};
-  };
-
-  /// Sets what the step can still reach, and by when it has to.
-  static void SetUrgency(ready_step& ready,
-                         std::chrono::milliseconds since_epoch);
-  std::vector<ready_step> ReadySteps(std::chrono::milliseconds since_epoch);
+  std::vector<ready_step> ReadySteps(base::time_point now,
+                                     std::chrono::milliseconds since_epoch);
   const queue_policy& PolicyOf(const live_submission& live) const;
   void PlaceTasks(const ready_step& ready, base::time_point now);
   /// Assigns the task to the best worker; false when there is none.
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -6,9 +6,17 @@
 #include "internal/placer.h"
 
 namespace chivecrank::submissions::internal {
-active_run run_book::RunFor(const step_request& step,
+namespace {
+
+/// Time from the end of a run until the worker's list with it is here.
+constexpr std::chrono::milliseconds kEndSeenAfter{40};
+
+}  // namespace
+
+active_run run_book::RunFor(const task_ref& task,
                             std::int32_t number,
                             base::time_point now) {
+  const step_request& step = *submissions_.StepOf(task);
   active_run run;
   run.run = number;
   run.reserved = ReservedBy(step);
@@ -33,9 +41,10 @@
   progress.worker = worker.description.id;
   progress.worker_born_ms = worker.reported_born_ms;
   submissions_.Touch(task);
-  active_run made = RunFor(*submissions_.StepOf(task), run, now);
+  active_run made = RunFor(task, run, now);
   made.own = true;
   made.checkpoint = progress.checkpoint;
+  made.is_typical = progress.checkpoint.empty();
   worker_table::AddRun(worker, task, made);
   live.started = true;
   ++live.active_runs;
@@ -53,7 +62,7 @@
   const task_progress& progress = *submissions_.Find(task);
   worker_entry& worker = workers_.FindOrAdd(progress.worker);
   worker.description.id = progress.worker;
-  active_run run = RunFor(*submissions_.StepOf(task), progress.run, now);
+  active_run run = RunFor(task, progress.run, now);
   run.phase = run_phase::kUncertain;
   run.checkpoint = progress.checkpoint;
   worker_table::AddRun(worker, task, run);
@@ -106,6 +115,8 @@
   const auto found = worker.runs.find(end.task);
   const bool active =
       found != worker.runs.end() && found->second.run == end.run;
+  if (active && end.how == run_end::kDone)
+    LearnRunTime(end.task, found->second, now);
   if (active)
     RemoveRun(worker, end.task);
   live_submission* live = submissions_.Find(end.task.submission);
@@ -131,6 +142,20 @@
   }
 }
 
+void run_book::LearnRunTime(const task_ref& task,
+                            const active_run& run,
+                            base::time_point now) {
+  live_submission* live = submissions_.Find(task.submission);
+  if (live == nullptr || !run.is_typical || run.lasting)
+    return;
+  const step_request& step = *submissions_.StepOf(task);
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - run.since - kEndSeenAfter);
+  run_times_.Observe(live->request.queue, step,
+                     submissions_.ProgressOf(task).measured, took);
+  live->foreseen_at.reset();
+}
+
 void run_book::CountFailure(worker_entry& worker,
                             const listed_end& end,
                             task_progress& progress,
--- a/src/submissions/internal/run_book.h
+++ b/src/submissions/internal/run_book.h
@@ -8,6 +8,7 @@
 #include "chivecrank/submissions/commands.h"
 #include "chivecrank/submissions/scheduler_event.h"
 #include "chivecrank/submissions/scheduler_settings.h"
+#include "internal/run_times.h"
 #include "internal/submission_table.h"
 #include "internal/worker_table.h"
 
@@ -28,6 +29,8 @@
   image_index& Images() { return images_; }
   const image_index& Images() const { return images_; }
 
+  const run_times& RunTimes() const { return run_times_; }
+
   /// The time of day, for the age of submissions.
   void SetTimeOfDay(std::chrono::milliseconds since_epoch) {
     since_epoch_ = since_epoch;
@@ -78,10 +81,14 @@
   void Emit(const scheduler_event& event) const;
 
  private:
-  active_run RunFor(const step_request& step,
+  active_run RunFor(const task_ref& task,
                     std::int32_t number,
                     base::time_point now);
   void RemoveRun(worker_entry& worker, const task_ref& task);
+  /// Learns from a run that ended as done how long such runs take.
+  void LearnRunTime(const task_ref& task,
+                    const active_run& run,
+                    base::time_point now);
   void CountFailure(worker_entry& worker,
                     const listed_end& end,
                     task_progress& progress,
@@ -98,6 +105,7 @@
   submission_table submissions_;
   worker_table workers_;
   image_index images_;
+  run_times run_times_;
   std::chrono::milliseconds since_epoch_{0};
   std::vector<stop_command> stops_;
   std::vector<start_command> decided_;
--- /dev/null
+++ b/src/submissions/internal/step_order.cc
@@ -0,0 +1,97 @@
+#include "internal/step_order.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+#include <tuple>
+
+namespace chivecrank::submissions::internal {
+namespace {
+
+/// An end is of use until this many times the time allowed.
+constexpr int kOfUseFor = 3;
+
+/// Worth of a submission, in times that of a usual one of its queue: a part
+/// for itself, a part for its work, up to a bound.
+constexpr double kWorthOfItself = 0.3;
+constexpr double kWorthOfWork = 0.7;
+constexpr double kMostWorth = 4;
+
+void SetUrgency(ready_step& ready, std::chrono::milliseconds since_epoch) {
+  const live_occurrence& occurrence = ready.Occurrence();
+  const auto due = std::max(ready.live->request.accepted_since_epoch,
+                            occurrence.due_since_epoch);
+  ready.deadline = due + occurrence.allowed;
+  // A service is to run at any time: it is never too late for it.
+  if (ready.Request().lasting)
+    return;
+  const auto earliest_end =
+      since_epoch + occurrence.work_from[static_cast<std::size_t>(ready.step)];
+  if (earliest_end <= ready.deadline)
+    return;
+  ready.kind = urgency::kLate;
+  ready.deadline = due + kOfUseFor * occurrence.allowed;
+  if (earliest_end > ready.deadline)
+    ready.kind = urgency::kTooLate;
+}
+
+/// Sets the cost of each step, against the mean work of its queue.
+void SetCosts(std::vector<ready_step>& steps) {
+  struct queue_work {
+    double sum = 0;
+    double count = 0;
+  };
+  std::map<std::string_view, queue_work> queues;
+  for (const ready_step& ready : steps) {
+    queue_work& usual = queues[ready.live->request.queue];
+    usual.sum += ready.Occurrence().work;
+    ++usual.count;
+  }
+  for (ready_step& ready : steps) {
+    const queue_work& usual = queues[ready.live->request.queue];
+    if (usual.sum <= 0)
+      continue;
+    const double mean = usual.sum / usual.count;
+    const live_occurrence& occurrence = ready.Occurrence();
+    const double worth = std::min(
+        kMostWorth, kWorthOfItself + kWorthOfWork * occurrence.work / mean);
+    ready.cost = occurrence.work_left / mean / worth;
+  }
+}
+
+/// Orders the steps of one priority and urgency.
+void SortAlike(std::vector<ready_step>::iterator begin,
+               std::vector<ready_step>::iterator end) {
+  std::vector<ready_step> others;
+  std::copy_if(
+      begin, end, std::back_inserter(others),
+      [](const ready_step& ready) { return !ready.Request().lasting; });
+  std::ranges::stable_sort(others, {}, &ready_step::cost);
+  auto next = others.begin();
+  for (auto place = begin; place != end; ++place)
+    if (!place->Request().lasting)
+      *place = *next++;
+}
+
+}  // namespace
+
+void SortByUrgency(std::vector<ready_step>& steps,
+                   std::chrono::milliseconds since_epoch) {
+  for (ready_step& ready : steps)
+    SetUrgency(ready, since_epoch);
+  SetCosts(steps);
+  std::ranges::sort(steps, {}, [](const ready_step& ready) {
+    return std::tuple(ready.priority, ready.kind, ready.deadline,
+                      ready.live->request.id, ready.occurrence, ready.step);
+  });
+  for (auto begin = steps.begin(); begin != steps.end();) {
+    const auto end =
+        std::find_if(begin, steps.end(), [&](const ready_step& ready) {
+          return ready.priority != begin->priority || ready.kind != begin->kind;
+        });
+    SortAlike(begin, end);
+    begin = end;
+  }
+}
+
+}  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/submission_table.cc
+++ b/src/submissions/internal/submission_table.cc
@@ -10,12 +10,10 @@
 /// worker's list, a commit and the orders to start.
 constexpr std::chrono::milliseconds kStepOverhead{150};
 
-std::chrono::milliseconds ObjectiveOf(const submission& request) {
-  const auto chain = LongestChain(request.steps);
-  const auto stretched = std::chrono::duration_cast<std::chrono::milliseconds>(
-      chain * request.policy.stretch);
-  return request.accepted_since_epoch + stretched +
-         request.policy.target_run_time;
+double ProcessorSeconds(const step_request& step,
+                        std::chrono::milliseconds run_time) {
+  return static_cast<double>(step.demand.processors_milli) / 1000 *
+         std::chrono::duration<double>(run_time).count();
 }
 
 live_occurrence MakeOccurrence(const submission& request, std::int32_t number) {
@@ -35,11 +33,11 @@
 
 std::vector<std::chrono::milliseconds> WorkFromSteps(
     const std::vector<step_request>& steps,
-    std::chrono::milliseconds overhead) {
+    const std::vector<std::chrono::milliseconds>& run_times) {
   std::vector<std::chrono::milliseconds> after(steps.size());
   std::vector<std::chrono::milliseconds> from(steps.size());
   for (std::size_t i = steps.size(); i-- > 0;) {
-    from[i] = steps[i].estimate + overhead + after[i];
+    from[i] = run_times[i] + after[i];
     for (const std::int32_t earlier : steps[i].after)
       if (earlier >= 0 && static_cast<std::size_t>(earlier) < i) {
         auto& then = after[static_cast<std::size_t>(earlier)];
@@ -49,20 +47,12 @@
   return from;
 }
 
-std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps) {
-  const auto from = WorkFromSteps(steps, std::chrono::milliseconds(0));
-  return from.empty() ? std::chrono::milliseconds(0)
-                      : *std::ranges::max_element(from);
-}
-
 live_submission& submission_table::Add(const submission& accepted) {
   auto& slot = submissions_[accepted.id];
   if (slot)
     return *slot;
   slot = std::make_unique<live_submission>();
   slot->request = accepted;
-  slot->objective_since_epoch = ObjectiveOf(accepted);
-  slot->work_from = WorkFromSteps(accepted.steps, kStepOverhead);
   const std::int32_t occurrences = std::max(accepted.repeats.times, 1);
   for (std::int32_t number = 0; number < occurrences; ++number)
     slot->occurrences.push_back(MakeOccurrence(accepted, number));
@@ -84,6 +74,12 @@
   return &tasks[static_cast<std::size_t>(task.index)];
 }
 
+live_step& submission_table::ProgressOf(const task_ref& task) {
+  return Find(task.submission)
+      ->occurrences[static_cast<std::size_t>(task.occurrence)]
+      .steps[static_cast<std::size_t>(task.step)];
+}
+
 const step_request* submission_table::StepOf(const task_ref& task) const {
   const auto found = submissions_.find(task.submission);
   if (found == submissions_.end())
@@ -118,6 +114,37 @@
       });
 }
 
+void submission_table::Foresee(live_submission& live,
+                               const run_times& times,
+                               base::time_point now) {
+  live.foreseen_at = now;
+  const submission& request = live.request;
+  for (live_occurrence& occurrence : live.occurrences) {
+    std::vector<std::chrono::milliseconds> expected;
+    expected.reserve(request.steps.size());
+    occurrence.work = 0;
+    occurrence.work_left = 0;
+    for (std::size_t i = 0; i < request.steps.size(); ++i) {
+      const step_request& step = request.steps[i];
+      expected.push_back(
+          times.Expect(request.queue, step, occurrence.steps[i].measured));
+      const double each = ProcessorSeconds(step, expected.back());
+      occurrence.work += each * step.task_count;
+      occurrence.work_left +=
+          each * (step.task_count - occurrence.steps[i].done);
+    }
+    const auto chain = WorkFromSteps(request.steps, expected);
+    const auto longest = chain.empty() ? std::chrono::milliseconds(0)
+                                       : *std::ranges::max_element(chain);
+    occurrence.allowed = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             longest * request.policy.stretch) +
+                         request.policy.target_run_time;
+    for (std::chrono::milliseconds& time : expected)
+      time += kStepOverhead;
+    occurrence.work_from = WorkFromSteps(request.steps, expected);
+  }
+}
+
 void submission_table::MarkDone(const task_ref& task) {
   const step_request* step = StepOf(task);
   if (step == nullptr)
--- a/src/submissions/internal/submission_table.h
+++ b/src/submissions/internal/submission_table.h
@@ -11,6 +11,7 @@
 
 #include "chivecrank/submissions/progress.h"
 #include "chivecrank/submissions/types.h"
+#include "internal/run_times.h"
 
 namespace chivecrank::submissions::internal {
 
@@ -18,7 +19,7 @@
 struct live_step {
   std::vector<task_progress> tasks;
   std::int32_t done = 0;
-
+  measured_runs measured;
   bool Done() const { return done == static_cast<std::int32_t>(tasks.size()); }
 };
 
@@ -26,6 +27,14 @@
   /// Time of day from which its tasks may start.
   std::chrono::milliseconds due_since_epoch{0};
   std::vector<live_step> steps;
+  /// Time from the due time in which the occurrence should be done.
+  std::chrono::milliseconds allowed{0};
+  /// Per step, the time from its begin to the occurrence's end; see
+  /// WorkFromSteps.
+  std::vector<std::chrono::milliseconds> work_from;
+  /// All its work and what is left of it, in processor seconds.
+  double work = 0;
+  double work_left = 0;
 };
 
 /// A submission with tasks that have not ended.
@@ -41,11 +50,9 @@
   std::optional<base::time_point> no_room_since;
   /// It is being given to another shard: nothing of it starts here.
   bool moving = false;
-  /// Time of day by which it should be done.
-  std::chrono::milliseconds objective_since_epoch{0};
-  /// Per step, the time from its begin to the submission's end; see
-  /// WorkFromSteps.
-  std::vector<std::chrono::milliseconds> work_from;
+  /// When its run times were last foreseen; unset after something was learned
+  /// of them.
+  std::optional<base::time_point> foreseen_at;
 };
 
 /// The live submissions of a shard and the progress of their tasks.
@@ -59,6 +66,8 @@
   /// Null when the submission is unknown or has no such task.
   task_progress* Find(const task_ref& task);
   const step_request* StepOf(const task_ref& task) const;
+  /// The step of a task that exists.
+  live_step& ProgressOf(const task_ref& task);
   void Erase(const std::string& id);
   const map& All() const { return submissions_; }
   map& All() { return submissions_; }
@@ -68,6 +77,12 @@
                       std::size_t occurrence,
                       std::size_t step);
 
+  /// Works out anew what the submission's occurrences are allowed and what is
+  /// left of them.
+  static void Foresee(live_submission& live,
+                      const run_times& times,
+                      base::time_point now);
+
   /// Marks the task as done, and with it the whole step when it is a gang.
   void MarkDone(const task_ref& task);
   /// The task's progress must be written.
@@ -90,14 +105,11 @@
   absl::flat_hash_set<task_ref> touched_;
 };
 
-/// Per step, the longest chain of estimates from its begin to the end of the
-/// last step, with `overhead` for each step.
+/// Per step, the longest chain of run times from its begin to the end of the
+/// last step. `run_times` has the time of each step.
 std::vector<std::chrono::milliseconds> WorkFromSteps(
     const std::vector<step_request>& steps,
-    std::chrono::milliseconds overhead);
-
-/// The longest chain of estimates through the steps.
-std::chrono::milliseconds LongestChain(const std::vector<step_request>& steps);
+    const std::vector<std::chrono::milliseconds>& run_times);
 
 }  // namespace chivecrank::submissions::internal
 
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -52,6 +52,9 @@
   std::chrono::milliseconds latency_target{0};
   /// When the phase began.
   base::time_point since;
+  /// It began without a checkpoint and was never slowed, as far as this owner
+  /// knows, so that its run time tells about its step.
+  bool is_typical = false;
   /// The order to start came from this owner, not from one before it.
   bool own = false;
   /// The worker confirmed an order to stop the run, so that it can't start
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -73,12 +73,21 @@
   /// worker.
   using pressure_hook = std::function<double(const std::string& service_image,
                                              const std::string& fill_image)>;
+  /// How a service's own load swings around its mean: by this share of it, up
+  /// and down within each period, out of step from submission to submission.
+  struct load_swing {
+    double share = 0;
+    std::chrono::milliseconds period{14'000};
+    /// Standard deviation of what a worker reports of it.
+    double noise = 0;
+  };
 
   emulated_workers(reactor::event_loop& loop,
                    std::uint64_t seed,
                    truth_hook truth,
                    permit_hook has_permit,
-                   pressure_hook pressure);
+                   pressure_hook pressure,
+                   load_swing swing);
   ~emulated_workers();
 
   void Add(submissions::worker_description description);
@@ -129,13 +138,22 @@
   base::result<submissions::worker_report> Report(worker_state& worker);
   void CheckStart(const submissions::start_command& command);
   void Break(std::string_view name, const submissions::task_ref& task);
-  double PressureOn(const worker_state& worker, const run_state& service) const;
+  /// The service's own load, from 0 to 1.
+  double LoadOf(const submissions::task_ref& service) const;
+  /// The tail latency that the worker reports, in milliseconds.
+  std::int64_t ReadTail(const worker_state& worker,
+                        const submissions::task_ref& task,
+                        const run_state& service);
+  double PressureOn(const worker_state& worker,
+                    const submissions::task_ref& task,
+                    const run_state& service) const;
 
   reactor::event_loop& loop_;
   std::mt19937_64 random_;
   truth_hook truth_;
   permit_hook has_permit_;
   pressure_hook pressure_;
+  const load_swing swing_;
   std::map<std::string, std::unique_ptr<worker_state>> workers_;
   std::map<std::string, submissions::submission> known_;
   std::set<submissions::task_ref> done_;
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -28,6 +28,10 @@
   std::int32_t steps = 1;
   /// What a task really takes.
   std::chrono::milliseconds work{500};
+  /// Standard deviations of the logarithms of a step's run time, and of its
+  /// estimate over it.
+  double work_spread = 0;
+  double estimate_error = 0;
   /// Share of the submissions that can never be done.
   double poisoned_share = 0;
   /// Images that its tasks are drawn from.
@@ -49,6 +53,7 @@
   std::function<void(std::string_view)> on_log_line = [](std::string_view) {};
   emulated_workers::pressure_hook pressure =
       [](const std::string&, const std::string&) { return 0.0; };
+  emulated_workers::load_swing service_swing;
 };
 
 /// What callers got, by queue.
@@ -132,6 +137,8 @@
   };
   struct caller_state {
     const queue_load* load = nullptr;
+    /// What a task of each step really takes.
+    std::vector<std::chrono::milliseconds> work;
     submissions::submission offered;
     base::time_point since;
     bool accepted = false;
@@ -151,6 +158,12 @@
   void OnState(const std::string& id, runtime::submission_state state);
   void OfferLoad(std::size_t queue);
   submissions::submission Make(const queue_load& load);
+  /// Draws what the steps really take and rewrites their estimates.
+  std::vector<std::chrono::milliseconds> DrawWork(
+      const queue_load& load,
+      submissions::submission& offered);
+  /// Time in which the submission should be done.
+  static std::chrono::duration<double> Objective(const caller_state& caller);
   task_truth TruthOf(const submissions::task_ref& task) const;
 
   emulation_settings settings_;
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -1,6 +1,9 @@
 #include "chivecrank/emulator/emulated_workers.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
+#include <numbers>
 #include <utility>
 
 #include "chivecrank/scheduling/resources.h"
@@ -24,12 +27,14 @@
                                    std::uint64_t seed,
                                    truth_hook truth,
                                    permit_hook has_permit,
-                                   pressure_hook pressure)
+                                   pressure_hook pressure,
+                                   load_swing swing)
     : loop_(loop),
       random_(seed),
       truth_(std::move(truth)),
       has_permit_(std::move(has_permit)),
-      pressure_(std::move(pressure)) {
+      pressure_(std::move(pressure)),
+      swing_(swing) {
   loop_.After(kTick, [this] { Tick(); });
 }
 
@@ -134,7 +139,7 @@
     if (run.lasting) {
       const double tail_ratio =
           kIdleTailOfTarget /
-          (1 - std::min(PressureOn(worker, run), kSaturated));
+          (1 - std::min(PressureOn(worker, task, run), kSaturated));
       if (run.target.count() > 0 && tail_ratio > 1)
         over_bound_seconds_ += seconds;
       continue;
@@ -271,9 +276,7 @@
       listed.percent = loop_.Now() - run.started >= kStartUp ? 100 : 50;
     listed.reading = run.used_milli;
     if (run.target.count() > 0)
-      listed.reading = static_cast<std::int64_t>(
-          static_cast<double>(run.target.count()) * kIdleTailOfTarget /
-          (1 - std::min(PressureOn(worker, run), kSaturated)));
+      listed.reading = ReadTail(worker, task, run);
     if (run.progress > 0.2)
       listed.checkpoint = std::to_string(static_cast<int>(run.progress * 1000));
     report.running.push_back(std::move(listed));
@@ -281,6 +284,17 @@
   return report;
 }
 
+std::int64_t emulated_workers::ReadTail(const worker_state& worker,
+                                        const submissions::task_ref& task,
+                                        const run_state& service) {
+  double pressure = PressureOn(worker, task, service);
+  if (swing_.noise > 0)
+    pressure += std::normal_distribution<double>(0, swing_.noise)(random_);
+  pressure = std::clamp(pressure, 0.0, kSaturated);
+  return static_cast<std::int64_t>(static_cast<double>(service.target.count()) *
+                                   kIdleTailOfTarget / (1 - pressure));
+}
+
 void emulated_workers::CheckStart(const submissions::start_command& command) {
   const submissions::task_ref& task = command.task;
   for (const auto& [id, worker] : workers_)
@@ -316,9 +330,22 @@
                      loop_.Now()});
 }
 
+double emulated_workers::LoadOf(const submissions::task_ref& service) const {
+  const double phase =
+      static_cast<double>(std::hash<std::string>{}(service.submission) % 1000) /
+      1000;
+  const double periods =
+      std::chrono::duration<double>(loop_.Now().time_since_epoch()) /
+      std::chrono::duration<double>(swing_.period);
+  const double swing =
+      std::sin(2 * std::numbers::pi * (periods + phase)) * swing_.share;
+  return kServiceLoad * (1 + swing);
+}
+
 double emulated_workers::PressureOn(const worker_state& worker,
+                                    const submissions::task_ref& service_task,
                                     const run_state& service) const {
-  double pressure = kServiceLoad;
+  double pressure = LoadOf(service_task);
   for (const auto& [task, run] : worker.runs)
     if (run.fills)
       pressure +=
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace chivecrank::emulator {
@@ -43,7 +45,8 @@
           [this](const submissions::start_command& command) {
             return permits_.Holds(command);
           },
-          settings_.pressure) {
+          settings_.pressure,
+          settings_.service_swing) {
   for (std::size_t i = 0; i < settings_.workers; ++i) {
     submissions::worker_description worker;
     worker.id = absl::StrFormat("w-%03d", i);
@@ -196,6 +199,7 @@
   caller_state caller;
   caller.load = &load;
   caller.offered = Make(load);
+  caller.work = DrawWork(load, caller.offered);
   caller.since = clock_.Now();
   std::string id = caller.offered.id;
   workers_.Know(caller.offered);
@@ -227,6 +231,33 @@
   return made;
 }
 
+std::vector<std::chrono::milliseconds> emulation::DrawWork(
+    const queue_load& load,
+    submissions::submission& offered) {
+  std::vector<std::chrono::milliseconds> work(offered.steps.size(), load.work);
+  const bool exact = load.work_spread == 0 && load.estimate_error == 0;
+  if (exact)
+    return work;
+  std::normal_distribution<double> deviation;
+  const auto scaled = [&](std::chrono::milliseconds time, double by) {
+    return std::chrono::milliseconds(std::llround(
+        static_cast<double>(time.count()) * std::exp(by * deviation(random_))));
+  };
+  for (std::size_t i = 0; i < work.size(); ++i) {
+    work[i] = scaled(load.work, load.work_spread);
+    offered.steps[i].estimate = scaled(work[i], load.estimate_error);
+  }
+  return work;
+}
+
+std::chrono::duration<double> emulation::Objective(const caller_state& caller) {
+  // Each step waits for the one before it.
+  const std::chrono::duration<double> chain = std::accumulate(
+      caller.work.begin(), caller.work.end(), std::chrono::milliseconds(0));
+  const submissions::queue_policy& policy = caller.load->policy;
+  return chain * policy.stretch + policy.target_run_time;
+}
+
 runtime::instance_runtime* emulation::ReadyInstance() {
   std::vector<runtime::instance_runtime*> ready;
   for (const instance_state& instance : instances_)
@@ -303,15 +334,7 @@
   if (state != runtime::submission_state::kCompleted)
     return;
   ++counts.completed;
-  const double chain =
-      std::chrono::duration<double>(caller.load->work).count() *
-      caller.load->steps;
-  const double objective =
-      chain * caller.load->policy.stretch +
-      std::chrono::duration<double>(caller.load->policy.target_run_time)
-          .count();
-  if (std::chrono::duration<double>(clock_.Now() - caller.since).count() <=
-      objective) {
+  if (clock_.Now() - caller.since <= Objective(caller)) {
     caller.in_objective = true;
     ++counts.in_objective;
   }
@@ -333,7 +356,8 @@
   const auto found = submitted_.find(task.submission);
   if (found == submitted_.end())
     return {};
-  return {found->second.load->work, poisoned_.at(task.submission)};
+  return {found->second.work.at(static_cast<std::size_t>(task.step)),
+          poisoned_.at(task.submission)};
 }
 
 caller_counts emulation::Total() const {
