--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -26,8 +26,9 @@
   double service_load = 0.5;
   /// Share of its processors that a filling task should find idle.
   double fill_share = 0.7;
-  /// Pressure (1 is saturation) that filling tasks may bring a service to.
-  double most_pressure = 0.72;
+  /// Services that a filling task may bring over their bounds, as the sum of
+  /// the chances that it adds.
+  double most_harm = 0.15;
   /// Failures in a row, each of another submission, after which a worker is
   /// avoided.
   std::int32_t failures_to_avoid = 2;
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace chivecrank::submissions::internal {
 namespace {
@@ -18,6 +19,8 @@
 constexpr double kSlopeHalfLifeSeconds = 40;
 /// Noise of one reading, as pressure.
 constexpr double kReadingNoise = 0.07;
+/// So many deviations below its bound a service is at no risk.
+constexpr double kNoRiskBelow = -3;
 /// How far ahead the load of a service is looked at when a filling task is put
 /// beside it: about half of its time there.
 constexpr std::chrono::milliseconds kHorizon{500};
@@ -177,13 +180,15 @@
       made.other_milli += worker_table::UsedMilli(run);
     }
     if (run.latency_target.count() > 0)
-      made.AddService(run.image, run.load->Worst(kHorizon));
+      made.services.push_back({run.image, run.load->Worst(kHorizon), 0});
   }
   for (const image_share& filling : used)
     made.filling_images.push_back(filling.image);
-  for (service_pressure& service : made.services)
+  for (service_pressure& service : made.services) {
     for (const image_share& filling : used)
       service.pressure += filling.share * Slope(service.image, filling.image);
+    service.risk = RiskAt(service.pressure);
+  }
   return made;
 }
 
@@ -192,11 +197,19 @@
                                               double more) const {
   forecast result;
   for (const service_pressure& service : worker.services) {
-    const double added = more * EffectOn(service.image, filling_image).mean;
-    result.added = std::max(result.added, added);
-    result.worst = std::max(result.worst, service.pressure + added);
+    const double then =
+        service.pressure + more * EffectOn(service.image, filling_image).mean;
+    result.worst = std::max(result.worst, then);
+    result.harm += RiskAt(then) - service.risk;
   }
   return result;
 }
 
+double interference::RiskAt(double pressure) {
+  const double deviations = (pressure - kPressureAtBound) / kReadingNoise;
+  if (deviations < kNoRiskBelow)
+    return 0;
+  return std::erfc(-deviations / std::numbers::sqrt2) / 2;
+}
+
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -48,12 +48,13 @@
   /// until the runs change or are reported.
   const occupancy& OccupancyOf(worker_entry& worker) const;
 
-  /// What a worker's services would be under with more filling work.
+  /// What more filling work would do to a worker's services.
   struct forecast {
     /// The largest pressure of any service.
     double worst = 0;
-    /// The most that the additional work adds to any.
-    double added = 0;
+    /// Services that it brings over their bounds, as the sum of the chances
+    /// that it adds.
+    double harm = 0;
   };
   /// `more` is the share of the worker's processors that is added.
   forecast Forecast(const occupancy& worker,
@@ -78,6 +79,8 @@
     std::vector<belief> on;
   };
 
+  /// Chance that a service under this pressure is over its bound.
+  static double RiskAt(double pressure);
   static void AddTo(shares& used, image_number image, double share);
   void ObserveService(active_run& service,
                       const shares& used,
--- a/src/submissions/internal/occupancy.h
+++ b/src/submissions/internal/occupancy.h
@@ -9,16 +9,18 @@
 
 namespace chivecrank::submissions::internal {
 
-/// The services of one image on a worker.
+/// A service on a worker.
 struct service_pressure {
   image_number image = 0;
-  /// That of the most loaded one, from 0 to 1 and above.
+  /// From 0 to 1 and above.
   double pressure = 0;
+  /// Chance that its readings are over its bound.
+  double risk = 0;
 };
 
 /// What the runs of a worker add up to, as far as placing needs it.
 struct occupancy {
-  /// Images with a latency bound.
+  /// Runs with a latency bound.
   std::vector<service_pressure> services;
   std::vector<image_number> lasting_images;
   std::vector<image_number> filling_images;
@@ -27,14 +29,6 @@
   std::int64_t lasting_milli = 0;
   std::int64_t other_milli = 0;
 
-  void AddService(image_number image, double pressure) {
-    const auto found =
-        std::ranges::find(services, image, &service_pressure::image);
-    if (found == services.end())
-      services.push_back({image, pressure});
-    else
-      found->pressure = std::max(found->pressure, pressure);
-  }
   void AddLasting(image_number image) {
     if (std::ranges::find(lasting_images, image) == lasting_images.end())
       lasting_images.push_back(image);
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -13,14 +13,11 @@
 constexpr double kDataRackBonus = 0.5;
 constexpr double kAvoidPenalty = 4;
 constexpr double kFailedHerePenalty = 2;
-/// Times the pressure that a filling task adds to a service.
-constexpr double kPressurePenalty = 3;
+/// Times the services that a filling task is likely to bring over their bounds.
+constexpr double kHarmPenalty = 3;
 constexpr double kSameImageBonus = 1;
 constexpr double kOtherImagePenalty = 0.6;
 
-/// Added pressure below this is taken for none.
-constexpr double kNoPressure = 0.02;
-
 bool HasLabel(const worker_description& worker, const std::string& label) {
   return std::ranges::find(worker.labels, label) != worker.labels.end();
 }
@@ -179,10 +176,10 @@
   const double more =
       worker_table::ShareOfProcessors(worker, step.demand.processors_milli);
   const auto forecast = learned_.Forecast(occupied, request.image, more);
-  if (forecast.added >= kNoPressure && forecast.worst > settings_.most_pressure)
+  if (forecast.harm > settings_.most_harm)
     return std::nullopt;
   return worker_table::ShareOfProcessors(worker, idle) -
-         kPressurePenalty * forecast.added;
+         kHarmPenalty * forecast.harm;
 }
 
 double placer::FitnessOf(worker_entry& worker,
--- a/src/submissions/tests/sharing_test.cc
+++ b/src/submissions/tests/sharing_test.cc
@@ -154,6 +154,57 @@
   BOOST_TEST(halted.size() == filling.size());
 }
 
+BOOST_AUTO_TEST_CASE(AFillingTaskGoesWhereServicesCanBearIt) {
+  step_request service = Step(1, 12'000);
+  service.lasting = true;
+  service.latency_target = std::chrono::milliseconds(45);
+  service.image = "service";
+  step_request filling = Step(2, 6000);
+  filling.fills = true;
+  filling.image = "batch";
+  journal_entry known;
+  known.learned = {{"service", "batch", 0.6, 0.01}};
+  shard_scheduler next(settings, {});
+  workers.resize(2);
+  next.Accept(Request("a", service));
+  next.Accept(Request("b", service));
+  next.Restore(known);
+  next.FinishRestore(now, now);
+  next.SetWorkers(workers);
+  const auto report = [&](const std::string& worker,
+                          const std::vector<listed_run>& running) {
+    worker_report said;
+    said.born_ms = 1;
+    said.running = running;
+    next.OnLeaseSent(worker, now);
+    next.OnReport(worker, said, now, now);
+  };
+  const auto round = [&] {
+    next.Plan(now, since_epoch);
+    if (const auto batch = next.TakeBatch())
+      next.OnCommitted(batch->number);
+    const auto starts = next.TakeCommands(now).starts;
+    for (const start_command& command : starts)
+      next.OnStartAnswer(command, start_answer::kStarted, now);
+    return starts;
+  };
+  report("w-1", {});
+  report("w-2", {});
+  const auto serving = round();
+  BOOST_REQUIRE(serving.size() == 2u);
+  // One service is near its bound, the other one is calm.
+  for (int i = 0; i < 20; ++i) {
+    Pass(std::chrono::milliseconds(100));
+    report(serving[0].worker, {Running(serving[0], 38, 100)});
+    report(serving[1].worker, {Running(serving[1], 14, 100)});
+  }
+  next.Accept(Request("c", filling));
+  const auto beside = round();
+  // A second task would bring the calm one to its bound as well.
+  BOOST_REQUIRE(beside.size() == 1u);
+  BOOST_TEST(beside[0].worker == serving[1].worker);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
--- a/tests/emulator/tests/heavy_day_test.cc
+++ b/tests/emulator/tests/heavy_day_test.cc
@@ -117,8 +117,8 @@
            std::chrono::duration<double>(kLead + kLoadTime + kRest).count();
   }
   BOOST_TEST_MESSAGE(over << " of " << all << " seconds");
-  // One second in a hundred.
-  BOOST_TEST(over * 100 <= all);
+  // One second in 250.
+  BOOST_TEST(over * 250 <= all);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
