--- a/src/event_log/internal/story.cc
+++ b/src/event_log/internal/story.cc
@@ -176,6 +176,7 @@
       {"start_refused", "orders to start were refused or unanswered"},
       {"fills_throttled", "changes of speed beside a service near its bound"},
       {"fill_moved", "runs were moved away from a service"},
+      {"stalled_moved", "runs stood still on a worker and were moved"},
       {"task_evacuated", "runs were moved off a worker that leaves"},
   };
   for (const auto& [event, text] : counted)
--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -24,6 +24,7 @@
   kFillsThrottled,
   kFillMoved,
   kTaskEvacuated,
+  kStalledMoved,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -33,6 +33,10 @@
   /// avoided.
   std::int32_t failures_to_avoid = 2;
   std::chrono::milliseconds avoid_for{4000};
+  /// A run that made no progress for this long, and for this share of the run
+  /// time that is expected of it, is moved.
+  std::chrono::milliseconds stalled_after{1200};
+  double stalled_share = 0.05;
   /// Time between two changes of a worker's filling tasks; readings are half
   /// a second old.
   std::chrono::milliseconds throttle_interval{600};
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -40,6 +40,7 @@
                    std::chrono::milliseconds since_epoch) {
   placer_.BeginRound(now);
   full_.Clear();
+  relocator_.MoveStalled(now);
   relocator_.MoveDisturbing(now);
   relocator_.EmptyDraining(now);
   std::vector<ready_step> ready = ReadySteps(now, since_epoch);
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -46,7 +46,24 @@
                  run.percent < kNearlyDonePercent;
         });
     for (const task_ref& task : slowed)
-      Move(worker, task, scheduler_event_kind::kFillMoved, now);
+      Move(worker, task, scheduler_event_kind::kFillMoved,
+           worker.runs.at(task).wanted_percent, now);
+  }
+}
+
+void relocator::MoveStalled(base::time_point now) {
+  for (auto& [id, worker] : book_.Workers().All()) {
+    const auto stalled = RunsThat(
+        worker,
+        [](const task_ref&, const active_run& run) { return run.stalled; });
+    if (stalled.empty())
+      continue;
+    if (now >= worker.health.avoid_until)
+      book_.Avoid(worker, "stalled", static_cast<std::int64_t>(stalled.size()),
+                  now);
+    for (const task_ref& task : stalled)
+      Move(worker, task, scheduler_event_kind::kStalledMoved,
+           worker.runs.at(task).percent, now);
   }
 }
 
@@ -62,7 +79,8 @@
     std::sort(leaving.begin(), leaving.end());
     for (const task_ref& task : leaving)
       if (!worker.runs.at(task).lasting || MayBeAway(worker, task))
-        Move(worker, task, scheduler_event_kind::kTaskEvacuated, now);
+        Move(worker, task, scheduler_event_kind::kTaskEvacuated,
+             worker.runs.at(task).percent, now);
   }
 }
 
@@ -106,6 +124,7 @@
 void relocator::Move(worker_entry& worker,
                      const task_ref& task,
                      scheduler_event_kind why,
+                     std::int64_t input,
                      base::time_point now) {
   const live_submission* live = book_.Submissions().Find(task.submission);
   if (live == nullptr || live->outcome || !HoldRoom(worker, *live, task, now))
@@ -116,7 +135,7 @@
               .worker = worker.description.id,
               .run = run.run,
               .outcome = book_.Images().NameOf(run.image),
-              .input = run.wanted_percent});
+              .input = input});
   book_.Stop(worker, task, run, now);
 }
 
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -33,6 +33,9 @@
   /// elsewhere.
   void MoveDisturbing(base::time_point now);
 
+  /// Moves tasks that make no progress where they are.
+  void MoveStalled(base::time_point now);
+
   /// Moves lasting tasks, and long ones that can go on from a checkpoint, off
   /// workers that are about to leave.
   void EmptyDraining(base::time_point now);
@@ -58,6 +61,7 @@
   void Move(worker_entry& worker,
             const task_ref& task,
             scheduler_event_kind why,
+            std::int64_t input,
             base::time_point now);
   /// Holds room for the task on another worker until the round ends; false when
   /// there is none.
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -8,6 +8,8 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
+constexpr std::int32_t kFullSpeed = 100;
+
 bool IsListed(const worker_report& report,
               const task_ref& task,
               std::int32_t run) {
@@ -98,7 +100,7 @@
                                       base::time_point now) {
   if (!listed.checkpoint.empty())
     run.checkpoint = listed.checkpoint;
-  run.percent = listed.percent;
+  NoteProgress(listed, run, now);
   run.reading = listed.reading;
   if (run.phase == run_phase::kStopping) {
     if (now - run.stop_sent >= settings_.stop_interval)
@@ -111,6 +113,30 @@
   run.since = now;
 }
 
+void report_processor::NoteProgress(const listed_run& listed,
+                                    active_run& run,
+                                    base::time_point now) {
+  const bool moves_on = listed.percent != run.percent;
+  const bool may_move_on = run.phase == run_phase::kRunning && !run.lasting &&
+                           run.throttle_percent == kFullSpeed &&
+                           run.wanted_percent == kFullSpeed;
+  run.percent = listed.percent;
+  if (moves_on || !may_move_on) {
+    run.progressed_at = now;
+    run.stalled = false;
+    return;
+  }
+  const step_request* step = book_.Submissions().StepOf(listed.task);
+  // A gang moves on when all its members are there.
+  if (step == nullptr || step->gang)
+    return;
+  const auto share_of_run = std::chrono::duration_cast<base::duration>(
+      book_.ExpectedTime(listed.task) * settings_.stalled_share);
+  const auto allowed =
+      std::max<base::duration>(settings_.stalled_after, share_of_run);
+  run.stalled = now - std::max(run.progressed_at, run.since) >= allowed;
+}
+
 void report_processor::StopStray(worker_entry& worker,
                                  const listed_run& listed) {
   worker.lacks_room = true;
--- a/src/submissions/internal/report_processor.h
+++ b/src/submissions/internal/report_processor.h
@@ -43,6 +43,10 @@
                       active_run& run,
                       const listed_run& listed,
                       base::time_point now);
+  /// Notes whether a run makes progress.
+  void NoteProgress(const listed_run& listed,
+                    active_run& run,
+                    base::time_point now);
   void StopStray(worker_entry& worker, const listed_run& listed);
   void TakeAbsent(worker_entry& worker,
                   const worker_report& report,
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -193,11 +193,25 @@
   health.last_failed_submission = end.task.submission;
   if (++health.failures_in_a_row < settings_.failures_to_avoid)
     return;
-  health.avoid_until = now + settings_.avoid_for;
+  Avoid(worker, "failures", health.failures_in_a_row, now);
+}
+
+void run_book::Avoid(worker_entry& worker,
+                     std::string_view reason,
+                     std::int64_t count,
+                     base::time_point now) {
+  worker.health.avoid_until = now + settings_.avoid_for;
   Emit({.kind = scheduler_event_kind::kWorkerAvoided,
         .worker = worker.description.id,
-        .outcome = "failures",
-        .input = health.failures_in_a_row});
+        .outcome = reason,
+        .input = count});
+}
+
+std::chrono::duration<double, std::milli> run_book::ExpectedTime(
+    const task_ref& task) {
+  return run_times_.Expect(submissions_.Find(task.submission)->request.queue,
+                           *submissions_.StepOf(task),
+                           submissions_.ProgressOf(task).measured);
 }
 
 void run_book::FinishIfDone(const std::string& submission,
--- a/src/submissions/internal/run_book.h
+++ b/src/submissions/internal/run_book.h
@@ -31,6 +31,8 @@
   const image_index& Images() const { return images_; }
 
   const run_times& RunTimes() const { return run_times_; }
+  /// The run time to expect of a task that exists.
+  std::chrono::duration<double, std::milli> ExpectedTime(const task_ref& task);
 
   /// The time of day, for the age of submissions.
   void SetTimeOfDay(std::chrono::milliseconds since_epoch) {
@@ -54,6 +56,11 @@
   /// The worker listed the end of a run.
   void End(worker_entry& worker, const listed_end& end, base::time_point now);
 
+  /// Lets other workers go first for a while.
+  void Avoid(worker_entry& worker,
+             std::string_view reason,
+             std::int64_t count,
+             base::time_point now);
   /// Ends a submission and stops what still runs of it.
   void Finish(live_submission& live,
               submission_outcome outcome,
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -59,6 +59,10 @@
   base::time_point stop_sent;
   std::string checkpoint;
   std::int32_t percent = 0;
+  /// When a report first told of that progress.
+  base::time_point progressed_at;
+  /// It makes no progress though it may run at full speed.
+  bool stalled = false;
   std::int64_t reading = 0;
   image_number image = 0;
   /// Shared with the other runs of its step; null when it is no service.
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -19,6 +19,31 @@
   BOOST_TEST(Day().Total().accepted == Day().Total().completed);
 }
 
+BOOST_AUTO_TEST_CASE(TasksThatStandStillGoElsewhere) {
+  Day().Run(seconds(4), true);
+  for (const std::string id : {"w-001", "w-004", "w-007"})
+    Day().Workers().FaultsOf(id).hangs = true;
+  Day().Run(seconds(20), true);
+  for (const std::string id : {"w-001", "w-004", "w-007"})
+    Day().Workers().FaultsOf(id).hangs = false;
+  CheckPromises();
+  const caller_counts total = Day().Total();
+  BOOST_TEST(total.completed == total.accepted);
+  // A quarter of the workers does nothing; room is left on the others.
+  const auto missed = total.offered - total.in_objective;
+  BOOST_TEST_MESSAGE(missed << " of " << total.offered << " missed");
+  BOOST_TEST(missed * 20 <= total.offered);
+}
+
+BOOST_AUTO_TEST_CASE(ATaskThatIsSlowedIsNotTakenForOneThatStandsStill) {
+  settings.queues = {FillingLoad()};
+  settings.queues[0].work = seconds(60);
+  settings.queues[0].step.estimate = seconds(60);
+  settings.queues[0].per_second = 0.3;
+  Day().Run(seconds(30), true);
+  BOOST_TEST(Day().Workers().Counts().stopped == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(ACrashedWorkerComesBackEmpty) {
   Day().Run(seconds(4), true);
   for (const std::string id : {"w-002", "w-003"}) {
