--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -55,8 +55,11 @@
   bool IsValid() const;
   bool Owns(std::uint32_t shard) const { return owned_.contains(shard); }
   std::size_t OwnedCount() const { return owned_.size(); }
-  /// The store answered the newest renewal.
-  bool StoreAnswers() const { return lease_ != 0 && !renewal_failing_; }
+  /// The store answered the newest renewal. One that has given its lease back
+  /// renews no more and goes by the last.
+  bool StoreAnswers() const {
+    return (lease_ != 0 || releasing_) && !renewal_failing_;
+  }
   /// Looks at a shard whose owner changed.
   void OnOwnerChanged(std::uint32_t shard);
   /// The store rejected a write as the owner of the shard.
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -1,3 +1,5 @@
+#include <optional>
+
 #include "day_fixture.h"
 
 namespace chivecrank::emulator {
@@ -126,6 +128,26 @@
   CheckPromises();
 }
 
+BOOST_AUTO_TEST_CASE(AStoppingInstanceStillTakesSubmissionsIn) {
+  Day().Run(seconds(4), true);
+  runtime::instance_runtime& stopping = Day().InstanceAt(Day().OwnerOf(0));
+  stopping.Stop([] {});
+  Day().Run(seconds(2), false);
+  // Callers with open connections stay until the process ends.
+  submissions::submission offered;
+  offered.id = "ffffffffffffffff";
+  offered.queue = "urgent";
+  offered.policy = UrgentLoad().policy;
+  offered.steps = {UrgentLoad().step};
+  Day().Workers().Know(offered);
+  std::optional<runtime::submit_verdict> verdict;
+  stopping.Intake().Submit(
+      offered, Day().Now() + seconds(2),
+      [&](runtime::submit_answer answer) { verdict = answer.verdict; });
+  Day().Run(seconds(1), false);
+  BOOST_TEST((verdict == runtime::submit_verdict::kAccepted));
+}
+
 BOOST_AUTO_TEST_CASE(WhatWasAcceptedOutlivesAllInstances) {
   Day().Run(seconds(5), true);
   for (std::size_t i = 0; i < settings.instances; ++i)
