--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -1,13 +1,10 @@
 #include "chivecrank/submissions/shard_scheduler.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "chivecrank/scheduling/resources.h"
-#include "internal/planner.h"
-#include "internal/report_processor.h"
-#include "internal/run_book.h"
+#include "internal/shard_core.h"
 
 namespace chivecrank::submissions {
 
@@ -16,125 +13,9 @@
 using internal::run_phase;
 using internal::worker_entry;
 
-class shard_scheduler::implementation {
+class shard_scheduler::implementation : public internal::shard_core {
  public:
-  implementation(const scheduler_settings& given, scheduler_event_hook hook)
-      : settings(given),
-        on_event(std::move(hook)),
-        book(settings, on_event),
-        reports(settings, book, learned),
-        plans(settings, book, learned, permits) {}
-
-  /// Lets other workers go first for a moment.
-  void Avoid(worker_entry& worker,
-             std::chrono::milliseconds term,
-             base::time_point now) {
-    worker.health.avoid_until = std::max(worker.health.avoid_until, now + term);
-  }
-
-  void LoseAll(worker_entry& worker) {
-    std::vector<task_ref> lost;
-    for (const auto& [task, run] : worker.runs)
-      if (run.phase != run_phase::kDeciding)
-        lost.push_back(task);
-    for (const task_ref& task : lost)
-      book.Lose(worker, task, "lease_over");
-  }
-
-  void ExpireLeases(base::time_point now) {
-    for (auto& [id, worker] : book.Workers().All()) {
-      if (worker.runs.empty() || now < worker.lease_over)
-        continue;
-      book.Emit({.kind = scheduler_event_kind::kWorkerLeaseOver,
-                 .worker = id,
-                 .input = static_cast<std::int64_t>(worker.runs.size())});
-      worker.reported = false;
-      LoseAll(worker);
-    }
-  }
-
-  void Release(std::uint64_t batch) {
-    for (auto& [id, worker] : book.Workers().All()) {
-      auto& pending = worker.pending_acks;
-      while (!pending.empty() && pending.front().batch <= batch) {
-        worker.committed_end = pending.front().number;
-        pending.pop_front();
-      }
-    }
-  }
-
-  /// Whether a committed decision to start still holds; otherwise it is
-  /// taken back.
-  bool Confirm(start_command& command, base::time_point now) {
-    worker_entry* worker = book.Workers().Find(command.worker);
-    if (worker == nullptr)
-      return false;
-    const auto found = worker->runs.find(command.task);
-    if (found == worker->runs.end() || found->second.run != command.run ||
-        found->second.phase != run_phase::kDeciding)
-      return false;
-    const live_submission* live =
-        book.Submissions().Find(command.task.submission);
-    bool holds = live != nullptr && !live->outcome && worker->listed &&
-                 !worker->description.draining;
-    if (holds && plans.NeedsPermit(*live)) {
-      const std::string* permit = permits.Find(command.task, *worker, now);
-      holds = permit != nullptr;
-      if (holds)
-        command.permit = *permit;
-    }
-    if (!holds) {
-      book.Revert(*worker, command.task);
-      return false;
-    }
-    found->second.phase = run_phase::kStarting;
-    found->second.since = now;
-    return true;
-  }
-
-  void CollectThrottles(command_set& commands) {
-    for (auto& [id, worker] : book.Workers().All()) {
-      for (auto& [task, run] : worker.runs) {
-        if (!run.fills || run.phase != run_phase::kRunning ||
-            run.throttle_percent == run.wanted_percent)
-          continue;
-        run.throttle_percent = run.wanted_percent;
-        worker.occupied.reset();
-        commands.throttles.push_back({task, run.run, id, run.throttle_percent});
-        book.Emit({.kind = scheduler_event_kind::kFillsThrottled,
-                   .task = task,
-                   .worker = id,
-                   .run = run.run,
-                   .outcome = book.Images().NameOf(run.image),
-                   .input = run.throttle_percent});
-      }
-    }
-  }
-
-  active_run* FindRun(const std::string& worker_id,
-                      const task_ref& task,
-                      std::int32_t run) {
-    worker_entry* worker = book.Workers().Find(worker_id);
-    if (worker == nullptr)
-      return nullptr;
-    const auto found = worker->runs.find(task);
-    if (found == worker->runs.end() || found->second.run != run)
-      return nullptr;
-    return &found->second;
-  }
-
-  const scheduler_settings settings;
-  const scheduler_event_hook on_event;
-  internal::run_book book;
-  internal::interference learned;
-  internal::permit_book permits;
-  internal::report_processor reports;
-  internal::planner plans;
-  std::uint64_t last_batch = 0;
-  std::vector<start_command> in_commit;
-  std::vector<outcome_change> outcomes_in_commit;
-  std::vector<start_command> committed;
-  bool fenced = false;
+  using internal::shard_core::shard_core;
 };
 
 shard_scheduler::shard_scheduler(scheduler_settings settings,
@@ -261,7 +142,7 @@
   if (answer == start_answer::kNoPermit)
     state.permits.Forget(command.task, command.worker);
   else
-    state.Avoid(worker, state.settings.refused_pause, now);
+    internal::shard_core::Pause(worker, state.settings.refused_pause, now);
   state.book.Revert(worker, command.task);
 }
 
@@ -305,7 +186,7 @@
   implementation& state = *implementation_;
   if (!state.book.HasChanges()) {
     // Nothing to commit: what was seen may be acknowledged at once.
-    state.Release(state.last_batch + 1);
+    state.ReleaseAcks(state.last_batch + 1);
     return std::nullopt;
   }
   progress_batch batch;
@@ -319,7 +200,7 @@
 
 void shard_scheduler::OnCommitted(std::uint64_t batch) {
   implementation& state = *implementation_;
-  state.Release(batch);
+  state.ReleaseAcks(batch);
   for (start_command& command : state.in_commit)
     state.committed.push_back(std::move(command));
   state.in_commit.clear();
--- a/src/submissions/tests/sharing_test.cc
+++ b/src/submissions/tests/sharing_test.cc
@@ -183,7 +183,7 @@
     next.Plan(now, since_epoch);
     if (const auto batch = next.TakeBatch())
       next.OnCommitted(batch->number);
-    const auto starts = next.TakeCommands(now).starts;
+    auto starts = next.TakeCommands(now).starts;
     for (const start_command& command : starts)
       next.OnStartAnswer(command, start_answer::kStarted, now);
     return starts;
