--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -2,6 +2,7 @@
 #include <optional>
 
 #include "chivecrank/emulator/day.h"
+#include "chivecrank/emulator/pair_pressure.h"
 #include "chivecrank/settings/document.h"
 
 namespace chivecrank::emulator {
@@ -60,6 +61,42 @@
   return step;
 }
 
+/// `count` images that are told apart by a number.
+std::vector<std::string> NumberedImages(const std::string& name,
+                                        std::int64_t count) {
+  std::vector<std::string> images;
+  for (std::int64_t i = 1; i <= count; ++i)
+    images.push_back(name + "-" + std::to_string(i));
+  return images;
+}
+
+double NumberOr(settings::section& from,
+                std::string_view key,
+                settings::number_range range,
+                double fallback) {
+  return from.Has(key) ? from.Number(key, range) : fallback;
+}
+
+void ReadSharing(settings::section from, emulation_settings& system) {
+  pair_pressure pressure;
+  pressure.hard_share =
+      NumberOr(from, "hard_share", kShares, pressure.hard_share);
+  pressure.hard_least =
+      NumberOr(from, "hard_least", kStrengths, pressure.hard_least);
+  pressure.hard_most =
+      NumberOr(from, "hard_most", kStrengths, pressure.hard_most);
+  pressure.gentle_most =
+      NumberOr(from, "gentle_most", kStrengths, pressure.gentle_most);
+  system.pressure = pressure;
+  auto& swing = system.service_swing;
+  swing.share = NumberOr(from, "load_swing", kShares, swing.share);
+  swing.noise = NumberOr(from, "noise", kShares, swing.noise);
+  swing.period = from.MillisecondsOr("swing_ms", kTimesMs, swing.period);
+  if (swing.period.count() == 0)
+    from.Reject("swing_ms", "a load can't swing within no time",
+                "leave it out or give a time above 0");
+}
+
 queue_load ReadQueue(settings::section& from) {
   queue_load load;
   load.name = from.String("name");
@@ -78,6 +115,10 @@
       "target_run_time_ms", kTimesMs, load.policy.target_run_time);
   load.step = ReadStep(from);
   load.step.estimate = load.work;
+  load.work_spread = NumberOr(from, "work_spread", kStrengths, 0);
+  load.estimate_error = NumberOr(from, "estimate_error", kStrengths, 0);
+  load.images = NumberedImages(load.step.image,
+                               from.IntegerOr("image_count", kNoneOrMore, 0));
   return load;
 }
 
@@ -122,6 +163,8 @@
     system.queues.push_back(ReadQueue(queue));
   for (settings::section& fault : root.Tables("fault"))
     day.faults.push_back(ReadFault(fault));
+  if (root.Has("sharing"))
+    ReadSharing(root.Table("sharing"), system);
   if (system.queues.empty())
     root.Reject("queue", "nobody hands anything in",
                 "describe at least one [[queue]]");
