--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -18,9 +18,9 @@
 /// A service behaves like a queue: its tail latency is that of an idle one
 /// divided by one minus its pressure. The pressure is its own load, plus what
 /// filling tasks add: the share of the worker's processors that they use,
-/// times a slope that depends on the pair. Own
-/// loads are followed per run and shares per pair, by one Kalman filter with a
-/// diagonal covariance.
+/// times a slope that depends on the pair. Loads are followed per step, by a
+/// filter of their own, and slopes per pair; a reading corrects each by its
+/// share of the variance.
 class interference {
  public:
   /// Pressure of a service at its latency bound.
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -155,7 +155,10 @@
                             const active_run& run,
                             base::time_point now) {
   live_submission* live = submissions_.Find(task.submission);
-  if (live == nullptr || !run.is_typical || run.lasting)
+  // Of other phases it isn't known when the run began.
+  const bool began =
+      run.phase == run_phase::kStarting || run.phase == run_phase::kRunning;
+  if (live == nullptr || !began || !run.is_typical || run.lasting)
     return;
   const step_request& step = *submissions_.StepOf(task);
   const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/submissions/internal/step_order.cc
+++ b/src/submissions/internal/step_order.cc
@@ -82,7 +82,8 @@
   SetCosts(steps);
   std::ranges::sort(steps, {}, [](const ready_step& ready) {
     return std::tuple(ready.priority, ready.kind, ready.deadline,
-                      ready.live->request.id, ready.occurrence, ready.step);
+                      std::string_view(ready.live->request.id),
+                      ready.occurrence, ready.step);
   });
   for (auto begin = steps.begin(); begin != steps.end();) {
     const auto end =
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -47,8 +47,8 @@
   std::chrono::milliseconds latency_target{0};
   /// When the phase began.
   base::time_point since;
-  /// It began without a checkpoint and was never slowed, as far as this owner
-  /// knows, so that its run time tells about its step.
+  /// This owner started it without a checkpoint and never slowed it, so that
+  /// its run time tells about its step.
   bool is_typical = false;
   /// The order to start came from this owner, not from one before it.
   bool own = false;
