--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -87,7 +87,7 @@
   bool IsFenced() const;
   /// The whole progress, for a snapshot.
   journal_entry Snapshot() const;
-  /// Submissions without times none of whose tasks was ever started.
+  /// Submissions without times of which no worker has told a run yet.
   std::vector<std::string> NotStarted() const;
   shard_load Load() const;
 
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -109,6 +109,7 @@
   }
   if (run.phase == run_phase::kRunning)
     return;
+  book_.NoteBegun(listed.task);
   run.phase = run_phase::kRunning;
   run.since = now;
 }
--- a/src/submissions/internal/run_book.cc
+++ b/src/submissions/internal/run_book.cc
@@ -67,6 +67,11 @@
         .input = progress.failures});
 }
 
+void run_book::NoteBegun(const task_ref& task) {
+  if (live_submission* live = submissions_.Find(task.submission))
+    live->began = true;
+}
+
 void run_book::Readopt(const task_ref& task, base::time_point now) {
   const task_progress& progress = *submissions_.Find(task);
   worker_entry& worker = workers_.FindOrAdd(progress.worker);
@@ -121,6 +126,7 @@
         .outcome = RunEndName(end.how),
         .input = end.number});
   NoteHealth(worker, end, now);
+  NoteBegun(end.task);
   const auto found = worker.runs.find(end.task);
   const bool active =
       found != worker.runs.end() && found->second.run == end.run;
--- a/src/submissions/internal/run_book.h
+++ b/src/submissions/internal/run_book.h
@@ -44,6 +44,8 @@
               std::int32_t run,
               worker_entry& worker,
               base::time_point now);
+  /// A worker has told of a run of the task.
+  void NoteBegun(const task_ref& task);
   /// Brings back a run that the journal knows.
   void Readopt(const task_ref& task, base::time_point now);
 
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -37,8 +37,12 @@
       continue;
     if (change.progress.phase == task_phase::kDone)
       submissions.MarkDone(change.task);
+    live_submission& live = *submissions.Find(change.task.submission);
     if (change.progress.run > 0)
-      submissions.Find(change.task.submission)->started = true;
+      live.started = true;
+    if (change.progress.phase == task_phase::kDone ||
+        change.progress.failures > 0 || !change.progress.checkpoint.empty())
+      live.began = true;
     *progress = change.progress;
   }
   implementation_->learned.TakeOver(entry.learned,
@@ -123,6 +127,7 @@
     return;
   worker_entry& worker = *state.book.Workers().Find(command.worker);
   if (answer == start_answer::kStarted) {
+    state.book.NoteBegun(command.task);
     run->phase = run_phase::kRunning;
     run->since = now;
     return;
@@ -252,7 +257,7 @@
 std::vector<std::string> shard_scheduler::NotStarted() const {
   std::vector<std::string> waiting;
   for (const auto& [id, live] : implementation_->book.Submissions().All())
-    if (!live->started && !live->outcome && live->request.repeats.times == 0)
+    if (!live->began && !live->outcome && live->request.repeats.times == 0)
       waiting.push_back(id);
   return waiting;
 }
--- a/src/submissions/internal/submission_table.h
+++ b/src/submissions/internal/submission_table.h
@@ -48,6 +48,9 @@
   std::optional<submission_outcome> outcome;
   /// Whether any of its tasks was ever assigned.
   bool started = false;
+  /// Whether a worker has told of a run of it. A run that was assigned may
+  /// never have begun: its order can be lost with the owner that decided it.
+  bool began = false;
   /// Runs whose end isn't known.
   std::int32_t active_runs = 0;
   /// Since when it waits for room without having started; unset for never.
--- a/src/submissions/tests/worker_life_test.cc
+++ b/src/submissions/tests/worker_life_test.cc
@@ -231,6 +231,47 @@
   BOOST_TEST(stops[0].run == 3);
 }
 
+BOOST_AUTO_TEST_CASE(WhatWasDecidedAndNeverBeganIsStillWaiting) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  // The owner dies between its commit and its orders; another one takes over.
+  const journal_entry decided{false, batch->tasks, {}};
+  shard_scheduler next(settings, {});
+  next.Accept(Request("a", Step(1, 1000)));
+  next.Restore(decided);
+  next.FinishRestore(now, now + settings.worker_lease);
+  next.SetWorkers(workers);
+  BOOST_TEST(next.NotStarted().size() == 1u);
+  Pass(std::chrono::milliseconds(100));
+  for (const worker_description& worker : workers) {
+    worker_report empty;
+    empty.born_ms = 1;
+    next.OnLeaseSent(worker.id, now);
+    next.OnReport(worker.id, empty, now, now);
+  }
+  BOOST_TEST(next.NotStarted().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(WhatRunsIsNotWaitingForANewOwner) {
+  scheduler.Accept(Request("a", Step(1, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(scheduler.NotStarted().empty());
+  shard_scheduler next(settings, {});
+  next.Accept(Request("a", Step(1, 1000)));
+  next.Restore(scheduler.Snapshot());
+  next.FinishRestore(now, now + settings.worker_lease);
+  next.SetWorkers(workers);
+  worker_report report;
+  report.born_ms = 1;
+  report.running = {Running(starts[0])};
+  next.OnLeaseSent(starts[0].worker, now);
+  next.OnReport(starts[0].worker, report, now, now);
+  BOOST_TEST(next.NotStarted().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
