--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -29,7 +29,7 @@
       machine.Number("cpu_share", {kLeastCpuShare, kMostCpuShare});
   machine.Integer("memory_mb", kMemoryMb);
   settings::section scheduling = root.Table("scheduling");
-  const std::chrono::milliseconds lease(
+  const std::chrono::milliseconds most_lease(
       scheduling.Integer("worker_lease_ms", kWorkerLeaseMs));
   // A machine that replaces another may have its name, but not its address.
   read.runtime.owning.node = node + "@" + read.callers.host;
@@ -37,7 +37,8 @@
       static_cast<std::int64_t>(share * kMilli);
   read.runtime.driving.node = node;
   read.runtime.driving.owner_term = read.runtime.owning.term;
-  read.runtime.driving.scheduling.worker_lease = lease;
+  read.runtime.driving.scheduling.worker_lease =
+      submissions::WorkerLeaseFor(most_lease);
   return read;
 }
 
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -6,6 +6,16 @@
 
 namespace chivecrank::submissions {
 
+/// Longest lease that is given to a worker: with its margin, a task of a worker
+/// that vanished runs again within nine seconds.
+inline constexpr std::chrono::milliseconds kLongestWorkerLease{7800};
+
+/// The lease for workers that take one of `most` at the most.
+constexpr std::chrono::milliseconds WorkerLeaseFor(
+    std::chrono::milliseconds most) {
+  return most < kLongestWorkerLease ? most : kLongestWorkerLease;
+}
+
 /// Bounds and weights of a shard's decisions.
 struct scheduler_settings {
   /// Term of a worker's lease, which bounds all runs on it.
--- a/src/submissions/tests/scheduler_fixture.h
+++ b/src/submissions/tests/scheduler_fixture.h
@@ -52,22 +52,28 @@
 
   /// A worker's lists, asked for just before.
   void Report(const std::string& worker, worker_report report) {
+    ReportTo(scheduler, worker, std::move(report));
+  }
+  void ReportTo(shard_scheduler& owner,
+                const std::string& worker,
+                worker_report report) {
     if (report.born_ms == 0)
       report.born_ms = 1;
-    scheduler.OnLeaseSent(worker, now);
-    scheduler.OnReport(worker, report, now, now);
+    owner.OnLeaseSent(worker, now);
+    owner.OnReport(worker, report, now, now);
   }
 
   /// Plans, commits and returns the orders to start, which succeed.
-  std::vector<start_command> Round() {
-    scheduler.Plan(now, since_epoch);
-    if (const auto batch = scheduler.TakeBatch())
-      scheduler.OnCommitted(batch->number);
-    const command_set commands = scheduler.TakeCommands(now);
+  std::vector<start_command> Round() { return RoundOf(scheduler); }
+  std::vector<start_command> RoundOf(shard_scheduler& owner) {
+    owner.Plan(now, since_epoch);
+    if (const auto batch = owner.TakeBatch())
+      owner.OnCommitted(batch->number);
+    const command_set commands = owner.TakeCommands(now);
     stops = commands.stops;
     throttles = commands.throttles;
     for (const start_command& command : commands.starts)
-      scheduler.OnStartAnswer(command, start_answer::kStarted, now);
+      owner.OnStartAnswer(command, start_answer::kStarted, now);
     Pass(std::chrono::milliseconds(1));
     return commands.starts;
   }
--- a/src/submissions/tests/sharing_test.cc
+++ b/src/submissions/tests/sharing_test.cc
@@ -171,35 +171,22 @@
   next.Restore(known);
   next.FinishRestore(now, now);
   next.SetWorkers(workers);
-  const auto report = [&](const std::string& worker,
-                          const std::vector<listed_run>& running) {
-    worker_report said;
-    said.born_ms = 1;
-    said.running = running;
-    next.OnLeaseSent(worker, now);
-    next.OnReport(worker, said, now, now);
-  };
-  const auto round = [&] {
-    next.Plan(now, since_epoch);
-    if (const auto batch = next.TakeBatch())
-      next.OnCommitted(batch->number);
-    auto starts = next.TakeCommands(now).starts;
-    for (const start_command& command : starts)
-      next.OnStartAnswer(command, start_answer::kStarted, now);
-    return starts;
-  };
-  report("w-1", {});
-  report("w-2", {});
-  const auto serving = round();
+  ReportTo(next, "w-1", {});
+  ReportTo(next, "w-2", {});
+  const auto serving = RoundOf(next);
   BOOST_REQUIRE(serving.size() == 2u);
   // One service is near its bound, the other one is calm.
   for (int i = 0; i < 20; ++i) {
     Pass(std::chrono::milliseconds(100));
-    report(serving[0].worker, {Running(serving[0], 38, 100)});
-    report(serving[1].worker, {Running(serving[1], 14, 100)});
+    worker_report pressed;
+    pressed.running = {Running(serving[0], 38, 100)};
+    ReportTo(next, serving[0].worker, pressed);
+    worker_report calm;
+    calm.running = {Running(serving[1], 14, 100)};
+    ReportTo(next, serving[1].worker, calm);
   }
   next.Accept(Request("c", filling));
-  const auto beside = round();
+  const auto beside = RoundOf(next);
   // A second task would bring the calm one to its bound as well.
   BOOST_REQUIRE(beside.size() == 1u);
   BOOST_TEST(beside[0].worker == serving[1].worker);
--- a/src/submissions/tests/worker_life_test.cc
+++ b/src/submissions/tests/worker_life_test.cc
@@ -272,6 +272,39 @@
   BOOST_TEST(next.NotStarted().empty());
 }
 
+BOOST_AUTO_TEST_CASE(AServiceOfAVanishedWorkerRunsAgainWithinNineSeconds) {
+  scheduler_settings longest;
+  longest.worker_lease = WorkerLeaseFor(std::chrono::seconds(10));
+  shard_scheduler next(longest, {});
+  next.FinishRestore(now, now);
+  next.SetWorkers(workers);
+  for (const worker_description& worker : workers)
+    ReportTo(next, worker.id, {});
+  step_request service = Step(1, 1000);
+  service.lasting = true;
+  next.Accept(Request("a", service));
+  const auto starts = RoundOf(next);
+  BOOST_REQUIRE(starts.size() == 1u);
+  const std::string vanished = starts[0].worker;
+  worker_report at_work;
+  at_work.running = {Running(starts[0], 0, 100)};
+  ReportTo(next, vanished, at_work);
+  const base::time_point gone = now;
+  std::vector<start_command> again;
+  while (again.empty() && now - gone < std::chrono::seconds(12)) {
+    Pass(std::chrono::milliseconds(100));
+    for (const worker_description& worker : workers)
+      if (worker.id != vanished)
+        ReportTo(next, worker.id, {});
+    again = RoundOf(next);
+  }
+  BOOST_REQUIRE(again.size() == 1u);
+  BOOST_TEST(again[0].worker != vanished);
+  BOOST_TEST((now - gone < std::chrono::seconds(9)));
+  // And not before its lease is over on the slowest clock.
+  BOOST_TEST((now - gone > longest.worker_lease * 1.04));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
