--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_SUBMISSIONS_SCHEDULER_SETTINGS_H_
 #define CHIVECRANK_SUBMISSIONS_SCHEDULER_SETTINGS_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -13,7 +14,7 @@
 /// The lease for workers that take one of `most` at the most.
 constexpr std::chrono::milliseconds WorkerLeaseFor(
     std::chrono::milliseconds most) {
-  return most < kLongestWorkerLease ? most : kLongestWorkerLease;
+  return std::min(most, kLongestWorkerLease);
 }
 
 /// Bounds and weights of a shard's decisions.
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -17,6 +17,10 @@
 
 namespace chivecrank::submissions {
 
+namespace internal {
+struct shard_core;
+}  // namespace internal
+
 /// How busy a shard is.
 struct shard_load {
   coordination::resources capacity;
@@ -108,8 +112,7 @@
   void FinishMove(const std::string& submission);
 
  private:
-  class implementation;
-  std::unique_ptr<implementation> implementation_;
+  std::unique_ptr<internal::shard_core> core_;
 };
 
 }  // namespace chivecrank::submissions
--- a/src/submissions/internal/interference.cc
+++ b/src/submissions/internal/interference.cc
@@ -22,7 +22,7 @@
 /// So many deviations below its bound a service is at no risk.
 constexpr double kNoRiskBelow = -3;
 /// How far ahead the load of a service is looked at when a filling task is put
-/// beside it: about half of its time there.
+/// beside it: readings are that old, and most tasks stay longer.
 constexpr std::chrono::milliseconds kHorizon{500};
 
 double SecondsBetween(base::time_point from, base::time_point to) {
@@ -192,17 +192,16 @@
   return made;
 }
 
-interference::forecast interference::Forecast(const occupancy& worker,
-                                              image_number filling_image,
-                                              double more) const {
-  forecast result;
+double interference::HarmOf(const occupancy& worker,
+                            image_number filling_image,
+                            double more) const {
+  double harm = 0;
   for (const service_pressure& service : worker.services) {
     const double then =
         service.pressure + more * EffectOn(service.image, filling_image).mean;
-    result.worst = std::max(result.worst, then);
-    result.harm += RiskAt(then) - service.risk;
+    harm += RiskAt(then) - service.risk;
   }
-  return result;
+  return harm;
 }
 
 double interference::RiskAt(double pressure) {
--- a/src/submissions/internal/interference.h
+++ b/src/submissions/internal/interference.h
@@ -48,18 +48,12 @@
   /// until the runs change or are reported.
   const occupancy& OccupancyOf(worker_entry& worker) const;
 
-  /// What more filling work would do to a worker's services.
-  struct forecast {
-    /// The largest pressure of any service.
-    double worst = 0;
-    /// Services that it brings over their bounds, as the sum of the chances
-    /// that it adds.
-    double harm = 0;
-  };
-  /// `more` is the share of the worker's processors that is added.
-  forecast Forecast(const occupancy& worker,
-                    image_number filling_image,
-                    double more) const;
+  /// Services of a worker that more filling work brings over their bounds, as
+  /// the sum of the chances that it adds. `more` is the share of the worker's
+  /// processors that is added.
+  double HarmOf(const occupancy& worker,
+                image_number filling_image,
+                double more) const;
 
  private:
   struct belief {
--- a/src/submissions/internal/latency_guard.cc
+++ b/src/submissions/internal/latency_guard.cc
@@ -5,7 +5,6 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
-constexpr std::int32_t kFullSpeed = 100;
 /// Below this share filling tasks are halted.
 constexpr std::int32_t kLeastSpeed = 10;
 constexpr std::int32_t kRestoreStep = 25;
@@ -69,10 +68,10 @@
 
 void latency_guard::Restore(worker_entry& worker, base::time_point now) const {
   for (auto& [task, run] : worker.runs) {
-    if (run.wanted_percent == kFullSpeed)
+    if (run.wanted_percent == active_run::kFullSpeed)
       continue;
     run.wanted_percent =
-        std::min(run.wanted_percent + kRestoreStep, kFullSpeed);
+        std::min(run.wanted_percent + kRestoreStep, active_run::kFullSpeed);
     worker.latency.changed_at = now;
   }
 }
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -175,11 +175,10 @@
     return std::nullopt;
   const double more =
       worker_table::ShareOfProcessors(worker, step.demand.processors_milli);
-  const auto forecast = learned_.Forecast(occupied, request.image, more);
-  if (forecast.harm > settings_.most_harm)
+  const double harm = learned_.HarmOf(occupied, request.image, more);
+  if (harm > settings_.most_harm)
     return std::nullopt;
-  return worker_table::ShareOfProcessors(worker, idle) -
-         kHarmPenalty * forecast.harm;
+  return worker_table::ShareOfProcessors(worker, idle) - kHarmPenalty * harm;
 }
 
 double placer::FitnessOf(worker_entry& worker,
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -61,8 +61,6 @@
   for (auto& [id, live] : book_.Submissions().All()) {
     if (live->outcome || live->moving)
       continue;
-    if (!live->foreseen_at || now - *live->foreseen_at >= kForesight)
-      submission_table::Foresee(*live, book_.RunTimes(), now);
     for (std::size_t k = 0; k < live->occurrences.size(); ++k) {
       const live_occurrence& occurrence = live->occurrences[k];
       if (occurrence.due_since_epoch > since_epoch)
@@ -71,6 +69,8 @@
         if (!HasWaiting(occurrence.steps[s]) ||
             !submission_table::IsReady(*live, k, s))
           continue;
+        if (!live->foreseen_at || now - *live->foreseen_at >= kForesight)
+          submission_table::Foresee(*live, book_.RunTimes(), now);
         ready_step& entry = ready.emplace_back();
         entry.live = live.get();
         entry.occurrence = static_cast<std::int32_t>(k);
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -8,8 +8,6 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
-constexpr std::int32_t kFullSpeed = 100;
-
 bool IsListed(const worker_report& report,
               const task_ref& task,
               std::int32_t run) {
@@ -119,8 +117,8 @@
                                     base::time_point now) {
   const bool moves_on = listed.percent != run.percent;
   const bool may_move_on = run.phase == run_phase::kRunning && !run.lasting &&
-                           run.throttle_percent == kFullSpeed &&
-                           run.wanted_percent == kFullSpeed;
+                           run.throttle_percent == active_run::kFullSpeed &&
+                           run.wanted_percent == active_run::kFullSpeed;
   run.percent = listed.percent;
   if (moves_on || !may_move_on) {
     run.progressed_at = now;
@@ -131,11 +129,10 @@
   // A gang moves on when all its members are there.
   if (step == nullptr || step->gang)
     return;
-  const auto share_of_run = std::chrono::duration_cast<base::duration>(
-      book_.ExpectedTime(listed.task) * settings_.stalled_share);
-  const auto allowed =
-      std::max<base::duration>(settings_.stalled_after, share_of_run);
-  run.stalled = now - std::max(run.progressed_at, run.since) >= allowed;
+  const base::duration idle = now - std::max(run.progressed_at, run.since);
+  run.stalled =
+      idle >= settings_.stalled_after &&
+      idle >= book_.ExpectedTime(listed.task) * settings_.stalled_share;
 }
 
 void report_processor::StopStray(worker_entry& worker,
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -11,26 +11,21 @@
 using internal::active_run;
 using internal::live_submission;
 using internal::run_phase;
+using internal::shard_core;
 using internal::worker_entry;
 
-class shard_scheduler::implementation : public internal::shard_core {
- public:
-  using internal::shard_core::shard_core;
-};
-
 shard_scheduler::shard_scheduler(scheduler_settings settings,
                                  scheduler_event_hook on_event)
-    : implementation_(
-          std::make_unique<implementation>(settings, std::move(on_event))) {}
+    : core_(std::make_unique<shard_core>(settings, std::move(on_event))) {}
 
 shard_scheduler::~shard_scheduler() = default;
 
 void shard_scheduler::Accept(const submission& accepted) {
-  implementation_->book.Submissions().Add(accepted);
+  core_->book.Submissions().Add(accepted);
 }
 
 void shard_scheduler::Restore(const journal_entry& entry) {
-  auto& submissions = implementation_->book.Submissions();
+  auto& submissions = core_->book.Submissions();
   for (const task_change& change : entry.tasks) {
     task_progress* progress = submissions.Find(change.task);
     if (progress == nullptr)
@@ -45,13 +40,12 @@
       live.began = true;
     *progress = change.progress;
   }
-  implementation_->learned.TakeOver(entry.learned,
-                                    implementation_->book.Images());
+  core_->learned.TakeOver(entry.learned, core_->book.Images());
 }
 
 void shard_scheduler::FinishRestore(base::time_point now,
                                     base::time_point leases_over) {
-  auto& book = implementation_->book;
+  auto& book = core_->book;
   book.Submissions().TakeTouched();
   for (const task_change& change : book.Submissions().Everything())
     if (change.progress.phase == task_phase::kAssigned)
@@ -69,22 +63,22 @@
 
 void shard_scheduler::Cancel(const std::string& submission,
                              base::time_point now) {
-  live_submission* live = implementation_->book.Submissions().Find(submission);
+  live_submission* live = core_->book.Submissions().Find(submission);
   if (live == nullptr)
     return;
-  implementation_->book.Finish(*live, submission_outcome::kCancelled, now);
-  implementation_->permits.Erase(submission);
-  implementation_->book.EraseIfOver(submission);
+  core_->book.Finish(*live, submission_outcome::kCancelled, now);
+  core_->permits.Erase(submission);
+  core_->book.EraseIfOver(submission);
 }
 
 void shard_scheduler::SetPolicy(const std::string& queue,
                                 const queue_policy& policy) {
-  implementation_->plans.SetPolicy(queue, policy);
+  core_->plans.SetPolicy(queue, policy);
 }
 
 void shard_scheduler::SetWorkers(
     const std::vector<worker_description>& workers) {
-  auto& table = implementation_->book.Workers();
+  auto& table = core_->book.Workers();
   for (auto& [id, worker] : table.All())
     worker.listed = false;
   for (const worker_description& description : workers) {
@@ -99,27 +93,27 @@
 
 void shard_scheduler::OnLeaseSent(const std::string& worker_id,
                                   base::time_point now) {
-  worker_entry& worker = implementation_->book.Workers().FindOrAdd(worker_id);
+  worker_entry& worker = core_->book.Workers().FindOrAdd(worker_id);
   worker.lease_over =
-      std::max(worker.lease_over, now + implementation_->settings.worker_lease +
-                                      implementation_->settings.lease_margin);
+      std::max(worker.lease_over, now + core_->settings.worker_lease +
+                                      core_->settings.lease_margin);
 }
 
 void shard_scheduler::OnReport(const std::string& worker_id,
                                const worker_report& report,
                                base::time_point requested_at,
                                base::time_point now) {
-  worker_entry* worker = implementation_->book.Workers().Find(worker_id);
+  worker_entry* worker = core_->book.Workers().Find(worker_id);
   if (worker == nullptr)
     return;
-  implementation_->reports.Process(*worker, report, requested_at, now,
-                                   implementation_->last_batch + 1);
+  core_->reports.Process(*worker, report, requested_at, now,
+                         core_->last_batch + 1);
 }
 
 void shard_scheduler::OnStartAnswer(const start_command& command,
                                     start_answer answer,
                                     base::time_point now) {
-  implementation& state = *implementation_;
+  shard_core& state = *core_;
   if (answer == start_answer::kFenced)
     state.fenced = true;
   active_run* run = state.FindRun(command.worker, command.task, command.run);
@@ -147,15 +141,14 @@
   if (answer == start_answer::kNoPermit)
     state.permits.Forget(command.task, command.worker);
   else
-    internal::shard_core::Pause(worker, state.settings.refused_pause, now);
+    shard_core::Pause(worker, state.settings.refused_pause, now);
   state.book.Revert(worker, command.task);
 }
 
 void shard_scheduler::OnStopAnswer(const stop_command& command,
                                    bool done,
                                    base::time_point now) {
-  active_run* run =
-      implementation_->FindRun(command.worker, command.task, command.run);
+  active_run* run = core_->FindRun(command.worker, command.task, command.run);
   if (run == nullptr || !done)
     return;
   run->barred = true;
@@ -166,29 +159,28 @@
                                 const std::vector<start_permit>* granted,
                                 base::time_point now) {
   if (granted == nullptr)
-    return implementation_->permits.OnUnanswered(request, now);
-  implementation_->permits.OnGranted(request, *granted);
+    return core_->permits.OnUnanswered(request, now);
+  core_->permits.OnGranted(request, *granted);
 }
 
 void shard_scheduler::OnThrottleAnswer(const throttle_command& command,
                                        bool done) {
-  active_run* run =
-      implementation_->FindRun(command.worker, command.task, command.run);
+  active_run* run = core_->FindRun(command.worker, command.task, command.run);
   if (run == nullptr || done)
     return;
   run->throttle_percent = active_run::kThrottleUnknown;
-  implementation_->book.Workers().Find(command.worker)->occupied.reset();
+  core_->book.Workers().Find(command.worker)->occupied.reset();
 }
 
 void shard_scheduler::Plan(base::time_point now,
                            std::chrono::milliseconds since_epoch) {
-  implementation_->book.SetTimeOfDay(since_epoch);
-  implementation_->ExpireLeases(now);
-  implementation_->plans.Plan(now, since_epoch);
+  core_->book.SetTimeOfDay(since_epoch);
+  core_->ExpireLeases(now);
+  core_->plans.Plan(now, since_epoch);
 }
 
 std::optional<progress_batch> shard_scheduler::TakeBatch() {
-  implementation& state = *implementation_;
+  shard_core& state = *core_;
   if (!state.book.HasChanges()) {
     // Nothing to commit: what was seen may be acknowledged at once.
     state.ReleaseAcks(state.last_batch + 1);
@@ -204,7 +196,7 @@
 }
 
 void shard_scheduler::OnCommitted(std::uint64_t batch) {
-  implementation& state = *implementation_;
+  shard_core& state = *core_;
   state.ReleaseAcks(batch);
   for (start_command& command : state.in_commit)
     state.committed.push_back(std::move(command));
@@ -217,7 +209,7 @@
 }
 
 command_set shard_scheduler::TakeCommands(base::time_point now) {
-  implementation& state = *implementation_;
+  shard_core& state = *core_;
   command_set commands;
   for (start_command& command : std::exchange(state.committed, {}))
     if (state.Confirm(command, now))
@@ -231,32 +223,32 @@
 std::int64_t shard_scheduler::AcknowledgedEnd(
     const std::string& worker_id) const {
   const worker_entry* worker =
-      std::as_const(implementation_->book).Workers().Find(worker_id);
+      std::as_const(core_->book).Workers().Find(worker_id);
   return worker == nullptr ? 0 : worker->committed_end;
 }
 
 bool shard_scheduler::HasRuns(const std::string& worker_id) const {
   const worker_entry* worker =
-      std::as_const(implementation_->book).Workers().Find(worker_id);
+      std::as_const(core_->book).Workers().Find(worker_id);
   return worker != nullptr && !worker->runs.empty();
 }
 
 std::uint64_t shard_scheduler::ScoredWorkers() const {
-  return implementation_->plans.Placer().Scored();
+  return core_->plans.Placer().Scored();
 }
 
 bool shard_scheduler::IsFenced() const {
-  return implementation_->fenced;
+  return core_->fenced;
 }
 
 journal_entry shard_scheduler::Snapshot() const {
-  return {true, implementation_->book.Submissions().Everything(),
-          implementation_->learned.Learned(implementation_->book.Images())};
+  return {true, core_->book.Submissions().Everything(),
+          core_->learned.Learned(core_->book.Images())};
 }
 
 std::vector<std::string> shard_scheduler::NotStarted() const {
   std::vector<std::string> waiting;
-  for (const auto& [id, live] : implementation_->book.Submissions().All())
+  for (const auto& [id, live] : core_->book.Submissions().All())
     if (!live->began && !live->outcome && live->request.repeats.times == 0)
       waiting.push_back(id);
   return waiting;
@@ -264,7 +256,7 @@
 
 shard_load shard_scheduler::Load() const {
   shard_load load;
-  for (const auto& [id, worker] : implementation_->book.Workers().All()) {
+  for (const auto& [id, worker] : core_->book.Workers().All()) {
     if (!worker.listed || worker.description.draining)
       continue;
     load.capacity =
@@ -278,7 +270,7 @@
     base::time_point now,
     std::chrono::milliseconds patience) const {
   std::vector<stranded_submission> stranded;
-  for (const auto& [id, live] : implementation_->book.Submissions().All()) {
+  for (const auto& [id, live] : core_->book.Submissions().All()) {
     if (live->started || live->outcome || live->moving ||
         !live->no_room_since || now - *live->no_room_since < patience)
       continue;
@@ -290,7 +282,7 @@
 }
 
 bool shard_scheduler::BeginMove(const std::string& submission) {
-  live_submission* live = implementation_->book.Submissions().Find(submission);
+  live_submission* live = core_->book.Submissions().Find(submission);
   if (live == nullptr || live->started || live->outcome)
     return false;
   live->moving = true;
@@ -298,9 +290,9 @@
 }
 
 void shard_scheduler::FinishMove(const std::string& submission) {
-  live_submission* live = implementation_->book.Submissions().Find(submission);
+  live_submission* live = core_->book.Submissions().Find(submission);
   if (live != nullptr && live->moving)
-    implementation_->book.Submissions().Erase(submission);
+    core_->book.Submissions().Erase(submission);
 }
 
 }  // namespace chivecrank::submissions
--- a/src/submissions/internal/step_order.cc
+++ b/src/submissions/internal/step_order.cc
@@ -1,6 +1,7 @@
 #include "internal/step_order.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <string_view>
 #include <tuple>
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -35,6 +35,8 @@
 struct active_run {
   /// An order to change the speed was not confirmed.
   static constexpr std::int32_t kThrottleUnknown = -1;
+  /// Share of its speed, in percent, of a run that is not slowed.
+  static constexpr std::int32_t kFullSpeed = 100;
 
   std::int32_t run = 0;
   run_phase phase = run_phase::kDeciding;
@@ -69,8 +71,8 @@
   std::shared_ptr<service_load> load;
   /// Share of its speed that the worker was told to run it at, and that is
   /// wanted now.
-  std::int32_t throttle_percent = 100;
-  std::int32_t wanted_percent = 100;
+  std::int32_t throttle_percent = kFullSpeed;
+  std::int32_t wanted_percent = kFullSpeed;
 };
 
 /// How far the latency of the worker's services is from its bound.
