--- a/src/settings/include/chivecrank/settings/section.h
+++ b/src/settings/include/chivecrank/settings/section.h
@@ -32,6 +32,8 @@
   std::int64_t Integer(std::string_view key, integer_range range);
   /// A required number within `range`.
   double Number(std::string_view key, number_range range);
+  /// An optional number within `range`.
+  double NumberOr(std::string_view key, number_range range, double fallback);
   /// An optional integer within `range`.
   std::int64_t IntegerOr(std::string_view key,
                          integer_range range,
--- a/src/settings/internal/section.cc
+++ b/src/settings/internal/section.cc
@@ -155,19 +155,27 @@
 }
 
 double section::Number(std::string_view key, number_range range) {
-  const toml::node* node = Ask(*state_, key, true);
-  if (node == nullptr)
+  if (Ask(*state_, key, true) == nullptr)
     return range.lowest;
+  return NumberOr(key, range, range.lowest);
+}
+
+double section::NumberOr(std::string_view key,
+                         number_range range,
+                         double fallback) {
+  const toml::node* node = Ask(*state_, key, false);
+  if (node == nullptr)
+    return fallback;
   const auto number = node->value<double>();
   if (!number) {
     RecordType(*state_, key, "a number");
-    return range.lowest;
+    return fallback;
   }
   if (*number < range.lowest || *number > range.highest) {
     Reject(key, "is out of range",
            "give a number from " + std::to_string(range.lowest) + " to " +
                std::to_string(range.highest));
-    return range.lowest;
+    return fallback;
   }
   return *number;
 }
--- a/src/settings/tests/document_test.cc
+++ b/src/settings/tests/document_test.cc
@@ -42,6 +42,21 @@
              "its spelling");
 }
 
+BOOST_AUTO_TEST_CASE(OptionalNumbersFallBack) {
+  document file =
+      document::FromText("high = 4.5\nword = \"x\"\nwhole = 1\n", "a.toml");
+  section root = file.Root();
+  constexpr number_range kShare{0, 1};
+  BOOST_TEST(root.NumberOr("absent", kShare, 0.25) == 0.25);
+  BOOST_TEST(root.NumberOr("whole", kShare, 0.25) == 1.0);
+  BOOST_TEST(root.NumberOr("high", kShare, 0.25) == 0.25);
+  BOOST_TEST(root.NumberOr("word", kShare, 0.25) == 0.25);
+  const auto problems = file.Finish();
+  BOOST_REQUIRE(problems.size() == 2);
+  BOOST_TEST(problems[0].key == "high");
+  BOOST_TEST(problems[1].key == "word");
+}
+
 BOOST_AUTO_TEST_CASE(SyntaxFaultGivesOneMessage) {
   document file = document::FromText("name = \n", "a.toml");
   section root = file.Root();
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -70,27 +70,20 @@
   return images;
 }
 
-double NumberOr(settings::section& from,
-                std::string_view key,
-                settings::number_range range,
-                double fallback) {
-  return from.Has(key) ? from.Number(key, range) : fallback;
-}
-
 void ReadSharing(settings::section from, emulation_settings& system) {
   pair_pressure pressure;
   pressure.hard_share =
-      NumberOr(from, "hard_share", kShares, pressure.hard_share);
+      from.NumberOr("hard_share", kShares, pressure.hard_share);
   pressure.hard_least =
-      NumberOr(from, "hard_least", kStrengths, pressure.hard_least);
+      from.NumberOr("hard_least", kStrengths, pressure.hard_least);
   pressure.hard_most =
-      NumberOr(from, "hard_most", kStrengths, pressure.hard_most);
+      from.NumberOr("hard_most", kStrengths, pressure.hard_most);
   pressure.gentle_most =
-      NumberOr(from, "gentle_most", kStrengths, pressure.gentle_most);
+      from.NumberOr("gentle_most", kStrengths, pressure.gentle_most);
   system.pressure = pressure;
   auto& swing = system.service_swing;
-  swing.share = NumberOr(from, "load_swing", kShares, swing.share);
-  swing.noise = NumberOr(from, "noise", kShares, swing.noise);
+  swing.share = from.NumberOr("load_swing", kShares, swing.share);
+  swing.noise = from.NumberOr("noise", kShares, swing.noise);
   swing.period = from.MillisecondsOr("swing_ms", kTimesMs, swing.period);
   if (swing.period.count() == 0)
     from.Reject("swing_ms", "a load can't swing within no time",
@@ -103,8 +96,8 @@
   load.per_second = from.Number("per_second", kRates);
   load.steps = static_cast<std::int32_t>(from.IntegerOr("steps", kCounts, 1));
   load.work = from.MillisecondsOr("work_ms", kTimesMs, load.work);
-  if (from.Has("poisoned_share"))
-    load.poisoned_share = from.Number("poisoned_share", kShares);
+  load.poisoned_share =
+      from.NumberOr("poisoned_share", kShares, load.poisoned_share);
   load.policy.service = "service";
   load.policy.priority =
       static_cast<std::int32_t>(from.IntegerOr("priority", kNoneOrMore, 0));
@@ -115,8 +108,9 @@
       "target_run_time_ms", kTimesMs, load.policy.target_run_time);
   load.step = ReadStep(from);
   load.step.estimate = load.work;
-  load.work_spread = NumberOr(from, "work_spread", kStrengths, 0);
-  load.estimate_error = NumberOr(from, "estimate_error", kStrengths, 0);
+  load.work_spread = from.NumberOr("work_spread", kStrengths, load.work_spread);
+  load.estimate_error =
+      from.NumberOr("estimate_error", kStrengths, load.estimate_error);
   load.images = NumberedImages(load.step.image,
                                from.IntegerOr("image_count", kNoneOrMore, 0));
   return load;
@@ -134,8 +128,7 @@
   fault.at = from.MillisecondsOr("at_ms", kTimesMs, fault.at);
   fault.lasts = from.MillisecondsOr("lasts_ms", kTimesMs, fault.lasts);
   fault.count = CountOr(from, "count", fault.count);
-  if (from.Has("strength"))
-    fault.strength = from.Number("strength", kStrengths);
+  fault.strength = from.NumberOr("strength", kStrengths, fault.strength);
   return fault;
 }
 
