--- a/src/submissions/tests/scheduler_fixture.h
+++ b/src/submissions/tests/scheduler_fixture.h
@@ -48,6 +48,23 @@
     return step;
   }
 
+  /// A service with a latency bound, and batch work that fills beside it.
+  static step_request ServiceStep(std::int64_t processors_milli) {
+    step_request step = Step(1, processors_milli);
+    step.lasting = true;
+    step.latency_target = std::chrono::milliseconds(45);
+    step.image = "service";
+    return step;
+  }
+  static step_request FillingStep(std::int32_t tasks,
+                                  std::int64_t processors_milli,
+                                  const std::string& image) {
+    step_request step = Step(tasks, processors_milli);
+    step.fills = true;
+    step.image = image;
+    return step;
+  }
+
   void Pass(std::chrono::milliseconds time) { now += time; }
 
   /// A worker's lists, asked for just before.
--- a/src/submissions/tests/sharing_test.cc
+++ b/src/submissions/tests/sharing_test.cc
@@ -8,13 +8,8 @@
 BOOST_FIXTURE_TEST_SUITE(sharing, scheduler_fixture)
 
 BOOST_AUTO_TEST_CASE(ANewOwnerKnowsWhatItsPredecessorLearned) {
-  step_request service = Step(1, 3000);
-  service.lasting = true;
-  service.latency_target = std::chrono::milliseconds(45);
-  service.image = "service";
-  step_request filling = Step(1, 6000);
-  filling.fills = true;
-  filling.image = "heavy";
+  const step_request service = ServiceStep(3000);
+  const step_request filling = FillingStep(1, 6000, "heavy");
   // One worker only, where both meet.
   workers.resize(1);
   scheduler.SetWorkers(workers);
@@ -38,7 +33,6 @@
   BOOST_TEST(entry.value().learned[0].filling_image == "heavy");
   BOOST_TEST(entry.value().learned[0].slope > 0.6);
 
-  report.born_ms = 1;
   report.running = {Running(serving[0], 20, 100)};
   for (const bool knows : {false, true}) {
     journal_entry restored = entry.value();
@@ -50,8 +44,7 @@
     next.Restore(restored);
     next.FinishRestore(now, now + settings.worker_lease);
     next.SetWorkers(workers);
-    next.OnLeaseSent("w-1", now);
-    next.OnReport("w-1", report, now, now);
+    ReportTo(next, "w-1", report);
     next.Plan(now, since_epoch);
     // One who knows nothing of the pair tries it out.
     const auto batch = next.TakeBatch();
@@ -64,13 +57,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(ASlowedTaskIsNotMovedToWhereItRuns) {
-  step_request service = Step(1, 3000);
-  service.lasting = true;
-  service.latency_target = std::chrono::milliseconds(45);
-  service.image = "service";
-  step_request filling = Step(1, 4000);
-  filling.fills = true;
-  filling.image = "batch";
+  const step_request service = ServiceStep(3000);
+  const step_request filling = FillingStep(1, 4000, "batch");
   workers.resize(1);
   scheduler.SetWorkers(workers);
   scheduler.Accept(Request("a", service));
@@ -107,10 +95,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ManyTasksThatAddLittleAreSlowedWhenAServiceStaysOver) {
-  step_request service = Step(1, 3000);
-  service.lasting = true;
-  service.latency_target = std::chrono::milliseconds(45);
-  service.image = "service";
+  const step_request service = ServiceStep(3000);
   scheduler.Accept(Request("a", service));
   const auto serving = Round();
   BOOST_REQUIRE(serving.size() == 1u);
@@ -119,10 +104,8 @@
   report.running = {Running(serving[0], 20, 100)};
   Report(worker, report);
   // Each of these presses by a thousandth of the worker: none is blamed alone.
-  step_request fill = Step(40, 50);
-  fill.fills = true;
+  step_request fill = FillingStep(40, 50, "fill");
   fill.required_label = worker;
-  fill.image = "fill";
   scheduler.Accept(Request("b", fill));
   std::vector<start_command> filling;
   for (int step = 0; step < 40; ++step) {
@@ -155,13 +138,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(AFillingTaskGoesWhereServicesCanBearIt) {
-  step_request service = Step(1, 12'000);
-  service.lasting = true;
-  service.latency_target = std::chrono::milliseconds(45);
-  service.image = "service";
-  step_request filling = Step(2, 6000);
-  filling.fills = true;
-  filling.image = "batch";
+  const step_request service = ServiceStep(12'000);
+  const step_request filling = FillingStep(2, 6000, "batch");
   journal_entry known;
   known.learned = {{"service", "batch", 0.6, 0.01}};
   shard_scheduler next(settings, {});
--- a/src/submissions/tests/worker_life_test.cc
+++ b/src/submissions/tests/worker_life_test.cc
@@ -245,12 +245,8 @@
   next.SetWorkers(workers);
   BOOST_TEST(next.NotStarted().size() == 1u);
   Pass(std::chrono::milliseconds(100));
-  for (const worker_description& worker : workers) {
-    worker_report empty;
-    empty.born_ms = 1;
-    next.OnLeaseSent(worker.id, now);
-    next.OnReport(worker.id, empty, now, now);
-  }
+  for (const worker_description& worker : workers)
+    ReportTo(next, worker.id, {});
   BOOST_TEST(next.NotStarted().size() == 1u);
 }
 
@@ -265,10 +261,8 @@
   next.FinishRestore(now, now + settings.worker_lease);
   next.SetWorkers(workers);
   worker_report report;
-  report.born_ms = 1;
   report.running = {Running(starts[0])};
-  next.OnLeaseSent(starts[0].worker, now);
-  next.OnReport(starts[0].worker, report, now, now);
+  ReportTo(next, starts[0].worker, report);
   BOOST_TEST(next.NotStarted().empty());
 }
 
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -94,13 +94,8 @@
             const submissions::stop_command& command,
             const submissions::order_terms& terms,
             std::function<void(bool)> done) override {
-    Later(kOneWay, [this, id = worker.id, command, terms, done] {
-      auto* state = Reachable(id);
-      if (state == nullptr)
-        return Later(kOrderTimeout, [done] { done(false); });
-      const bool confirmed =
-          terms.fence >= state->fence && shared_.Stop(*state, command);
-      Later(kOneWay, [done, confirmed] { done(confirmed); });
+    Carry(worker.id, terms, std::move(done), [this, command](auto& state) {
+      return shared_.Stop(state, command);
     });
   }
 
@@ -108,23 +103,35 @@
                 const submissions::throttle_command& command,
                 const submissions::order_terms& terms,
                 std::function<void(bool)> done) override {
-    Later(kOneWay, [this, id = worker.id, command, terms, done] {
-      auto* state = Reachable(id);
-      if (state == nullptr)
-        return Later(kOrderTimeout, [done] { done(false); });
-      const auto found = state->runs.find(command.task);
-      const bool known = found != state->runs.end() &&
-                         found->second.run == command.run &&
-                         terms.fence >= state->fence;
+    Carry(worker.id, terms, std::move(done), [command](auto& state) {
+      const auto found = state.runs.find(command.task);
+      const bool known =
+          found != state.runs.end() && found->second.run == command.run;
       if (known)
         found->second.percent_limit = command.percent;
-      Later(kOneWay, [done, known] { done(known); });
+      return known;
     });
   }
 
   void Forget(const std::string&) override {}
 
  private:
+  /// Takes an order to the worker, which carries it out unless it follows a
+  /// newer owner, and tells whether it did.
+  void Carry(const std::string& id,
+             const submissions::order_terms& terms,
+             std::function<void(bool)> done,
+             std::function<bool(emulated_workers::worker_state&)> order) {
+    Later(kOneWay,
+          [this, id, terms, done = std::move(done), order = std::move(order)] {
+            auto* state = Reachable(id);
+            if (state == nullptr)
+              return Later(kOrderTimeout, [done] { done(false); });
+            const bool confirmed = terms.fence >= state->fence && order(*state);
+            Later(kOneWay, [done, confirmed] { done(confirmed); });
+          });
+  }
+
   emulated_workers::worker_state* Reachable(const std::string& id) {
     const auto found = shared_.workers_.find(id);
     if (found == shared_.workers_.end() || found->second->faults.cut_off ||
--- a/tests/emulator/tests/heavy_day_test.cc
+++ b/tests/emulator/tests/heavy_day_test.cc
@@ -25,6 +25,14 @@
 /// Which image each of the services runs; one runs half of them.
 constexpr std::array<std::size_t, 10> kImageOf = {0, 1, 0, 2, 0, 3, 0, 4, 0, 1};
 
+/// What all days come to.
+struct heavy_totals {
+  std::uint64_t batch_offered = 0;
+  std::uint64_t batch_in_time = 0;
+  double over_bound_seconds = 0;
+  double service_seconds = 0;
+};
+
 /// Services hold nearly all processors and use half of them; batch work that
 /// fills the rest presses on most of them, and more of it comes than can be
 /// done in time. Run times spread, and estimates are far off.
@@ -64,6 +72,27 @@
     Day().Run(kRest, false);
   }
 
+  heavy_totals PlayAll() {
+    heavy_totals totals;
+    for (std::uint64_t seed = 1; seed <= kDays; ++seed) {
+      Play(seed);
+      const caller_counts& batch = Day().Callers().at("filling");
+      totals.batch_offered += batch.offered;
+      totals.batch_in_time += batch.in_objective;
+      totals.over_bound_seconds += Day().Workers().OverBoundSeconds();
+      totals.service_seconds +=
+          kServices * kTasksOfService *
+          std::chrono::duration<double>(kLead + kLoadTime + kRest).count();
+    }
+    return totals;
+  }
+
+  /// The same days serve all cases.
+  const heavy_totals& Totals() {
+    static const heavy_totals totals = PlayAll();
+    return totals;
+  }
+
   void BeginServices() {
     services = LastingLoad();
     services.step.task_count = kTasksOfService;
@@ -89,27 +118,15 @@
 BOOST_AUTO_TEST_CASE(BatchWorkBesideServicesIsInTimeAsFarAsThereIsRoom) {
   // Over twice as much batch work as there is room for; the room goes to what
   // can be in time, though run times are hardly known.
-  std::uint64_t offered = 0;
-  std::uint64_t in_time = 0;
-  for (std::uint64_t seed = 1; seed <= kDays; ++seed) {
-    Play(seed);
-    const caller_counts& batch = Day().Callers().at("filling");
-    offered += batch.offered;
-    in_time += batch.in_objective;
-  }
+  const std::uint64_t offered = Totals().batch_offered;
+  const std::uint64_t in_time = Totals().batch_in_time;
   BOOST_TEST_MESSAGE(in_time << " of " << offered);
   BOOST_TEST(in_time * 5 >= offered * 2);
 }
 
 BOOST_AUTO_TEST_CASE(ServicesKeepTheirBoundBesideBatchWork) {
-  double over = 0;
-  double all = 0;
-  for (std::uint64_t seed = 1; seed <= kDays; ++seed) {
-    Play(seed);
-    over += Day().Workers().OverBoundSeconds();
-    all += kServices * kTasksOfService *
-           std::chrono::duration<double>(kLead + kLoadTime + kRest).count();
-  }
+  const double over = Totals().over_bound_seconds;
+  const double all = Totals().service_seconds;
   BOOST_TEST_MESSAGE(over << " of " << all << " seconds");
   // One second in 150.
   BOOST_TEST(over * 150 <= all);
