--- a/src/settings/tests/document_test.cc
+++ b/src/settings/tests/document_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr integer_range kPercent{0, 100};
+constexpr number_range kShare{0, 1};
 
 }  // namespace
 
@@ -46,7 +47,6 @@
   document file =
       document::FromText("high = 4.5\nword = \"x\"\nwhole = 1\n", "a.toml");
   section root = file.Root();
-  constexpr number_range kShare{0, 1};
   BOOST_TEST(root.NumberOr("absent", kShare, 0.25) == 0.25);
   BOOST_TEST(root.NumberOr("whole", kShare, 0.25) == 1.0);
   BOOST_TEST(root.NumberOr("high", kShare, 0.25) == 0.25);
