A small instance leaves a shard to larger ones that register again

Cause: after the store's absence all leases end at once.

Change: the order of claims is a decision of its own (claim_order). An owner hands a shard over when an instance with twice the processor time for it has been registered for three seconds: first it drops the shard, then it deletes its key. Claims of one round count against each other, so one instance does not win two shards that others could have. When the store answers again, the shared keys are watched anew at once instead of after the silent request's timeout.

The emulator's instances have a share of a core and a cost for each message and item (emulated_processor), their own event loop, and a spread of starts. Owners log the load that they write.

--- a/src/runtime/include/chivecrank/runtime/driver_settings.h
+++ b/src/runtime/include/chivecrank/runtime/driver_settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "chivecrank/runtime/shard_housekeeping.h"
@@ -13,6 +14,8 @@
 /// Settings of the driver of one owned shard.
 struct driver_settings {
   std::string node;
+  /// Processor time of this instance, in millicores.
+  std::int64_t processors_milli = 0;
   submissions::scheduler_settings scheduling;
   /// Lease term of the previous owner, which may consider its lease valid for
   /// up to this long after its owner key is gone.
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -4,12 +4,16 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/claim_order.h"
 #include "chivecrank/runtime/replica.h"
 
 namespace chivecrank::runtime {
@@ -26,15 +30,16 @@
   /// Subtracted from the term: the instance treats its lease as expired this
   /// much earlier than the store does.
   std::chrono::milliseconds clock_margin{250};
-  /// Delay per rank: the candidate of rank n, counted from 0, waits n times
-  /// this long before it claims a free shard.
-  std::chrono::milliseconds claim_stagger{300};
+  claim_order_settings claim_order;
+  /// How long a much larger instance must have been registered before this one
+  /// hands a shard over to it.
+  std::chrono::milliseconds hand_over_after{3000};
 };
 
 /// Holds this instance's lease in the store and the shards that it owns under
-/// that lease. A shard without an owner is claimed first by the member with the
-/// most processor capacity per shard, counting the new one; if several members
-/// claim it, the store decides.
+/// that lease. claim_order decides who claims a shard without an owner first;
+/// if several instances claim it, the store decides. An owner hands a shard
+/// over to an instance that is much larger.
 class ownership {
  public:
   struct hooks {
@@ -43,6 +48,8 @@
     std::function<void(std::uint32_t shard)> on_lost;
     /// Whether shards may be claimed now.
     std::function<bool()> may_claim;
+    /// The store answers again after it did not.
+    std::function<void()> on_store_regained;
   };
 
   ownership(reactor::event_loop& loop,
@@ -78,8 +85,15 @@
   void RenewLater();
   void Renew();
   void LoseLease(std::string_view reason);
+  void ClaimPeriodically();
   void ClaimFreeShards();
+  /// Claims the shard if it has no owner and it is this instance's turn.
+  void ClaimIfFree(std::uint32_t shard);
   bool MayClaimNow(std::uint32_t shard);
+  std::vector<claim_candidate> Candidates() const;
+  /// Gives one shard up if a much larger instance has been there for a while.
+  void HandOverToLarger();
+  void HandOver(std::uint32_t shard);
   /// Claims a shard with a transaction that succeeds only if the owner key was
   /// last changed at revision `expected`. An `expected` of 0 means that the key
   /// must not exist.
@@ -101,6 +115,11 @@
   std::map<std::uint32_t, metadata::revision> owned_;
   /// Shards with a claim in progress, and when it was sent.
   std::map<std::uint32_t, base::time_point> claiming_;
+  /// Shards handed over whose owner key still names this instance in the
+  /// replica.
+  std::set<std::uint32_t> handed_over_;
+  /// Since when a much larger instance could own a shard of this one.
+  std::optional<base::time_point> larger_since_;
   /// When a shard was first seen without an owner.
   std::map<std::uint32_t, base::time_point> free_since_;
   reactor::callback_guard guard_;
--- a/src/runtime/include/chivecrank/runtime/prefix_watcher.h
+++ b/src/runtime/include/chivecrank/runtime/prefix_watcher.h
@@ -1,6 +1,8 @@
 #ifndef CHIVECRANK_RUNTIME_PREFIX_WATCHER_H_
 #define CHIVECRANK_RUNTIME_PREFIX_WATCHER_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -48,12 +50,16 @@
                  prefix_watcher_hooks hooks);
 
   void Start();
+  /// Watches anew at once and ignores the answer to the request in flight,
+  /// which may be held for long by a connection that went silent.
+  void Refresh();
   /// Whether the prefix has been listed and the last request succeeded.
   bool IsCurrent() const { return listed_ && !failing_; }
 
  private:
   void OnListed(base::result<prefix_listing> listing);
   void Watch();
+  void WatchLater(std::chrono::milliseconds delay);
   void OnChanges(base::result<metadata::change_list> list);
 
   metadata::store& store_;
@@ -62,6 +68,8 @@
   metadata::revision revision_ = 0;
   bool listed_ = false;
   bool failing_ = false;
+  /// Number of the newest watch request; answers to earlier ones are ignored.
+  std::uint64_t watch_ = 0;
   reactor::callback_guard guard_;
 };
 
--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -45,6 +45,8 @@
 struct shard_status {
   std::int64_t capacity_milli = 0;
   std::int64_t reserved_milli = 0;
+  /// Processor time of the owner that wrote it.
+  std::int64_t owner_processors_milli = 0;
   /// Submissions none of whose tasks has started.
   std::set<std::string> not_started;
   metadata::revision written_revision = 0;
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -118,7 +118,8 @@
           .may_claim =
               [this] {
                 return !stopping_ && queues_ && shared_watcher_.IsCurrent();
-              }};
+              },
+          .on_store_regained = [this] { shared_watcher_.Refresh(); }};
 }
 
 prefix_watcher_hooks instance_runtime::SharedHooks() {
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace chivecrank::runtime {
 namespace {
@@ -28,7 +27,7 @@
 
 void ownership::Start() {
   RequestLease();
-  ClaimFreeShards();
+  ClaimPeriodically();
 }
 
 void ownership::Release(std::function<void()> done) {
@@ -48,10 +47,12 @@
 void ownership::OnOwnerChanged(std::uint32_t shard) {
   const auto known = shared_.Owners().find(shard);
   const auto mine = owned_.find(shard);
-  if (known == shared_.Owners().end())
+  if (known == shared_.Owners().end()) {
     free_since_.try_emplace(shard, loop_.Now());
-  else
+    handed_over_.erase(shard);
+  } else {
     free_since_.erase(shard);
+  }
   if (mine == owned_.end() || shared_.Revision() < mine->second)
     return;
   const bool still_mine =
@@ -124,7 +125,9 @@
           log_.Write(renewed ? "store_regained" : "store_lost",
                      {{"call", "renew"},
                       {"error", renewed ? "" : renewed.error().message}});
-        renewal_failing_ = !renewed;
+        const bool regained = std::exchange(renewal_failing_, !renewed);
+        if (renewed && regained)
+          hooks_.on_store_regained();
         if (renewed) {
           valid_until_ = sent + settings_.term - settings_.clock_margin;
         } else if (!IsValid() && !owned_.empty()) {
@@ -144,52 +147,98 @@
   RequestLease();
 }
 
-void ownership::ClaimFreeShards() {
+void ownership::ClaimPeriodically() {
   if (releasing_)
     return;
-  guard_.Later(kClaimInterval, [this] { ClaimFreeShards(); });
+  guard_.Later(kClaimInterval, [this] { ClaimPeriodically(); });
   if (!IsValid() || !registered_ || !hooks_.may_claim())
     return;
-  for (std::uint32_t shard = 0; shard < shared_.ShardCount(); ++shard) {
-    if (owned_.contains(shard) || claiming_.contains(shard))
-      continue;
-    const auto owner = shared_.Owners().find(shard);
-    // The owner key already names this instance when the answer to an earlier
-    // claim was lost, or when ownership was given up while the store was
-    // unavailable.
-    const bool own_name =
-        owner != shared_.Owners().end() && owner->second.node == settings_.node;
-    if (own_name || (owner == shared_.Owners().end() && MayClaimNow(shard)))
-      Claim(shard, 0);
-  }
+  ClaimFreeShards();
+  HandOverToLarger();
+}
+
+void ownership::ClaimFreeShards() {
+  for (std::uint32_t shard = 0; shard < shared_.ShardCount(); ++shard)
+    ClaimIfFree(shard);
+}
+
+void ownership::ClaimIfFree(std::uint32_t shard) {
+  if (owned_.contains(shard) || claiming_.contains(shard) ||
+      handed_over_.contains(shard))
+    return;
+  const auto owner = shared_.Owners().find(shard);
+  // The owner key already names this instance when the answer to an earlier
+  // claim was lost, or when ownership was given up while the store was
+  // unavailable.
+  const bool own_name =
+      owner != shared_.Owners().end() && owner->second.node == settings_.node;
+  if (own_name || (owner == shared_.Owners().end() && MayClaimNow(shard)))
+    Claim(shard, 0);
 }
 
 bool ownership::MayClaimNow(std::uint32_t shard) {
   const base::time_point now = loop_.Now();
   const base::time_point since =
       free_since_.try_emplace(shard, now).first->second;
-  // Candidates are ranked by processor time per owned shard; a hash per shard
-  // breaks ties.
+  const std::vector<claim_candidate> candidates = Candidates();
+  if (!std::ranges::count(candidates, settings_.node, &claim_candidate::node))
+    return false;
+  const auto status = shared_.Statuses().find(shard);
+  const std::int64_t previous_owner_milli =
+      status == shared_.Statuses().end()
+          ? 0
+          : status->second.owner_processors_milli;
+  const std::string name = ShardName(shard);
+  return now - since >=
+         ClaimDelay(candidates,
+                    {.node = settings_.node,
+                     .shard = name,
+                     .previous_owner_milli = previous_owner_milli},
+                    settings_.claim_order);
+}
+
+std::vector<claim_candidate> ownership::Candidates() const {
   std::map<std::string, std::int64_t> shards_of;
-  for (const auto& [owned, owner] : shared_.Owners())
-    ++shards_of[owner.node];
-  struct candidate {
-    std::int64_t share = 0;
-    std::uint64_t tie_breaker = 0;
-    std::string node;
-  };
-  std::vector<candidate> candidates;
+  for (const auto& [shard, owner] : shared_.Owners())
+    if (!owned_.contains(shard))
+      ++shards_of[owner.node];
+  // The replica does not show this instance's newest claims yet.
+  shards_of[settings_.node] =
+      static_cast<std::int64_t>(owned_.size() + claiming_.size());
+  std::vector<claim_candidate> candidates;
   for (const auto& [node, member] : shared_.Members())
-    candidates.push_back({member.processors_milli / (1 + shards_of[node]),
-                          HashNames(node, ShardName(shard)), node});
-  std::ranges::sort(candidates, [](const auto& left, const auto& right) {
-    return std::tie(left.share, left.tie_breaker) >
-           std::tie(right.share, right.tie_breaker);
-  });
-  const auto own =
-      std::ranges::find(candidates, settings_.node, &candidate::node);
-  const auto rank = own - candidates.begin();
-  return now - since >= settings_.claim_stagger * rank;
+    candidates.push_back({node, member.processors_milli, shards_of[node]});
+  return candidates;
+}
+
+void ownership::HandOverToLarger() {
+  if (owned_.empty() || !HasMuchLargerCandidate(Candidates(), settings_.node)) {
+    larger_since_.reset();
+    return;
+  }
+  const base::time_point now = loop_.Now();
+  if (!larger_since_)
+    larger_since_ = now;
+  if (now - *larger_since_ < settings_.hand_over_after)
+    return;
+  larger_since_.reset();
+  HandOver(owned_.begin()->first);
+}
+
+void ownership::HandOver(std::uint32_t shard) {
+  const metadata::revision fence = owned_.at(shard);
+  // Nothing is sent for the shard any more before the key is gone.
+  Drop(shard, "a much larger instance is there");
+  handed_over_.insert(shard);
+  metadata::transaction release;
+  release.conditions.push_back(OwnershipCondition(shard, fence));
+  release.deletes.push_back(OwnerKey(shard));
+  store_.Commit(
+      std::move(release),
+      guard_.Wrap([this, shard](base::result<metadata::commit_answer> answer) {
+        if (!answer || !answer.value().applied)
+          handed_over_.erase(shard);
+      }));
 }
 
 void ownership::Claim(std::uint32_t shard, metadata::revision expected) {
--- a/src/runtime/internal/prefix_watcher.cc
+++ b/src/runtime/internal/prefix_watcher.cc
@@ -33,17 +33,31 @@
   Watch();
 }
 
+void prefix_watcher::Refresh() {
+  if (listed_)
+    Watch();
+}
+
 void prefix_watcher::Watch() {
   store_.Watch(settings_.prefix, revision_, settings_.max_wait,
-               guard_.Wrap([this](base::result<metadata::change_list> list) {
-                 OnChanges(std::move(list));
+               guard_.Wrap([this, watch = ++watch_](
+                               base::result<metadata::change_list> list) {
+                 if (watch == watch_)
+                   OnChanges(std::move(list));
                }));
 }
 
+void prefix_watcher::WatchLater(std::chrono::milliseconds delay) {
+  guard_.Later(delay, [this, watch = watch_] {
+    if (watch == watch_)
+      Watch();
+  });
+}
+
 void prefix_watcher::OnChanges(base::result<metadata::change_list> list) {
   if (!list) {
     failing_ = true;
-    return guard_.Later(settings_.retry_delay, [this] { Watch(); });
+    return WatchLater(settings_.retry_delay);
   }
   failing_ = false;
   if (list.value().history_gone)
@@ -53,9 +67,8 @@
   revision_ = std::max(revision_, list.value().current);
   hooks_.on_revision(revision_);
   const bool urgent = hooks_.is_urgent && hooks_.is_urgent();
-  guard_.Later(
-      urgent ? settings_.urgent_watch_interval : settings_.watch_interval,
-      [this] { Watch(); });
+  WatchLater(urgent ? settings_.urgent_watch_interval
+                    : settings_.watch_interval);
 }
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -14,6 +14,7 @@
   text.BeginObject()
       .Field("capacity", status.capacity_milli)
       .Field("reserved", status.reserved_milli)
+      .Field("owner_processors", status.owner_processors_milli)
       .Key("not_started")
       .BeginArray();
   for (const std::string& id : status.not_started)
@@ -29,6 +30,8 @@
   shard_status status;
   status.capacity_milli = json::IntegerOf(parsed.value(), "capacity");
   status.reserved_milli = json::IntegerOf(parsed.value(), "reserved");
+  status.owner_processors_milli =
+      json::IntegerOf(parsed.value(), "owner_processors");
   if (const json::value* ids = json::ArrayOf(parsed.value(), "not_started"))
     for (std::size_t i = 0; i < ids->Size(); ++i)
       status.not_started.insert(json::StringAt(*ids, i));
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -179,9 +179,14 @@
   const base::time_point now = loop_.Now();
   if (now - status_written_at_ < settings_.status_interval)
     return std::nullopt;
-  std::string status = EncodeShardStatus(CurrentStatus());
+  const shard_status current = CurrentStatus();
+  std::string status = EncodeShardStatus(current);
   if (status == written_status_)
     return std::nullopt;
+  log_.Write("shard_load", {{"shard", shard_},
+                            {"capacity_milli", current.capacity_milli},
+                            {"reserved_milli", current.reserved_milli},
+                            {"not_started", current.not_started.size()}});
   status_written_at_ = now;
   written_status_ = status;
   return metadata::write{ToString({key_kind::kShardStatus, ShardName(shard_)}),
@@ -194,6 +199,7 @@
   status.capacity_milli = load.capacity.processors_milli;
   status.reserved_milli =
       load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
+  status.owner_processors_milli = settings_.processors_milli;
   for (std::string& id : scheduler_.UnstartedSubmissions())
     status.not_started.insert(std::move(id));
   return status;
--- a/tests/emulator/include/chivecrank/emulator/emulated_permits.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_permits.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/emulator/emulated_processor.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/submissions/permit_service.h"
 
@@ -18,7 +19,10 @@
  public:
   explicit emulated_permits(reactor::event_loop& loop) : loop_(loop) {}
 
-  std::unique_ptr<submissions::permit_service> View();
+  /// The service as one instance reaches it. Answers take time of its
+  /// `processor`, which must outlive the service.
+  std::unique_ptr<submissions::permit_service> ViewFor(
+      emulated_processor& processor);
 
   /// No question is answered.
   void SetSilent(bool silent) { silent_ = silent; }
--- a/tests/emulator/include/chivecrank/emulator/emulated_store.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_store.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/emulator/emulated_processor.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/event_loop.h"
 
@@ -39,8 +40,10 @@
  public:
   emulated_store(reactor::event_loop& loop, std::uint64_t seed);
 
-  /// The store as one instance reaches it.
-  std::unique_ptr<metadata::store> ViewFor(const std::string& node);
+  /// The store as one instance reaches it. Answers take time of the instance's
+  /// `processor`, which must outlive the store.
+  std::unique_ptr<metadata::store> ViewFor(const std::string& node,
+                                           emulated_processor& processor);
 
   store_faults& Faults() { return faults_; }
   /// Writes for the operator and the workers, which no fault hits.
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/emulator/emulated_processor.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/submissions/worker_gateway.h"
 
@@ -91,10 +92,10 @@
   ~emulated_workers();
 
   void Add(submissions::worker_description description);
-  /// The orders as one instance gives them. `alive` tells whether it still
-  /// runs: nothing is answered to a dead one.
+  /// The commands as one instance gives them. Answers take time of its
+  /// `processor`, which must outlive the workers.
   std::unique_ptr<submissions::worker_gateway> OrdersFor(
-      const std::string& node);
+      emulated_processor& processor);
 
   worker_faults& FaultsOf(const std::string& id);
   /// Ends a worker's life; it comes back empty with Restart.
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -11,6 +11,7 @@
 
 #include "chivecrank/base/manual_clock.h"
 #include "chivecrank/emulator/emulated_permits.h"
+#include "chivecrank/emulator/emulated_processor.h"
 #include "chivecrank/emulator/emulated_store.h"
 #include "chivecrank/emulator/emulated_workers.h"
 #include "chivecrank/event_log/event_log.h"
@@ -41,6 +42,12 @@
 struct emulation_settings {
   std::uint64_t seed = 1;
   std::size_t instances = 3;
+  /// Processor time of the instances, in millicores; the last value is also
+  /// that of all further instances.
+  std::vector<std::int64_t> instance_processors_milli = {100};
+  processor_costs costs;
+  /// Instances start one by one within this time, drawn by the seed.
+  std::chrono::milliseconds start_spread{0};
   std::size_t workers = 12;
   std::size_t workers_per_rack = 4;
   coordination::resources capacity{16'000, 64'000, 0};
@@ -90,7 +97,8 @@
   bool IsAlive(std::size_t index) const;
   /// The instance that owns a shard; the number of instances when none does.
   std::size_t OwnerOf(std::uint32_t shard) const;
-  /// Suspends an instance: it neither sends nor reads while the time passes.
+  std::int64_t ProcessorsOf(std::size_t index) const;
+  /// The store turns an instance away, or serves it again.
   void Isolate(std::size_t index, bool isolated);
 
   emulated_store& Store() { return store_; }
@@ -129,6 +137,7 @@
  private:
   struct instance_state {
     std::string node;
+    std::unique_ptr<emulated_processor> processor;
     std::unique_ptr<event_log::event_log> log;
     std::unique_ptr<metadata::store> store;
     std::unique_ptr<submissions::worker_gateway> orders;
@@ -150,7 +159,13 @@
     std::int32_t attempts = 0;
   };
 
-  runtime::instance_runtime* ReadyInstance();
+  void StartLater(std::size_t index);
+  instance_state* ReadyInstance();
+  /// Calls `use` with a random ready instance once it has processor time for
+  /// it; returns false if none is ready.
+  bool AskInstance(std::function<void(runtime::instance_runtime&)> use);
+  /// Earliest time, up to `latest`, at which something happens.
+  base::time_point NextWake(base::time_point latest) const;
   void WriteConfiguration();
   void Offer(const std::string& id);
   void OnAnswer(const std::string& id, runtime::submit_answer answer);
@@ -174,7 +189,7 @@
   emulated_permits permits_;
   emulated_workers workers_;
   std::vector<instance_state> instances_;
-  /// Connections of instances that were started anew.
+  /// Connections and processors of instances that were started anew.
   std::vector<instance_state> retired_;
   std::map<std::string, caller_state> submitted_;
   std::map<std::string, caller_counts> callers_;
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -20,7 +20,8 @@
 /// The orders as one instance gives them.
 class emulated_orders final : public submissions::worker_gateway {
  public:
-  explicit emulated_orders(emulated_workers& shared) : shared_(shared) {}
+  emulated_orders(emulated_workers& shared, emulated_processor& processor)
+      : shared_(shared), processor_(processor) {}
 
   void Poll(const submissions::worker_description& worker,
             const submissions::poll_request& request,
@@ -31,12 +32,12 @@
     Later(kOneWay, [this, id = worker.id, request, lease_end, done] {
       auto* state = Reachable(id);
       if (state == nullptr)
-        return Later(request.wait + kLookSlack, [done] {
+        return Answer(request.wait + kLookSlack, [done] {
           done(NoAnswer(base::error_kind::kUnavailable));
         });
       if (request.header.fence < state->fence)
-        return Later(kOneWay,
-                     [done] { done(NoAnswer(base::error_kind::kFenced)); });
+        return Answer(kOneWay,
+                      [done] { done(NoAnswer(base::error_kind::kFenced)); });
       Renew(*state, request.header, lease_end);
       std::erase_if(state->ended, [&](const submissions::reported_end& end) {
         const bool forgotten = end.number <= request.acknowledged_end;
@@ -50,10 +51,14 @@
           return;
         auto* now = Reachable(id);
         if (now == nullptr)
-          return Later(kLookSlack, [done] {
+          return Answer(kLookSlack, [done] {
             done(NoAnswer(base::error_kind::kOutcomeUnknown));
           });
-        Later(kOneWay, [done, report = shared_.Report(*now)] { done(report); });
+        const auto report = shared_.Report(*now);
+        const std::size_t items =
+            report.value().running.size() + report.value().ended.size();
+        Answer(
+            kOneWay, [done, report] { done(report); }, items);
       };
       if (!state->ended.empty() || request.wait.count() == 0)
         return answer();
@@ -72,21 +77,21 @@
                     dice] {
       auto* state = Reachable(id);
       if (state == nullptr)
-        return Later(kOrderTimeout,
-                     [done] { done(submissions::start_outcome::kNotSent); });
+        return Answer(kOrderTimeout,
+                      [done] { done(submissions::start_outcome::kNotSent); });
       if (dice < state->faults.late_share) {
         Later(std::chrono::seconds(4), [this, id, command, terms, lease_end] {
           if (auto* later = Reachable(id))
             shared_.Start(*later, command, terms, lease_end);
         });
-        return Later(kOrderTimeout,
-                     [done] { done(submissions::start_outcome::kUnknown); });
+        return Answer(kOrderTimeout,
+                      [done] { done(submissions::start_outcome::kUnknown); });
       }
       const auto answer = shared_.Start(*state, command, terms, lease_end);
       if (dice < state->faults.late_share + state->faults.lost_share)
-        return Later(kOrderTimeout,
-                     [done] { done(submissions::start_outcome::kUnknown); });
-      Later(kOneWay, [done, answer] { done(answer); });
+        return Answer(kOrderTimeout,
+                      [done] { done(submissions::start_outcome::kUnknown); });
+      Answer(kOneWay, [done, answer] { done(answer); });
     });
   }
 
@@ -126,9 +131,9 @@
           [this, id, terms, done = std::move(done), order = std::move(order)] {
             auto* state = Reachable(id);
             if (state == nullptr)
-              return Later(kOrderTimeout, [done] { done(false); });
+              return Answer(kOrderTimeout, [done] { done(false); });
             const bool confirmed = terms.fence >= state->fence && order(*state);
-            Later(kOneWay, [done, confirmed] { done(confirmed); });
+            Answer(kOneWay, [done, confirmed] { done(confirmed); });
           });
   }
 
@@ -162,12 +167,22 @@
     shared_.loop_.After(delay, std::move(step));
   }
 
+  /// Delivers an answer of so many items to the instance `delay` from now.
+  void Answer(std::chrono::milliseconds delay,
+              std::function<void()> step,
+              std::size_t items = 0) {
+    Later(delay, [&processor = processor_, items, step = std::move(step)] {
+      processor.Deliver(items, step);
+    });
+  }
+
   emulated_workers& shared_;
+  emulated_processor& processor_;
 };
 
 std::unique_ptr<submissions::worker_gateway> emulated_workers::OrdersFor(
-    const std::string&) {
-  return std::make_unique<emulated_orders>(*this);
+    emulated_processor& processor) {
+  return std::make_unique<emulated_orders>(*this, processor);
 }
 
 }  // namespace chivecrank::emulator
--- a/tests/emulator/internal/emulated_permits.cc
+++ b/tests/emulator/internal/emulated_permits.cc
@@ -14,7 +14,8 @@
 /// The service as one instance reaches it.
 class emulated_permits_view final : public submissions::permit_service {
  public:
-  explicit emulated_permits_view(emulated_permits& shared) : shared_(shared) {}
+  emulated_permits_view(emulated_permits& shared, emulated_processor& processor)
+      : shared_(shared), processor_(processor) {}
 
   void RequestPermits(
       const submissions::permit_request& request,
@@ -22,24 +23,31 @@
           done) override {
     ++shared_.questions_;
     if (shared_.silent_) {
-      shared_.loop_.After(kGivenUpAfter, [done = std::move(done)] {
+      return Answer(kGivenUpAfter, [done = std::move(done)] {
         done(base::error{base::error_kind::kOutcomeUnknown,
                          "no answer about permits", "ask again"});
       });
-      return;
     }
-    shared_.loop_.After(request.ProcessingTime(),
-                        [this, request, done = std::move(done)] {
-                          done(shared_.Grant(request));
-                        });
+    Answer(request.ProcessingTime(), [this, request, done = std::move(done)] {
+      done(shared_.Grant(request));
+    });
   }
 
  private:
+  void Answer(std::chrono::milliseconds delay, std::function<void()> step) {
+    shared_.loop_.After(delay,
+                        [&processor = processor_, step = std::move(step)] {
+                          processor.Deliver(0, step);
+                        });
+  }
+
   emulated_permits& shared_;
+  emulated_processor& processor_;
 };
 
-std::unique_ptr<submissions::permit_service> emulated_permits::View() {
-  return std::make_unique<emulated_permits_view>(*this);
+std::unique_ptr<submissions::permit_service> emulated_permits::ViewFor(
+    emulated_processor& processor) {
+  return std::make_unique<emulated_permits_view>(*this, processor);
 }
 
 bool emulated_permits::IsAllowed(const submissions::task_ref& step,
--- a/tests/emulator/internal/emulated_store.cc
+++ b/tests/emulator/internal/emulated_store.cc
@@ -31,8 +31,10 @@
 /// One instance's way to the store.
 class emulated_store_view final : public metadata::store {
  public:
-  emulated_store_view(emulated_store& shared, std::string node)
-      : shared_(shared), node_(std::move(node)) {}
+  emulated_store_view(emulated_store& shared,
+                      std::string node,
+                      emulated_processor& processor)
+      : shared_(shared), node_(std::move(node)), processor_(processor) {}
 
   void Get(const std::string& key,
            metadata::callback<std::optional<metadata::item>> done) override {
@@ -71,17 +73,17 @@
              metadata::callback<metadata::change_list> done) override {
     ++shared_.calls_;
     if (shared_.Rejects(node_))
-      return Later(kLatency, [done] { done(Rejected()); });
+      return Answer(kLatency, [done] { done(Rejected()); });
     if (shared_.faults_.silent)
-      return Later(wait + kCallTimeout, [done] { done(NoAnswer()); });
+      return Answer(wait + kCallTimeout, [done] { done(NoAnswer()); });
     auto list = shared_.ChangesAfter(prefix, after);
     if (!list.changes.empty() || list.history_gone)
-      return Later(shared_.Latency(), [done, list] { done(list); });
+      return AnswerChanges(list, done);
     auto waiting = std::make_shared<emulated_store::waiting_watch>();
     waiting->prefix = prefix;
     waiting->after = after;
     waiting->answer = [this, done](const metadata::change_list& changes) {
-      Later(shared_.Latency(), [done, changes] { done(changes); });
+      AnswerChanges(changes, done);
     };
     shared_.watches_.push_back(waiting);
     Later(wait, [this, waiting] {
@@ -149,6 +151,29 @@
     shared_.loop_.After(delay, std::move(step));
   }
 
+  /// Delivers an answer of so many items to the instance `delay` from now.
+  void Answer(std::chrono::milliseconds delay,
+              std::function<void()> step,
+              std::size_t items = 0) {
+    Later(delay, [&processor = processor_, items, step = std::move(step)] {
+      processor.Deliver(items, step);
+    });
+  }
+
+  void AnswerChanges(const metadata::change_list& list,
+                     const metadata::callback<metadata::change_list>& done) {
+    Answer(
+        shared_.Latency(), [done, list] { done(list); }, list.changes.size());
+  }
+
+  template <class T>
+  static std::size_t ItemsOf(const base::result<T>&) {
+    return 0;
+  }
+  static std::size_t ItemsOf(const base::result<metadata::page>& answer) {
+    return answer ? answer.value().items.size() : 0;
+  }
+
   template <class T>
   void Call(bool changes,
             metadata::callback<T> done,
@@ -159,18 +184,20 @@
     Later(half, [this, changes, half, timeout, done = std::move(done),
                  carry_out = std::move(carry_out)] {
       if (shared_.Rejects(node_))
-        return Later(half, [done] { done(Rejected()); });
+        return Answer(half, [done] { done(Rejected()); });
       if (shared_.faults_.silent)
-        return Later(timeout, [done] { done(NoAnswer()); });
+        return Answer(timeout, [done] { done(NoAnswer()); });
       auto answer = carry_out();
       if (changes && shared_.LosesAnswer())
-        return Later(timeout, [done] { done(NoAnswer()); });
-      Later(half, [done, answer] { done(answer); });
+        return Answer(timeout, [done] { done(NoAnswer()); });
+      Answer(
+          half, [done, answer] { done(answer); }, ItemsOf(answer));
     });
   }
 
   emulated_store& shared_;
   const std::string node_;
+  emulated_processor& processor_;
 };
 
 emulated_store::emulated_store(reactor::event_loop& loop, std::uint64_t seed)
@@ -179,8 +206,9 @@
 }
 
 std::unique_ptr<metadata::store> emulated_store::ViewFor(
-    const std::string& node) {
-  return std::make_unique<emulated_store_view>(*this, node);
+    const std::string& node,
+    emulated_processor& processor) {
+  return std::make_unique<emulated_store_view>(*this, node, processor);
 }
 
 void emulated_store::Put(const std::string& key, std::string value) {
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -16,7 +16,6 @@
 constexpr std::int32_t kAttempts = 5;
 constexpr std::string_view kWorkers = "workers/";
 constexpr std::string_view kConfiguration = "operator/queues";
-constexpr std::int64_t kProcessorsMilli = 100;
 
 /// The emulator's own form of a worker's entry: its identifier and whether it
 /// drains; the rest is looked up.
@@ -63,7 +62,7 @@
   WriteConfiguration();
   instances_.resize(settings_.instances);
   for (std::size_t i = 0; i < settings_.instances; ++i)
-    StartInstance(i);
+    StartLater(i);
 }
 
 emulation::~emulation() = default;
@@ -88,24 +87,36 @@
   workers_.Leaves(worker);
 }
 
+void emulation::StartLater(std::size_t index) {
+  if (settings_.start_spread.count() == 0)
+    return StartInstance(index);
+  std::uniform_int_distribution<std::int64_t> delay(
+      0, settings_.start_spread.count());
+  loop_.After(std::chrono::milliseconds(delay(random_)),
+              [this, index] { StartInstance(index); });
+}
+
 void emulation::StartInstance(std::size_t index) {
   instance_state& made = instances_.at(index);
   // Calls of the life before may still be on their way.
   retired_.push_back(std::exchange(made, {}));
   made.node = absl::StrFormat("node-%d", index);
+  made.processor = std::make_unique<emulated_processor>(
+      clock_, ProcessorsOf(index), settings_.costs);
   made.log = std::make_unique<event_log::event_log>(
       clock_, made.node, event_log::log_settings{},
       [this](std::string_view bytes) {
         settings_.on_log_line(bytes);
         return bytes.size();
       });
-  made.store = store_.ViewFor(made.node);
-  made.orders = workers_.OrdersFor(made.node);
-  made.permits = permits_.View();
+  made.store = store_.ViewFor(made.node, *made.processor);
+  made.orders = workers_.OrdersFor(*made.processor);
+  made.permits = permits_.ViewFor(*made.processor);
   runtime::runtime_settings wanted;
   wanted.ownership.node = made.node;
-  wanted.ownership.processors_milli = kProcessorsMilli;
+  wanted.ownership.processors_milli = ProcessorsOf(index);
   wanted.driver.node = made.node;
+  wanted.driver.processors_milli = ProcessorsOf(index);
   wanted.driver.max_entry_bytes = settings_.max_entry_bytes;
   wanted.workers_per_shard = settings_.workers_per_shard;
   runtime::worker_source workers{
@@ -128,8 +139,9 @@
         return table;
       }};
   made.runtime = std::make_unique<runtime::instance_runtime>(
-      loop_, clock_, *made.store, *made.orders, *made.permits, *made.log,
-      std::move(wanted), std::move(workers), std::move(configuration));
+      made.processor->Loop(), clock_, *made.store, *made.orders, *made.permits,
+      *made.log, std::move(wanted), std::move(workers),
+      std::move(configuration));
   made.runtime->Start();
 }
 
@@ -169,17 +181,36 @@
       OfferLoad(i);
   loading_ = with_load;
   while (clock_.Now() < end) {
-    const auto next = loop_.NextDue();
-    base::time_point wake = std::min(end, clock_.Now() + kLongestStep);
-    if (next)
-      wake = std::min(wake, std::max(*next, clock_.Now()));
+    const base::time_point wake =
+        NextWake(std::min(end, clock_.Now() + kLongestStep));
     if (wake > clock_.Now())
       clock_.Advance(wake - clock_.Now());
     loop_.RunOnce(base::duration::zero());
-    for (const instance_state& instance : instances_)
-      if (instance.log)
-        instance.log->Flush();
+    for (const instance_state& instance : instances_) {
+      if (!instance.processor)
+        continue;
+      instance.processor->RunTurn();
+      instance.log->Flush();
+    }
+  }
+}
+
+std::int64_t emulation::ProcessorsOf(std::size_t index) const {
+  const auto& processors = settings_.instance_processors_milli;
+  return processors.at(std::min(index, processors.size() - 1));
+}
+
+base::time_point emulation::NextWake(base::time_point latest) const {
+  base::time_point wake = latest;
+  if (const auto next = loop_.NextDue())
+    wake = std::min(wake, *next);
+  for (const instance_state& instance : instances_) {
+    const auto next =
+        instance.processor ? instance.processor->NextTurn() : std::nullopt;
+    if (next)
+      wake = std::min(wake, *next);
   }
+  return std::max(wake, clock_.Now());
 }
 
 void emulation::OfferLoad(std::size_t queue) {
@@ -258,31 +289,46 @@
   return chain * policy.stretch + policy.target_run_time;
 }
 
-runtime::instance_runtime* emulation::ReadyInstance() {
-  std::vector<runtime::instance_runtime*> ready;
-  for (const instance_state& instance : instances_)
+emulation::instance_state* emulation::ReadyInstance() {
+  std::vector<instance_state*> ready;
+  for (instance_state& instance : instances_)
     if (instance.runtime && instance.runtime->IsReady())
-      ready.push_back(instance.runtime.get());
+      ready.push_back(&instance);
   if (ready.empty())
     return nullptr;
   std::uniform_int_distribution<std::size_t> pick(0, ready.size() - 1);
   return ready[pick(random_)];
 }
 
-void emulation::Offer(const std::string& id) {
-  caller_state& caller = submitted_.at(id);
-  ++caller.attempts;
-  runtime::instance_runtime* instance = ReadyInstance();
+bool emulation::AskInstance(
+    std::function<void(runtime::instance_runtime&)> use) {
+  instance_state* instance = ReadyInstance();
   if (instance == nullptr)
+    return false;
+  // An instance that is killed meanwhile answers nothing.
+  instance->processor->Deliver(
+      0, [instance, asked = instance->runtime.get(), use = std::move(use)] {
+        if (instance->runtime.get() == asked)
+          use(*asked);
+      });
+  return true;
+}
+
+void emulation::Offer(const std::string& id) {
+  ++submitted_.at(id).attempts;
+  auto answered = std::make_shared<bool>(false);
+  const auto on_answer = [this, id, answered](runtime::submit_answer answer) {
+    if (!std::exchange(*answered, true))
+      OnAnswer(id, answer);
+  };
+  const auto submit = [this, id, on_answer,
+                       give_up_at = clock_.Now() + kPatience](
+                          runtime::instance_runtime& instance) {
+    instance.Intake().Submit(submitted_.at(id).offered, give_up_at, on_answer);
+  };
+  if (!AskInstance(submit))
     return OnAnswer(id, {runtime::submit_outcome::kRejected,
                          std::chrono::milliseconds(500)});
-  auto answered = std::make_shared<bool>(false);
-  instance->Intake().Submit(
-      caller.offered, clock_.Now() + kPatience,
-      [this, id, answered](runtime::submit_answer answer) {
-        if (!std::exchange(*answered, true))
-          OnAnswer(id, answer);
-      });
   // An instance that dies answers nothing.
   loop_.After(kPatience + base::milliseconds(200), [this, id, answered] {
     if (!std::exchange(*answered, true))
@@ -309,11 +355,11 @@
 }
 
 void emulation::Poll(const std::string& id) {
-  runtime::instance_runtime* instance = ReadyInstance();
-  if (instance != nullptr)
-    instance->Intake().State(id, [this, id](runtime::submission_state state) {
+  AskInstance([this, id](runtime::instance_runtime& instance) {
+    instance.Intake().State(id, [this, id](runtime::submission_state state) {
       OnState(id, state);
     });
+  });
   if (!submitted_.at(id).over)
     loop_.After(kPollInterval, [this, id] { Poll(id); });
 }
@@ -341,15 +387,14 @@
 }
 
 void emulation::Cancel(const std::string& id) {
-  runtime::instance_runtime* instance = ReadyInstance();
-  if (instance == nullptr)
-    return;
-  instance->Intake().Cancel(
-      id, clock_.Now() + kPatience,
-      [this, id](runtime::cancel_outcome verdict) {
-        if (verdict == runtime::cancel_outcome::kCancelled)
-          workers_.Over(id);
-      });
+  AskInstance([this, id](runtime::instance_runtime& instance) {
+    instance.Intake().Cancel(
+        id, clock_.Now() + kPatience,
+        [this, id](runtime::cancel_outcome verdict) {
+          if (verdict == runtime::cancel_outcome::kCancelled)
+            workers_.Over(id);
+        });
+  });
 }
 
 task_truth emulation::TruthOf(const submissions::task_ref& task) const {
