Tasks that ran before share their step's scoring and the round's cache

Cause: a task with an earlier run scored all workers on its own in each round, also when the same demand had just found no capacity.

Change: a step's queue of candidates is scored without the tasks' earlier runs; Take() passes over a worker that still lists a run of the task, and uses the one on which it failed last only if there is no other. The cache of what found no capacity covers such tasks, and is fed only when the queue is exhausted.

Measured: placement_cost_test, two new cases, red before (196,400 > 13,000 and 24,966 > 17,550), green now. Unit tests and emulator pass.

--- a/src/submissions/internal/candidate_queue.h
+++ b/src/submissions/internal/candidate_queue.h
@@ -8,7 +8,8 @@
 namespace chivecrank::submissions::internal {
 
 /// Workers that can take tasks of one step, best first. All workers are scored
-/// once; after that only those that reach the top are scored again.
+/// once, whatever runs the tasks had before; after that only those that reach
+/// the top are scored again.
 class candidate_queue {
  public:
   /// Later requests must have the same step and rack as `request`.
@@ -19,6 +20,8 @@
   worker_entry* Take(const placement_request& request);
   /// Puts the worker back; it is scored again with its runs at that time.
   void Return(worker_entry& worker);
+  /// Whether no worker is left for any task of the step.
+  bool IsEmpty() const { return heap_.empty(); }
 
  private:
   struct candidate {
@@ -26,6 +29,10 @@
     worker_entry* worker = nullptr;
   };
 
+  /// Takes the best worker without a run of the task and without a failure of
+  /// its last run; adds those that it passes over to `skipped`.
+  worker_entry* TakeUnused(const placement_request& request,
+                           std::vector<candidate>& skipped);
   void Push(const candidate& entry);
   candidate Pop();
 
--- a/src/submissions/internal/infeasibility_cache.cc
+++ b/src/submissions/internal/infeasibility_cache.cc
@@ -43,8 +43,7 @@
   const bool whole_step = count == request.step->task_count;
   const bool limited_per_worker =
       request.step->max_per_worker > 0 && !whole_step;
-  return request.progress->run == 0 && !limited_per_worker &&
-         request.permits == nullptr;
+  return !limited_per_worker && request.permits == nullptr;
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/infeasibility_cache.h
+++ b/src/submissions/internal/infeasibility_cache.h
@@ -9,20 +9,21 @@
 
 namespace chivecrank::submissions::internal {
 
-/// Remembers which requests found no capacity in the current planning round.
-/// Capacity only shrinks within a round, so requests for as much or more can be
-/// skipped.
+/// Remembers which requests found no capacity in the current planning round,
+/// whatever runs their tasks had before. Capacity only shrinks within a round,
+/// so requests for as much or more can be skipped.
 class infeasibility_cache {
  public:
   void Clear() { infeasible_.clear(); }
-  /// Records that `count` tasks like this one found no capacity together.
+  /// Records that `count` tasks like this one found no capacity together, and
+  /// would not have found it without their earlier runs either.
   void Add(const placement_request& request, std::int32_t count);
   /// Whether `count` tasks like this one can't find capacity either.
   bool Covers(const placement_request& request, std::int32_t count) const;
 
  private:
-  /// Everything besides the demand that decides where a task without earlier
-  /// runs can be placed.
+  /// Everything besides the demand and the task's earlier runs that decides
+  /// where it can be placed.
   struct request_shape {
     std::string service;
     image_number image = 0;
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -138,20 +138,13 @@
     if (progress.phase != task_phase::kWaiting)
       continue;
     const placement_request request = RequestFor(*ready.live, task, now);
-    const bool ran_before = progress.run > 0;
-    if (!workers && !ran_before && !infeasible_.Covers(request, 1))
+    if (!workers && !infeasible_.Covers(request, 1))
       workers.emplace(placer_, request);
-    bool placed = false;
-    if (ran_before) {
-      candidate_queue task_workers(placer_, request);
-      placed = PlaceTask(request, task_workers);
-    } else if (workers) {
-      placed = PlaceTask(request, *workers);
-    }
-    if (placed)
+    if (workers && PlaceTask(request, *workers))
       continue;
     // The remaining tasks of the step have the same demand.
-    infeasible_.Add(request, 1);
+    if (workers && workers->IsEmpty())
+      infeasible_.Add(request, 1);
     RequestPermits(ready, request);
     if (request.step->long_running)
       placer_.ReserveWorkerFor(request);
@@ -241,7 +234,8 @@
   if (is_complete)
     return chosen;
   RequestPermits(ready, request);
-  infeasible_.Add(request, wanted.task_count);
+  if (workers.IsEmpty())
+    infeasible_.Add(request, wanted.task_count);
   return {};
 }
 
--- a/src/submissions/tests/placement_cost_test.cc
+++ b/src/submissions/tests/placement_cost_test.cc
@@ -1,3 +1,5 @@
+#include <map>
+
 #include "scheduler_fixture.h"
 
 namespace chivecrank::submissions {
@@ -24,6 +26,19 @@
     return scheduler.ScoredWorkers() - before;
   }
 
+  /// All runs that `starts` began end because their leases expired.
+  void LapseAll(const std::vector<start_command>& starts) {
+    std::map<std::string, worker_report> reports;
+    for (const start_command& start : starts) {
+      worker_report& report = reports[start.worker];
+      const auto number = static_cast<std::int64_t>(report.ended.size()) + 1;
+      report.ended.push_back(
+          {number, start.task, start.run, run_outcome::kLeaseExpired, ""});
+    }
+    for (const auto& [worker, report] : reports)
+      Report(worker, report);
+  }
+
   std::size_t started = 0;
 };
 
@@ -83,6 +98,35 @@
   BOOST_TEST(cost <= kWorkers + 8 * kTasksOfStep);
 }
 
+BOOST_AUTO_TEST_CASE(LapsedTasksOfAStepAreScoredTogether) {
+  constexpr std::size_t kSteps = 20;
+  for (std::size_t i = 0; i < kSteps; ++i)
+    scheduler.Accept(
+        MakeSubmission("a-" + std::to_string(i), MakeStep(kTasksOfStep, 3000)));
+  LapseAll(RunRound());
+  const std::uint64_t cost = CostOfRound();
+  BOOST_TEST(started == kSteps * kTasksOfStep);
+  BOOST_TEST(cost <= kSteps * (kWorkers + 8 * kTasksOfStep));
+}
+
+BOOST_AUTO_TEST_CASE(LapsedTasksWithoutCapacityAreScoredOnce) {
+  for (std::size_t i = 0; i < kWorkers / kTasksOfStep; ++i)
+    scheduler.Accept(MakeSubmission("b-" + std::to_string(i),
+                                    MakeStep(kTasksOfStep, 16'000)));
+  LapseAll(RunRound());
+  // More urgent work takes all workers.
+  for (std::size_t i = 0; i < kWorkers / kTasksOfStep + 1; ++i) {
+    submission urgent = MakeSubmission("a-" + std::to_string(i),
+                                       MakeStep(kTasksOfStep, 16'000));
+    urgent.policy.priority = -1;
+    scheduler.Accept(urgent);
+  }
+  const std::uint64_t cost = CostOfRound();
+  BOOST_TEST(started == kWorkers);
+  const std::size_t steps = kWorkers / kTasksOfStep + 1;
+  BOOST_TEST(cost <= (steps + 2) * (kWorkers + 8 * kTasksOfStep));
+}
+
 BOOST_AUTO_TEST_CASE(RetriedTaskIsScoredIndividually) {
   // A cached result for one shape must not hide that a retried task of that
   // shape should avoid the worker on which it failed.
