Planning looks only at workers with stalled or throttled runs, in a fixed order

Cause: each planning round walked all runs of all workers four times (moves, stalls, throttles), and each lasting task without capacity walked them again (profile of an emulated shard of 550 workers: 25% of the time in ReserveWorkerFor).

Change: reports mark workers with stalled or throttled runs; what lasting tasks reserve is part of a worker's cached totals; runs lie in an ordered tree.

--- a/src/submissions/internal/interference_model.cc
+++ b/src/submissions/internal/interference_model.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numbers>
 
+#include "chivecrank/scheduling/resources.h"
+
 namespace chivecrank::submissions::internal {
 namespace {
 
@@ -186,6 +188,8 @@
     if (run.long_running) {
       totals.AddLongRunning(run.image);
       totals.long_running_milli += run.processors_milli;
+      totals.long_running_reserved =
+          scheduling::Plus(totals.long_running_reserved, run.reserved);
     } else {
       totals.other_milli += worker_table::UsedMilli(run);
     }
--- a/src/submissions/internal/occupancy.h
+++ b/src/submissions/internal/occupancy.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "chivecrank/coordination/types.h"
 #include "internal/image_index.h"
 
 namespace chivecrank::submissions::internal {
@@ -28,6 +29,8 @@
   /// tasks use at their commanded speed.
   std::int64_t long_running_milli = 0;
   std::int64_t other_milli = 0;
+  /// Resources that long-running tasks reserve.
+  coordination::resources long_running_reserved;
 
   void AddLongRunning(image_number image) {
     if (std::ranges::find(long_running_images, image) ==
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -44,16 +44,6 @@
          kOtherImagePenalty * static_cast<double>(others);
 }
 
-/// Whether the demand fits if only the long-running tasks stay on the worker.
-bool FitsBesideServices(const worker_entry& worker,
-                        const coordination::resources& demand) {
-  coordination::resources services;
-  for (const auto& [task, run] : worker.runs)
-    if (run.long_running)
-      services = scheduling::Plus(services, run.reserved);
-  return scheduling::Fits(demand, services, worker.description.capacity);
-}
-
 bool IsAvoided(const worker_entry& worker, base::time_point now) {
   return worker.health.avoid_until > now;
 }
@@ -107,13 +97,13 @@
   worker_entry* best = nullptr;
   std::int64_t max_free = 0;
   for (auto& [id, worker] : workers_.All()) {
-    if (worker.reserved_for_service || !IsEligible(worker, request) ||
-        !FitsBesideServices(worker, request.step->demand))
-      continue;
     const std::int64_t free = worker.description.capacity.processors_milli -
                               worker.reserved.processors_milli;
     if (best != nullptr && free <= max_free)
       continue;
+    if (worker.reserved_for_service || !IsEligible(worker, request) ||
+        !FitsBesideServices(worker, request.step->demand))
+      continue;
     best = &worker;
     max_free = free;
   }
@@ -121,6 +111,13 @@
     best->reserved_for_service = true;
 }
 
+bool placer::FitsBesideServices(worker_entry& worker,
+                                const coordination::resources& demand) const {
+  return scheduling::Fits(
+      demand, interference_.OccupancyOf(worker).long_running_reserved,
+      worker.description.capacity);
+}
+
 bool placer::HasCapacity(const worker_entry& worker,
                          const placement_request& request) const {
   const bool is_reserved =
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -65,6 +65,9 @@
   /// Whether the worker is eligible and has enough unreserved capacity.
   bool HasCapacity(const worker_entry& worker,
                    const placement_request& request) const;
+  /// Whether the demand fits if only the long-running tasks stay on the worker.
+  bool FitsBesideServices(worker_entry& worker,
+                          const coordination::resources& demand) const;
   /// Whether the worker meets all constraints other than free capacity.
   bool IsEligible(const worker_entry& worker,
                   const placement_request& request) const;
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -40,6 +40,8 @@
 
 void relocator::MoveInterfering(base::time_point now) {
   for (auto& [id, worker] : tracker_.Workers().All()) {
+    if (!worker.may_have_throttled)
+      continue;
     const auto slowed =
         RunningTasks(worker, [](const task_ref&, const active_run& run) {
           return run.best_effort && run.target_percent <= kMoveAtPercent &&
@@ -53,6 +55,8 @@
 
 void relocator::MoveStalled(base::time_point now) {
   for (auto& [id, worker] : tracker_.Workers().All()) {
+    if (!worker.may_have_stalled)
+      continue;
     const auto stalled = RunningTasks(
         worker,
         [](const task_ref&, const active_run& run) { return run.stalled; });
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -34,9 +34,21 @@
     ProcessAbsent(worker, report, requested_at, now);
   interference_.Observe(worker, now);
   guard_.Update(worker, now);
+  MarkForPlanning(worker);
   worker.cached_occupancy.reset();
 }
 
+void report_processor::MarkForPlanning(worker_entry& worker) {
+  worker.may_have_stalled = std::ranges::any_of(
+      worker.runs, [](const auto& entry) { return entry.second.stalled; });
+  worker.may_have_throttled =
+      std::ranges::any_of(worker.runs, [](const auto& entry) {
+        const active_run& run = entry.second;
+        return run.target_percent != active_run::kFullSpeed ||
+               run.throttle_percent != run.target_percent;
+      });
+}
+
 void report_processor::HandleRestart(worker_entry& worker,
                                      const worker_report& report) {
   if (worker.reported_started_at_ms == report.started_at_ms)
--- a/src/submissions/internal/report_processor.h
+++ b/src/submissions/internal/report_processor.h
@@ -29,6 +29,7 @@
                std::uint64_t next_batch);
 
  private:
+  static void MarkForPlanning(worker_entry& worker);
   void HandleRestart(worker_entry& worker, const worker_report& report);
   /// Whether the task was assigned to an earlier incarnation of the worker.
   bool IsOfEarlierIncarnation(const worker_entry& worker, const task_ref& task);
--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -70,6 +70,8 @@
 
 void shard_core::CollectThrottles(command_set& commands) {
   for (auto& [id, worker] : tracker.Workers().All()) {
+    if (!worker.may_have_throttled)
+      continue;
     for (auto& [task, run] : worker.runs) {
       if (!run.best_effort || run.phase != run_phase::kRunning ||
           run.throttle_percent == run.target_percent)
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -170,7 +170,9 @@
   if (run == nullptr || confirmed)
     return;
   run->throttle_percent = active_run::kThrottleUnknown;
-  core_->tracker.Workers().Find(command.worker)->cached_occupancy.reset();
+  worker_entry& worker = *core_->tracker.Workers().Find(command.worker);
+  worker.may_have_throttled = true;
+  worker.cached_occupancy.reset();
 }
 
 void shard_scheduler::Plan(base::time_point now,
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -1,7 +1,7 @@
 #ifndef CHIVECRANK_SUBMISSIONS_INTERNAL_WORKER_TABLE_H_
 #define CHIVECRANK_SUBMISSIONS_INTERNAL_WORKER_TABLE_H_
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
 
 #include <cstdint>
 #include <deque>
@@ -111,7 +111,8 @@
   base::time_point reported_at;
   /// Incarnation of the worker that sent the last report.
   std::int64_t reported_started_at_ms = 0;
-  absl::flat_hash_map<task_ref, active_run> runs;
+  /// Ordered, so that decisions do not depend on addresses.
+  absl::btree_map<task_ref, active_run> runs;
   coordination::resources reserved;
   /// No run of the worker can be alive after this time unless the lease is
   /// renewed.
@@ -130,6 +131,10 @@
   /// Reserved in this round for long-running tasks, one of which waits for
   /// capacity.
   bool reserved_for_service = false;
+  /// Some runs may have stalled, or may be throttled or have a throttle command
+  /// outstanding. Planning looks at the runs of such workers only.
+  bool may_have_stalled = false;
+  bool may_have_throttled = false;
   /// Totals of the runs; unset after one of them changed.
   std::optional<occupancy> cached_occupancy;
 };
