Shards are chosen by the room in which a submission's tasks fit

Change: the choice is a decision of its own (shard_room). A shard's status tells how many workers have how many whole cores free; only pieces in which a task fits count. A shard whose load is not known counts as the mean of the others. Moves need room for twice the tasks by the same measure; submissions whose tasks do not last wait 0.2 s instead of 0.9 s for one.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -12,6 +12,7 @@
 
 #include "chivecrank/metadata/types.h"
 #include "chivecrank/runtime/keys.h"
+#include "chivecrank/runtime/shard_room.h"
 #include "chivecrank/submissions/types.h"
 
 namespace chivecrank::runtime {
@@ -45,6 +46,8 @@
 struct shard_status {
   std::int64_t capacity_milli = 0;
   std::int64_t reserved_milli = 0;
+  /// See shard_room.
+  std::vector<std::int32_t> workers_by_free_cores;
   /// Processor time of the owner that wrote it.
   std::int64_t owner_processors_milli = 0;
   /// Submissions none of whose tasks has started.
@@ -52,6 +55,9 @@
   metadata::revision written_revision = 0;
 };
 
+/// What the status tells of the shard's room.
+shard_room RoomOf(const shard_status& status);
+
 std::string EncodeShardStatus(const shard_status& status);
 std::optional<shard_status> DecodeShardStatus(std::string_view text);
 
--- a/src/runtime/include/chivecrank/runtime/shard_housekeeping.h
+++ b/src/runtime/include/chivecrank/runtime/shard_housekeeping.h
@@ -25,6 +25,9 @@
   /// A submission that the shard could not place for this long moves to a shard
   /// with free capacity.
   std::chrono::milliseconds move_delay{900};
+  /// The same for submissions whose tasks do not last: what they wait for is
+  /// lost to their callers.
+  std::chrono::milliseconds short_move_delay{200};
   /// Time before a move with unknown outcome is written again.
   std::chrono::milliseconds retry{150};
 };
@@ -58,6 +61,8 @@
   };
 
   void DeleteEnded();
+  std::chrono::milliseconds MoveDelay(
+      const submissions::submission& request) const;
   void Move(const std::string& id, std::uint32_t target_shard);
   void CommitMove(const std::string& id, metadata::transaction change);
   void OnMove(const std::string& id,
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -90,8 +90,8 @@
   void OnConflict(const group& sent, const metadata::commit_answer& answer);
   void Complete(pending_write& written, submit_outcome outcome);
   void Expire(pending_write& written);
-  std::uint32_t ChooseShard(const submissions::submission& offered);
-  std::int64_t FreeCapacityOf(std::uint32_t shard, const shard_status& status);
+  /// Chooses the submission's shard and counts it there.
+  std::uint32_t AssignShard(const submissions::submission& offered);
   bool IsStoreUnavailable() const;
   submission_state KnownState(const std::string& id,
                               const known_submission& known) const;
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -9,14 +9,23 @@
 
 namespace chivecrank::runtime {
 
+shard_room RoomOf(const shard_status& status) {
+  return {.capacity_milli = status.capacity_milli,
+          .free_milli = status.capacity_milli - status.reserved_milli,
+          .workers_by_free_cores = status.workers_by_free_cores};
+}
+
 std::string EncodeShardStatus(const shard_status& status) {
   json::writer text;
   text.BeginObject()
       .Field("capacity", status.capacity_milli)
       .Field("reserved", status.reserved_milli)
       .Field("owner_processors", status.owner_processors_milli)
-      .Key("not_started")
+      .Key("free_cores")
       .BeginArray();
+  for (const std::int32_t workers : status.workers_by_free_cores)
+    text.Integer(workers);
+  text.EndArray().Key("not_started").BeginArray();
   for (const std::string& id : status.not_started)
     text.String(id);
   text.EndArray().EndObject();
@@ -32,6 +41,10 @@
   status.reserved_milli = json::IntegerOf(parsed.value(), "reserved");
   status.owner_processors_milli =
       json::IntegerOf(parsed.value(), "owner_processors");
+  if (const json::value* workers = json::ArrayOf(parsed.value(), "free_cores"))
+    for (std::size_t i = 0; i < workers->Size(); ++i)
+      status.workers_by_free_cores.push_back(
+          static_cast<std::int32_t>(json::IntegerAt(*workers, i)));
   if (const json::value* ids = json::ArrayOf(parsed.value(), "not_started"))
     for (std::size_t i = 0; i < ids->Size(); ++i)
       status.not_started.insert(json::StringAt(*ids, i));
--- a/src/runtime/internal/shard_housekeeping.cc
+++ b/src/runtime/internal/shard_housekeeping.cc
@@ -10,10 +10,7 @@
 namespace {
 
 /// Maximum number of moves in progress at once.
-constexpr std::size_t kMaxMovesInFlight = 4;
-/// Free capacity that the target shard must have, as a multiple of the
-/// submission's reservation.
-constexpr std::int64_t kMoveCapacityFactor = 2;
+constexpr std::size_t kMaxMovesInFlight = 8;
 /// Keys of one submission: its record, its outcome and its cancellation.
 constexpr std::size_t kKeysPerSubmission = 3;
 
@@ -78,24 +75,31 @@
 void shard_housekeeping::MoveUnplaced() {
   if (!is_valid_())
     return;
-  std::map<std::uint32_t, std::int64_t> free_capacity;
+  std::map<std::uint32_t, shard_room> rooms;
   for (const auto& [shard, status] : shared_.Statuses())
-    if (shard != shard_)
-      free_capacity[shard] = status.capacity_milli - status.reserved_milli;
-  for (const auto& unplaced :
-       scheduler_.UnplacedSubmissions(loop_.Now(), settings_.move_delay)) {
+    rooms[shard] = RoomOf(status);
+  const auto min_wait = [this](const submissions::submission& request) {
+    return MoveDelay(request);
+  };
+  for (const submissions::submission* unplaced :
+       scheduler_.UnplacedSubmissions(loop_.Now(), min_wait)) {
     if (moves_in_flight_ >= kMaxMovesInFlight)
       return;
-    const auto most_free = std::ranges::max_element(
-        free_capacity, {}, [](const auto& entry) { return entry.second; });
-    if (most_free == free_capacity.end() ||
-        most_free->second < kMoveCapacityFactor * unplaced.reserved_milli)
-      return;
-    most_free->second -= unplaced.reserved_milli;
-    Move(unplaced.id, most_free->first);
+    const auto target = ShardToMoveTo(rooms, shard_, *unplaced);
+    if (!target)
+      continue;
+    rooms[*target].assigned_milli += submissions::ReservedMilli(*unplaced);
+    Move(unplaced->id, *target);
   }
 }
 
+std::chrono::milliseconds shard_housekeeping::MoveDelay(
+    const submissions::submission& request) const {
+  const bool lasts = std::ranges::any_of(
+      request.steps, &submissions::step_request::long_running);
+  return lasts ? settings_.move_delay : settings_.short_move_delay;
+}
+
 void shard_housekeeping::Move(const std::string& id,
                               std::uint32_t target_shard) {
   const known_submission* known = shared_.Find(id);
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -199,6 +199,7 @@
   status.capacity_milli = load.capacity.processors_milli;
   status.reserved_milli =
       load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
+  status.workers_by_free_cores = load.workers_by_free_cores;
   status.owner_processors_milli = settings_.processors_milli;
   for (std::string& id : scheduler_.UnstartedSubmissions())
     status.not_started.insert(std::move(id));
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -9,9 +9,6 @@
 /// Each key needs a condition and a write in the transaction.
 constexpr std::size_t kKeysPerTransaction =
     metadata::kMaxTransactionEntries / 2;
-/// A full shard is treated as having 1/50 of its capacity free, because
-/// best-effort tasks reserve no processors.
-constexpr std::int64_t kMinFreeCapacityDivisor = 50;
 
 }  // namespace
 
@@ -48,7 +45,7 @@
                 {"reason", too_late ? "no_time" : "store_away"}});
     return done({submit_outcome::kRejected, settings_.retry_after});
   }
-  offered.shard = ChooseShard(offered);
+  offered.shard = AssignShard(offered);
   offered.accepted_since_epoch =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           clock_.WallNow().time_since_epoch());
@@ -234,42 +231,25 @@
                                  : submit_outcome::kRejected);
 }
 
-std::uint32_t submission_intake::ChooseShard(
+std::uint32_t submission_intake::AssignShard(
     const submissions::submission& offered) {
-  const std::uint64_t hash = HashNames(offered.id, "shard of submission");
-  const std::uint32_t count = shared_.ShardCount();
-  std::vector<std::int64_t> free_capacity(count, 0);
-  std::int64_t total_free = 0;
+  std::map<std::uint32_t, shard_room> rooms;
   for (const auto& [shard, status] : shared_.Statuses()) {
-    if (shard >= count)
-      continue;
-    free_capacity[shard] = FreeCapacityOf(shard, status);
-    total_free += free_capacity[shard];
+    assigned_load& assigned = assigned_since_status_[shard];
+    if (assigned.status_revision != status.written_revision)
+      assigned = {status.written_revision, 0};
+    shard_room& room = rooms[shard];
+    room = RoomOf(status);
+    room.assigned_milli = assigned.reserved_milli;
   }
-  if (total_free <= 0)
-    return static_cast<std::uint32_t>(hash % count);
-  // Choose with a probability proportional to the free capacity, so that
-  // instances that decide at the same time do not all choose the same shard.
-  auto point =
-      static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(total_free));
-  std::uint32_t chosen = 0;
-  while (point >= free_capacity[chosen])
-    point -= free_capacity[chosen++];
+  const std::uint32_t chosen =
+      ChooseShard(rooms, shared_.ShardCount(), offered,
+                  HashNames(offered.id, "shard of submission"));
   assigned_since_status_[chosen].reserved_milli +=
       submissions::ReservedMilli(offered);
   return chosen;
 }
 
-std::int64_t submission_intake::FreeCapacityOf(std::uint32_t shard,
-                                               const shard_status& status) {
-  assigned_load& sent = assigned_since_status_[shard];
-  if (sent.status_revision != status.written_revision)
-    sent = {status.written_revision, 0};
-  const std::int64_t min_free = status.capacity_milli / kMinFreeCapacityDivisor;
-  return std::max(min_free, status.capacity_milli - status.reserved_milli -
-                                sent.reserved_milli);
-}
-
 bool submission_intake::IsStoreUnavailable() const {
   return loop_.Now() < store_unavailable_until_ || !is_store_responding_();
 }
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -25,6 +25,9 @@
 struct shard_load {
   coordination::resources capacity;
   coordination::resources reserved;
+  /// Entry n is the number of workers with n whole cores free; the last entry
+  /// also counts those with more.
+  std::vector<std::int32_t> workers_by_free_cores;
 };
 
 /// Decides where the tasks of one shard run. Deterministic and without I/O: the
@@ -102,17 +105,13 @@
   std::vector<std::string> UnstartedSubmissions() const;
   shard_load Load() const;
 
-  /// A submission for which this shard has had no capacity.
-  struct unplaced_submission {
-    std::string id;
-    /// Processors that its first steps reserve, in millicores.
-    std::int64_t reserved_milli = 0;
-  };
-  /// Returns the submissions that have never started and have waited for
-  /// capacity for `min_wait` or longer.
-  std::vector<unplaced_submission> UnplacedSubmissions(
+  /// Returns the submissions that reserve processors, have never started and
+  /// have waited for capacity for their `min_wait` or longer. They are valid
+  /// until the next call that changes the scheduler.
+  std::vector<const submission*> UnplacedSubmissions(
       base::time_point now,
-      std::chrono::milliseconds min_wait) const;
+      const std::function<std::chrono::milliseconds(const submission&)>&
+          min_wait) const;
   /// Holds back a submission that never started while it is moved to another
   /// shard. Returns false if it has started, has ended or is unknown.
   bool BeginMove(const std::string& submission);
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -14,6 +14,21 @@
 using internal::shard_core;
 using internal::worker_entry;
 
+namespace {
+
+constexpr std::int64_t kMilliPerCore = 1000;
+/// Larger pieces of free capacity count as pieces of this size.
+constexpr std::size_t kMaxFreeCores = 64;
+
+std::size_t FreeCores(const worker_entry& worker) {
+  const std::int64_t free = worker.description.capacity.processors_milli -
+                            worker.reserved.processors_milli;
+  const std::int64_t cores = std::max<std::int64_t>(0, free) / kMilliPerCore;
+  return std::min(static_cast<std::size_t>(cores), kMaxFreeCores);
+}
+
+}  // namespace
+
 shard_scheduler::shard_scheduler(scheduler_settings settings,
                                  scheduler_event_hook on_event)
     : core_(std::make_unique<shard_core>(settings, std::move(on_event))) {}
@@ -260,27 +275,30 @@
 
 shard_load shard_scheduler::Load() const {
   shard_load load;
+  load.workers_by_free_cores.resize(kMaxFreeCores + 1);
   for (const auto& [id, worker] : core_->tracker.Workers().All()) {
     if (!worker.listed || worker.description.draining)
       continue;
     load.capacity =
         scheduling::Plus(load.capacity, worker.description.capacity);
     load.reserved = scheduling::Plus(load.reserved, worker.reserved);
+    ++load.workers_by_free_cores[FreeCores(worker)];
   }
   return load;
 }
 
-std::vector<shard_scheduler::unplaced_submission>
-shard_scheduler::UnplacedSubmissions(base::time_point now,
-                                     std::chrono::milliseconds min_wait) const {
-  std::vector<unplaced_submission> stranded;
+std::vector<const submission*> shard_scheduler::UnplacedSubmissions(
+    base::time_point now,
+    const std::function<std::chrono::milliseconds(const submission&)>& min_wait)
+    const {
+  std::vector<const submission*> stranded;
   for (const auto& [id, live] : core_->tracker.Submissions().All()) {
     if (live->any_task_assigned || live->outcome || live->moving ||
-        !live->no_capacity_since || now - *live->no_capacity_since < min_wait)
+        !live->no_capacity_since ||
+        now - *live->no_capacity_since < min_wait(live->request))
       continue;
-    const std::int64_t reserved = submissions::ReservedMilli(live->request);
-    if (reserved > 0)
-      stranded.push_back({id, reserved});
+    if (submissions::ReservedMilli(live->request) > 0)
+      stranded.push_back(&live->request);
   }
   return stranded;
 }
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -192,7 +192,10 @@
   next.Plan(now, since_epoch);
   Advance(std::chrono::seconds(5));
   next.Plan(now, since_epoch);
-  BOOST_TEST(next.UnplacedSubmissions(now, std::chrono::seconds(1)).empty());
+  const auto min_wait = [](const submission&) {
+    return std::chrono::seconds(1);
+  };
+  BOOST_TEST(next.UnplacedSubmissions(now, min_wait).empty());
   BOOST_TEST(!next.BeginMove("a"));
 }
 
--- /dev/null
+++ b/tests/emulator/tests/shard_balance_test.cc
@@ -0,0 +1,58 @@
+#include "day_fixture.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kServices = 10;
+
+/// Two shards, services that reserve more than half of the processors as soon
+/// as the shards have owners, and urgent steps of large tasks.
+struct two_shards : day_fixture {
+  two_shards() {
+    settings.workers = 24;
+    settings.workers_per_shard = 12;
+    queue_load services = LastingLoad();
+    services.per_second = 0.001;
+    services.step.task_count = 8;
+    services.step.demand.processors_milli = 2670;
+    queue_load urgent = UrgentLoad();
+    urgent.per_second = 1.2;
+    urgent.step.task_count = 6;
+    urgent.step.demand.processors_milli = 3200;
+    settings.queues = {urgent, services};
+  }
+
+  void BeginWithServices() {
+    day = std::make_unique<emulation>(settings);
+    while (day->OwnerOf(0) == settings.instances ||
+           day->OwnerOf(1) == settings.instances)
+      day->Run(milliseconds(20), false);
+    for (std::size_t i = 0; i < kServices; ++i)
+      day->Submit(settings.queues[1]);
+    day->Run(seconds(5), false);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(shard_balance, two_shards)
+
+BOOST_AUTO_TEST_CASE(UrgentStepsGoWhereTheirTasksFit) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    BOOST_TEST_INFO_SCOPE("seed " << seed);
+    settings.seed = seed;
+    BeginWithServices();
+    day->Run(seconds(20), true);
+    CheckPromises();
+    const caller_counts& urgent = day->Callers().at("urgent");
+    BOOST_TEST(urgent.offered > 10u);
+    BOOST_TEST(urgent.in_objective * 10 >= urgent.offered * 9);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::emulator
