Owners keep runs alive for two seconds of an outage that their lease may not outlast

Cause: an owner stopped renewing the leases of workers and gave its shards up as soon as its own lease in the store could be over, 1.5 s into an outage.

Ways weighed: no renewal (as before); renewing for as long as the store is away (the next owner, which can't ask a silent worker, would have to wait as long); asking other instances whether they reach the store (more messages, and those that start meanwhile know nothing); renewing for a bounded time, for which the next owner counts runs on silent workers as alive longer. The last one is what the product's own interface does, and what the model checker explores.

Change: protocol::AuthorityAt decides, the function that the model checker runs. While the store does not answer, an owner polls its workers for two seconds past its lease; it decides, records, starts and stops nothing, and keeps its state: if its lease still exists when the store is back, it goes on where it was. The next owner takes runs on workers that it can't reach as over two seconds later.

--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -39,6 +39,7 @@
   read.runtime.driver.processors_milli =
       read.runtime.ownership.processors_milli;
   read.runtime.driver.owner_lease_term = read.runtime.ownership.term;
+  read.runtime.driver.outage_grace = read.runtime.ownership.outage_grace;
   read.runtime.driver.scheduling.worker_lease =
       submissions::WorkerLeaseFor(most_lease);
   return read;
--- a/src/runtime/include/chivecrank/runtime/driver_settings.h
+++ b/src/runtime/include/chivecrank/runtime/driver_settings.h
@@ -20,6 +20,8 @@
   /// Lease term of the previous owner, which may consider its lease valid for
   /// up to this long after its owner key is gone.
   std::chrono::milliseconds owner_lease_term{2000};
+  /// See ownership_settings; the same on all instances.
+  std::chrono::milliseconds outage_grace{2000};
   /// Time from a change to the decision it causes, so that one decision covers
   /// several changes.
   std::chrono::milliseconds decision_delay{8};
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -11,6 +11,7 @@
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/protocol/ownership_lease.h"
 #include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/claim_order.h"
@@ -30,6 +31,10 @@
   /// Subtracted from the term: the instance treats its lease as expired this
   /// much earlier than the store does.
   std::chrono::milliseconds clock_margin{250};
+  /// How long an owner that the store does not answer goes on renewing worker
+  /// leases after its own lease may have expired. The next owner counts runs on
+  /// workers that it can't reach as alive for so much longer.
+  std::chrono::milliseconds outage_grace{2000};
   claim_order_settings claim_order;
   /// How long a much larger instance must have been registered before this one
   /// hands a shard over to it.
@@ -66,7 +71,13 @@
   /// Whether the lease is certainly valid, so that no other instance can own
   /// the shards of this one.
   bool IsValid() const;
-  bool Owns(std::uint32_t shard) const { return owned_.contains(shard); }
+  /// What the instance may do with its shards. While the store does not answer,
+  /// no instance can tell whether it or the network has failed; workers follow
+  /// the newest owner, so renewing their leases can't harm.
+  protocol::authority GetAuthority() const;
+  bool Owns(std::uint32_t shard) const {
+    return owned_.contains(shard) && IsValid();
+  }
   std::size_t OwnedCount() const { return owned_.size(); }
   /// Whether the store answered the last renewal. After Release() there are no
   /// further renewals, and the result of the last one remains.
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -10,6 +10,7 @@
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
+#include "chivecrank/protocol/types.h"
 #include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/driver_settings.h"
@@ -31,8 +32,8 @@
 class shard_driver {
  public:
   struct hooks {
-    /// Whether the ownership is valid; called before every command.
-    std::function<bool()> is_valid;
+    /// What the owner may do; called before every command and poll.
+    std::function<protocol::authority()> authority;
     /// The store or a worker has seen a newer owner.
     std::function<void(std::string_view reason)> on_fenced;
   };
@@ -70,6 +71,9 @@
     std::optional<base::time_point> due;
   };
 
+  bool HasFullAuthority() const {
+    return hooks_.authority() == protocol::authority::kFull;
+  }
   void WaitForReplica();
   void ReadJournal();
   void Restore(const std::vector<metadata::item>& journal);
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -211,11 +211,12 @@
   auto driver = std::make_shared<shard_driver>(
       loop_, clock_, store_, gateway_, permits_, shared_, log_, metrics_, shard,
       fence, settings_.driver,
-      shard_driver::hooks{.is_valid = [this] { return ownership_.IsValid(); },
-                          .on_fenced =
-                              [this, shard](std::string_view reason) {
-                                ownership_.Drop(shard, reason);
-                              }});
+      shard_driver::hooks{
+          .authority = [this] { return ownership_.GetAuthority(); },
+          .on_fenced =
+              [this, shard](std::string_view reason) {
+                ownership_.Drop(shard, reason);
+              }});
   driver->SetQueues(*queues_);
   drivers_[shard] = driver;
   driver->Start();
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -44,6 +44,13 @@
   return lease_ != 0 && loop_.Now() < valid_until_;
 }
 
+protocol::authority ownership::GetAuthority() const {
+  if (lease_ == 0)
+    return protocol::authority::kNone;
+  return protocol::AuthorityAt(loop_.Now(), valid_until_, false,
+                               settings_.outage_grace);
+}
+
 void ownership::OnOwnerChanged(std::uint32_t shard) {
   const auto known = shared_.Owners().find(shard);
   const auto mine = owned_.find(shard);
@@ -130,8 +137,7 @@
           hooks_.on_store_regained();
         if (renewed) {
           valid_until_ = sent + settings_.term - settings_.clock_margin;
-        } else if (!IsValid() && !owned_.empty()) {
-          // Another instance may already own the shards.
+        } else if (GetAuthority() == protocol::authority::kNone) {
           while (!owned_.empty())
             Drop(owned_.begin()->first, "the lease may have expired");
         }
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -49,7 +49,7 @@
                     shard,
                     fence,
                     settings_.housekeeping,
-                    hooks_.is_valid),
+                    [this] { return HasFullAuthority(); }),
       journal_(loop,
                store,
                log,
@@ -58,7 +58,8 @@
                shard,
                fence,
                settings_,
-               {hooks_.is_valid, hooks_.on_fenced, [this] { SendCommands(); }}),
+               {[this] { return HasFullAuthority(); }, hooks_.on_fenced,
+                [this] { SendCommands(); }}),
       guard_(loop) {}
 
 void shard_driver::Start() {
@@ -95,6 +96,7 @@
     scheduler_.Restore(entry);
   const base::time_point now = loop_.Now();
   scheduler_.FinishRestore(now, created_at_ + settings_.owner_lease_term +
+                                    settings_.outage_grace +
                                     settings_.scheduling.worker_lease +
                                     settings_.scheduling.lease_margin);
   restored_ = true;
@@ -187,7 +189,7 @@
   decision_due_ = true;
   guard_.Later(settings_.decision_delay, [this] {
     decision_due_ = false;
-    if (!hooks_.is_valid())
+    if (!HasFullAuthority())
       return;
     const auto since_epoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -206,7 +208,7 @@
 }
 
 void shard_driver::SendCommands() {
-  if (!hooks_.is_valid())
+  if (!HasFullAuthority())
     return;
   const submissions::command_set commands =
       scheduler_.TakeCommands(loop_.Now());
@@ -301,7 +303,7 @@
     polls_.erase(worker);
     return;
   }
-  if (!hooks_.is_valid())
+  if (hooks_.authority() == protocol::authority::kNone)
     return SchedulePoll(worker, settings_.poll_retry_delay);
   submissions::poll_request request;
   request.header = CommandHeader();
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -170,6 +170,44 @@
   BOOST_TEST(Day().Workers().Counts().lapsed == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(RunsOutliveAnOutageThatEndsAllLeases) {
+  // Seven seconds are longer than the leases of workers. The work outlasts the
+  // outage.
+  settings.queues = {LastingLoad(), FillingLoad()};
+  settings.queues[1].work = seconds(12);
+  settings.queues[1].step.estimate = seconds(12);
+  settings.queues[1].steps = 1;
+  for (const bool silent : {false, true}) {
+    day.reset();
+    Day().Run(seconds(4), true);
+    Day().Store().Faults().silent = silent;
+    Day().Store().Faults().rejecting = !silent;
+    Day().Store().Faults().leases_lapse = true;
+    Day().Run(seconds(7), true);
+    Day().Store().Faults() = {};
+    Day().Run(seconds(8), true);
+    CheckPromises();
+    BOOST_TEST(Day().Workers().Counts().lapsed == 0u);
+    BOOST_TEST(Day().Total().accepted > 0u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatIsTurnedAwayOnlyKeepsItsRunsAlive) {
+  settings.queues[0].per_second = 6;
+  Day().Run(seconds(4), true);
+  const std::size_t owner = Day().OwnerOf(0);
+  Day().Isolate(owner, true);
+  Day().Store().RevokeKeysOf(Day().NodeOf(owner));
+  // It must not start anything while the next owner does.
+  Day().Run(seconds(6), true);
+  BOOST_TEST(Day().OwnerOf(0) != owner);
+  Day().Isolate(owner, false);
+  Day().Run(seconds(6), true);
+  CheckPromises();
+  BOOST_TEST(Day().Workers().Counts().lapsed == 0u);
+  BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+}
+
 BOOST_AUTO_TEST_CASE(ASilentStoreWhoseLeasesRunOutDoublesNothing) {
   Day().Run(seconds(4), true);
   Day().Store().Faults().silent = true;
