Steps that end and can be in time are placed before lasting ones

A service that waits is older than any callout and went first, so each piece that a callout gave back after a second went to a service for good.

Change: within a priority and urgency, steps that end come first, by cost; lasting ones follow by deadline, before what can only be late.

--- a/src/submissions/internal/step_order.cc
+++ b/src/submissions/internal/step_order.cc
@@ -1,7 +1,6 @@
 #include "internal/step_order.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <string_view>
 #include <tuple>
@@ -62,20 +61,6 @@
   }
 }
 
-/// Sorts steps of equal priority and urgency.
-void SortGroup(std::vector<ready_step>::iterator begin,
-               std::vector<ready_step>::iterator end) {
-  std::vector<ready_step> sorted;
-  std::copy_if(
-      begin, end, std::back_inserter(sorted),
-      [](const ready_step& ready) { return !ready.Request().long_running; });
-  std::ranges::stable_sort(sorted, {}, &ready_step::cost);
-  auto next = sorted.begin();
-  for (auto place = begin; place != end; ++place)
-    if (!place->Request().long_running)
-      *place = *next++;
-}
-
 }  // namespace
 
 void SortByUrgency(std::vector<ready_step>& steps,
@@ -84,18 +69,13 @@
     SetUrgency(ready, since_epoch);
   SetCosts(steps);
   std::ranges::sort(steps, {}, [](const ready_step& ready) {
-    return std::tuple(ready.priority, ready.kind, ready.deadline,
+    const bool lasts = ready.Request().long_running;
+    // Long-running steps have no cost, and others are sorted by cost first.
+    const double cost = lasts ? 0 : ready.cost;
+    return std::tuple(ready.priority, ready.kind, lasts, cost, ready.deadline,
                       std::string_view(ready.live->request.id),
                       ready.occurrence, ready.step);
   });
-  for (auto begin = steps.begin(); begin != steps.end();) {
-    const auto end =
-        std::find_if(begin, steps.end(), [&](const ready_step& ready) {
-          return ready.priority != begin->priority || ready.kind != begin->kind;
-        });
-    SortGroup(begin, end);
-    begin = end;
-  }
 }
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/step_order.h
+++ b/src/submissions/internal/step_order.h
@@ -39,10 +39,11 @@
   }
 };
 
-/// Sorts steps by priority, then by urgency, then by deadline. Within a group,
-/// long-running steps keep the positions of their deadlines; the other steps
-/// are put into the remaining positions by cost, lowest first, so that under
-/// overload submissions that were begun are finished and most end in time.
+/// Sorts steps by priority, then by urgency. Within a group, steps that end
+/// come first, by cost, lowest first, so that under overload submissions that
+/// were begun are finished and most end in time. Long-running steps follow by
+/// deadline: they keep the room that they get, and an hour later they are worth
+/// as much, while a step that ends gives its room back.
 ///
 /// The order matters under overload; if there is capacity for all steps it
 /// hardly does.
