--- a/apps/chivecrank_instance/instance_program.cc
+++ b/apps/chivecrank_instance/instance_program.cc
@@ -30,6 +30,7 @@
 
 instance_program::instance_program(instance_settings settings)
     : settings_(std::move(settings)),
+      clock_(system_clock_, {}),
       loop_(clock_),
       log_(clock_,
            settings_.runtime.driver.node,
--- a/apps/chivecrank_instance/instance_program.h
+++ b/apps/chivecrank_instance/instance_program.h
@@ -8,6 +8,7 @@
 #include "chivecrank/adapter/store_client.h"
 #include "chivecrank/adapter/worker_client.h"
 #include "chivecrank/base/boot_clock.h"
+#include "chivecrank/base/holdover_clock.h"
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/process/program.h"
 #include "chivecrank/process/signal_flags.h"
@@ -33,7 +34,8 @@
   std::string Metrics();
 
   const instance_settings settings_;
-  base::boot_clock clock_;
+  base::boot_clock system_clock_;
+  base::holdover_clock clock_;
   reactor::event_loop loop_;
   event_log::event_log log_;
   adapter::store_client store_;
--- a/src/base/include/chivecrank/base/clock.h
+++ b/src/base/include/chivecrank/base/clock.h
@@ -7,7 +7,7 @@
 
 /// Monotonic time of this process, used for leases and deadlines.
 using time_point = std::chrono::steady_clock::time_point;
-/// Time of day, for audit records and reports only.
+/// Time of day, for audit records, reports and work due at a time of day.
 using wall_time = std::chrono::system_clock::time_point;
 using duration = std::chrono::steady_clock::duration;
 using milliseconds = std::chrono::milliseconds;
--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -16,6 +16,8 @@
   kKillInstances,
   kStopInstances,
   kIsolateInstances,
+  kClockAhead,
+  kClockBehind,
   kCrashWorkers,
   kCutWorkers,
   kDrainWorkers,
@@ -39,8 +41,8 @@
   std::chrono::milliseconds lasts{0};
   /// Instances or workers that it hits, drawn by the seed.
   std::size_t count = 1;
-  /// How strong it is: the factor of slowness or of a burst, or the share of
-  /// answers lost.
+  /// How strong it is: the factor of slowness or of a burst, the share of
+  /// answers lost, or the seconds by which clocks are off.
   double strength = 1;
 };
 
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -9,7 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/base/holdover_clock.h"
 #include "chivecrank/base/manual_clock.h"
+#include "chivecrank/emulator/emulated_clock.h"
 #include "chivecrank/emulator/emulated_permits.h"
 #include "chivecrank/emulator/emulated_processor.h"
 #include "chivecrank/emulator/emulated_store.h"
@@ -35,6 +37,11 @@
   double estimate_error = 0;
   /// Share of the submissions that can never be done.
   double poisoned_share = 0;
+  /// Occurrences of a submission; 0 for one that runs at once. The first is due
+  /// `first_due_after` its submission.
+  std::int32_t occurrences = 0;
+  std::chrono::milliseconds first_due_after{0};
+  std::chrono::milliseconds interval{0};
   /// Images that its tasks are drawn from.
   std::vector<std::string> images;
 };
@@ -100,6 +107,8 @@
   std::int64_t ProcessorsOf(std::size_t index) const;
   /// The store turns an instance away, or serves it again.
   void Isolate(std::size_t index, bool isolated);
+  /// The time of day of an instance is off by `jump` from now on.
+  void JumpClock(std::size_t index, std::chrono::milliseconds jump);
 
   emulated_store& Store() { return store_; }
   emulated_workers& Workers() { return workers_; }
@@ -138,6 +147,8 @@
   struct instance_state {
     std::string node;
     std::unique_ptr<emulated_processor> processor;
+    std::unique_ptr<emulated_clock> system_clock;
+    std::unique_ptr<base::holdover_clock> clock;
     std::unique_ptr<event_log::event_log> log;
     std::unique_ptr<metadata::store> store;
     std::unique_ptr<submissions::worker_gateway> orders;
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -1,6 +1,7 @@
 #include "internal/day_player.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -59,6 +60,8 @@
     case fault_kind::kKillInstances:
     case fault_kind::kStopInstances:
     case fault_kind::kIsolateInstances:
+    case fault_kind::kClockAhead:
+    case fault_kind::kClockBehind:
       return HitInstances(fault);
     case fault_kind::kCrashWorkers:
     case fault_kind::kCutWorkers:
@@ -81,9 +84,14 @@
 
 void day_player::HitInstances(const day_fault& fault) {
   for (const std::size_t index : DrawInstances(fault.count)) {
-    At(fault.at, [this, index, kind = fault.kind] {
+    const std::chrono::milliseconds off(
+        std::llround(fault.strength * 1000 *
+                     (fault.kind == fault_kind::kClockAhead ? 1 : -1)));
+    At(fault.at, [this, index, off, kind = fault.kind] {
       if (!emulation_.IsAlive(index))
         return;
+      if (kind == fault_kind::kClockAhead || kind == fault_kind::kClockBehind)
+        emulation_.JumpClock(index, off);
       if (kind == fault_kind::kKillInstances)
         emulation_.KillInstance(index);
       if (kind == fault_kind::kStopInstances)
@@ -94,6 +102,9 @@
     At(fault.at + fault.lasts, [this, index, kind = fault.kind] {
       if (kind == fault_kind::kIsolateInstances)
         emulation_.Isolate(index, false);
+      else if (kind == fault_kind::kClockAhead ||
+               kind == fault_kind::kClockBehind)
+        emulation_.JumpClock(index, {});
       else
         emulation_.StartInstance(index);
     });
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -16,15 +16,13 @@
 constexpr settings::number_range kShares = {0, 1};
 constexpr settings::number_range kStrengths = {0, 1000};
 
-constexpr std::array<std::string_view, 16> kFaultNames = {
-    "kill_instances",    "stop_instances",
-    "isolate_instances", "crash_workers",
-    "cut_workers",       "drain_workers",
-    "failing_workers",   "hanging_workers",
-    "slow_workers",      "late_orders",
-    "store_down",        "store_silent",
-    "store_slow",        "store_loses_answers",
-    "store_compacts",    "burst"};
+constexpr std::array<std::string_view, 18> kFaultNames = {
+    "kill_instances",      "stop_instances", "isolate_instances",
+    "clock_ahead",         "clock_behind",   "crash_workers",
+    "cut_workers",         "drain_workers",  "failing_workers",
+    "hanging_workers",     "slow_workers",   "late_orders",
+    "store_down",          "store_silent",   "store_slow",
+    "store_loses_answers", "store_compacts", "burst"};
 
 std::optional<fault_kind> FaultKindOf(std::string_view name) {
   for (std::size_t i = 0; i < kFaultNames.size(); ++i)
@@ -106,6 +104,11 @@
   load.policy.stretch = from.Number("stretch", kStrengths);
   load.policy.target_run_time = from.MillisecondsOr(
       "target_run_time_ms", kTimesMs, load.policy.target_run_time);
+  load.occurrences = static_cast<std::int32_t>(
+      from.IntegerOr("occurrences", kNoneOrMore, load.occurrences));
+  load.first_due_after =
+      from.MillisecondsOr("first_due_after_ms", kTimesMs, load.first_due_after);
+  load.interval = from.MillisecondsOr("interval_ms", kTimesMs, load.interval);
   load.step = ReadStep(from);
   load.step.estimate = load.work;
   load.work_spread = from.NumberOr("work_spread", kStrengths, load.work_spread);
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -12,6 +12,8 @@
 namespace chivecrank::emulator {
 namespace {
 
+/// A scheduled task may start this much before its time.
+constexpr std::chrono::milliseconds kMaxEarlyStart{250};
 constexpr std::chrono::milliseconds kTick{25};
 constexpr std::chrono::milliseconds kStopTakes{200};
 /// From then on every instance has to know that a worker leaves.
@@ -310,6 +312,10 @@
       loop_.Now() - over->second > std::chrono::seconds(3))
     Break("started after its submission was over", task);
   const submissions::submission& known = known_.at(task.submission);
+  const base::duration due = known.repeats.first_due_since_epoch +
+                             known.repeats.interval * task.occurrence;
+  if (loop_.Now().time_since_epoch() + kMaxEarlyStart < due)
+    Break("started before its time", task);
   for (const std::int32_t earlier :
        known.steps.at(static_cast<std::size_t>(task.step)).after) {
     submissions::task_ref before{task.submission, task.occurrence, earlier};
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -103,8 +103,11 @@
   made.node = absl::StrFormat("node-%d", index);
   made.processor = std::make_unique<emulated_processor>(
       clock_, ProcessorsOf(index), settings_.costs);
+  made.system_clock = std::make_unique<emulated_clock>(clock_);
+  made.clock = std::make_unique<base::holdover_clock>(
+      *made.system_clock, base::holdover_settings{});
   made.log = std::make_unique<event_log::event_log>(
-      clock_, made.node, event_log::log_settings{},
+      *made.clock, made.node, event_log::log_settings{},
       [this](std::string_view bytes) {
         settings_.on_log_line(bytes);
         return bytes.size();
@@ -139,8 +142,8 @@
         return table;
       }};
   made.runtime = std::make_unique<runtime::instance_runtime>(
-      made.processor->Loop(), clock_, *made.store, *made.orders, *made.permits,
-      *made.log, std::move(wanted), std::move(workers),
+      made.processor->Loop(), *made.clock, *made.store, *made.orders,
+      *made.permits, *made.log, std::move(wanted), std::move(workers),
       std::move(configuration));
   made.runtime->Start();
 }
@@ -174,6 +177,10 @@
     store_.Faults().rejected_nodes.erase(node);
 }
 
+void emulation::JumpClock(std::size_t index, std::chrono::milliseconds jump) {
+  instances_.at(index).system_clock->JumpTo(jump);
+}
+
 void emulation::Run(std::chrono::milliseconds time, bool with_load) {
   const base::time_point end = clock_.Now() + time;
   if (with_load && !loading_)
@@ -259,6 +266,12 @@
     }
     made.steps.push_back(step);
   }
+  if (load.occurrences > 0) {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock_.WallNow().time_since_epoch());
+    made.repeats = {load.occurrences, now + load.first_due_after,
+                    load.interval};
+  }
   return made;
 }
 
@@ -286,7 +299,10 @@
   const std::chrono::duration<double> chain = std::accumulate(
       caller.work.begin(), caller.work.end(), std::chrono::milliseconds(0));
   const submissions::queue_policy& policy = caller.load->policy;
-  return chain * policy.stretch + policy.target_run_time;
+  const std::chrono::milliseconds last_due =
+      caller.load->first_due_after +
+      caller.load->interval * std::max(caller.load->occurrences - 1, 0);
+  return last_due + chain * policy.stretch + policy.target_run_time;
 }
 
 emulation::instance_state* emulation::ReadyInstance() {
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -290,6 +290,25 @@
   BOOST_TEST(Day().Total().accepted == Day().Total().completed);
 }
 
+BOOST_AUTO_TEST_CASE(TimesOfDayThatJumpMoveNoScheduledWork) {
+  queue_load scheduled = UrgentLoad();
+  scheduled.name = "scheduled";
+  scheduled.steps = 1;
+  scheduled.occurrences = 3;
+  scheduled.first_due_after = seconds(4);
+  scheduled.interval = seconds(3);
+  settings.queues = {scheduled};
+  Day().Run(seconds(2), true);
+  for (const int jump : {2, -2, 0, 5, -5, 0}) {
+    Day().JumpClock(0, seconds(jump));
+    Day().JumpClock(1, seconds(-jump));
+    Day().Run(seconds(4), true);
+  }
+  CheckPromises();
+  const caller_counts total = Day().Total();
+  BOOST_TEST(total.in_objective * 20 >= total.offered * 19);
+}
+
 BOOST_AUTO_TEST_CASE(AWorkerThatFailsEverythingCostsFewSubmissions) {
   Day().Run(seconds(3), true);
   Day().Workers().FaultsOf("w-004").fails_all = true;
