--- a/src/json/internal/reader.cc
+++ b/src/json/internal/reader.cc
@@ -7,6 +7,9 @@
 namespace chivecrank::json {
 namespace {
 
+/// Above this, a double does not tell neighbouring integers apart.
+constexpr double kMaxExactDouble = 9007199254740992;
+
 /// Also accepts integers that are written as floating-point numbers, such as
 /// 3.0.
 std::int64_t ToInteger(const value& number, std::int64_t fallback) {
@@ -15,7 +18,9 @@
   if (!number.IsDouble())
     return fallback;
   const double number_value = number.GetDouble();
-  if (std::floor(number_value) != number_value)
+  // Also excludes infinities and values that are not numbers.
+  const bool in_range = std::abs(number_value) < kMaxExactDouble;
+  if (!in_range || std::floor(number_value) != number_value)
     return fallback;
   return static_cast<std::int64_t>(number_value);
 }
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -7,6 +7,7 @@
 
 #include "chivecrank/json/reader.h"
 #include "chivecrank/json/writer.h"
+#include "chivecrank/submissions/validation.h"
 
 namespace chivecrank::submissions {
 namespace {
@@ -239,6 +240,7 @@
       std::chrono::milliseconds(json::IntegerOf(object, "interval"));
   for (const json::value& step : steps->GetArray())
     read.steps.push_back(ReadStep(step));
+  BOOST_OUTCOME_TRYV(Validate(read));
   return read;
 }
 
