--- a/src/runtime/include/chivecrank/runtime/claim_order.h
+++ b/src/runtime/include/chivecrank/runtime/claim_order.h
@@ -48,6 +48,11 @@
                                      const claim_request& request,
                                      const claim_order_settings& settings);
 
+/// Whether the instance is among the first that would claim a shard. Only these
+/// read what is needed to decide the number of shards.
+bool IsAmongFirst(std::vector<claim_candidate> candidates,
+                  std::string_view node);
+
 /// Whether an owner should give a shard up, because another candidate has at
 /// least twice the processor time for it.
 bool HasMuchLargerCandidate(const std::vector<claim_candidate>& candidates,
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -84,6 +84,10 @@
   bool IsStoreResponding() const {
     return (lease_ != 0 || releasing_) && !renewal_failing_;
   }
+  /// Whether this instance should help to decide the number of shards.
+  bool DecidesShardCount() const {
+    return registered_ && IsAmongFirst(Candidates(), settings_.node);
+  }
   /// Handles a change of a shard's owner in the replica.
   void OnOwnerChanged(std::uint32_t shard);
   /// Gives up a shard, for example when the store or a worker rejected this
--- a/src/runtime/internal/claim_order.cc
+++ b/src/runtime/internal/claim_order.cc
@@ -12,6 +12,9 @@
 /// processor times on.
 constexpr std::int64_t kMuchLargerFactor = 2;
 
+/// Enough that some are left when others fail at the same time.
+constexpr std::ptrdiff_t kFirstCandidates = 3;
+
 void SortByShare(std::vector<claim_candidate>& candidates,
                  std::string_view shard) {
   std::ranges::sort(
@@ -36,6 +39,14 @@
   return much_smaller ? settings.larger_return_time + delay : delay;
 }
 
+bool IsAmongFirst(std::vector<claim_candidate> candidates,
+                  std::string_view node) {
+  SortByShare(candidates, {});
+  const auto own = std::ranges::find(candidates, node, &claim_candidate::node);
+  return own - candidates.begin() <
+         std::min<std::ptrdiff_t>(kFirstCandidates, std::ssize(candidates));
+}
+
 bool HasMuchLargerCandidate(const std::vector<claim_candidate>& candidates,
                             std::string_view owner) {
   const auto own = std::ranges::find(candidates, owner, &claim_candidate::node);
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -63,7 +63,10 @@
   configuration_watcher_.Start();
   ownership_.Start();
   directory_.Start(
-      [this] { return !drivers_.empty() || shared_.ShardCount() == 0; },
+      [this] {
+        return !drivers_.empty() ||
+               (shared_.ShardCount() == 0 && ownership_.DecidesShardCount());
+      },
       [this] { OnWorkersListed(); });
 }
 
--- a/src/runtime/tests/claim_order_test.cc
+++ b/src/runtime/tests/claim_order_test.cc
@@ -46,6 +46,19 @@
   BOOST_TEST((sum == kSettings.stagger * 3));
 }
 
+BOOST_AUTO_TEST_CASE(TheLargestThreeAreTheFirst) {
+  const std::vector<claim_candidate> all = {
+      {"a", 69}, {"b", 500}, {"c", 500}, {"d", 69}, {"e", 250}};
+  int first = 0;
+  for (const claim_candidate& candidate : all)
+    first += IsAmongFirst(all, candidate.node) ? 1 : 0;
+  BOOST_TEST(first == 3);
+  BOOST_TEST(IsAmongFirst(all, "e"));
+  BOOST_TEST(!IsAmongFirst(all, "a"));
+  BOOST_TEST(!IsAmongFirst({}, "a"));
+  BOOST_TEST(IsAmongFirst({{"a", 69}}, "a"));
+}
+
 BOOST_AUTO_TEST_CASE(AnOwnerYieldsOnlyToAMuchLargerOne) {
   BOOST_TEST(HasMuchLargerCandidate({{"own", 69, 1}, {"other", 500}}, "own"));
   BOOST_TEST(!HasMuchLargerCandidate({{"own", 300, 1}, {"other", 500}}, "own"));
