--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -16,6 +16,7 @@
   kKillInstances,
   kStopInstances,
   kIsolateInstances,
+  kFreezeInstances,
   kClockAhead,
   kClockBehind,
   kCrashWorkers,
--- a/tests/emulator/include/chivecrank/emulator/emulated_processor.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_processor.h
@@ -35,6 +35,8 @@
   void Deliver(std::size_t items, std::function<void()> handle);
   /// When the instance can do something next; std::nullopt when nothing waits.
   std::optional<base::time_point> NextTurn() const;
+  /// A frozen instance does nothing; what reaches it waits.
+  void Freeze(bool frozen) { frozen_ = frozen; }
   /// Runs due timers and messages until the processor is busy.
   void RunTurn();
 
@@ -44,7 +46,7 @@
     std::function<void()> handle;
   };
 
-  bool IsBusy() const { return loop_.Now() < busy_until_; }
+  bool IsBusy() const { return frozen_ || loop_.Now() < busy_until_; }
   void Charge(std::size_t items);
 
   reactor::event_loop loop_;
@@ -52,6 +54,7 @@
   const processor_costs costs_;
   std::deque<message> messages_;
   base::time_point busy_until_{};
+  bool frozen_ = false;
 };
 
 }  // namespace chivecrank::emulator
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -107,6 +107,8 @@
   std::int64_t ProcessorsOf(std::size_t index) const;
   /// The store turns an instance away, or serves it again.
   void Isolate(std::size_t index, bool isolated);
+  /// Stops an instance where it is, or lets it go on.
+  void Freeze(std::size_t index, bool frozen);
   /// The time of day of an instance is off by `jump` from now on.
   void JumpClock(std::size_t index, std::chrono::milliseconds jump);
 
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -11,6 +11,7 @@
 /// Before callers come: instances find each other and the workers.
 constexpr std::chrono::milliseconds kWarmUp{6000};
 constexpr std::chrono::milliseconds kWindow{2000};
+constexpr double kMillisecondsPerSecond = 1000;
 /// Time for a worker that drains before it leaves.
 constexpr std::chrono::milliseconds kDrain{3000};
 
@@ -60,6 +61,7 @@
     case fault_kind::kKillInstances:
     case fault_kind::kStopInstances:
     case fault_kind::kIsolateInstances:
+    case fault_kind::kFreezeInstances:
     case fault_kind::kClockAhead:
     case fault_kind::kClockBehind:
       return HitInstances(fault);
@@ -84,30 +86,37 @@
 
 void day_player::HitInstances(const day_fault& fault) {
   for (const std::size_t index : DrawInstances(fault.count)) {
-    const std::chrono::milliseconds off(
-        std::llround(fault.strength * 1000 *
-                     (fault.kind == fault_kind::kClockAhead ? 1 : -1)));
-    At(fault.at, [this, index, off, kind = fault.kind] {
-      if (!emulation_.IsAlive(index))
-        return;
-      if (kind == fault_kind::kClockAhead || kind == fault_kind::kClockBehind)
-        emulation_.JumpClock(index, off);
-      if (kind == fault_kind::kKillInstances)
-        emulation_.KillInstance(index);
-      if (kind == fault_kind::kStopInstances)
-        emulation_.StopInstance(index);
-      if (kind == fault_kind::kIsolateInstances)
-        emulation_.Isolate(index, true);
-    });
-    At(fault.at + fault.lasts, [this, index, kind = fault.kind] {
-      if (kind == fault_kind::kIsolateInstances)
-        emulation_.Isolate(index, false);
-      else if (kind == fault_kind::kClockAhead ||
-               kind == fault_kind::kClockBehind)
-        emulation_.JumpClock(index, {});
-      else
-        emulation_.StartInstance(index);
+    At(fault.at, [this, index, fault] {
+      if (emulation_.IsAlive(index))
+        SetInstanceFault(index, fault, true);
     });
+    At(fault.at + fault.lasts,
+       [this, index, fault] { SetInstanceFault(index, fault, false); });
+  }
+}
+
+void day_player::SetInstanceFault(std::size_t index,
+                                  const day_fault& fault,
+                                  bool begins) {
+  const std::chrono::milliseconds off(
+      std::llround(begins ? fault.strength * kMillisecondsPerSecond : 0));
+  switch (fault.kind) {
+    case fault_kind::kKillInstances:
+      return begins ? emulation_.KillInstance(index)
+                    : emulation_.StartInstance(index);
+    case fault_kind::kStopInstances:
+      return begins ? emulation_.StopInstance(index)
+                    : emulation_.StartInstance(index);
+    case fault_kind::kIsolateInstances:
+      return emulation_.Isolate(index, begins);
+    case fault_kind::kFreezeInstances:
+      return emulation_.Freeze(index, begins);
+    case fault_kind::kClockAhead:
+      return emulation_.JumpClock(index, off);
+    case fault_kind::kClockBehind:
+      return emulation_.JumpClock(index, -off);
+    default:
+      return;
   }
 }
 
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -26,6 +26,7 @@
   void Schedule(const day_fault& fault);
   void At(std::chrono::milliseconds time, step action);
   void HitInstances(const day_fault& fault);
+  void SetInstanceFault(std::size_t index, const day_fault& fault, bool begins);
   void HitWorkers(const day_fault& fault);
   void HitStore(const day_fault& fault);
   void Burst(const day_fault& fault);
--- a/tests/emulator/internal/emulated_processor.cc
+++ b/tests/emulator/internal/emulated_processor.cc
@@ -21,6 +21,8 @@
 }
 
 std::optional<base::time_point> emulated_processor::NextTurn() const {
+  if (frozen_)
+    return std::nullopt;
   if (!messages_.empty())
     return std::max(loop_.Now(), busy_until_);
   const auto timer = loop_.NextDue();
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -177,6 +177,10 @@
     store_.Faults().rejected_nodes.erase(node);
 }
 
+void emulation::Freeze(std::size_t index, bool frozen) {
+  instances_.at(index).processor->Freeze(frozen);
+}
+
 void emulation::JumpClock(std::size_t index, std::chrono::milliseconds jump) {
   instances_.at(index).system_clock->JumpTo(jump);
 }
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -290,6 +290,24 @@
   BOOST_TEST(Day().Total().accepted == Day().Total().completed);
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnerThatWasFrozenActsOnNothingThatRanOut) {
+  settings.queues[0].per_second = 8;
+  for (const int freeze_ms : {1200, 1900, 2600, 4100, 6300, 9000}) {
+    BOOST_TEST_INFO_SCOPE("frozen for " << freeze_ms << " ms");
+    day.reset();
+    Day().Run(seconds(4), true);
+    const std::size_t owner = Day().OwnerOf(0);
+    BOOST_REQUIRE(owner < settings.instances);
+    Day().Freeze(owner, true);
+    Day().Run(milliseconds(freeze_ms), true);
+    Day().Freeze(owner, false);
+    Day().Run(seconds(6), true);
+    BOOST_TEST(Day().OwnerOf(0) < settings.instances);
+    CheckPromises();
+    BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TimesOfDayThatJumpMoveNoScheduledWork) {
   queue_load scheduled = UrgentLoad();
   scheduled.name = "scheduled";
