--- a/src/submissions/tests/placement_cost_test.cc
+++ b/src/submissions/tests/placement_cost_test.cc
@@ -7,6 +7,7 @@
 
 constexpr std::size_t kWorkers = 490;
 constexpr std::int32_t kTasksOfStep = 20;
+constexpr std::size_t kLapsedSteps = 20;
 
 /// A shard as large as in the largest deployment.
 struct large_shard : scheduler_fixture {
@@ -99,14 +100,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(LapsedTasksOfAStepAreScoredTogether) {
-  constexpr std::size_t kSteps = 20;
-  for (std::size_t i = 0; i < kSteps; ++i)
+  for (std::size_t i = 0; i < kLapsedSteps; ++i)
     scheduler.Accept(
         MakeSubmission("a-" + std::to_string(i), MakeStep(kTasksOfStep, 3000)));
   LapseAll(RunRound());
   const std::uint64_t cost = CostOfRound();
-  BOOST_TEST(started == kSteps * kTasksOfStep);
-  BOOST_TEST(cost <= kSteps * (kWorkers + 8 * kTasksOfStep));
+  BOOST_TEST(started == kLapsedSteps * kTasksOfStep);
+  BOOST_TEST(cost <= kLapsedSteps * (kWorkers + 8 * kTasksOfStep));
 }
 
 BOOST_AUTO_TEST_CASE(LapsedTasksWithoutCapacityAreScoredOnce) {
--- a/tests/emulator/tests/owner_choice_test.cc
+++ b/tests/emulator/tests/owner_choice_test.cc
@@ -9,6 +9,8 @@
 constexpr std::size_t kLargeInstances = 2;
 constexpr std::size_t kInstances = 24;
 constexpr std::uint64_t kSeeds = 10;
+/// Time between two looks at who owns the shard.
+constexpr milliseconds kStep{20};
 
 /// Two large instances and many small ones, which fall behind with a shard.
 struct mixed_fixture {
@@ -33,7 +35,6 @@
 
   /// Lets the time pass and returns how long a small instance owned the shard.
   milliseconds TimeOwnedBySmall(milliseconds time) const {
-    constexpr milliseconds kStep{20};
     milliseconds owned{0};
     for (milliseconds passed{0}; passed < time; passed += kStep) {
       day->Run(kStep, true);
