An instance's terms go to its drivers in one place; dropping all shards has a name

An instance whose copy was forgotten would wait too short a time for the runs of an unreachable worker. The loop that gives up all shards stood three times.

Change: instance_runtime takes the three from ownership_settings; the driver's have no defaults of their own. ownership::DropAll. The order of checks in Renew and IsAmongFirst is plainer. Behaviour is the same.

--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -36,10 +36,6 @@
   read.runtime.ownership.processors_milli =
       static_cast<std::int64_t>(share * kMilli);
   read.runtime.driver.node = node;
-  read.runtime.driver.processors_milli =
-      read.runtime.ownership.processors_milli;
-  read.runtime.driver.owner_lease_term = read.runtime.ownership.term;
-  read.runtime.driver.outage_grace = read.runtime.ownership.outage_grace;
   read.runtime.driver.scheduling.worker_lease =
       submissions::WorkerLeaseFor(most_lease);
   return read;
--- a/src/runtime/include/chivecrank/runtime/claim_order.h
+++ b/src/runtime/include/chivecrank/runtime/claim_order.h
@@ -9,7 +9,8 @@
 
 /// Decides which instance claims a shard without an owner, and when. It answers
 /// the moment at which all instances lose their leases at once: those that
-/// register first must not win if they are too small to carry the shard.
+/// register first must not win if they have too little processor time for the
+/// shard.
 namespace chivecrank::runtime {
 
 /// A registered instance that could own a shard.
--- a/src/runtime/include/chivecrank/runtime/driver_settings.h
+++ b/src/runtime/include/chivecrank/runtime/driver_settings.h
@@ -11,17 +11,18 @@
 
 namespace chivecrank::runtime {
 
-/// Settings of the driver of one owned shard.
+/// Settings of the driver of one owned shard. instance_runtime takes the first
+/// three from ownership_settings.
 struct driver_settings {
-  std::string node;
   /// Processor time of this instance, in millicores.
   std::int64_t processors_milli = 0;
-  submissions::scheduler_settings scheduling;
   /// Lease term of the previous owner, which may consider its lease valid for
   /// up to this long after its owner key is gone.
-  std::chrono::milliseconds owner_lease_term{2000};
-  /// See ownership_settings; the same on all instances.
-  std::chrono::milliseconds outage_grace{2000};
+  std::chrono::milliseconds owner_lease_term{0};
+  /// How long the previous owner may have renewed worker leases after that.
+  std::chrono::milliseconds outage_grace{0};
+  std::string node;
+  submissions::scheduler_settings scheduling;
   /// Time from a change to the decision it causes, so that one decision covers
   /// several changes.
   std::chrono::milliseconds decision_delay{8};
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -95,6 +95,7 @@
   void Drop(std::uint32_t shard, std::string_view reason);
 
  private:
+  void DropAll(std::string_view reason);
   void RequestLease();
   void RegisterMember();
   void RenewLater();
--- a/src/runtime/internal/claim_order.cc
+++ b/src/runtime/internal/claim_order.cc
@@ -43,8 +43,7 @@
                   std::string_view node) {
   SortByShare(candidates, {});
   const auto own = std::ranges::find(candidates, node, &claim_candidate::node);
-  return own - candidates.begin() <
-         std::min<std::ptrdiff_t>(kFirstCandidates, std::ssize(candidates));
+  return own != candidates.end() && own - candidates.begin() < kFirstCandidates;
 }
 
 bool HasMuchLargerCandidate(const std::vector<claim_candidate>& candidates,
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -10,6 +10,15 @@
 /// a dead connection must be noticed quickly.
 constexpr std::chrono::milliseconds kConfigurationMaxWait{1000};
 
+/// All instances have the same terms, so those of this one also tell what the
+/// previous owner of a shard may have done.
+runtime_settings WithOwnerTerms(runtime_settings settings) {
+  settings.driver.processors_milli = settings.ownership.processors_milli;
+  settings.driver.owner_lease_term = settings.ownership.term;
+  settings.driver.outage_grace = settings.ownership.outage_grace;
+  return settings;
+}
+
 }  // namespace
 
 instance_runtime::instance_runtime(reactor::event_loop& loop,
@@ -27,7 +36,7 @@
       gateway_(gateway),
       permits_(permits),
       log_(log),
-      settings_(std::move(settings)),
+      settings_(WithOwnerTerms(std::move(settings))),
       configuration_(std::move(configuration)),
       shared_watcher_(loop,
                       store,
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -32,8 +32,7 @@
 
 void ownership::Release(std::function<void()> done) {
   releasing_ = true;
-  while (!owned_.empty())
-    Drop(owned_.begin()->first, "stopping");
+  DropAll("stopping");
   if (lease_ == 0)
     return done();
   store_.End(std::exchange(lease_, 0),
@@ -75,6 +74,11 @@
   hooks_.on_lost(shard);
 }
 
+void ownership::DropAll(std::string_view reason) {
+  while (!owned_.empty())
+    Drop(owned_.begin()->first, reason);
+}
+
 void ownership::RequestLease() {
   if (releasing_)
     return;
@@ -132,14 +136,13 @@
           log_.Write(renewed ? "store_regained" : "store_lost",
                      {{"call", "renew"},
                       {"error", renewed ? "" : renewed.error().message}});
-        const bool regained = std::exchange(renewal_failing_, !renewed);
-        if (renewed && regained)
-          hooks_.on_store_regained();
+        const bool was_failing = std::exchange(renewal_failing_, !renewed);
         if (renewed) {
           valid_until_ = sent + settings_.term - settings_.clock_margin;
+          if (was_failing)
+            hooks_.on_store_regained();
         } else if (GetAuthority() == protocol::authority::kNone) {
-          while (!owned_.empty())
-            Drop(owned_.begin()->first, "the lease may have expired");
+          DropAll("the lease may have expired");
         }
         RenewLater();
       }));
@@ -148,8 +151,7 @@
 void ownership::LoseLease(std::string_view reason) {
   log_.Write("lease_lost", {{"lease", lease_}, {"reason", reason}});
   lease_ = 0;
-  while (!owned_.empty())
-    Drop(owned_.begin()->first, reason);
+  DropAll(reason);
   RequestLease();
 }
 
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -119,7 +119,6 @@
   wanted.ownership.node = made.node;
   wanted.ownership.processors_milli = ProcessorsOf(index);
   wanted.driver.node = made.node;
-  wanted.driver.processors_milli = ProcessorsOf(index);
   wanted.driver.max_entry_bytes = settings_.max_entry_bytes;
   wanted.workers_per_shard = settings_.workers_per_shard;
   runtime::worker_source workers{
