--- a/src/runtime/internal/shard_room.cc
+++ b/src/runtime/internal/shard_room.cc
@@ -14,15 +14,6 @@
 /// submission reserves.
 constexpr std::int64_t kMoveRoomFactor = 2;
 
-/// Returns what the largest task without prerequisites reserves, in millicores.
-std::int64_t LargestFirstTask(const submissions::submission& request) {
-  std::int64_t largest = 0;
-  for (const submissions::step_request& step : request.steps)
-    if (!step.best_effort && step.after.empty())
-      largest = std::max(largest, step.demand.processors_milli);
-  return largest;
-}
-
 /// Room by shard; a shard without a known room has the mean of the others.
 std::vector<std::int64_t> UsableByShard(
     const std::map<std::uint32_t, shard_room>& rooms,
@@ -63,8 +54,8 @@
                           std::uint32_t shard_count,
                           const submissions::submission& offered,
                           std::uint64_t hash) {
-  std::vector<std::int64_t> usable =
-      UsableByShard(rooms, shard_count, LargestFirstTask(offered));
+  std::vector<std::int64_t> usable = UsableByShard(
+      rooms, shard_count, submissions::LargestReservedMilli(offered));
   std::int64_t total =
       std::accumulate(usable.begin(), usable.end(), std::int64_t{0});
   if (total == 0) {
@@ -85,7 +76,7 @@
     const std::map<std::uint32_t, shard_room>& rooms,
     std::uint32_t from,
     const submissions::submission& waiting) {
-  const std::int64_t task_milli = LargestFirstTask(waiting);
+  const std::int64_t task_milli = submissions::LargestReservedMilli(waiting);
   std::optional<std::uint32_t> best;
   std::int64_t most = kMoveRoomFactor * submissions::ReservedMilli(waiting);
   for (const auto& [shard, room] : rooms) {
--- a/src/submissions/include/chivecrank/submissions/types.h
+++ b/src/submissions/include/chivecrank/submissions/types.h
@@ -112,6 +112,8 @@
 
 /// Processors, in millicores, that the steps without prerequisites reserve.
 std::int64_t ReservedMilli(const submission& request);
+/// The most that one task of these steps reserves, in millicores.
+std::int64_t LargestReservedMilli(const submission& request);
 
 /// Identifies a task. Occurrences, steps and the tasks of a step are numbered
 /// from 0.
--- a/src/submissions/internal/candidate_queue.cc
+++ b/src/submissions/internal/candidate_queue.cc
@@ -9,14 +9,6 @@
 /// Score of a worker that must be scored again; sorts before all others.
 constexpr double kRescore = std::numeric_limits<double>::infinity();
 
-/// The request as it would be if the task had never run.
-placement_request WithoutHistory(const placement_request& request) {
-  static const task_progress never_ran;
-  placement_request general = request;
-  general.progress = &never_ran;
-  return general;
-}
-
 bool HasRun(const worker_entry& worker, const placement_request& request) {
   return request.progress->run > 0 && worker.runs.contains(request.task);
 }
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -61,6 +61,13 @@
 
 }  // namespace
 
+placement_request WithoutHistory(const placement_request& request) {
+  static const task_progress never_ran;
+  placement_request general = request;
+  general.progress = &never_ran;
+  return general;
+}
+
 coordination::resources ReservedBy(const step_request& step) {
   coordination::resources reserved = step.demand;
   if (step.best_effort)
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -86,6 +86,9 @@
   mutable std::uint64_t scored_ = 0;
 };
 
+/// The request as it would be if the task had never run.
+placement_request WithoutHistory(const placement_request& request);
+
 /// Resources that a run of the step reserves on its worker.
 coordination::resources ReservedBy(const step_request& step);
 
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -150,9 +150,7 @@
                                 const live_submission& live,
                                 const task_ref& task,
                                 base::time_point now) {
-  static const task_progress never_ran;
-  placement_request request = request_for_(live, task, now);
-  request.progress = &never_ran;
+  placement_request request = WithoutHistory(request_for_(live, task, now));
   request.current_worker = &current_worker;
   worker_entry* found = nullptr;
   if (!infeasible_.Covers(request, 1))
--- a/src/submissions/internal/types.cc
+++ b/src/submissions/internal/types.cc
@@ -1,5 +1,6 @@
 #include "chivecrank/submissions/types.h"
 
+#include <algorithm>
 #include <array>
 
 namespace chivecrank::submissions {
@@ -22,16 +23,29 @@
   return names.at(static_cast<std::size_t>(value));
 }
 
+/// Whether the step reserves processors as soon as its submission may start.
+bool ReservesAtOnce(const step_request& step) {
+  return !step.best_effort && step.after.empty();
+}
+
 }  // namespace
 
 std::int64_t ReservedMilli(const submission& request) {
   std::int64_t reserved = 0;
   for (const step_request& step : request.steps)
-    if (!step.best_effort && step.after.empty())
+    if (ReservesAtOnce(step))
       reserved += step.demand.processors_milli * step.task_count;
   return reserved;
 }
 
+std::int64_t LargestReservedMilli(const submission& request) {
+  std::int64_t largest = 0;
+  for (const step_request& step : request.steps)
+    if (ReservesAtOnce(step))
+      largest = std::max(largest, step.demand.processors_milli);
+  return largest;
+}
+
 std::string_view SubmissionOutcomeName(submission_outcome value) {
   return NameIn(kOutcomeNames, value);
 }
--- a/src/submissions/internal/validation.cc
+++ b/src/submissions/internal/validation.cc
@@ -11,6 +11,7 @@
 /// Millicores, MiB or accelerators of a task; far above any worker, and small
 /// enough that sums over all tasks of a shard can't overflow.
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
+constexpr std::int32_t kMaxOccurrences = 10'000;
 constexpr std::chrono::milliseconds kMaxTime = std::chrono::hours(24 * 365);
 
 base::error Invalid(std::string what, std::string remedy) {
@@ -51,9 +52,10 @@
 }
 
 base::result<void> ValidateRecurrence(const recurrence& repeats) {
-  if (repeats.count < 0)
-    return Invalid("the number of occurrences is negative",
-                   "leave it out or set it to 1 or more");
+  if (repeats.count < 0 || repeats.count > kMaxOccurrences)
+    return Invalid(
+        "the number of occurrences is out of range",
+        "leave it out or set it from 1 to " + std::to_string(kMaxOccurrences));
   if (!IsTime(repeats.interval) || repeats.first_due_since_epoch.count() < 0)
     return Invalid("the times of the occurrences are out of range",
                    "give times since 1970 and intervals of up to a year");
--- a/src/submissions/tests/validation_test.cc
+++ b/src/submissions/tests/validation_test.cc
@@ -56,6 +56,12 @@
   submission many_occurrences = Valid();
   many_occurrences.repeats.count = 10'000;
   BOOST_TEST(IsRejected(many_occurrences));
+  many_occurrences.steps.resize(1);
+  many_occurrences.steps[0].task_count = 1;
+  BOOST_TEST(Validate(many_occurrences).has_value());
+  many_occurrences.repeats.count = 10'001;
+  BOOST_TEST(IsRejected(many_occurrences));
+  many_occurrences = Valid();
   many_occurrences.repeats.count = 1000;
   BOOST_TEST(Validate(many_occurrences).has_value());
 }
