A holdover clock reads its source once

Now it reads each of the source's times once, so that both belong to one moment. Behaviour is the same.

--- a/src/base/include/chivecrank/base/holdover_clock.h
+++ b/src/base/include/chivecrank/base/holdover_clock.h
@@ -16,7 +16,7 @@
 };
 
 /// Clock whose time of day goes on with the monotonic time while that of the
-/// source jumps to and fro, as it does when time synchronization fails. Not
+/// source jumps back and forth, as it does when time synchronization fails. Not
 /// thread-safe. The source must outlive it.
 class holdover_clock final : public clock {
  public:
@@ -30,9 +30,9 @@
   /// Time of day less monotonic time.
   using offset = duration;
 
-  offset SourceOffset() const;
+  offset SourceOffsetAt(time_point now) const;
   bool IsNear(offset left, offset right) const;
-  void Follow(offset current) const;
+  void Follow(offset current, time_point now) const;
 
   clock& source_;
   const holdover_settings settings_;
