--- a/tests/emulator/include/chivecrank/emulator/emulated_processor.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_processor.h
@@ -35,6 +35,12 @@
   void Deliver(std::size_t items, std::function<void()> handle);
   /// When the instance can do something next; std::nullopt when nothing waits.
   std::optional<base::time_point> NextTurn() const;
+  /// The same for a message that `network` delivers `delay` from now. The
+  /// processor must exist until then.
+  void DeliverAfter(reactor::event_loop& network,
+                    std::chrono::milliseconds delay,
+                    std::size_t items,
+                    std::function<void()> handle);
   /// A frozen instance does nothing; what reaches it waits.
   void Freeze(bool frozen) { frozen_ = frozen; }
   /// Runs due timers and messages until the processor is busy.
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -104,7 +104,6 @@
   bool IsAlive(std::size_t index) const;
   /// The instance that owns a shard; the number of instances when none does.
   std::size_t OwnerOf(std::uint32_t shard) const;
-  std::int64_t ProcessorsOf(std::size_t index) const;
   /// The store turns an instance away, or serves it again.
   void Isolate(std::size_t index, bool isolated);
   /// Stops an instance where it is, or lets it go on.
@@ -172,6 +171,7 @@
     std::int32_t attempts = 0;
   };
 
+  std::int64_t ProcessorsOf(std::size_t index) const;
   void StartLater(std::size_t index);
   instance_state* ReadyInstance();
   /// Calls `use` with a random ready instance once it has processor time for
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -171,9 +171,7 @@
   void Answer(std::chrono::milliseconds delay,
               std::function<void()> step,
               std::size_t items = 0) {
-    Later(delay, [&processor = processor_, items, step = std::move(step)] {
-      processor.Deliver(items, step);
-    });
+    processor_.DeliverAfter(shared_.loop_, delay, items, std::move(step));
   }
 
   emulated_workers& shared_;
--- a/tests/emulator/internal/emulated_permits.cc
+++ b/tests/emulator/internal/emulated_permits.cc
@@ -35,10 +35,7 @@
 
  private:
   void Answer(std::chrono::milliseconds delay, std::function<void()> step) {
-    shared_.loop_.After(delay,
-                        [&processor = processor_, step = std::move(step)] {
-                          processor.Deliver(0, step);
-                        });
+    processor_.DeliverAfter(shared_.loop_, delay, 0, std::move(step));
   }
 
   emulated_permits& shared_;
--- a/tests/emulator/internal/emulated_processor.cc
+++ b/tests/emulator/internal/emulated_processor.cc
@@ -20,6 +20,15 @@
   messages_.push_back({items, std::move(handle)});
 }
 
+void emulated_processor::DeliverAfter(reactor::event_loop& network,
+                                      std::chrono::milliseconds delay,
+                                      std::size_t items,
+                                      std::function<void()> handle) {
+  network.After(delay, [this, items, handle = std::move(handle)] {
+    Deliver(items, handle);
+  });
+}
+
 std::optional<base::time_point> emulated_processor::NextTurn() const {
   if (frozen_)
     return std::nullopt;
--- a/tests/emulator/internal/emulated_store.cc
+++ b/tests/emulator/internal/emulated_store.cc
@@ -155,9 +155,7 @@
   void Answer(std::chrono::milliseconds delay,
               std::function<void()> step,
               std::size_t items = 0) {
-    Later(delay, [&processor = processor_, items, step = std::move(step)] {
-      processor.Deliver(items, step);
-    });
+    processor_.DeliverAfter(shared_.loop_, delay, items, std::move(step));
   }
 
   void AnswerChanges(const metadata::change_list& list,
--- a/tests/emulator/tests/owner_choice_test.cc
+++ b/tests/emulator/tests/owner_choice_test.cc
@@ -13,9 +13,8 @@
 constexpr milliseconds kStep{20};
 
 /// Two large instances and many small ones, which fall behind with a shard.
-struct mixed_fixture {
+struct mixed_fixture : day_fixture {
   mixed_fixture() {
-    settings.queues = {UrgentLoad(), FillingLoad()};
     settings.instances = kInstances;
     settings.instance_processors_milli = {500, 500, 69};
     settings.costs = {.per_message = std::chrono::microseconds(100),
@@ -23,12 +22,11 @@
     settings.start_spread = milliseconds(300);
   }
 
-  emulation& Begin(std::uint64_t seed) {
+  void Begin(std::uint64_t seed) {
     settings.seed = seed;
     day = std::make_unique<emulation>(settings);
     day->Run(seconds(8), true);
     BOOST_REQUIRE(IsLarge(day->OwnerOf(0)));
-    return *day;
   }
 
   static bool IsLarge(std::size_t index) { return index < kLargeInstances; }
@@ -44,16 +42,6 @@
     }
     return owned;
   }
-
-  void CheckPromises() const {
-    day->Run(seconds(25), false);
-    for (const broken_promise& broken : day->Workers().Broken())
-      BOOST_ERROR(broken.name + ": " + broken.task);
-    BOOST_TEST(day->Open().size() == 0u);
-  }
-
-  emulation_settings settings;
-  std::unique_ptr<emulation> day;
 };
 
 }  // namespace
