--- a/src/runtime/include/chivecrank/runtime/instance_metrics.h
+++ b/src/runtime/include/chivecrank/runtime/instance_metrics.h
@@ -46,6 +46,8 @@
                          std::chrono::milliseconds since_accepted);
   void SetShardsOwned(std::size_t shards);
   void SetConfigurationVersion(std::int64_t version);
+  /// Workers with runs that do not answer.
+  void SetAwaitedWorkers(std::size_t workers);
   void SetReady(bool ready);
   /// Sets a total that another component counts.
   void SetTotal(std::string_view what, std::uint64_t total);
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -60,6 +60,9 @@
   void SetQueues(const submissions::queue_table& queues);
   void SetWorkers(std::vector<submissions::worker_description> workers);
   bool IsRestored() const { return restored_; }
+  submissions::awaited_runs AwaitedRuns() const {
+    return scheduler_.AwaitedRuns(loop_.Now());
+  }
 
  private:
   struct poll_state {
@@ -81,6 +84,8 @@
 
   void ScheduleDecision();
   void DecidePeriodically();
+  /// Logs the runs whose workers don't answer whenever their number changes.
+  void LogAwaitedRuns();
   void SendCommands();
   void SendStart(const submissions::start_command& command);
   void SendStop(const submissions::stop_command& command);
@@ -116,6 +121,8 @@
   shard_journal journal_;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, poll_state> polls_;
+  /// As last logged.
+  std::size_t awaited_workers_ = 0;
   bool restored_ = false;
   bool decision_due_ = false;
   reactor::callback_guard guard_;
--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -54,7 +54,8 @@
       {"chivecrank_scheduler_events_total", "event, outcome",
        "Decisions and observations of the scheduler, as in the log."},
       {"chivecrank_state", "what",
-       "ready (0 or 1), shards_owned, configuration_version."},
+       "ready (0 or 1), shards_owned, configuration_version, awaited_workers "
+       "(workers with runs that do not answer)."},
       {"chivecrank_totals", "what",
        "Since the start: store and worker calls by kind, connections, log "
        "lines left out."},
@@ -130,6 +131,10 @@
       .Set(static_cast<double>(version));
 }
 
+void instance_metrics::SetAwaitedWorkers(std::size_t workers) {
+  state_.Add({{"what", "awaited_workers"}}).Set(static_cast<double>(workers));
+}
+
 void instance_metrics::SetReady(bool ready) {
   state_.Add({{"what", "ready"}}).Set(ready ? 1 : 0);
 }
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -93,6 +93,10 @@
   metrics_.SetReady(IsReady());
   metrics_.SetShardsOwned(ownership_.OwnedCount());
   metrics_.SetConfigurationVersion(queues_ ? queues_->version : 0);
+  std::size_t awaited_workers = 0;
+  for (const auto& [shard, driver] : drivers_)
+    awaited_workers += driver->AwaitedRuns().workers;
+  metrics_.SetAwaitedWorkers(awaited_workers);
   metrics_.SetTotal("log_lines_left_out", log_.DroppedLines());
   return metrics_;
 }
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -202,11 +202,23 @@
 
 void shard_driver::DecidePeriodically() {
   housekeeping_.MoveUnplaced();
+  LogAwaitedRuns();
   ScheduleDecision();
   guard_.Later(settings_.idle_decision_interval,
                [this] { DecidePeriodically(); });
 }
 
+void shard_driver::LogAwaitedRuns() {
+  const submissions::awaited_runs awaited = AwaitedRuns();
+  if (awaited.workers == awaited_workers_)
+    return;
+  awaited_workers_ = awaited.workers;
+  log_.Write("runs_awaited", {{"shard", shard_},
+                              {"workers", awaited.workers},
+                              {"runs", awaited.runs},
+                              {"longest_ms", awaited.longest_wait.count()}});
+}
+
 void shard_driver::SendCommands() {
   if (!HasFullAuthority())
     return;
@@ -338,7 +350,9 @@
     if (report.error().kind == base::error_kind::kFenced)
       return hooks_.on_fenced("a worker follows a newer owner");
     log_.Write("look_failed",
-               {{"worker", worker}, {"error", report.error().message}});
+               {{"worker", worker},
+                {"kind", base::ErrorKindName(report.error().kind)},
+                {"error", report.error().message}});
     return SchedulePoll(worker, settings_.poll_retry_delay);
   }
   scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -30,6 +30,15 @@
   std::vector<std::int32_t> workers_by_free_cores;
 };
 
+/// Runs on workers that have not answered for a while. Whether such a run is
+/// alive is unknown until its worker answers or the worker's lease is over.
+struct awaited_runs {
+  std::size_t workers = 0;
+  std::size_t runs = 0;
+  /// Time until the last of the leases is over.
+  std::chrono::milliseconds longest_wait{0};
+};
+
 /// Decides where the tasks of one shard run. Deterministic and without I/O: the
 /// caller passes in reports, answers and the time, commits each batch, and then
 /// sends the commands that the batch allows. Not thread-safe.
@@ -96,6 +105,7 @@
   std::int64_t AcknowledgedEnd(const std::string& worker) const;
   /// Whether the scheduler knows of any run on the worker.
   bool HasRuns(const std::string& worker) const;
+  awaited_runs AwaitedRuns(base::time_point now) const;
   /// Whether a worker has reported that it follows a newer owner.
   bool IsFenced() const;
   /// Returns the complete state as a snapshot entry.
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -251,6 +251,23 @@
   return worker != nullptr && !worker->runs.empty();
 }
 
+awaited_runs shard_scheduler::AwaitedRuns(base::time_point now) const {
+  awaited_runs awaited;
+  for (const auto& [id, worker] : core_->tracker.Workers().All()) {
+    const bool answers = worker.reported && now - worker.reported_at <=
+                                                core_->settings.max_report_age;
+    if (worker.runs.empty() || answers)
+      continue;
+    ++awaited.workers;
+    awaited.runs += worker.runs.size();
+    awaited.longest_wait =
+        std::max(awaited.longest_wait,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     worker.lease_expiry - now));
+  }
+  return awaited;
+}
+
 std::uint64_t shard_scheduler::ScoredWorkers() const {
   return core_->run_planner.Placer().ScoredWorkers();
 }
