--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -20,6 +20,7 @@
   kClockAhead,
   kClockBehind,
   kCrashWorkers,
+  kReplaceWorkers,
   kCutWorkers,
   kDrainWorkers,
   kFailingWorkers,
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -101,6 +101,13 @@
   /// Ends a worker's life; it comes back empty with Restart.
   void Crash(const std::string& id);
   void Restart(const std::string& id, std::int64_t born_ms);
+  /// Another worker starts at the address of a crashed one, which never comes
+  /// back.
+  void Replace(const std::string& id,
+               const std::string& successor,
+               std::int64_t born_ms);
+  bool IsReplaced(const std::string& id) const;
+  /// The workers that were not replaced.
   std::vector<std::string> Ids() const;
   const submissions::worker_description& DescriptionOf(
       const std::string& id) const;
@@ -118,6 +125,7 @@
   const std::vector<broken_promise>& Broken() const { return broken_; }
   std::size_t Running() const;
   std::size_t RunningOf(const std::string& submission) const;
+  bool IsRunning(const submissions::task_ref& task) const;
   /// Seconds that services were over their latency bound, in all.
   double OverBoundSeconds() const { return over_bound_seconds_; }
 
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -59,6 +59,7 @@
   std::size_t workers_per_rack = 4;
   coordination::resources capacity{16'000, 64'000, 0};
   std::int64_t workers_per_shard = 100;
+  std::chrono::milliseconds worker_lease{6000};
   /// Values that the store takes, and entries that journals are split into.
   std::size_t value_bytes = std::size_t{1} << 20;
   std::size_t max_entry_bytes = 400 * 1024;
@@ -122,6 +123,9 @@
   }
   /// Removes a worker's entry, or writes it again.
   void Unlist(const std::string& worker);
+  /// Starts and lists another worker at the address of a crashed one, and
+  /// returns its identifier.
+  std::string Replace(const std::string& worker);
   /// The worker's entry says that it is about to leave.
   void Drain(const std::string& worker);
   /// Callers hand in so many times their usual load from now on.
@@ -134,6 +138,8 @@
   caller_counts Total() const;
   /// Accepted submissions whose end no caller has seen.
   std::vector<std::string> Open() const;
+  /// Tasks of accepted services that run on no worker now.
+  std::vector<submissions::task_ref> IdleLastingTasks() const;
   /// By queue, the least share of the submissions offered within one of the
   /// windows that ended in time. Queues of services are left out.
   std::map<std::string, double> WorstWindows(
@@ -208,6 +214,8 @@
   std::map<std::string, caller_counts> callers_;
   std::map<std::string, bool> poisoned_;
   std::uint64_t last_id_ = 0;
+  /// Start of the newest worker that replaced another one.
+  std::int64_t last_started_at_ms_ = 1;
   bool loading_ = false;
   double load_factor_ = 1;
 };
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -66,6 +66,7 @@
     case fault_kind::kClockBehind:
       return HitInstances(fault);
     case fault_kind::kCrashWorkers:
+    case fault_kind::kReplaceWorkers:
     case fault_kind::kCutWorkers:
     case fault_kind::kDrainWorkers:
     case fault_kind::kFailingWorkers:
@@ -144,6 +145,14 @@
         return emulation_.Unlist(worker);
       }
       return Revive(worker);
+    case fault_kind::kReplaceWorkers:
+      if (begins) {
+        emulation_.Workers().Crash(worker);
+        return emulation_.Unlist(worker);
+      }
+      if (!emulation_.Workers().IsReplaced(worker))
+        emulation_.Replace(worker);
+      return;
     case fault_kind::kDrainWorkers:
       if (!begins)
         return Revive(worker);
@@ -169,6 +178,8 @@
 }
 
 void day_player::Revive(const std::string& worker) {
+  if (emulation_.Workers().IsReplaced(worker))
+    return;
   // Another fault may have brought it back before.
   emulation_.Workers().Crash(worker);
   emulation_.Workers().Restart(worker, ++last_life_);
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -16,25 +16,17 @@
 constexpr settings::number_range kShares = {0, 1};
 constexpr settings::number_range kStrengths = {0, 1000};
 
-constexpr std::array<std::string_view, 19> kFaultNames = {"kill_instances",
-                                                          "stop_instances",
-                                                          "isolate_instances",
-                                                          "freeze_instances",
-                                                          "clock_ahead",
-                                                          "clock_behind",
-                                                          "crash_workers",
-                                                          "cut_workers",
-                                                          "drain_workers",
-                                                          "failing_workers",
-                                                          "hanging_workers",
-                                                          "slow_workers",
-                                                          "late_orders",
-                                                          "store_down",
-                                                          "store_silent",
-                                                          "store_slow",
-                                                          "store_loses_answers",
-                                                          "store_compacts",
-                                                          "burst"};
+constexpr std::array<std::string_view, 20> kFaultNames = {
+    "kill_instances",    "stop_instances",
+    "isolate_instances", "freeze_instances",
+    "clock_ahead",       "clock_behind",
+    "crash_workers",     "replace_workers",
+    "cut_workers",       "drain_workers",
+    "failing_workers",   "hanging_workers",
+    "slow_workers",      "late_orders",
+    "store_down",        "store_silent",
+    "store_slow",        "store_loses_answers",
+    "store_compacts",    "burst"};
 
 std::optional<fault_kind> FaultKindOf(std::string_view name) {
   for (std::size_t i = 0; i < kFaultNames.size(); ++i)
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -29,8 +29,12 @@
       override {
     ++shared_.counts_.looks;
     const base::time_point lease_end = LeaseEnd(request.header);
-    Later(kOneWay, [this, id = worker.id, request, lease_end, done] {
-      auto* state = Reachable(id);
+    Later(kOneWay, [this, id = worker.id, address = worker.address, request,
+                    lease_end, done] {
+      if (AnotherAnswersAt(address, id))
+        return Answer(kOneWay,
+                      [done] { done(NoAnswer(base::error_kind::kNotFound)); });
+      auto* state = ReachableAt(address, id);
       if (state == nullptr)
         return Answer(request.wait + kLookSlack, [done] {
           done(NoAnswer(base::error_kind::kUnavailable));
@@ -73,9 +77,13 @@
              std::function<void(submissions::start_outcome)> done) override {
     const base::time_point lease_end = LeaseEnd(terms);
     const double dice = Dice();
-    Later(kOneWay, [this, id = worker.id, command, terms, lease_end, done,
-                    dice] {
-      auto* state = Reachable(id);
+    Later(kOneWay, [this, id = worker.id, address = worker.address, command,
+                    terms, lease_end, done, dice] {
+      if (AnotherAnswersAt(address, id))
+        return Answer(kOneWay, [done] {
+          done(submissions::start_outcome::kOtherIncarnation);
+        });
+      auto* state = ReachableAt(address, id);
       if (state == nullptr)
         return Answer(kOrderTimeout,
                       [done] { done(submissions::start_outcome::kNotSent); });
@@ -137,6 +145,21 @@
           });
   }
 
+  /// The worker, if it answers at this address.
+  emulated_workers::worker_state* ReachableAt(const settings::endpoint& address,
+                                              const std::string& id) {
+    auto* state = Reachable(id);
+    const bool found = state && state->description.address == address;
+    return found ? state : nullptr;
+  }
+
+  bool AnotherAnswersAt(const settings::endpoint& address,
+                        const std::string& id) {
+    return std::ranges::any_of(shared_.workers_, [&](const auto& entry) {
+      return entry.first != id && ReachableAt(address, entry.first) != nullptr;
+    });
+  }
+
   emulated_workers::worker_state* Reachable(const std::string& id) {
     const auto found = shared_.workers_.find(id);
     if (found == shared_.workers_.end() || found->second->faults.cut_off ||
--- a/tests/emulator/internal/emulated_worker_state.h
+++ b/tests/emulator/internal/emulated_worker_state.h
@@ -32,6 +32,8 @@
 struct emulated_workers::worker_state {
   submissions::worker_description description;
   worker_faults faults;
+  /// Another worker has its address.
+  bool replaced = false;
   /// Since when it says that it leaves; unset while it doesn't.
   std::optional<base::time_point> leaves_since;
   std::int64_t fence = 0;
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -72,6 +72,21 @@
   worker.description.started_at_ms = born_ms;
 }
 
+void emulated_workers::Replace(const std::string& id,
+                               const std::string& successor,
+                               std::int64_t born_ms) {
+  worker_state& worker = *workers_.at(id);
+  worker.replaced = true;
+  submissions::worker_description description = worker.description;
+  description.id = successor;
+  description.started_at_ms = born_ms;
+  Add(std::move(description));
+}
+
+bool emulated_workers::IsReplaced(const std::string& id) const {
+  return workers_.at(id)->replaced;
+}
+
 void emulated_workers::Leaves(const std::string& id) {
   workers_.at(id)->leaves_since = loop_.Now();
 }
@@ -79,7 +94,8 @@
 std::vector<std::string> emulated_workers::Ids() const {
   std::vector<std::string> ids;
   for (const auto& [id, worker] : workers_)
-    ids.push_back(id);
+    if (!worker->replaced)
+      ids.push_back(id);
   return ids;
 }
 
@@ -112,6 +128,12 @@
   return running;
 }
 
+bool emulated_workers::IsRunning(const submissions::task_ref& task) const {
+  return std::ranges::any_of(workers_, [&](const auto& entry) {
+    return entry.second->runs.contains(task);
+  });
+}
+
 void emulated_workers::Tick() {
   for (auto& [id, worker] : workers_)
     if (!worker->faults.crashed)
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -16,6 +16,8 @@
 constexpr std::int32_t kAttempts = 5;
 constexpr std::string_view kWorkers = "workers/";
 constexpr std::string_view kConfiguration = "operator/queues";
+constexpr std::uint16_t kWorkerPort = 8367;
+constexpr std::size_t kWorkersPerNetwork = 250;
 
 /// The emulator's own form of a worker's entry: its identifier and whether it
 /// drains; the rest is looked up.
@@ -23,6 +25,12 @@
   return worker.draining ? "draining" : "ready";
 }
 
+settings::endpoint AddressOf(std::size_t worker) {
+  return {absl::StrFormat("10.64.%d.%d", worker / kWorkersPerNetwork,
+                          worker % kWorkersPerNetwork),
+          kWorkerPort};
+}
+
 bool IsOver(runtime::submission_state state) {
   return state == runtime::submission_state::kCompleted ||
          state == runtime::submission_state::kFailed ||
@@ -54,6 +62,7 @@
     worker.rack = absl::StrFormat("rack-%d", i / settings_.workers_per_rack);
     worker.labels = {"a", worker.rack};
     worker.capacity = settings_.capacity;
+    worker.address = AddressOf(i);
     worker.started_at_ms = 1;
     workers_.Add(worker);
     List(worker.id);
@@ -80,6 +89,27 @@
   store_.Delete(std::string(kWorkers) + worker);
 }
 
+std::string emulation::Replace(const std::string& worker) {
+  const std::string successor = worker + "-next";
+  workers_.Replace(worker, successor, ++last_started_at_ms_);
+  List(successor);
+  return successor;
+}
+
+std::vector<submissions::task_ref> emulation::IdleLastingTasks() const {
+  std::vector<submissions::task_ref> idle;
+  for (const auto& [id, caller] : submitted_) {
+    if (!caller.accepted || caller.over || !caller.load->step.long_running)
+      continue;
+    const std::int32_t count = caller.load->step.task_count;
+    for (std::int32_t index = 0; index < count; ++index)
+      if (const submissions::task_ref task{id, 0, 0, index};
+          !workers_.IsRunning(task))
+        idle.push_back(task);
+  }
+  return idle;
+}
+
 void emulation::Drain(const std::string& worker) {
   submissions::worker_description entry = workers_.DescriptionOf(worker);
   entry.draining = true;
@@ -120,6 +150,7 @@
   wanted.ownership.processors_milli = ProcessorsOf(index);
   wanted.driver.node = made.node;
   wanted.driver.max_entry_bytes = settings_.max_entry_bytes;
+  wanted.driver.scheduling.worker_lease = settings_.worker_lease;
   wanted.workers_per_shard = settings_.workers_per_shard;
   runtime::worker_source workers{
       std::string(kWorkers),
