Runs end with their worker once another one answers at its address

Cause: when a worker's address answers as another worker, a poll fails with "not found". The owner logged that and went on counting the worker's runs as alive until its lease was over.

Change: a worker has one life and one address, and only another life answers so; its runs, but for those begun since the poll was sent, are lost at once and their tasks placed anew. A start is sent only to a worker that has answered this owner. Moving the bound of 12.5 s was ruled out: it would end runs that live.

--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -353,6 +353,10 @@
                {{"worker", worker},
                 {"kind", base::ErrorKindName(report.error().kind)},
                 {"error", report.error().message}});
+    if (report.error().kind == base::error_kind::kNotFound) {
+      scheduler_.OnWorkerReplaced(worker, requested_at);
+      ScheduleDecision();
+    }
     return SchedulePoll(worker, settings_.poll_retry_delay);
   }
   scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -72,6 +72,11 @@
                 const worker_report& report,
                 base::time_point requested_at,
                 base::time_point now);
+  /// Handles that another worker answered, at this worker's address, to a
+  /// request sent at `requested_at`: the worker has ended, and its runs with
+  /// it.
+  void OnWorkerReplaced(const std::string& worker,
+                        base::time_point requested_at);
   void OnStartOutcome(const start_command& command,
                       start_outcome outcome,
                       base::time_point now);
--- a/src/submissions/include/chivecrank/submissions/worker_gateway.h
+++ b/src/submissions/include/chivecrank/submissions/worker_gateway.h
@@ -35,7 +35,8 @@
  public:
   virtual ~worker_gateway() = default;
 
-  /// Fails with kFenced if the worker follows a newer owner.
+  /// Fails with kFenced if the worker follows a newer owner, and with kNotFound
+  /// if another worker answers at its address, so that this one has ended.
   virtual void Poll(const worker_description& worker,
                     const poll_request& request,
                     std::function<void(base::result<worker_report>)> done) = 0;
--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -18,17 +18,28 @@
                   .worker = id,
                   .input = static_cast<std::int64_t>(worker.runs.size())});
     worker.reported = false;
-    MarkAllLost(worker);
+    MarkLost(
+        worker, [](const active_run&) { return true; }, "lease_over");
   }
 }
 
-void shard_core::MarkAllLost(worker_entry& worker) {
+void shard_core::MarkEnded(worker_entry& worker, base::time_point known_at) {
+  worker.reported = false;
+  MarkLost(
+      worker,
+      [known_at](const active_run& run) { return run.phase_since < known_at; },
+      "worker_replaced");
+}
+
+void shard_core::MarkLost(worker_entry& worker,
+                          const std::function<bool(const active_run&)>& is_lost,
+                          std::string_view reason) {
   std::vector<task_ref> lost;
   for (const auto& [task, run] : worker.runs)
-    if (run.phase != run_phase::kUncommitted)
+    if (run.phase != run_phase::kUncommitted && is_lost(run))
       lost.push_back(task);
   for (const task_ref& task : lost)
-    tracker.MarkLost(worker, task, "lease_over");
+    tracker.MarkLost(worker, task, reason);
 }
 
 void shard_core::ReleaseAcks(std::uint64_t batch) {
@@ -52,7 +63,7 @@
   const live_submission* live =
       tracker.Submissions().Find(command.task.submission);
   bool is_valid = live != nullptr && !live->outcome && worker->listed &&
-                  !worker->description.draining;
+                  worker->reported && !worker->description.draining;
   if (is_valid && run_planner.NeedsPermit(*live)) {
     const std::string* permit = permits.Find(command.task, *worker, now);
     is_valid = permit != nullptr;
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -2,7 +2,9 @@
 #define CHIVECRANK_SUBMISSIONS_INTERNAL_SHARD_CORE_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chivecrank/submissions/commands.h"
@@ -32,6 +34,9 @@
                        base::time_point now);
   /// Marks the runs of workers with expired leases as lost.
   void ExpireLeases(base::time_point now);
+  /// Marks the runs of a worker that has ended as lost, but for those begun
+  /// since `known_at`: they may be runs of a later incarnation.
+  void MarkEnded(worker_entry& worker, base::time_point known_at);
   /// Allows run ends that were recorded in this batch or an earlier one to be
   /// acknowledged.
   void ReleaseAcks(std::uint64_t batch);
@@ -58,7 +63,10 @@
   bool fenced = false;
 
  private:
-  void MarkAllLost(worker_entry& worker);
+  /// Marks the committed runs that `is_lost` selects as lost.
+  void MarkLost(worker_entry& worker,
+                const std::function<bool(const active_run&)>& is_lost,
+                std::string_view reason);
 };
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -126,6 +126,13 @@
                          core_->last_batch + 1);
 }
 
+void shard_scheduler::OnWorkerReplaced(const std::string& worker_id,
+                                       base::time_point requested_at) {
+  worker_entry* worker = core_->tracker.Workers().Find(worker_id);
+  if (worker != nullptr)
+    core_->MarkEnded(*worker, requested_at);
+}
+
 void shard_scheduler::OnStartOutcome(const start_command& command,
                                      start_outcome outcome,
                                      base::time_point now) {
--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -194,6 +194,28 @@
   BOOST_TEST(restarted[0].run == 2);
 }
 
+BOOST_AUTO_TEST_CASE(RunsOfAReplacedWorkerAreStartedAgainAtOnce) {
+  scheduler.Accept(MakeSubmission("a", MakeStep(1, 1000)));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  Advance(std::chrono::milliseconds(50));
+  scheduler.OnWorkerReplaced(starts[0].worker, now);
+  const auto restarted = RunRound();
+  BOOST_REQUIRE(restarted.size() == 1u);
+  BOOST_TEST(restarted[0].run == 2);
+  BOOST_TEST(restarted[0].worker != starts[0].worker);
+}
+
+BOOST_AUTO_TEST_CASE(RunsBegunAfterTheRequestOutliveAnAnswerOfAnotherWorker) {
+  const base::time_point requested_at = now;
+  Advance(std::chrono::milliseconds(50));
+  scheduler.Accept(MakeSubmission("a", MakeStep(1, 1000)));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  scheduler.OnWorkerReplaced(starts[0].worker, requested_at);
+  BOOST_TEST(RunRound().empty());
+}
+
 BOOST_AUTO_TEST_CASE(WorkerWithUnknownRunsGetsNoStartsUntilTheyEnd) {
   workers.resize(1);
   scheduler.SetWorkers(workers);
--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -30,13 +30,17 @@
   void Crash() {
     crashed = day->Workers().Ids();
     crashed.resize(kCrashed);
-    for (const std::string& id : crashed) {
+    for (const std::string& id : crashed)
       day->Workers().Crash(id);
-      day->Unlist(id);
-    }
     BOOST_REQUIRE(!day->IdleLastingTasks().empty());
   }
 
+  /// The entries of silent workers are removed after a while.
+  void Unlist() {
+    for (const std::string& id : crashed)
+      day->Unlist(id);
+  }
+
   void Replace() {
     for (const std::string& id : crashed)
       day->Replace(id);
@@ -72,6 +76,7 @@
   day->Run(milliseconds(550), false);
   day->StartInstance(owner);
   day->Run(milliseconds(450), false);
+  Unlist();
   Replace();
   day->Run(kRunsAgainWithin, false);
   CheckAllRun();
@@ -79,6 +84,7 @@
 
 BOOST_AUTO_TEST_CASE(TasksOfReplacedWorkersRunAgainUnderAnotherOwner) {
   Crash();
+  Unlist();
   ChangeOwner(seconds(3));
   Replace();
   day->Run(kRunsAgainWithin, false);
@@ -87,6 +93,7 @@
 
 BOOST_AUTO_TEST_CASE(TasksOfLostWorkersRunAgainThoughOwnersChange) {
   Crash();
+  Unlist();
   for (int change = 0; change < 4; ++change)
     ChangeOwner(seconds(4));
   day->Run(kRunsAgainWithin, false);
