--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -80,6 +80,8 @@
   void WaitForReplica();
   void ReadJournal();
   void Restore(const std::vector<metadata::item>& journal);
+  /// Adds the workers that have runs of earlier owners and aren't listed.
+  void AddUnlistedWorkers();
   void Accept(const std::string& id, const known_submission& known);
 
   void ScheduleDecision();
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -99,6 +99,7 @@
                                     settings_.outage_grace +
                                     settings_.scheduling.worker_lease +
                                     settings_.scheduling.lease_margin);
+  AddUnlistedWorkers();
   restored_ = true;
   log_.Write("shard_restored", {{"shard", shard_},
                                 {"fence", fence_},
@@ -112,6 +113,13 @@
   housekeeping_.Start();
 }
 
+void shard_driver::AddUnlistedWorkers() {
+  for (const submissions::worker_description& worker :
+       scheduler_.WorkersWithRuns())
+    if (worker.address.port != 0)
+      workers_.emplace(worker.id, worker);
+}
+
 void shard_driver::Accept(const std::string& id,
                           const known_submission& known) {
   auto record = submissions::DecodeSubmission(known.record);
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -128,10 +128,14 @@
 
 void shard_journal::AddTasks(metadata::transaction& changes) {
   const std::span<const submissions::task_change> tasks = batch_->tasks;
-  do
-    content_.tasks +=
-        AddEntry({}, tasks.subspan(tasks_written_ + content_.tasks), changes);
-  while (!WritesLastTask() && content_.entries < kMaxEntriesPerCommit);
+  do {
+    submissions::journal_entry entry;
+    // The first entry carries the workers.
+    if (tasks_written_ + content_.tasks == 0)
+      entry.workers = batch_->workers;
+    content_.tasks += AddEntry(
+        entry, tasks.subspan(tasks_written_ + content_.tasks), changes);
+  } while (!WritesLastTask() && content_.entries < kMaxEntriesPerCommit);
 }
 
 bool shard_journal::WritesLastTask() const {
--- a/src/submissions/include/chivecrank/submissions/progress.h
+++ b/src/submissions/include/chivecrank/submissions/progress.h
@@ -42,6 +42,14 @@
   task_progress progress;
 };
 
+/// What the next owner must know of a worker that runs depend on.
+struct worker_record {
+  std::string worker;
+  settings::endpoint address;
+
+  bool operator==(const worker_record&) const = default;
+};
+
 struct outcome_change {
   std::string submission;
   submission_outcome outcome = submission_outcome::kCompleted;
@@ -53,6 +61,7 @@
   std::uint64_t number = 0;
   std::vector<task_change> tasks;
   std::vector<outcome_change> outcomes;
+  std::vector<worker_record> workers;
 };
 
 }  // namespace chivecrank::submissions
--- a/src/submissions/include/chivecrank/submissions/record_codec.h
+++ b/src/submissions/include/chivecrank/submissions/record_codec.h
@@ -26,6 +26,7 @@
   bool is_snapshot = false;
   std::vector<task_change> tasks;
   std::vector<interference_estimate> interference_estimates;
+  std::vector<worker_record> workers;
 };
 
 std::string EncodeJournalEntry(const journal_entry& entry);
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -110,6 +110,8 @@
   std::int64_t AcknowledgedEnd(const std::string& worker) const;
   /// Whether the scheduler knows of any run on the worker.
   bool HasRuns(const std::string& worker) const;
+  /// Workers with runs, listed or not. Port 0 stands for an unknown address.
+  std::vector<worker_description> WorkersWithRuns() const;
   awaited_runs AwaitedRuns(base::time_point now) const;
   /// Whether a worker has reported that it follows a newer owner.
   bool IsFenced() const;
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -15,6 +15,7 @@
 /// Interference estimates are stored in thousandths.
 constexpr double kEstimateScale = 1000;
 constexpr rapidjson::SizeType kEstimateColumns = 4;
+constexpr rapidjson::SizeType kWorkerColumns = 2;
 
 /// Columns of a task's row in a journal entry, in stored order.
 enum task_column : std::size_t {
@@ -173,6 +174,26 @@
       static_cast<double>(json::IntegerAt(row, 3)) / kEstimateScale};
 }
 
+void WriteWorkers(json::writer& text,
+                  const std::vector<worker_record>& workers) {
+  text.Key("workers").BeginArray();
+  for (const worker_record& record : workers)
+    text.BeginArray()
+        .String(record.worker)
+        .String(settings::ToString(record.address))
+        .EndArray();
+  text.EndArray();
+}
+
+base::result<worker_record> ReadWorker(const json::value& row) {
+  if (!row.IsArray() || row.Size() < kWorkerColumns)
+    return Corrupt("a worker");
+  const auto address = settings::ParseEndpoint(json::StringAt(row, 1));
+  if (!address)
+    return Corrupt("a worker");
+  return worker_record{json::StringAt(row, 0), *address};
+}
+
 }  // namespace
 
 std::string EncodeSubmission(const submission& accepted) {
@@ -257,6 +278,8 @@
   text.EndArray();
   if (!entry.interference_estimates.empty())
     WriteEstimates(text, entry.interference_estimates);
+  if (!entry.workers.empty())
+    WriteWorkers(text, entry.workers);
   text.EndObject();
   return text.Text();
 }
@@ -279,6 +302,11 @@
       BOOST_OUTCOME_TRY(pair, ReadEstimate(row));
       entry.interference_estimates.push_back(std::move(pair));
     }
+  if (const json::value* workers = json::ArrayOf(parsed.value(), "workers"))
+    for (const json::value& row : workers->GetArray()) {
+      BOOST_OUTCOME_TRY(record, ReadWorker(row));
+      entry.workers.push_back(std::move(record));
+    }
   return entry;
 }
 
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -15,6 +15,7 @@
 #include "internal/planner.h"
 #include "internal/report_processor.h"
 #include "internal/run_tracker.h"
+#include "internal/worker_recorder.h"
 
 namespace chivecrank::submissions::internal {
 
@@ -26,7 +27,8 @@
         on_event(std::move(hook)),
         tracker(settings, on_event),
         reports(settings, tracker, interference),
-        run_planner(settings, tracker, interference, permits) {}
+        run_planner(settings, tracker, interference, permits),
+        recorder(tracker.Workers()) {}
 
   /// Prefers other workers until `term` has passed.
   static void AvoidFor(worker_entry& worker,
@@ -56,6 +58,7 @@
   permit_tracker permits;
   report_processor reports;
   planner run_planner;
+  worker_recorder recorder;
   std::uint64_t last_batch = 0;
   std::vector<start_command> starts_in_commit;
   std::vector<outcome_change> outcomes_in_commit;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -57,6 +57,8 @@
   }
   core_->interference.Import(entry.interference_estimates,
                              core_->tracker.Images());
+  for (const worker_record& record : entry.workers)
+    core_->recorder.Restore(record);
 }
 
 void shard_scheduler::FinishRestore(base::time_point now,
@@ -66,6 +68,7 @@
   for (const task_change& change : tracker.Submissions().AllProgress())
     if (change.progress.phase == task_phase::kAssigned)
       tracker.RestoreRun(change.task, now);
+  core_->recorder.FinishRestore();
   for (auto& [id, worker] : tracker.Workers().All())
     worker.lease_expiry = lease_expiry;
   // The previous owner may have stopped before it recorded these outcomes.
@@ -206,7 +209,7 @@
 
 std::optional<progress_batch> shard_scheduler::TakeBatch() {
   shard_core& state = *core_;
-  if (!state.tracker.HasChanges()) {
+  if (!state.tracker.HasChanges() && !state.recorder.HasDue()) {
     // Nothing to commit: processed ends may be acknowledged at once.
     state.ReleaseAcks(state.last_batch + 1);
     return std::nullopt;
@@ -215,6 +218,7 @@
   batch.number = ++state.last_batch;
   batch.tasks = state.tracker.Submissions().TakeChanged();
   batch.outcomes = state.tracker.TakeOutcomes();
+  batch.workers = state.recorder.TakeDue();
   state.starts_in_commit = state.tracker.TakeUncommittedStarts();
   state.outcomes_in_commit = batch.outcomes;
   return batch;
@@ -275,6 +279,14 @@
   return awaited;
 }
 
+std::vector<worker_description> shard_scheduler::WorkersWithRuns() const {
+  std::vector<worker_description> workers;
+  for (const auto& [id, worker] : core_->tracker.Workers().All())
+    if (!worker.runs.empty())
+      workers.push_back(worker.description);
+  return workers;
+}
+
 std::uint64_t shard_scheduler::ScoredWorkers() const {
   return core_->run_planner.Placer().ScoredWorkers();
 }
@@ -285,7 +297,8 @@
 
 journal_entry shard_scheduler::Snapshot() const {
   return {true, core_->tracker.Submissions().AllProgress(),
-          core_->interference.Estimates(core_->tracker.Images())};
+          core_->interference.Estimates(core_->tracker.Images()),
+          core_->recorder.All()};
 }
 
 std::vector<std::string> shard_scheduler::UnstartedSubmissions() const {
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -104,6 +104,8 @@
 
 struct worker_entry {
   worker_description description;
+  /// The address that the journal has; port 0 for none.
+  settings::endpoint recorded_address;
   /// Discovery lists the worker.
   bool listed = false;
   /// The worker has answered this owner.
--- a/src/submissions/tests/record_codec_test.cc
+++ b/src/submissions/tests/record_codec_test.cc
@@ -55,11 +55,22 @@
   BOOST_TEST((read.value().tasks[0].progress == change.progress));
 }
 
+BOOST_AUTO_TEST_CASE(JournalEntryRoundTripPreservesWorkers) {
+  journal_entry written;
+  written.workers = {{"w-1", {"10.0.0.1", 8367}}, {"w-2", {"10.0.0.2", 8367}}};
+  const auto read = DecodeJournalEntry(EncodeJournalEntry(written));
+  BOOST_REQUIRE(read);
+  BOOST_TEST((read.value().workers == written.workers));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedRecordsAreRejected) {
   BOOST_TEST(!DecodeSubmission("{}"));
   BOOST_TEST(!DecodeSubmission("\xff"));
   BOOST_TEST(!DecodeJournalEntry("{\"tasks\":[[1]]}"));
   BOOST_TEST(!DecodeJournalEntry("{}"));
+  BOOST_TEST(!DecodeJournalEntry("{\"tasks\":[],\"workers\":[[\"w-1\"]]}"));
+  BOOST_TEST(!DecodeJournalEntry(
+      "{\"tasks\":[],\"workers\":[[\"w-1\",\"nowhere\"]]}"));
   BOOST_TEST(!DecodeOutcome("done"));
 }
 
