The wait for a silent worker belongs to its runs and goes on across owners

Cause: an owner counts runs on workers that it doesn't reach as alive for 12.5 s from its own start, as the owner before may have renewed their leases until it lost the shard. It knew nothing of what that owner knew, so each change of owner started the wait anew.

Change: worker_recorder. An owner that gets no answer of a worker with runs for half a second stops renewing its lease and records how long the runs can still live; it repeats that each half second. The next owner counts the recorded time from its own start: the record was committed before. A worker that answers gets a lease only after a record that releases the bound is committed, the same order as commit before start. No clock is compared between instances. Counting the time between two owners was ruled out: no clock that may jump can tell it.

--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -94,11 +94,10 @@
       journal_.ReadEntries(journal);
   for (const submissions::journal_entry& entry : entries)
     scheduler_.Restore(entry);
-  const base::time_point now = loop_.Now();
-  scheduler_.FinishRestore(now, created_at_ + settings_.owner_lease_term +
-                                    settings_.outage_grace +
-                                    settings_.scheduling.worker_lease +
-                                    settings_.scheduling.lease_margin);
+  scheduler_.FinishRestore(loop_.Now(), created_at_,
+                           settings_.owner_lease_term + settings_.outage_grace +
+                               settings_.scheduling.worker_lease +
+                               settings_.scheduling.lease_margin);
   AddUnlistedWorkers();
   restored_ = true;
   log_.Write("shard_restored", {{"shard", shard_},
@@ -334,7 +333,7 @@
   poll_state& state = polls_[worker];
   // A worker that did not answer the last poll is polled without a lease.
   // Otherwise each retry could renew its lease, which would then never expire.
-  if (state.answered)
+  if (state.answered && scheduler_.MayRenewLease(worker))
     scheduler_.OnLeaseSent(worker, now);
   else
     request.header.lease = std::chrono::milliseconds(0);
@@ -364,6 +363,8 @@
     if (report.error().kind == base::error_kind::kNotFound) {
       scheduler_.OnWorkerReplaced(worker, requested_at);
       ScheduleDecision();
+    } else {
+      scheduler_.OnPollUnanswered(worker, loop_.Now());
     }
     return SchedulePoll(worker, settings_.poll_retry_delay);
   }
--- a/src/submissions/include/chivecrank/submissions/progress.h
+++ b/src/submissions/include/chivecrank/submissions/progress.h
@@ -1,7 +1,9 @@
 #ifndef CHIVECRANK_SUBMISSIONS_PROGRESS_H_
 #define CHIVECRANK_SUBMISSIONS_PROGRESS_H_
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,9 @@
 struct worker_record {
   std::string worker;
   settings::endpoint address;
+  /// How long runs on the worker can live at most, counted from when the record
+  /// was made; unset if the lease may be renewed.
+  std::optional<std::chrono::milliseconds> lease_left;
 
   bool operator==(const worker_record&) const = default;
 };
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -25,6 +25,10 @@
   /// Added to a lease before it counts as expired: covers clocks that run up to
   /// 4% apart over the longest lease, and messages in flight.
   std::chrono::milliseconds lease_margin{900};
+  /// How long a worker with runs must leave polls unanswered before the journal
+  /// says how long these can still live, and the time between two such records.
+  std::chrono::milliseconds silence_before_record{500};
+  std::chrono::milliseconds bound_record_interval{500};
   /// A worker whose last report is older than this gets no new tasks.
   std::chrono::milliseconds max_report_age{2200};
   /// How long a long-running submission waits for capacity for all of its tasks
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -54,8 +54,11 @@
   /// after the submissions were accepted and before any other call.
   void Restore(const journal_entry& entry);
   /// Ends the restore. Runs that the journal contains may still be alive on
-  /// workers that do not answer until `lease_expiry`.
-  void FinishRestore(base::time_point now, base::time_point lease_expiry);
+  /// workers that do not answer until `longest_lease` after the shard was
+  /// acquired, unless the journal has an earlier bound.
+  void FinishRestore(base::time_point now,
+                     base::time_point acquired_at,
+                     std::chrono::milliseconds longest_lease);
 
   /// Stops the tasks of a submission and starts no more of them.
   void Cancel(const std::string& submission, base::time_point now);
@@ -72,6 +75,8 @@
                 const worker_report& report,
                 base::time_point requested_at,
                 base::time_point now);
+  /// Handles that a poll failed without an answer of the worker.
+  void OnPollUnanswered(const std::string& worker, base::time_point now);
   /// Handles that another worker answered, at this worker's address, to a
   /// request sent at `requested_at`: the worker has ended, and its runs with
   /// it.
@@ -108,6 +113,8 @@
   /// Highest number of a run end that may be acknowledged to the worker; 0 for
   /// none.
   std::int64_t AcknowledgedEnd(const std::string& worker) const;
+  /// Whether a request to the worker may carry a lease.
+  bool MayRenewLease(const std::string& worker) const;
   /// Whether the scheduler knows of any run on the worker.
   bool HasRuns(const std::string& worker) const;
   /// Workers with runs, listed or not. Port 0 stands for an unknown address.
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -15,6 +15,7 @@
 /// Interference estimates are stored in thousandths.
 constexpr double kEstimateScale = 1000;
 constexpr rapidjson::SizeType kEstimateColumns = 4;
+/// A worker's identifier and address; a bound of its lease may follow.
 constexpr rapidjson::SizeType kWorkerColumns = 2;
 
 /// Columns of a task's row in a journal entry, in stored order.
@@ -177,11 +178,14 @@
 void WriteWorkers(json::writer& text,
                   const std::vector<worker_record>& workers) {
   text.Key("workers").BeginArray();
-  for (const worker_record& record : workers)
+  for (const worker_record& record : workers) {
     text.BeginArray()
         .String(record.worker)
-        .String(settings::ToString(record.address))
-        .EndArray();
+        .String(settings::ToString(record.address));
+    if (record.lease_left)
+      text.Integer(record.lease_left->count());
+    text.EndArray();
+  }
   text.EndArray();
 }
 
@@ -191,7 +195,14 @@
   const auto address = settings::ParseEndpoint(json::StringAt(row, 1));
   if (!address)
     return Corrupt("a worker");
-  return worker_record{json::StringAt(row, 0), *address};
+  worker_record record{json::StringAt(row, 0), *address};
+  if (row.Size() > kWorkerColumns) {
+    const std::int64_t left = json::IntegerAt(row, kWorkerColumns, -1);
+    if (left < 0)
+      return Corrupt("a worker");
+    record.lease_left = std::chrono::milliseconds(left);
+  }
+  return record;
 }
 
 }  // namespace
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -28,7 +28,7 @@
         tracker(settings, on_event),
         reports(settings, tracker, interference),
         run_planner(settings, tracker, interference, permits),
-        recorder(tracker.Workers()) {}
+        recorder(settings, tracker.Workers()) {}
 
   /// Prefers other workers until `term` has passed.
   static void AvoidFor(worker_entry& worker,
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -62,15 +62,14 @@
 }
 
 void shard_scheduler::FinishRestore(base::time_point now,
-                                    base::time_point lease_expiry) {
+                                    base::time_point acquired_at,
+                                    std::chrono::milliseconds longest_lease) {
   auto& tracker = core_->tracker;
   tracker.Submissions().TakeChanged();
   for (const task_change& change : tracker.Submissions().AllProgress())
     if (change.progress.phase == task_phase::kAssigned)
       tracker.RestoreRun(change.task, now);
-  core_->recorder.FinishRestore();
-  for (auto& [id, worker] : tracker.Workers().All())
-    worker.lease_expiry = lease_expiry;
+  core_->recorder.FinishRestore(acquired_at, longest_lease, now);
   // The previous owner may have stopped before it recorded these outcomes.
   for (auto& [id, live] : tracker.Submissions().All()) {
     if (internal::submission_table::IsDone(*live))
@@ -106,7 +105,9 @@
     worker.listed = true;
   }
   std::erase_if(table.All(), [](const auto& entry) {
-    return !entry.second.listed && entry.second.runs.empty();
+    // A recorded bound has to be released first.
+    return !entry.second.listed && entry.second.runs.empty() &&
+           internal::worker_recorder::MayRenewLease(entry.second);
   });
 }
 
@@ -125,10 +126,18 @@
   worker_entry* worker = core_->tracker.Workers().Find(worker_id);
   if (worker == nullptr)
     return;
+  worker->silent_since.reset();
   core_->reports.Process(*worker, report, requested_at, now,
                          core_->last_batch + 1);
 }
 
+void shard_scheduler::OnPollUnanswered(const std::string& worker_id,
+                                       base::time_point now) {
+  worker_entry* worker = core_->tracker.Workers().Find(worker_id);
+  if (worker != nullptr && !worker->silent_since)
+    worker->silent_since = now;
+}
+
 void shard_scheduler::OnWorkerReplaced(const std::string& worker_id,
                                        base::time_point requested_at) {
   worker_entry* worker = core_->tracker.Workers().Find(worker_id);
@@ -205,6 +214,7 @@
   core_->tracker.SetTimeOfDay(since_epoch);
   core_->ExpireLeases(now);
   core_->run_planner.Plan(now, since_epoch);
+  core_->recorder.Update(now);
 }
 
 std::optional<progress_batch> shard_scheduler::TakeBatch() {
@@ -218,7 +228,7 @@
   batch.number = ++state.last_batch;
   batch.tasks = state.tracker.Submissions().TakeChanged();
   batch.outcomes = state.tracker.TakeOutcomes();
-  batch.workers = state.recorder.TakeDue();
+  batch.workers = state.recorder.TakeDue(batch.number);
   state.starts_in_commit = state.tracker.TakeUncommittedStarts();
   state.outcomes_in_commit = batch.outcomes;
   return batch;
@@ -227,6 +237,7 @@
 void shard_scheduler::OnCommitted(std::uint64_t batch) {
   shard_core& state = *core_;
   state.ReleaseAcks(batch);
+  state.recorder.OnCommitted(batch);
   for (start_command& command : state.starts_in_commit)
     state.committed_starts.push_back(std::move(command));
   state.starts_in_commit.clear();
@@ -256,6 +267,12 @@
   return worker == nullptr ? 0 : worker->committed_end;
 }
 
+bool shard_scheduler::MayRenewLease(const std::string& worker_id) const {
+  const worker_entry* worker =
+      std::as_const(core_->tracker).Workers().Find(worker_id);
+  return worker == nullptr || internal::worker_recorder::MayRenewLease(*worker);
+}
+
 bool shard_scheduler::HasRuns(const std::string& worker_id) const {
   const worker_entry* worker =
       std::as_const(core_->tracker).Workers().Find(worker_id);
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -102,14 +102,40 @@
   std::uint64_t batch = 0;
 };
 
+/// What the journal says of the lease that runs on a worker live under.
+enum class lease_record {
+  /// Nothing: any owner up to now may have renewed it.
+  kRenewable,
+  /// How long it can last at most; it isn't renewed meanwhile.
+  kBounded,
+  /// A bound that is not released until the next record is committed.
+  kReleasing,
+};
+
+/// What the journal says about a worker, or will say with the next batch.
+struct recorded_worker {
+  /// Port 0 for none.
+  settings::endpoint address;
+  lease_record lease = lease_record::kRenewable;
+  /// The bound, counted from `bounded_at`.
+  std::chrono::milliseconds lease_left{0};
+  base::time_point bounded_at;
+  /// The batch that releases the bound; unset before it is taken.
+  std::optional<std::uint64_t> release_batch;
+  /// The next batch has to contain a record.
+  bool is_due = false;
+};
+
 struct worker_entry {
   worker_description description;
-  /// The address that the journal has; port 0 for none.
-  settings::endpoint recorded_address;
+  recorded_worker recorded;
   /// Discovery lists the worker.
   bool listed = false;
   /// The worker has answered this owner.
   bool reported = false;
+  /// Since when polls go unanswered, or since the restore; unset after an
+  /// answer.
+  std::optional<base::time_point> silent_since;
   base::time_point reported_at;
   /// Incarnation of the worker that sent the last report.
   std::int64_t reported_started_at_ms = 0;
--- a/src/submissions/tests/colocation_test.cc
+++ b/src/submissions/tests/colocation_test.cc
@@ -44,7 +44,7 @@
     next.Accept(MakeSubmission("a", service));
     next.Accept(MakeSubmission("c", best_effort));
     next.Restore(restored);
-    next.FinishRestore(now, now + settings.worker_lease);
+    next.FinishRestore(now, now, settings.worker_lease);
     next.SetWorkers(workers);
     ReportTo(next, "w-1", report);
     next.Plan(now, since_epoch);
@@ -152,7 +152,7 @@
   next.Accept(MakeSubmission("a", service));
   next.Accept(MakeSubmission("b", service));
   next.Restore(snapshot);
-  next.FinishRestore(now, now);
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
   next.SetWorkers(workers);
   ReportTo(next, "w-1", {});
   ReportTo(next, "w-2", {});
--- a/src/submissions/tests/record_codec_test.cc
+++ b/src/submissions/tests/record_codec_test.cc
@@ -57,7 +57,9 @@
 
 BOOST_AUTO_TEST_CASE(JournalEntryRoundTripPreservesWorkers) {
   journal_entry written;
-  written.workers = {{"w-1", {"10.0.0.1", 8367}}, {"w-2", {"10.0.0.2", 8367}}};
+  written.workers = {
+      {"w-1", {"10.0.0.1", 8367}, {}},
+      {"w-2", {"10.0.0.2", 8367}, std::chrono::milliseconds(77)}};
   const auto read = DecodeJournalEntry(EncodeJournalEntry(written));
   BOOST_REQUIRE(read);
   BOOST_TEST((read.value().workers == written.workers));
@@ -71,6 +73,8 @@
   BOOST_TEST(!DecodeJournalEntry("{\"tasks\":[],\"workers\":[[\"w-1\"]]}"));
   BOOST_TEST(!DecodeJournalEntry(
       "{\"tasks\":[],\"workers\":[[\"w-1\",\"nowhere\"]]}"));
+  BOOST_TEST(!DecodeJournalEntry(
+      "{\"tasks\":[],\"workers\":[[\"w-1\",\"10.0.0.1:80\",-5]]}"));
   BOOST_TEST(!DecodeOutcome("done"));
 }
 
--- a/src/submissions/tests/scheduler_fixture.h
+++ b/src/submissions/tests/scheduler_fixture.h
@@ -24,7 +24,7 @@
       worker.started_at_ms = 1;
       workers.push_back(worker);
     }
-    scheduler.FinishRestore(now, now);
+    scheduler.FinishRestore(now, now, std::chrono::milliseconds(0));
     scheduler.SetWorkers(workers);
     for (const worker_description& worker : workers)
       Report(worker.id, {});
--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -161,7 +161,7 @@
   shard_scheduler next(settings, {});
   next.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   next.Restore({false, batch->tasks});
-  next.FinishRestore(now, now);
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
   next.SetWorkers(workers);
   report.started_at_ms = 1;
   next.OnLeaseSent(starts[0].worker, now);
@@ -187,7 +187,7 @@
   shard_scheduler next(settings, {});
   next.Accept(request);
   next.Restore({false, {done}});
-  next.FinishRestore(now, now);
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
   // No worker answers, so the second step finds no capacity.
   next.Plan(now, since_epoch);
   Advance(std::chrono::seconds(5));
@@ -208,7 +208,7 @@
   shard_scheduler next(settings, {});
   next.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   next.Restore({false, {failed}});
-  next.FinishRestore(now, now);
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
   const auto batch = next.TakeBatch();
   BOOST_REQUIRE(batch.has_value());
   BOOST_REQUIRE(batch->outcomes.size() == 1u);
--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -267,7 +267,7 @@
   shard_scheduler next(settings, {});
   next.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   next.Restore(decided);
-  next.FinishRestore(now, now + settings.worker_lease);
+  next.FinishRestore(now, now, settings.worker_lease);
   next.SetWorkers(workers);
   BOOST_TEST(next.UnstartedSubmissions().size() == 1u);
   Advance(std::chrono::milliseconds(100));
@@ -284,7 +284,7 @@
   shard_scheduler next(settings, {});
   next.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   next.Restore(scheduler.Snapshot());
-  next.FinishRestore(now, now + settings.worker_lease);
+  next.FinishRestore(now, now, settings.worker_lease);
   next.SetWorkers(workers);
   worker_report report;
   report.running = {MakeReportedRun(starts[0])};
@@ -296,7 +296,7 @@
   scheduler_settings longest;
   longest.worker_lease = WorkerLeaseFor(std::chrono::seconds(10));
   shard_scheduler next(longest, {});
-  next.FinishRestore(now, now);
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
   next.SetWorkers(workers);
   for (const worker_description& worker : workers)
     ReportTo(next, worker.id, {});
--- /dev/null
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -0,0 +1,151 @@
+#include "scheduler_fixture.h"
+
+namespace chivecrank::submissions {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestLease{12'000};
+constexpr std::chrono::milliseconds kStep{250};
+
+/// An owner whose only run is on a worker that has an address.
+struct recorder_fixture : scheduler_fixture {
+  recorder_fixture() {
+    std::uint16_t port = 8000;
+    for (worker_description& worker : workers)
+      worker.address = {"10.0.0.1", ++port};
+    scheduler.SetWorkers(workers);
+    scheduler.Accept(request);
+    Commit(scheduler);
+    const auto starts = scheduler.TakeCommands(now).starts;
+    BOOST_REQUIRE(starts.size() == 1u);
+    scheduler.OnLeaseSent(starts[0].worker, now);
+    scheduler.OnStartOutcome(starts[0], start_outcome::kStarted, now);
+    start = starts[0];
+  }
+
+  /// Plans and commits; keeps what the journal gets.
+  void Commit(shard_scheduler& owner) {
+    owner.Plan(now, since_epoch);
+    const auto batch = owner.TakeBatch();
+    if (!batch)
+      return;
+    journal.push_back({false, batch->tasks, {}, batch->workers});
+    owner.OnCommitted(batch->number);
+  }
+
+  /// The worker stays silent for so long.
+  void StaySilent(shard_scheduler& owner, std::chrono::milliseconds time) {
+    for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
+      Advance(kStep);
+      owner.OnPollUnanswered(start.worker, now);
+      Commit(owner);
+    }
+  }
+
+  std::unique_ptr<shard_scheduler> NextOwner() {
+    auto next =
+        std::make_unique<shard_scheduler>(settings, scheduler_event_hook());
+    next->Accept(request);
+    for (const journal_entry& entry : journal)
+      next->Restore(entry);
+    next->FinishRestore(now, now, kLongestLease);
+    next->SetWorkers(workers);
+    return next;
+  }
+
+  submission request = MakeSubmission("a", MakeStep(1, 1000));
+  start_command start;
+  std::vector<journal_entry> journal;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(worker_recorder, recorder_fixture)
+
+BOOST_AUTO_TEST_CASE(TheNextOwnerKnowsTheAddressOfAnUnlistedWorker) {
+  const settings::endpoint address =
+      workers[static_cast<std::size_t>(start.worker[2] - '1')].address;
+  workers.clear();
+  const auto known = NextOwner()->WorkersWithRuns();
+  BOOST_REQUIRE(known.size() == 1u);
+  BOOST_TEST(known[0].id == start.worker);
+  BOOST_TEST((known[0].address == address));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutABoundTheNextOwnerWaitsForTheLongestLease) {
+  const auto next = NextOwner();
+  BOOST_TEST((next->AwaitedRuns(now).longest_wait == kLongestLease));
+}
+
+BOOST_AUTO_TEST_CASE(TheWaitForASilentWorkerGoesOnAcrossOwners) {
+  StaySilent(scheduler, std::chrono::seconds(2));
+  const auto second = NextOwner();
+  const auto wait = second->AwaitedRuns(now).longest_wait;
+  BOOST_TEST(wait.count() > 0);
+  BOOST_TEST((wait <= settings.worker_lease + settings.lease_margin));
+  StaySilent(*second, std::chrono::seconds(2));
+  const auto third = NextOwner();
+  // What an owner waited since its last record counts for nothing.
+  BOOST_TEST((third->AwaitedRuns(now).longest_wait <=
+              wait - std::chrono::seconds(2) + settings.bound_record_interval +
+                  kStep));
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatAnswersAgainGetsALeaseOnceItsBoundIsReleased) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  BOOST_TEST(!scheduler.MayRenewLease(start.worker));
+  worker_report report;
+  report.started_at_ms = 1;
+  report.running = {MakeReportedRun(start)};
+  scheduler.OnReport(start.worker, report, now, now);
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(!scheduler.MayRenewLease(start.worker));
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(scheduler.MayRenewLease(start.worker));
+  journal.push_back({false, batch->tasks, {}, batch->workers});
+  BOOST_TEST((NextOwner()->AwaitedRuns(now).longest_wait == kLongestLease));
+}
+
+BOOST_AUTO_TEST_CASE(ANextOwnerReleasesABoundBeforeItGrantsALease) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  const auto next = NextOwner();
+  BOOST_TEST(!next->MayRenewLease(start.worker));
+  next->OnReport(start.worker, {.started_at_ms = 1}, now, now);
+  BOOST_TEST(!next->MayRenewLease(start.worker));
+  Commit(*next);
+  BOOST_TEST(next->MayRenewLease(start.worker));
+}
+
+BOOST_AUTO_TEST_CASE(ABoundOutlivesTheRunsThatItWasMadeFor) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  // Recorded: the runs are lost. Not recorded: that the bound is released.
+  Advance(std::chrono::seconds(20));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  journal.push_back({false, batch->tasks, {}, {}});
+  const auto next = NextOwner();
+  BOOST_TEST(!next->MayRenewLease(start.worker));
+  Commit(*next);
+  BOOST_TEST(next->MayRenewLease(start.worker));
+}
+
+BOOST_AUTO_TEST_CASE(NoRunStartsOnAWorkerWhoseBoundIsRecorded) {
+  scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
+  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  scheduler.OnPollUnanswered(start.worker, now);
+  Advance(std::chrono::seconds(1));
+  scheduler.Plan(now, since_epoch);
+  scheduler.OnCommitted(batch->number);
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::submissions
