An owner that follows one that has ended waits only for leases, not for the owner

Cause: a new owner waits 12.5 s for silent workers, of which 3.8 s (owner lease term, outage grace) are for an earlier owner that doesn't know yet that it lost the shard. It waited so also after an owner that had stopped in order and after its own earlier process, which can't act any more. Nothing in the store told so.

Evidence: shard_won after "stopping" and runs_awaited with longest_ms 12361, 12347, 12324 after three planned stops.

Change: shard_tenure. An owner records under its fence that its tenure begins before any worker gets a lease from it, and that it is settled once no earlier owner can act any more; one that gives the shard up records that in the transaction that deletes its key. After a settled owner that released the shard, or that was an earlier process of this node (the claim replaced its key with its fence), the next one waits for worker lease and margin only, 8.7 s. Without the settled mark it would be wrong: an owner before the last one may still act. Telling an expired key from one that was taken away was ruled out: the store shows no difference.

Open: an owner that is lost for good and followed by another node, with workers lost for good at the same moment: 12.5 s remain.

--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -78,7 +78,7 @@
   void OnWorkersListed();
   void DecideShardCount();
   void AssignWorkers(std::uint32_t shard, shard_driver& driver);
-  void OnShardAcquired(std::uint32_t shard, metadata::revision fence);
+  void OnShardAcquired(std::uint32_t shard, const acquisition& acquired);
   void OnShardLost(std::uint32_t shard);
 
   reactor::event_loop& loop_;
--- a/src/runtime/include/chivecrank/runtime/keys.h
+++ b/src/runtime/include/chivecrank/runtime/keys.h
@@ -30,6 +30,8 @@
   kCancellation,
   /// The outcome of a submission.
   kOutcome,
+  /// The tenure of a shard's last owner; see shard_tenure.
+  kTenure,
 };
 
 /// A parsed shared key. `name` is a node, a shard or a submission.
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -41,6 +41,15 @@
   std::chrono::milliseconds hand_over_after{3000};
 };
 
+/// How this instance became the owner of a shard.
+struct acquisition {
+  /// The fence of its commands.
+  metadata::revision fence = 0;
+  /// The fence of an earlier owner of this instance's name whose key it
+  /// replaced; 0 if there was no owner.
+  metadata::revision replaced_fence = 0;
+};
+
 /// Holds this instance's lease in the store and the shards that it owns under
 /// that lease. claim_order decides who claims a shard without an owner first;
 /// if several instances claim it, the store decides. An owner hands a shard
@@ -48,7 +57,7 @@
 class ownership {
  public:
   struct hooks {
-    std::function<void(std::uint32_t shard, metadata::revision fence)>
+    std::function<void(std::uint32_t shard, const acquisition& acquired)>
         on_acquired;
     std::function<void(std::uint32_t shard)> on_lost;
     /// Whether shards may be claimed now.
@@ -110,11 +119,18 @@
   /// Gives one shard up if a much larger instance has been there for a while.
   void HandOverToLarger();
   void HandOver(std::uint32_t shard);
+  /// The transaction that gives a shard up which this instance has dropped, and
+  /// records that it has.
+  metadata::transaction ReleaseOf(std::uint32_t shard,
+                                  metadata::revision fence) const;
+  /// Ends the lease, then calls `done`.
+  void EndLease(std::function<void()> done);
   /// Claims a shard with a transaction that succeeds only if the owner key was
   /// last changed at revision `expected`. An `expected` of 0 means that the key
   /// must not exist.
   void Claim(std::uint32_t shard, metadata::revision expected);
   void OnClaimed(std::uint32_t shard,
+                 metadata::revision expected,
                  base::result<metadata::commit_answer> answer);
 
   reactor::event_loop& loop_;
--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -13,6 +13,7 @@
 #include "chivecrank/metadata/types.h"
 #include "chivecrank/runtime/keys.h"
 #include "chivecrank/runtime/shard_room.h"
+#include "chivecrank/runtime/shard_tenure.h"
 #include "chivecrank/submissions/types.h"
 
 namespace chivecrank::runtime {
@@ -99,6 +100,8 @@
   const std::map<std::uint32_t, shard_status>& Statuses() const {
     return statuses_;
   }
+  /// Unset if no owner of the shard has recorded a tenure.
+  std::optional<tenure_record> TenureOf(std::uint32_t shard) const;
   /// 0 until the number of shards has been decided.
   std::uint32_t ShardCount() const { return shard_count_; }
   /// Accepted submissions of a queue that have not started according to the
@@ -122,6 +125,7 @@
   std::map<std::string, known_member> members_;
   std::map<std::uint32_t, known_owner> owners_;
   std::map<std::uint32_t, shard_status> statuses_;
+  std::map<std::uint32_t, tenure_record> tenures_;
   std::uint32_t shard_count_ = 0;
 };
 
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -15,10 +15,12 @@
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/driver_settings.h"
 #include "chivecrank/runtime/instance_metrics.h"
+#include "chivecrank/runtime/ownership.h"
 #include "chivecrank/runtime/prefix_listing.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/shard_housekeeping.h"
 #include "chivecrank/runtime/shard_journal.h"
+#include "chivecrank/runtime/shard_tenure.h"
 #include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
@@ -47,7 +49,7 @@
                event_log::event_log& log,
                instance_metrics& metrics,
                std::uint32_t shard,
-               metadata::revision fence,
+               const acquisition& acquired,
                driver_settings settings,
                hooks handlers);
 
@@ -78,6 +80,8 @@
     return hooks_.authority() == protocol::authority::kFull;
   }
   void WaitForReplica();
+  /// How long runs that earlier owners left may live after the acquisition.
+  std::chrono::milliseconds LongestEarlierLease() const;
   void ReadJournal();
   void Restore(const std::vector<metadata::item>& journal);
   /// Adds the workers that have runs of earlier owners and aren't listed.
@@ -114,6 +118,7 @@
   event_log::event_log& log_;
   instance_metrics& metrics_;
   const std::uint32_t shard_;
+  const acquisition acquired_;
   const metadata::revision fence_;
   const driver_settings settings_;
   const hooks hooks_;
@@ -121,6 +126,8 @@
   submissions::shard_scheduler scheduler_;
   shard_housekeeping housekeeping_;
   shard_journal journal_;
+  shard_tenure tenure_;
+  bool earlier_owners_ended_ = false;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, poll_state> polls_;
   /// As last logged.
--- /dev/null
+++ b/src/runtime/include/chivecrank/runtime/shard_tenure.h
@@ -0,0 +1,81 @@
+#ifndef CHIVECRANK_RUNTIME_SHARD_TENURE_H_
+#define CHIVECRANK_RUNTIME_SHARD_TENURE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "chivecrank/event_log/event_log.h"
+#include "chivecrank/metadata/store.h"
+#include "chivecrank/reactor/callback_guard.h"
+#include "chivecrank/reactor/event_loop.h"
+
+namespace chivecrank::runtime {
+
+/// What the last owner of a shard that may have granted leases to workers
+/// recorded about itself and its predecessors.
+struct tenure_record {
+  /// The owner's fence.
+  metadata::revision fence = 0;
+  /// No earlier owner acts for the shard any more.
+  bool settled = false;
+  /// The owner has given the shard up and acts for it no more.
+  bool released = false;
+
+  bool operator==(const tenure_record&) const = default;
+};
+
+std::string EncodeTenure(const tenure_record& record);
+std::optional<tenure_record> DecodeTenure(std::string_view text);
+
+/// The write that records a tenure of the shard.
+metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record);
+
+/// Whether no owner before the new one acts for the shard any more.
+/// `replaced_fence` is the fence that the owner key had when this instance
+/// claimed it, which then named this instance; 0 if the key did not exist.
+bool AllEarlierOwnersEnded(const std::optional<tenure_record>& last,
+                           metadata::revision replaced_fence);
+
+struct shard_tenure_settings {
+  /// How long earlier owners may act after this one acquired the shard.
+  std::chrono::milliseconds settle_time{0};
+  std::chrono::milliseconds retry_delay{150};
+};
+
+/// Records the tenure of this instance as the owner of a shard: that it begins,
+/// before any worker gets a lease, and later that it is settled.
+class shard_tenure {
+ public:
+  shard_tenure(reactor::event_loop& loop,
+               metadata::store& store,
+               event_log::event_log& log,
+               std::uint32_t shard,
+               metadata::revision fence,
+               shard_tenure_settings settings);
+
+  /// Records the begin. `earlier_ended`: the tenure is settled at once.
+  void Begin(bool earlier_ended);
+  /// Whether the begin is recorded, so that leases may be granted.
+  bool HasBegun() const { return has_begun_; }
+
+ private:
+  void Commit(bool settled);
+  void OnCommit(bool settled, base::result<metadata::commit_answer> answer);
+
+  reactor::event_loop& loop_;
+  metadata::store& store_;
+  event_log::event_log& log_;
+  const std::uint32_t shard_;
+  const metadata::revision fence_;
+  const shard_tenure_settings settings_;
+  const base::time_point acquired_at_;
+  bool has_begun_ = false;
+  reactor::callback_guard guard_;
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_SHARD_TENURE_H_
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -127,8 +127,8 @@
 
 ownership::hooks instance_runtime::OwnershipHooks() {
   return {.on_acquired =
-              [this](std::uint32_t shard, metadata::revision fence) {
-                OnShardAcquired(shard, fence);
+              [this](std::uint32_t shard, const acquisition& acquired) {
+                OnShardAcquired(shard, acquired);
               },
           .on_lost = [this](std::uint32_t shard) { OnShardLost(shard); },
           .may_claim =
@@ -223,10 +223,10 @@
 }
 
 void instance_runtime::OnShardAcquired(std::uint32_t shard,
-                                       metadata::revision fence) {
+                                       const acquisition& acquired) {
   auto driver = std::make_shared<shard_driver>(
       loop_, clock_, store_, gateway_, permits_, shared_, log_, metrics_, shard,
-      fence, settings_.driver,
+      acquired, settings_.driver,
       shard_driver::hooks{
           .authority = [this] { return ownership_.GetAuthority(); },
           .on_fenced =
--- a/src/runtime/internal/keys.cc
+++ b/src/runtime/internal/keys.cc
@@ -12,8 +12,9 @@
 
 constexpr std::string_view kJournalPrefix = "chivecrank-journal/";
 
-constexpr std::array<std::string_view, 7> kKindNames = {
-    "shards", "members", "owners", "load", "submissions", "cancelled", "ended"};
+constexpr std::array<std::string_view, 8> kKindNames = {
+    "shards",      "members",   "owners", "load",
+    "submissions", "cancelled", "ended",  "tenures"};
 
 }  // namespace
 
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -32,9 +32,24 @@
 
 void ownership::Release(std::function<void()> done) {
   releasing_ = true;
+  const std::map<std::uint32_t, metadata::revision> released = owned_;
   DropAll("stopping");
   if (lease_ == 0)
     return done();
+  if (released.empty())
+    return EndLease(std::move(done));
+  auto pending = std::make_shared<std::size_t>(released.size());
+  auto finished = std::make_shared<std::function<void()>>(std::move(done));
+  for (const auto& [shard, fence] : released)
+    store_.Commit(ReleaseOf(shard, fence),
+                  guard_.Wrap([this, pending, finished](
+                                  base::result<metadata::commit_answer>) {
+                    if (--*pending == 0)
+                      EndLease(std::move(*finished));
+                  }));
+}
+
+void ownership::EndLease(std::function<void()> done) {
   store_.End(std::exchange(lease_, 0),
              [done = std::move(done)](base::result<bool>) { done(); });
 }
@@ -238,32 +253,45 @@
   // Nothing is sent for the shard any more before the key is gone.
   Drop(shard, "a much larger instance is there");
   handed_over_.insert(shard);
-  metadata::transaction release;
-  release.conditions.push_back(OwnershipCondition(shard, fence));
-  release.deletes.push_back(OwnerKey(shard));
   store_.Commit(
-      std::move(release),
+      ReleaseOf(shard, fence),
       guard_.Wrap([this, shard](base::result<metadata::commit_answer> answer) {
         if (!answer || !answer.value().applied)
           handed_over_.erase(shard);
       }));
 }
 
+metadata::transaction ownership::ReleaseOf(std::uint32_t shard,
+                                           metadata::revision fence) const {
+  metadata::transaction release;
+  release.conditions.push_back(OwnershipCondition(shard, fence));
+  release.deletes.push_back(OwnerKey(shard));
+  // An owner without a tenure of its own has granted no leases, so the record
+  // of the last one that has stays as it is.
+  std::optional<tenure_record> tenure = shared_.TenureOf(shard);
+  if (!tenure || tenure->fence != fence)
+    return release;
+  tenure->released = true;
+  release.writes.push_back(TenureWrite(shard, *tenure));
+  return release;
+}
+
 void ownership::Claim(std::uint32_t shard, metadata::revision expected) {
   claiming_[shard] = loop_.Now();
   metadata::transaction claim;
   claim.conditions.push_back({OwnerKey(shard), expected});
   claim.writes.push_back({OwnerKey(shard), settings_.node, lease_});
   store_.Commit(std::move(claim),
-                guard_.Wrap([this, shard, lease = lease_](
+                guard_.Wrap([this, shard, expected, lease = lease_](
                                 base::result<metadata::commit_answer> answer) {
                   claiming_.erase(shard);
                   if (lease == lease_)
-                    OnClaimed(shard, std::move(answer));
+                    OnClaimed(shard, expected, std::move(answer));
                 }));
 }
 
 void ownership::OnClaimed(std::uint32_t shard,
+                          metadata::revision expected,
                           base::result<metadata::commit_answer> answer) {
   if (!answer)
     return;
@@ -283,7 +311,7 @@
   owned_[shard] = fence;
   free_since_.erase(shard);
   log_.Write("shard_won", {{"shard", shard}, {"fence", fence}});
-  hooks_.on_acquired(shard, fence);
+  hooks_.on_acquired(shard, {fence, expected});
 }
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -94,6 +94,13 @@
   return &found->second;
 }
 
+std::optional<tenure_record> replica::TenureOf(std::uint32_t shard) const {
+  const auto found = tenures_.find(shard);
+  if (found == tenures_.end())
+    return std::nullopt;
+  return found->second;
+}
+
 bool replica::HasStarted(const std::string& id,
                          const known_submission& known) const {
   const auto status = statuses_.find(known.shard);
@@ -153,6 +160,13 @@
       known.outcome = outcome.value();
       return MarkEnded(key.name, known);
     }
+    case key_kind::kTenure: {
+      const auto shard = ParseShardName(key.name);
+      const auto record = DecodeTenure(item.value);
+      if (shard && record)
+        tenures_[*shard] = *record;
+      return;
+    }
   }
 }
 
@@ -181,6 +195,10 @@
     case key_kind::kOutcome:
       // These keys are deleted in the same transaction as their submission.
       return;
+    case key_kind::kTenure:
+      if (const auto shard = ParseShardName(key.name))
+        tenures_.erase(*shard);
+      return;
   }
 }
 
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -21,7 +21,7 @@
                            event_log::event_log& log,
                            instance_metrics& metrics,
                            std::uint32_t shard,
-                           metadata::revision fence,
+                           const acquisition& acquired,
                            driver_settings settings,
                            hooks handlers)
     : loop_(loop),
@@ -33,7 +33,8 @@
       log_(log),
       metrics_(metrics),
       shard_(shard),
-      fence_(fence),
+      acquired_(acquired),
+      fence_(acquired.fence),
       settings_(std::move(settings)),
       hooks_(std::move(handlers)),
       created_at_(loop.Now()),
@@ -47,7 +48,7 @@
                     log,
                     scheduler_,
                     shard,
-                    fence,
+                    fence_,
                     settings_.housekeeping,
                     [this] { return HasFullAuthority(); }),
       journal_(loop,
@@ -56,10 +57,18 @@
                metrics,
                scheduler_,
                shard,
-               fence,
+               fence_,
                settings_,
                {[this] { return HasFullAuthority(); }, hooks_.on_fenced,
                 [this] { SendCommands(); }}),
+      tenure_(
+          loop,
+          store,
+          log,
+          shard,
+          fence_,
+          {.settle_time = settings_.owner_lease_term + settings_.outage_grace,
+           .retry_delay = settings_.commit_retry_delay}),
       guard_(loop) {}
 
 void shard_driver::Start() {
@@ -69,9 +78,20 @@
 void shard_driver::WaitForReplica() {
   if (shared_.Revision() < fence_)
     return guard_.Later(kReplicaPollInterval, [this] { WaitForReplica(); });
+  earlier_owners_ended_ =
+      AllEarlierOwnersEnded(shared_.TenureOf(shard_), acquired_.replaced_fence);
+  tenure_.Begin(earlier_owners_ended_);
   ReadJournal();
 }
 
+std::chrono::milliseconds shard_driver::LongestEarlierLease() const {
+  const std::chrono::milliseconds granted =
+      settings_.scheduling.worker_lease + settings_.scheduling.lease_margin;
+  if (earlier_owners_ended_)
+    return granted;
+  return settings_.owner_lease_term + settings_.outage_grace + granted;
+}
+
 void shard_driver::ReadJournal() {
   ListAll(store_, JournalPrefix(shard_),
           guard_.Wrap([this](base::result<prefix_listing> listing) {
@@ -94,14 +114,12 @@
       journal_.ReadEntries(journal);
   for (const submissions::journal_entry& entry : entries)
     scheduler_.Restore(entry);
-  scheduler_.FinishRestore(loop_.Now(), created_at_,
-                           settings_.owner_lease_term + settings_.outage_grace +
-                               settings_.scheduling.worker_lease +
-                               settings_.scheduling.lease_margin);
+  scheduler_.FinishRestore(loop_.Now(), created_at_, LongestEarlierLease());
   AddUnlistedWorkers();
   restored_ = true;
   log_.Write("shard_restored", {{"shard", shard_},
                                 {"fence", fence_},
+                                {"earlier_ended", earlier_owners_ended_},
                                 {"entries", entries.size()},
                                 {"next_entry", journal_.NextEntry()}});
   for (const auto& [id, worker] : workers_)
@@ -227,7 +245,7 @@
 }
 
 void shard_driver::SendCommands() {
-  if (!HasFullAuthority())
+  if (!HasFullAuthority() || !tenure_.HasBegun())
     return;
   const submissions::command_set commands =
       scheduler_.TakeCommands(loop_.Now());
@@ -333,7 +351,7 @@
   poll_state& state = polls_[worker];
   // A worker that did not answer the last poll is polled without a lease.
   // Otherwise each retry could renew its lease, which would then never expire.
-  if (state.answered && scheduler_.MayRenewLease(worker))
+  if (state.answered && tenure_.HasBegun() && scheduler_.MayRenewLease(worker))
     scheduler_.OnLeaseSent(worker, now);
   else
     request.header.lease = std::chrono::milliseconds(0);
--- /dev/null
+++ b/src/runtime/internal/shard_tenure.cc
@@ -0,0 +1,97 @@
+#include "chivecrank/runtime/shard_tenure.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "chivecrank/json/reader.h"
+#include "chivecrank/json/writer.h"
+#include "chivecrank/runtime/keys.h"
+
+namespace chivecrank::runtime {
+
+std::string EncodeTenure(const tenure_record& record) {
+  json::writer text;
+  text.BeginObject()
+      .Field("fence", record.fence)
+      .Flag("settled", record.settled)
+      .Flag("released", record.released)
+      .EndObject();
+  return text.Text();
+}
+
+std::optional<tenure_record> DecodeTenure(std::string_view text) {
+  const auto parsed = json::ParseObject(text);
+  if (!parsed)
+    return std::nullopt;
+  tenure_record record;
+  record.fence = json::IntegerOf(parsed.value(), "fence");
+  record.settled = json::BooleanOf(parsed.value(), "settled");
+  record.released = json::BooleanOf(parsed.value(), "released");
+  return record;
+}
+
+metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record) {
+  return {ToString({key_kind::kTenure, ShardName(shard)}),
+          EncodeTenure(record)};
+}
+
+bool AllEarlierOwnersEnded(const std::optional<tenure_record>& last,
+                           metadata::revision replaced_fence) {
+  if (!last || !last->settled)
+    return false;
+  // A node runs one process at a time, so the process that wrote this
+  // instance's name into the owner key has ended or has dropped the shard.
+  return last->released || last->fence == replaced_fence;
+}
+
+shard_tenure::shard_tenure(reactor::event_loop& loop,
+                           metadata::store& store,
+                           event_log::event_log& log,
+                           std::uint32_t shard,
+                           metadata::revision fence,
+                           shard_tenure_settings settings)
+    : loop_(loop),
+      store_(store),
+      log_(log),
+      shard_(shard),
+      fence_(fence),
+      settings_(settings),
+      acquired_at_(loop.Now()),
+      guard_(loop) {}
+
+void shard_tenure::Begin(bool earlier_ended) {
+  Commit(earlier_ended);
+}
+
+void shard_tenure::Commit(bool settled) {
+  metadata::transaction change;
+  change.conditions.push_back(OwnershipCondition(shard_, fence_));
+  change.writes.push_back(
+      TenureWrite(shard_, {.fence = fence_, .settled = settled}));
+  store_.Commit(std::move(change),
+                guard_.Wrap([this, settled](
+                                base::result<metadata::commit_answer> answer) {
+                  OnCommit(settled, std::move(answer));
+                }));
+}
+
+void shard_tenure::OnCommit(bool settled,
+                            base::result<metadata::commit_answer> answer) {
+  if (!answer)
+    return guard_.Later(settings_.retry_delay,
+                        [this, settled] { Commit(settled); });
+  // Another owner: the driver learns that from its own commits.
+  if (!answer.value().applied)
+    return;
+  has_begun_ = true;
+  if (settled) {
+    log_.Write("tenure_settled", {{"shard", shard_}, {"fence", fence_}});
+    return;
+  }
+  const base::duration left =
+      acquired_at_ + settings_.settle_time - loop_.Now();
+  guard_.Later(std::max(left, base::duration::zero()),
+               [this] { Commit(true); });
+}
+
+}  // namespace chivecrank::runtime
--- a/src/runtime/tests/replica_test.cc
+++ b/src/runtime/tests/replica_test.cc
@@ -55,7 +55,7 @@
   for (const key_kind kind :
        {key_kind::kShardCount, key_kind::kMember, key_kind::kOwner,
         key_kind::kShardStatus, key_kind::kSubmission, key_kind::kCancellation,
-        key_kind::kOutcome}) {
+        key_kind::kOutcome, key_kind::kTenure}) {
     const auto read = ParseSharedKey(ToString({kind, "name"}));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST((read->kind == kind));
