An instance that owned a shard last knows that this ownership has ended

Cause: the owner drops the shard in the outage and wins it again, with its key gone. It waited 3.8 s for the owner before, which was itself: only a key that still named it counted as a sign of that.

Change: ownership keeps the fence of what it has dropped; when the last recorded tenure has that fence, no other owner acted since.

--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -45,9 +45,9 @@
 struct acquisition {
   /// The fence of its commands.
   metadata::revision fence = 0;
-  /// The fence of an earlier owner of this instance's name whose key it
-  /// replaced; 0 if there was no owner.
-  metadata::revision replaced_fence = 0;
+  /// The fence of the newest ownership by this node that is known to have
+  /// ended; 0 for none.
+  metadata::revision ended_fence = 0;
 };
 
 /// Holds this instance's lease in the store and the shards that it owns under
@@ -145,6 +145,8 @@
   bool renewal_failing_ = false;
   bool releasing_ = false;
   std::map<std::uint32_t, metadata::revision> owned_;
+  /// Fences of the shards that this process owned last and has dropped.
+  std::map<std::uint32_t, metadata::revision> dropped_;
   /// Shards with a claim in progress, and when it was sent.
   std::map<std::uint32_t, base::time_point> claiming_;
   /// Shards handed over whose owner key still names this instance in the
--- a/src/runtime/include/chivecrank/runtime/shard_tenure.h
+++ b/src/runtime/include/chivecrank/runtime/shard_tenure.h
@@ -34,10 +34,10 @@
 metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record);
 
 /// Whether no owner before the new one acts for the shard any more.
-/// `replaced_fence` is the fence that the owner key had when this instance
-/// claimed it, which then named this instance; 0 if the key did not exist.
+/// `ended_fence` is the fence of an owner that is known to have ended; 0 for
+/// none.
 bool AllEarlierOwnersEnded(const std::optional<tenure_record>& last,
-                           metadata::revision replaced_fence);
+                           metadata::revision ended_fence);
 
 struct shard_tenure_settings {
   /// How long earlier owners may act after this one acquired the shard.
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -83,8 +83,11 @@
 }
 
 void ownership::Drop(std::uint32_t shard, std::string_view reason) {
-  if (owned_.erase(shard) == 0)
+  const auto found = owned_.find(shard);
+  if (found == owned_.end())
     return;
+  dropped_[shard] = found->second;
+  owned_.erase(found);
   log_.Write("shard_lost", {{"shard", shard}, {"reason", reason}});
   hooks_.on_lost(shard);
 }
@@ -311,7 +314,11 @@
   owned_[shard] = fence;
   free_since_.erase(shard);
   log_.Write("shard_won", {{"shard", shard}, {"fence", fence}});
-  hooks_.on_acquired(shard, {fence, expected});
+  // A key with this node's name was written by an earlier process of the node,
+  // or by this one for an ownership that it has dropped.
+  const metadata::revision ended_fence =
+      expected != 0 ? expected : dropped_[shard];
+  hooks_.on_acquired(shard, {fence, ended_fence});
 }
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -79,7 +79,7 @@
   if (shared_.Revision() < fence_)
     return guard_.Later(kReplicaPollInterval, [this] { WaitForReplica(); });
   earlier_owners_ended_ =
-      AllEarlierOwnersEnded(shared_.TenureOf(shard_), acquired_.replaced_fence);
+      AllEarlierOwnersEnded(shared_.TenureOf(shard_), acquired_.ended_fence);
   tenure_.Begin(earlier_owners_ended_);
   ReadJournal();
 }
--- a/src/runtime/internal/shard_tenure.cc
+++ b/src/runtime/internal/shard_tenure.cc
@@ -36,12 +36,10 @@
 }
 
 bool AllEarlierOwnersEnded(const std::optional<tenure_record>& last,
-                           metadata::revision replaced_fence) {
+                           metadata::revision ended_fence) {
   if (!last || !last->settled)
     return false;
-  // A node runs one process at a time, so the process that wrote this
-  // instance's name into the owner key has ended or has dropped the shard.
-  return last->released || last->fence == replaced_fence;
+  return last->released || last->fence == ended_fence;
 }
 
 shard_tenure::shard_tenure(reactor::event_loop& loop,
--- a/src/runtime/tests/shard_tenure_test.cc
+++ b/src/runtime/tests/shard_tenure_test.cc
@@ -24,7 +24,7 @@
   BOOST_TEST(!AllEarlierOwnersEnded(last, 0));
 }
 
-BOOST_AUTO_TEST_CASE(AnEarlierProcessOfTheSameNodeHasEnded) {
+BOOST_AUTO_TEST_CASE(OnlyTheLastOwnerThatIsKnownToHaveEndedCounts) {
   const tenure_record last{.fence = kFence, .settled = true};
   BOOST_TEST(AllEarlierOwnersEnded(last, kFence));
   // Another owner recorded a tenure after that process.
--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -101,6 +101,28 @@
   CheckAllRun();
 }
 
+BOOST_AUTO_TEST_CASE(TasksOfLostWorkersRunAgainAfterTheSameOwnerCameBack) {
+  Crash();
+  Unlist();
+  const std::size_t owner = day->OwnerOf(0);
+  day->Store().Faults().silent = true;
+  day->Store().Faults().leases_lapse = true;
+  day->Run(milliseconds(4500), false);
+  day->Store().Faults() = {};
+  day->Run(seconds(2), false);
+  BOOST_REQUIRE(day->OwnerOf(0) == owner);
+  day->Run(kRunsAgainWithin - seconds(2), false);
+  CheckAllRun();
+}
+
+BOOST_AUTO_TEST_CASE(TasksOfLostWorkersRunAgainAfterTheOwnerIsLostToo) {
+  Crash();
+  Unlist();
+  ChangeOwner(seconds(2) + milliseconds(500));
+  day->Run(kRunsAgainWithin, false);
+  CheckAllRun();
+}
+
 BOOST_AUTO_TEST_CASE(TasksOfReplacedWorkersRunAgainUnderAnotherOwner) {
   Crash();
   Unlist();
