An instance that wins a shard back knows how long its leases last

Cause: the owner had waited for the silent workers in its memory, could record nothing while the store was away, dropped the shard and forgot. Back as owner it waited worker lease and margin for all of them, from its new start.

Evidence: runs_awaited at 14.3 s: 13 workers, longest 6,662 ms; shard_won at 17.9 s by the same instance; at 18.2 s: longest 8,355 ms.

Change: an instance keeps, of the last ownership of each shard that it dropped, when each worker's lease ends at the latest, on its own steady clock; it applies that if the last recorded tenure is that ownership. Taking the bounds from memory also while another instance owned the shard in between would be wrong and is excluded by the tenure.

--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -93,6 +93,8 @@
   replica shared_;
   std::shared_ptr<const submissions::queue_table> queues_;
   std::map<std::uint32_t, std::shared_ptr<shard_driver>> drivers_;
+  /// What dropped drivers knew, by shard.
+  std::map<std::uint32_t, earlier_ownership> earlier_;
   prefix_watcher shared_watcher_;
   prefix_watcher configuration_watcher_;
   worker_directory directory_;
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -28,6 +28,12 @@
 
 namespace chivecrank::runtime {
 
+/// What an earlier ownership of this process knew when it ended.
+struct earlier_ownership {
+  metadata::revision fence = 0;
+  submissions::lease_expiries leases;
+};
+
 /// Runs one shard that this instance owns: restores its state, polls its
 /// workers, commits the scheduler's decisions and sends the commands. All calls
 /// happen on the event loop's thread.
@@ -50,6 +56,7 @@
                instance_metrics& metrics,
                std::uint32_t shard,
                const acquisition& acquired,
+               earlier_ownership earlier,
                driver_settings settings,
                hooks handlers);
 
@@ -62,6 +69,8 @@
   void SetQueues(const submissions::queue_table& queues);
   void SetWorkers(std::vector<submissions::worker_description> workers);
   bool IsRestored() const { return restored_; }
+  /// What this process knows as the shard's owner, for its next ownership.
+  earlier_ownership Knowledge() const;
   submissions::awaited_runs AwaitedRuns() const {
     return scheduler_.AwaitedRuns(loop_.Now());
   }
@@ -119,6 +128,7 @@
   instance_metrics& metrics_;
   const std::uint32_t shard_;
   const acquisition acquired_;
+  const earlier_ownership earlier_;
   const metadata::revision fence_;
   const driver_settings settings_;
   const hooks hooks_;
@@ -128,6 +138,8 @@
   shard_journal journal_;
   shard_tenure tenure_;
   bool earlier_owners_ended_ = false;
+  /// `earlier_` was the last ownership before this one.
+  bool was_last_owner_ = false;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, poll_state> polls_;
   /// As last logged.
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -226,7 +226,7 @@
                                        const acquisition& acquired) {
   auto driver = std::make_shared<shard_driver>(
       loop_, clock_, store_, gateway_, permits_, shared_, log_, metrics_, shard,
-      acquired, settings_.driver,
+      acquired, std::exchange(earlier_[shard], {}), settings_.driver,
       shard_driver::hooks{
           .authority = [this] { return ownership_.GetAuthority(); },
           .on_fenced =
@@ -243,6 +243,7 @@
   const auto found = drivers_.find(shard);
   if (found == drivers_.end())
     return;
+  earlier_[shard] = found->second->Knowledge();
   // Destroyed later by the event loop, because this function may run inside one
   // of the driver's callbacks.
   loop_.After(base::duration::zero(), [kept = found->second] {});
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -22,6 +22,7 @@
                            instance_metrics& metrics,
                            std::uint32_t shard,
                            const acquisition& acquired,
+                           earlier_ownership earlier,
                            driver_settings settings,
                            hooks handlers)
     : loop_(loop),
@@ -34,6 +35,7 @@
       metrics_(metrics),
       shard_(shard),
       acquired_(acquired),
+      earlier_(std::move(earlier)),
       fence_(acquired.fence),
       settings_(std::move(settings)),
       hooks_(std::move(handlers)),
@@ -78,8 +80,10 @@
 void shard_driver::WaitForReplica() {
   if (shared_.Revision() < fence_)
     return guard_.Later(kReplicaPollInterval, [this] { WaitForReplica(); });
-  earlier_owners_ended_ =
-      AllEarlierOwnersEnded(shared_.TenureOf(shard_), acquired_.ended_fence);
+  const std::optional<tenure_record> last = shared_.TenureOf(shard_);
+  earlier_owners_ended_ = AllEarlierOwnersEnded(last, acquired_.ended_fence);
+  was_last_owner_ =
+      earlier_owners_ended_ && last && last->fence == earlier_.fence;
   tenure_.Begin(earlier_owners_ended_);
   ReadJournal();
 }
@@ -115,6 +119,8 @@
   for (const submissions::journal_entry& entry : entries)
     scheduler_.Restore(entry);
   scheduler_.FinishRestore(loop_.Now(), created_at_, LongestEarlierLease());
+  if (was_last_owner_)
+    scheduler_.RestrictLeases(earlier_.leases);
   AddUnlistedWorkers();
   restored_ = true;
   log_.Write("shard_restored", {{"shard", shard_},
@@ -130,6 +136,12 @@
   housekeeping_.Start();
 }
 
+earlier_ownership shard_driver::Knowledge() const {
+  if (!restored_)
+    return {};
+  return {fence_, scheduler_.LeaseExpiries()};
+}
+
 void shard_driver::AddUnlistedWorkers() {
   for (const submissions::worker_description& worker :
        scheduler_.WorkersWithRuns())
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_SUBMISSIONS_SHARD_SCHEDULER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,9 @@
   std::vector<std::int32_t> workers_by_free_cores;
 };
 
+/// Ends of leases by worker, on the clock of this process.
+using lease_expiries = std::map<std::string, base::time_point>;
+
 /// Runs on workers that have not answered for a while. Whether such a run is
 /// alive is unknown until its worker answers or the worker's lease is over.
 struct awaited_runs {
@@ -59,6 +63,12 @@
   void FinishRestore(base::time_point now,
                      base::time_point acquired_at,
                      std::chrono::milliseconds longest_lease);
+  /// When the lease of each worker is over at the latest, as far as this owner
+  /// and those before it granted it.
+  lease_expiries LeaseExpiries() const;
+  /// Applies what this process knew as the last owner; called after
+  /// FinishRestore.
+  void RestrictLeases(const lease_expiries& known);
 
   /// Stops the tasks of a submission and starts no more of them.
   void Cancel(const std::string& submission, base::time_point now);
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -79,6 +79,19 @@
   }
 }
 
+lease_expiries shard_scheduler::LeaseExpiries() const {
+  lease_expiries expiries;
+  for (const auto& [id, worker] : core_->tracker.Workers().All())
+    expiries[id] = worker.lease_expiry;
+  return expiries;
+}
+
+void shard_scheduler::RestrictLeases(const lease_expiries& known) {
+  for (auto& [id, worker] : core_->tracker.Workers().All())
+    if (const auto found = known.find(id); found != known.end())
+      worker.lease_expiry = std::min(worker.lease_expiry, found->second);
+}
+
 void shard_scheduler::Cancel(const std::string& submission,
                              base::time_point now) {
   live_submission* live = core_->tracker.Submissions().Find(submission);
--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -90,6 +90,17 @@
                   kStep));
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnerThatComesBackWaitsNoLongerThanItKnew) {
+  const auto known = scheduler.LeaseExpiries();
+  Advance(std::chrono::seconds(5));
+  const auto next = NextOwner();
+  next->RestrictLeases(known);
+  const auto wait = next->AwaitedRuns(now).longest_wait;
+  BOOST_TEST((wait <= settings.worker_lease + settings.lease_margin -
+                          std::chrono::seconds(5)));
+  BOOST_TEST(wait.count() > 0);
+}
+
 BOOST_AUTO_TEST_CASE(AWorkerThatAnswersAgainGetsALeaseOnceItsBoundIsReleased) {
   StaySilent(scheduler, std::chrono::seconds(1));
   BOOST_TEST(!scheduler.MayRenewLease(start.worker));
