--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -9,8 +9,6 @@
 /// A lasting task runs again by then, counted from the end of the last fault:
 /// three seconds until all instances are in touch, seven of calm.
 constexpr seconds kRunsAgainWithin{10};
-/// Time for which crashed workers are away.
-constexpr seconds kAway{2};
 constexpr std::size_t kCrashed = 4;
 /// The longest lease that an owner grants.
 constexpr milliseconds kLease{7800};
