--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -100,6 +100,17 @@
   CheckAllRun();
 }
 
+BOOST_AUTO_TEST_CASE(TasksOfWorkersLostWithTheirOwnerRunAgain) {
+  Crash();
+  Unlist();
+  const std::size_t owner = day->OwnerOf(0);
+  day->KillInstance(owner);
+  day->Run(milliseconds(550), false);
+  day->StartInstance(owner);
+  day->Run(kRunsAgainWithin, false);
+  CheckAllRun();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
