--- a/tests/emulator/tests/shard_balance_test.cc
+++ b/tests/emulator/tests/shard_balance_test.cc
@@ -53,6 +53,35 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(SubmissionsWhoseMoveMetAnOutageAreStillDone) {
+  // The calls to the store time out after 1.5 s, when the owner may only renew
+  // leases; the store is back before it loses the shard.
+  constexpr milliseconds kOutage{1800};
+  constexpr milliseconds kStep{5};
+  std::size_t moved = 0;
+  settings.seed = 2;
+  settings.instances = 4;
+  settings.queues[0].per_second = 4;
+  settings.on_log_line = [&](std::string_view line) {
+    if (line.find("submission_moved") != std::string_view::npos)
+      ++moved;
+  };
+  BeginWithServices();
+  for (int outage = 0; outage < 8; ++outage) {
+    const std::size_t moved_before = moved;
+    const base::time_point latest = day->Now() + seconds(3);
+    while (moved == moved_before && day->Now() < latest)
+      day->Run(kStep, true);
+    day->Store().Faults().silent = true;
+    day->Run(kOutage, false);
+    day->Store().Faults().silent = false;
+    day->Run(seconds(4), true);
+  }
+  BOOST_REQUIRE(moved > 0u);
+  day->Run(seconds(60), false);
+  CheckPromises();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
