--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -146,6 +146,15 @@
   BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatHoldsTheFirstPollKeepsItsLease) {
+  // A worker with runs answers a poll after 600 ms unless a run ends.
+  constexpr std::chrono::milliseconds kPollWait{600};
+  const auto next = NextOwner();
+  Advance(kPollWait);
+  next->Plan(now, since_epoch);
+  BOOST_TEST(next->MayRenewLease(start.worker));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
