--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -155,6 +155,17 @@
   BOOST_TEST(next->MayRenewLease(start.worker));
 }
 
+BOOST_AUTO_TEST_CASE(TasksGoBesideAWorkerWhoseBoundIsRecorded) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  for (const worker_description& worker : workers)
+    if (worker.id != start.worker)
+      Report(worker.id, {});
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(starts[0].worker != start.worker);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
