--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -166,6 +166,17 @@
   BOOST_TEST(starts[0].worker != start.worker);
 }
 
+BOOST_AUTO_TEST_CASE(AGangStartsWholeBesideAWorkerWhoseBoundIsRecorded) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  for (const worker_description& worker : workers)
+    if (worker.id != start.worker)
+      Report(worker.id, {});
+  step_request gang = MakeStep(3, 8000);
+  gang.gang = true;
+  scheduler.Accept(MakeSubmission("b", gang));
+  BOOST_TEST(RunRound().size() == 3u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
