--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -177,6 +177,27 @@
   BOOST_TEST(RunRound().size() == 3u);
 }
 
+BOOST_AUTO_TEST_CASE(ARunStartedByAnOwnerThatKnowsNoBoundsIsWaitedFor) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  // An owner of the program before bounds were recorded: it renews the lease,
+  // starts another run and records neither.
+  submission request_b = MakeSubmission("b", MakeStep(1, 1000));
+  task_change assigned{{"b"}, {}};
+  assigned.progress.phase = task_phase::kAssigned;
+  assigned.progress.run = 1;
+  assigned.progress.worker = start.worker;
+  journal.push_back({false, {assigned}});
+  Advance(std::chrono::seconds(9));
+  shard_scheduler next(settings, {});
+  next.Accept(request);
+  next.Accept(request_b);
+  for (const journal_entry& entry : journal)
+    next.Restore(entry);
+  next.FinishRestore(now, now, kLongestLease);
+  next.SetWorkers(workers);
+  BOOST_TEST((next.AwaitedRuns(now).longest_wait == kLongestLease));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
