--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -198,6 +198,31 @@
   BOOST_TEST((next.AwaitedRuns(now).longest_wait == kLongestLease));
 }
 
+BOOST_AUTO_TEST_CASE(ARunOnAWorkerThatMovedIsNotLostWithItsOldAddress) {
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
+  scheduler.SetWorkers(workers);
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  journal.push_back({false, batch->tasks, {}, batch->workers});
+  // The worker starts anew at another address while the commit is in flight.
+  workers[0].address.port = 9000;
+  workers[0].started_at_ms = 2;
+  scheduler.SetWorkers(workers);
+  scheduler.OnCommitted(batch->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  workers.clear();
+  shard_scheduler next(settings, {});
+  next.Accept(request);
+  next.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  for (const journal_entry& entry : journal)
+    next.Restore(entry);
+  next.FinishRestore(now, now, kLongestLease);
+  for (const worker_description& worker : next.WorkersWithRuns())
+    BOOST_TEST((starts.empty() || worker.address.port == 9000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
