--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -223,6 +223,19 @@
     BOOST_TEST((starts.empty() || worker.address.port == 9000));
 }
 
+BOOST_AUTO_TEST_CASE(TheWaitGoesOnForAWorkerOfUnknownAddress) {
+  journal.clear();
+  task_change assigned{start.task, {}};
+  assigned.progress.phase = task_phase::kAssigned;
+  assigned.progress.run = start.run;
+  assigned.progress.worker = start.worker;
+  journal.push_back({false, {assigned}});
+  workers.clear();
+  const auto second = NextOwner();
+  StaySilent(*second, std::chrono::seconds(4));
+  BOOST_TEST((NextOwner()->AwaitedRuns(now).longest_wait < kLongestLease));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
