--- a/src/submissions/tests/colocation_test.cc
+++ b/src/submissions/tests/colocation_test.cc
@@ -175,6 +175,43 @@
   BOOST_TEST(best_effort_starts[0].worker == service_starts[1].worker);
 }
 
+BOOST_AUTO_TEST_CASE(ANewOwnerRestoresTheSpeedOfTasksThatItFindsThrottled) {
+  const submission service = MakeSubmission("a", MakeServiceStep(3000));
+  const submission best_effort =
+      MakeSubmission("b", MakeBestEffortStep(1, 4000, "batch"));
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(service);
+  const auto service_starts = RunRound();
+  scheduler.Accept(best_effort);
+  const auto best_effort_starts = RunRound();
+  BOOST_REQUIRE(best_effort_starts.size() == 1u);
+  worker_report report;
+  report.running = {MakeReportedRun(service_starts[0], 44, 100),
+                    MakeReportedRun(best_effort_starts[0], 4000, 20)};
+  Report("w-1", report);
+  RunRound();
+  BOOST_REQUIRE(throttles.size() == 1u);
+  BOOST_REQUIRE(throttles[0].percent == 50);
+
+  shard_scheduler next(settings, {});
+  next.Accept(service);
+  next.Accept(best_effort);
+  next.Restore(scheduler.Snapshot());
+  next.FinishRestore(now, now, settings.worker_lease);
+  next.SetWorkers(workers);
+  std::size_t commands = 0;
+  for (int i = 0; i < 20; ++i) {
+    Advance(std::chrono::milliseconds(200));
+    report.running[0].measurement = 13;
+    report.running[1].percent = 20 + i;
+    ReportTo(next, "w-1", report);
+    RunRoundOn(next);
+    commands += throttles.size();
+  }
+  BOOST_TEST(commands > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
