--- a/src/submissions/tests/shard_scheduler_test.cc
+++ b/src/submissions/tests/shard_scheduler_test.cc
@@ -234,6 +234,21 @@
   BOOST_TEST(restarted[0].run == 2);
 }
 
+BOOST_AUTO_TEST_CASE(NothingIsUnplacedBeforeAWorkerHasAnsweredANewOwner) {
+  shard_scheduler next(settings, {});
+  next.Accept(MakeSubmission("a", MakeStep(1, 1000)));
+  next.FinishRestore(now, now, settings.worker_lease);
+  next.SetWorkers(workers);
+  next.Plan(now, since_epoch);
+  // Workers with runs hold the answer to the first poll for 600 ms.
+  Advance(std::chrono::milliseconds(400));
+  next.Plan(now, since_epoch);
+  const auto min_wait = [](const submission&) {
+    return std::chrono::milliseconds(200);
+  };
+  BOOST_TEST(next.UnplacedSubmissions(now, min_wait).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
