Failing test: ends of a worker's next incarnation are acknowledged unseen

Seen: a poll acknowledges an unseen end of the worker's next incarnation; the task that was done starts again.

--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -156,6 +156,30 @@
   BOOST_TEST(batch->outcomes.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(EndsOfTheNextIncarnationAreNotForgottenUnseen) {
+  workers.resize(1);
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(MakeSubmission("a", MakeStep(1, 1000)));
+  const auto first = RunRound();
+  BOOST_REQUIRE(first.size() == 1u);
+  worker_report report;
+  report.ended = {{1, first[0].task, 1, run_outcome::kDone, ""}};
+  Report("w-1", report);
+  RunRound();
+  // The worker restarts, carries a start out and ends it before a poll.
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  const auto second = RunRound();
+  BOOST_REQUIRE(second.size() == 1u);
+  Advance(std::chrono::milliseconds(800));
+  scheduler.OnPollUnanswered("w-1", now);
+  // It forgets the ends up to the number that the poll acknowledges.
+  report = {.started_at_ms = 2};
+  if (scheduler.AcknowledgedEnd("w-1") < 1)
+    report.ended = {{1, second[0].task, 1, run_outcome::kDone, ""}};
+  Report("w-1", report);
+  BOOST_TEST(RunRound().empty());
+}
+
 BOOST_AUTO_TEST_CASE(StartInFlightDuringARestartIsNotGivenUp) {
   scheduler.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   scheduler.Plan(now, since_epoch);
