--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -157,6 +157,96 @@
   BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatHoldsTheFirstPollKeepsItsLease) {
+  // A worker with runs answers a poll after 600 ms unless a run ends.
+  constexpr std::chrono::milliseconds kPollWait{600};
+  const auto next = NextOwner();
+  Advance(kPollWait);
+  next->Plan(now, since_epoch);
+  BOOST_TEST(next->MayRenewLease(start.worker));
+}
+
+BOOST_AUTO_TEST_CASE(TasksGoBesideAWorkerWhoseBoundIsRecorded) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  for (const worker_description& worker : workers)
+    if (worker.id != start.worker)
+      Report(worker.id, {});
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(starts[0].worker != start.worker);
+}
+
+BOOST_AUTO_TEST_CASE(AGangStartsWholeBesideAWorkerWhoseBoundIsRecorded) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  for (const worker_description& worker : workers)
+    if (worker.id != start.worker)
+      Report(worker.id, {});
+  step_request gang = MakeStep(3, 8000);
+  gang.gang = true;
+  scheduler.Accept(MakeSubmission("b", gang));
+  BOOST_TEST(RunRound().size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(ARunStartedByAnOwnerThatKnowsNoBoundsIsWaitedFor) {
+  StaySilent(scheduler, std::chrono::seconds(1));
+  // An owner of the program before bounds were recorded: it renews the lease,
+  // starts another run and records neither.
+  submission request_b = MakeSubmission("b", MakeStep(1, 1000));
+  task_change assigned{{"b"}, {}};
+  assigned.progress.phase = task_phase::kAssigned;
+  assigned.progress.run = 1;
+  assigned.progress.worker = start.worker;
+  journal.push_back({false, {assigned}});
+  Advance(std::chrono::seconds(9));
+  shard_scheduler next(settings, {});
+  next.Accept(request);
+  next.Accept(request_b);
+  for (const journal_entry& entry : journal)
+    next.Restore(entry);
+  next.FinishRestore(now, now, kLongestLease);
+  next.SetWorkers(workers);
+  BOOST_TEST((next.AwaitedRuns(now).longest_wait == kLongestLease));
+}
+
+BOOST_AUTO_TEST_CASE(ARunOnAWorkerThatMovedIsNotLostWithItsOldAddress) {
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
+  scheduler.SetWorkers(workers);
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  journal.push_back({false, batch->tasks, {}, batch->workers});
+  // The worker starts anew at another address while the commit is in flight.
+  workers[0].address.port = 9000;
+  workers[0].started_at_ms = 2;
+  scheduler.SetWorkers(workers);
+  scheduler.OnCommitted(batch->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  workers.clear();
+  shard_scheduler next(settings, {});
+  next.Accept(request);
+  next.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  for (const journal_entry& entry : journal)
+    next.Restore(entry);
+  next.FinishRestore(now, now, kLongestLease);
+  for (const worker_description& worker : next.WorkersWithRuns())
+    BOOST_TEST((starts.empty() || worker.address.port == 9000));
+}
+
+BOOST_AUTO_TEST_CASE(TheWaitGoesOnForAWorkerOfUnknownAddress) {
+  journal.clear();
+  task_change assigned{start.task, {}};
+  assigned.progress.phase = task_phase::kAssigned;
+  assigned.progress.run = start.run;
+  assigned.progress.worker = start.worker;
+  journal.push_back({false, {assigned}});
+  workers.clear();
+  const auto second = NextOwner();
+  StaySilent(*second, std::chrono::seconds(4));
+  BOOST_TEST((NextOwner()->AwaitedRuns(now).longest_wait < kLongestLease));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
