A move that met an outage of the store is finished by the same owner

Change: the same transaction is sent again once the owner may write; its conditions let it take effect once. A driver whose shard is lost is destroyed with its retries.

--- a/src/runtime/internal/shard_housekeeping.cc
+++ b/src/runtime/internal/shard_housekeeping.cc
@@ -123,6 +123,12 @@
 
 void shard_housekeeping::CommitMove(const std::string& id,
                                     metadata::transaction change) {
+  // Without authority the outcome of an earlier attempt stays open, so that the
+  // submission is neither placed nor given up.
+  if (!is_valid_())
+    return guard_.Later(settings_.retry, [this, id, change] {
+      CommitMove(id, change);
+    });
   store_.Commit(change,
                 guard_.Wrap([this, id, change](
                                 base::result<metadata::commit_answer> answer) {
@@ -133,8 +139,6 @@
 void shard_housekeeping::OnMove(const std::string& id,
                                 const metadata::transaction& change,
                                 base::result<metadata::commit_answer> answer) {
-  if (!answer && !is_valid_())
-    return;
   // Send the same transaction again: its conditions ensure that it takes effect
   // at most once.
   if (!answer)
