Ends are acknowledged only to a worker that answered the last poll

Cause: numbers of ends start anew with each incarnation. A poll after one without an answer acknowledged the earlier incarnation's number to the next one, which then forgot ends of its own that nobody had seen. After: EndsOfTheNextIncarnationAreNotForgottenUnseen passes.

--- a/src/runtime/internal/shard_housekeeping.cc
+++ b/src/runtime/internal/shard_housekeeping.cc
@@ -126,9 +126,8 @@
   // Without authority the outcome of an earlier attempt stays open, so that the
   // submission is neither placed nor given up.
   if (!is_valid_())
-    return guard_.Later(settings_.retry, [this, id, change] {
-      CommitMove(id, change);
-    });
+    return guard_.Later(settings_.retry,
+                        [this, id, change] { CommitMove(id, change); });
   store_.Commit(change,
                 guard_.Wrap([this, id, change](
                                 base::result<metadata::commit_answer> answer) {
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -277,7 +277,11 @@
     const std::string& worker_id) const {
   const worker_entry* worker =
       std::as_const(core_->tracker).Workers().Find(worker_id);
-  return worker == nullptr ? 0 : worker->committed_end;
+  // After a poll without an answer, another incarnation may answer the next
+  // one. It would forget ends of its own up to that number.
+  if (worker == nullptr || worker->silent_since)
+    return 0;
+  return worker->committed_end;
 }
 
 bool shard_scheduler::MayRenewLease(const std::string& worker_id) const {
