A worker counts as silent from an unanswered poll on, not from the restore

Cause: silence counted from the restore, and a worker with runs holds the answer to the first poll for 600 ms, longer than the 500 ms after which its bound is recorded. It got no lease before the record that releases the bound was committed. Change: silence begins with a failed poll; the first poll, and each after a failed one, which carry no lease, are answered at once, so that the next one renews sooner.

--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -357,10 +357,12 @@
   submissions::poll_request request;
   request.header = CommandHeader();
   request.acknowledged_end = scheduler_.AcknowledgedEnd(worker);
-  if (scheduler_.HasRuns(worker))
-    request.wait = settings_.poll_wait;
   const base::time_point now = loop_.Now();
   poll_state& state = polls_[worker];
+  // The first poll, and each after one without an answer, is answered at once:
+  // the worker gets no lease before.
+  if (state.answered && scheduler_.HasRuns(worker))
+    request.wait = settings_.poll_wait;
   // A worker that did not answer the last poll is polled without a lease.
   // Otherwise each retry could renew its lease, which would then never expire.
   if (state.answered && tenure_.HasBegun() && scheduler_.MayRenewLease(worker))
--- a/src/submissions/internal/worker_recorder.cc
+++ b/src/submissions/internal/worker_recorder.cc
@@ -29,7 +29,6 @@
       workers_.FindOrAdd(id).description.id = id;
   for (auto& [id, worker] : workers_.All()) {
     worker.lease_expiry = acquired_at + longest_lease;
-    worker.silent_since = now;
     const auto found = restored_.find(id);
     if (found != restored_.end())
       RestoreWorker(worker, found->second, acquired_at, now);
@@ -62,7 +61,8 @@
 void worker_recorder::UpdateWorker(worker_entry& worker,
                                    base::time_point now) const {
   recorded_worker& recorded = worker.recorded;
-  const bool is_needed = worker.silent_since && !worker.runs.empty();
+  const bool answers = worker.reported && !worker.silent_since;
+  const bool is_needed = !answers && !worker.runs.empty();
   if (recorded.lease == lease_record::kBounded && !is_needed) {
     recorded.lease = lease_record::kReleasing;
     recorded.release_batch.reset();
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -133,8 +133,8 @@
   bool listed = false;
   /// The worker has answered this owner.
   bool reported = false;
-  /// Since when polls go unanswered, or since the restore; unset after an
-  /// answer.
+  /// Since when polls go unanswered; unset after an answer and before the first
+  /// poll.
   std::optional<base::time_point> silent_since;
   base::time_point reported_at;
   /// Incarnation of the worker that sent the last report.
