No task is placed on a worker whose bound is recorded

Cause: ConfirmStart refuses a worker whose lease may not be renewed, and placement did not know of that rule. Change: such a worker is not eligible until the record that releases its bound is in the batch that would assign the task. After: TasksGoBesideAWorkerWhoseBoundIsRecorded and AGangStartsWholeBesideAWorkerWhoseBoundIsRecorded pass.

--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -141,6 +141,7 @@
   const step_request& step = *request.step;
   if (!worker.listed || !worker.reported || description.draining ||
       worker.lacks_capacity || request.now >= worker.lease_expiry ||
+      worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
     return false;
   if (description.service != *request.service ||
