--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -64,7 +64,7 @@
       tracker.Submissions().Find(command.task.submission);
   bool is_valid = live != nullptr && !live->outcome && worker->listed &&
                   worker->reported && !worker->description.draining &&
-                  worker_recorder::MayRenewLease(*worker);
+                  worker_recorder::MayStart(*worker);
   if (is_valid && run_planner.NeedsPermit(*live)) {
     const std::string* permit = permits.Find(command.task, *worker, now);
     is_valid = permit != nullptr;
--- a/src/submissions/internal/worker_recorder.cc
+++ b/src/submissions/internal/worker_recorder.cc
@@ -134,6 +134,11 @@
   return worker.recorded.lease == lease_record::kRenewable;
 }
 
+bool worker_recorder::MayStart(const worker_entry& worker) {
+  return MayRenewLease(worker) &&
+         worker.recorded.address == worker.description.address;
+}
+
 worker_record worker_recorder::RecordOf(const std::string& id,
                                         const worker_entry& worker) {
   worker_record record{id, worker.recorded.address};
--- a/src/submissions/internal/worker_recorder.h
+++ b/src/submissions/internal/worker_recorder.h
@@ -42,6 +42,9 @@
   /// Whether the worker's lease may be renewed. A bound that is recorded holds
   /// until a later record that releases it is committed.
   static bool MayRenewLease(const worker_entry& worker);
+  /// Whether a run may start on the worker: it may get a lease, and the journal
+  /// has the address that the start command goes to.
+  static bool MayStart(const worker_entry& worker);
 
  private:
   static void RestoreWorker(worker_entry& worker,
