--- a/src/submissions/include/chivecrank/submissions/progress.h
+++ b/src/submissions/include/chivecrank/submissions/progress.h
@@ -47,6 +47,7 @@
 /// What the next owner must know of a worker that runs depend on.
 struct worker_record {
   std::string worker;
+  /// Port 0 for an unknown address.
   settings::endpoint address;
   /// How long runs on the worker can live at most, counted from when the record
   /// was made; unset if the lease may be renewed.
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -175,13 +175,16 @@
       static_cast<double>(json::IntegerAt(row, 3)) / kEstimateScale};
 }
 
+/// Empty for an unknown address.
+std::string AddressText(const settings::endpoint& address) {
+  return address.port == 0 ? std::string() : settings::ToString(address);
+}
+
 void WriteWorkers(json::writer& text,
                   const std::vector<worker_record>& workers) {
   text.Key("workers").BeginArray();
   for (const worker_record& record : workers) {
-    text.BeginArray()
-        .String(record.worker)
-        .String(settings::ToString(record.address));
+    text.BeginArray().String(record.worker).String(AddressText(record.address));
     if (record.lease_left)
       text.Integer(record.lease_left->count());
     text.EndArray();
@@ -192,10 +195,15 @@
 base::result<worker_record> ReadWorker(const json::value& row) {
   if (!row.IsArray() || row.Size() < kWorkerColumns)
     return Corrupt("a worker");
-  const auto address = settings::ParseEndpoint(json::StringAt(row, 1));
-  if (!address)
-    return Corrupt("a worker");
-  worker_record record{json::StringAt(row, 0), *address};
+  worker_record record;
+  record.worker = json::StringAt(row, 0);
+  const std::string address_text = json::StringAt(row, 1);
+  if (!address_text.empty()) {
+    const auto address = settings::ParseEndpoint(address_text);
+    if (!address)
+      return Corrupt("a worker");
+    record.address = *address;
+  }
   if (row.Size() > kWorkerColumns) {
     const std::int64_t left = json::IntegerAt(row, kWorkerColumns, -1);
     if (left < 0)
--- a/src/submissions/internal/worker_recorder.cc
+++ b/src/submissions/internal/worker_recorder.cc
@@ -86,7 +86,7 @@
 
 bool worker_recorder::IsBoundDue(const worker_entry& worker,
                                  base::time_point now) const {
-  if (!worker.silent_since || worker.recorded.address.port == 0 ||
+  if (!worker.silent_since ||
       now - *worker.silent_since < settings_.silence_before_record)
     return false;
   const recorded_worker& recorded = worker.recorded;
@@ -125,7 +125,8 @@
 std::vector<worker_record> worker_recorder::All() const {
   std::vector<worker_record> records;
   for (const auto& [id, worker] : workers_.All())
-    if (worker.recorded.address.port != 0)
+    if (worker.recorded.address.port != 0 ||
+        worker.recorded.lease == lease_record::kBounded)
       records.push_back(RecordOf(id, worker));
   return records;
 }
--- a/src/submissions/tests/record_codec_test.cc
+++ b/src/submissions/tests/record_codec_test.cc
@@ -57,9 +57,9 @@
 
 BOOST_AUTO_TEST_CASE(JournalEntryRoundTripPreservesWorkers) {
   journal_entry written;
-  written.workers = {
-      {"w-1", {"10.0.0.1", 8367}, {}},
-      {"w-2", {"10.0.0.2", 8367}, std::chrono::milliseconds(77)}};
+  written.workers = {{"w-1", {"10.0.0.1", 8367}, {}},
+                     {"w-2", {"10.0.0.2", 8367}, std::chrono::milliseconds(77)},
+                     {"w-3", {}, std::chrono::milliseconds(0)}};
   const auto read = DecodeJournalEntry(EncodeJournalEntry(written));
   BOOST_REQUIRE(read);
   BOOST_TEST((read.value().workers == written.workers));
