The search of the model checker takes any model

Cause: a second model, of workers' leases, needs the same breadth-first search, which was tied to the first model's types.

Change: Search is a template over the state and the function that lists its successors; what it found is described in one place. Rules, limits and cases are as before.

--- a/tests/model_checker/model_checker_test.cc
+++ b/tests/model_checker/model_checker_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "model.h"
 #include "search.h"
 
 namespace chivecrank::model_checker {
@@ -14,13 +15,11 @@
 }
 
 search_result Check(const std::string& name, const model_options& options) {
-  search_result result = Search(options, Limit());
-  BOOST_TEST_MESSAGE(name << ": " << result.states << " states, "
-                          << result.transitions << " transitions, depth "
-                          << result.depth
-                          << (result.complete ? ", complete" : ", cut off"));
-  for (const std::string& step : result.path)
-    BOOST_TEST_MESSAGE("  " << step);
+  const auto successors = [&options](const model_state& from) {
+    return Successors(options, from);
+  };
+  search_result result = Search(InitialState(options), successors, Limit());
+  BOOST_TEST_MESSAGE(name << ": " << Describe(result));
   return result;
 }
 
