--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "chivecrank/emulator/emulation.h"
+#include "chivecrank/emulator/lasting_task_monitor.h"
 #include "chivecrank/settings/types.h"
 
 namespace chivecrank::emulator {
@@ -72,6 +73,8 @@
   /// Submissions that were accepted and did not end, which breaks a promise.
   std::vector<std::string> open;
   std::vector<broken_promise> broken;
+  /// Lasting tasks that stayed without a run, which breaks a promise.
+  std::vector<idle_lasting_task> idle_lasting;
   /// Submissions that were rejected or in doubt, failed, or ended late.
   std::vector<std::string> missed;
   std::uint64_t store_calls = 0;
@@ -80,7 +83,9 @@
   /// Least share of a window's submissions that ended in time, by queue.
   std::map<std::string, double> worst_window;
 
-  bool KeepsPromises() const { return open.empty() && broken.empty(); }
+  bool KeepsPromises() const {
+    return open.empty() && broken.empty() && idle_lasting.empty();
+  }
 };
 
 /// Plays a day with the real decision code under the manual clock.
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -41,6 +41,9 @@
   bool poisoned = false;
 };
 
+/// The task as logs write it: SUBMISSION.OCCURRENCE.STEP.INDEX.
+std::string NameOf(const submissions::task_ref& task);
+
 /// What broke a promise, as the workers saw it.
 struct broken_promise {
   std::string name;
@@ -126,6 +129,11 @@
   std::size_t Running() const;
   std::size_t RunningOf(const std::string& submission) const;
   bool IsRunning(const submissions::task_ref& task) const;
+  /// Whether the task ever had a run.
+  bool HasBegun(const submissions::task_ref& task) const;
+  /// How many runs like one of this task fit on the sound workers that stay,
+  /// beside all that they run.
+  std::size_t RoomFor(const submissions::task_ref& task) const;
   /// Seconds that services were over their latency bound, in all.
   double OverBoundSeconds() const { return over_bound_seconds_; }
 
@@ -144,6 +152,12 @@
                                    const submissions::command_header& terms,
                                    base::time_point lease_end);
   bool Stop(worker_state& worker, const submissions::stop_command& command);
+  /// Whether a new run may go to the worker at all.
+  static bool TakesRuns(const worker_state& worker);
+  static coordination::resources ReservedOn(const worker_state& worker);
+  static std::size_t RoomOn(const worker_state& worker,
+                            const submissions::task_ref& task,
+                            const submissions::step_request& step);
   base::result<submissions::worker_report> Report(worker_state& worker);
   void CheckStart(const submissions::start_command& command);
   void Break(std::string_view name, const submissions::task_ref& task);
@@ -165,6 +179,7 @@
   const load_swing swing_;
   std::map<std::string, std::unique_ptr<worker_state>> workers_;
   std::map<std::string, submissions::submission> known_;
+  std::set<submissions::task_ref> begun_;
   std::set<submissions::task_ref> done_;
   std::set<submissions::task_ref> acknowledged_done_;
   std::map<std::string, base::time_point> over_;
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -18,7 +18,11 @@
 }  // namespace
 
 day_player::day_player(const day_description& day, std::uint64_t seed)
-    : day_(day), random_(seed), emulation_(Seeded(day.system, seed)) {}
+    : day_(day),
+      random_(seed),
+      emulation_(Seeded(day.system, seed)),
+      monitor_(emulation_),
+      now_(-kWarmUp) {}
 
 emulation_settings day_player::Seeded(emulation_settings settings,
                                       std::uint64_t seed) {
@@ -29,22 +33,18 @@
 day_report day_player::Play() {
   for (const day_fault& fault : day_.faults)
     Schedule(fault);
-  emulation_.Run(kWarmUp, false);
-  std::chrono::milliseconds now{0};
+  PassUntil(std::chrono::milliseconds(0));
   for (auto& [time, action] : steps_) {
-    const auto until = std::min(time, day_.load);
-    if (until > now)
-      emulation_.Run(until - now, true);
-    now = std::max(now, until);
+    PassUntil(time);
     action();
   }
-  emulation_.Run(day_.load - now, true);
-  emulation_.Run(day_.rest, false);
+  PassUntil(day_.load + day_.rest);
   return {
       .queues = emulation_.Callers(),
       .workers = emulation_.Workers().Counts(),
       .open = emulation_.Open(),
       .broken = emulation_.Workers().Broken(),
+      .idle_lasting = monitor_.Broken(),
       .missed = emulation_.Missed(),
       .store_calls = emulation_.Store().Calls(),
       .store_writes = emulation_.Store().Writes(),
@@ -52,6 +52,30 @@
       .worst_window = emulation_.WorstWindows(kWindow)};
 }
 
+void day_player::PassUntil(std::chrono::milliseconds end) {
+  while (now_ < end) {
+    const bool with_load = now_.count() >= 0 && now_ < day_.load;
+    auto until = std::min(end, now_ + lasting_task_monitor::kInterval);
+    if (with_load)
+      until = std::min(until, day_.load);
+    emulation_.Run(until - now_, with_load);
+    now_ = until;
+    monitor_.Observe(CalmSince());
+  }
+}
+
+std::optional<base::time_point> day_player::CalmSince() const {
+  std::chrono::milliseconds calm_since = -kWarmUp;
+  for (const day_fault& fault : day_.faults) {
+    const auto over = fault.at + fault.lasts;
+    if (fault.at <= now_ && now_ < over)
+      return std::nullopt;
+    if (over <= now_)
+      calm_since = std::max(calm_since, over);
+  }
+  return emulation_.Now() - (now_ - calm_since);
+}
+
 void day_player::At(std::chrono::milliseconds time, step action) {
   steps_.emplace(time, std::move(action));
 }
@@ -200,9 +224,17 @@
     if (fault.kind == fault_kind::kStoreCompacts)
       emulation_.Store().Compact();
   });
-  At(fault.at + fault.lasts, [this] {
+  At(fault.at + fault.lasts, [this, fault] {
     store_faults& faults = emulation_.Store().Faults();
-    faults = {.rejected_nodes = faults.rejected_nodes};
+    const store_faults none;
+    if (fault.kind == fault_kind::kStoreDown)
+      faults.rejecting = none.rejecting;
+    if (fault.kind == fault_kind::kStoreSilent)
+      faults.silent = none.silent;
+    if (fault.kind == fault_kind::kStoreSlow)
+      faults.slowness = none.slowness;
+    if (fault.kind == fault_kind::kStoreLosesAnswers)
+      faults.lost_share = none.lost_share;
   });
 }
 
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,6 +25,11 @@
   static emulation_settings Seeded(emulation_settings settings,
                                    std::uint64_t seed);
   void Schedule(const day_fault& fault);
+  /// Lets the time pass until `end`, counted from the begin of the load, and
+  /// observes the lasting tasks meanwhile.
+  void PassUntil(std::chrono::milliseconds end);
+  /// The end of the last fault; std::nullopt during one.
+  std::optional<base::time_point> CalmSince() const;
   void At(std::chrono::milliseconds time, step action);
   void HitInstances(const day_fault& fault);
   void SetInstanceFault(std::size_t index, const day_fault& fault, bool begins);
@@ -42,7 +48,10 @@
   const day_description& day_;
   std::mt19937_64 random_;
   emulation emulation_;
+  lasting_task_monitor monitor_;
   std::multimap<std::chrono::milliseconds, step> steps_;
+  /// Now, counted from the begin of the load.
+  std::chrono::milliseconds now_;
   std::int64_t last_life_ = 1;
 };
 
--- a/tests/emulator/internal/day_report.cc
+++ b/tests/emulator/internal/day_report.cc
@@ -10,6 +10,13 @@
   return static_cast<std::int64_t>(value);
 }
 
+/// Milliseconds since the clock's start, as in the log.
+std::int64_t SinceStart(base::time_point time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
 void WriteQueue(json::writer& out, const caller_counts& counts) {
   out.Field("offered", Signed(counts.offered))
       .Field("accepted", Signed(counts.accepted))
@@ -63,6 +70,13 @@
         .Field("promise", broken.name)
         .Field("task", broken.task)
         .EndObject();
+  out.EndArray().Key("idle_lasting").BeginArray();
+  for (const idle_lasting_task& idle : report.idle_lasting)
+    out.BeginObject()
+        .Field("task", idle.task)
+        .Field("at_ms", SinceStart(idle.at))
+        .Field("room", Signed(idle.room))
+        .EndObject();
   out.EndArray().EndObject();
   return out.Text();
 }
@@ -89,6 +103,10 @@
     text += "accepted and never ended: " + id + "\n";
   for (const broken_promise& broken : report.broken)
     text += broken.name + ": " + broken.task + "\n";
+  for (const idle_lasting_task& idle : report.idle_lasting)
+    text += absl::StrFormat(
+        "lasting and without a run at %d ms, with room for %d: %s\n",
+        SinceStart(idle.at), idle.room, idle.task);
   return text;
 }
 
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -1,8 +1,11 @@
 #include "chivecrank/emulator/emulated_workers.h"
 
+#include <absl/strings/str_format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <numbers>
 #include <utility>
 
@@ -23,8 +26,21 @@
 constexpr double kServiceLoad = 0.45;
 constexpr double kSaturated = 0.97;
 
+/// What a worker reserves for a run of the step.
+coordination::resources ReservationFor(const submissions::step_request& step) {
+  coordination::resources reserved = step.demand;
+  if (step.best_effort)
+    reserved.processors_milli = 0;
+  return reserved;
+}
+
 }  // namespace
 
+std::string NameOf(const submissions::task_ref& task) {
+  return absl::StrFormat("%s.%d.%d.%d", task.submission, task.occurrence,
+                         task.step, task.index);
+}
+
 emulated_workers::emulated_workers(reactor::event_loop& loop,
                                    std::uint64_t seed,
                                    truth_hook truth,
@@ -134,6 +150,59 @@
   });
 }
 
+bool emulated_workers::HasBegun(const submissions::task_ref& task) const {
+  return begun_.contains(task);
+}
+
+bool emulated_workers::TakesRuns(const worker_state& worker) {
+  const worker_faults& faults = worker.faults;
+  const bool is_sound =
+      !faults.crashed && !faults.cut_off && !faults.fails_all && !faults.hangs;
+  return is_sound && !worker.replaced && !worker.leaves_since;
+}
+
+coordination::resources emulated_workers::ReservedOn(
+    const worker_state& worker) {
+  coordination::resources reserved;
+  for (const auto& [task, run] : worker.runs)
+    reserved = scheduling::Plus(reserved, run.reserved);
+  return reserved;
+}
+
+std::size_t emulated_workers::RoomOn(const worker_state& worker,
+                                     const submissions::task_ref& task,
+                                     const submissions::step_request& step) {
+  std::size_t most = std::numeric_limits<std::size_t>::max();
+  if (step.max_per_worker > 0) {
+    const auto limit = static_cast<std::size_t>(step.max_per_worker);
+    const auto present = static_cast<std::size_t>(
+        std::ranges::count_if(worker.runs, [&](const auto& entry) {
+          return submissions::FirstOfStep(entry.first) ==
+                 submissions::FirstOfStep(task);
+        }));
+    most = limit - std::min(limit, present);
+  }
+  const coordination::resources demand = ReservationFor(step);
+  coordination::resources reserved = ReservedOn(worker);
+  std::size_t room = 0;
+  while (room < most &&
+         scheduling::Fits(demand, reserved, worker.description.capacity)) {
+    reserved = scheduling::Plus(reserved, demand);
+    ++room;
+  }
+  return room;
+}
+
+std::size_t emulated_workers::RoomFor(const submissions::task_ref& task) const {
+  const submissions::step_request& step =
+      known_.at(task.submission).steps.at(static_cast<std::size_t>(task.step));
+  std::size_t room = 0;
+  for (const auto& [id, worker] : workers_)
+    if (TakesRuns(*worker))
+      room += RoomOn(*worker, task, step);
+  return room;
+}
+
 void emulated_workers::Tick() {
   for (auto& [id, worker] : workers_)
     if (!worker->faults.crashed)
@@ -244,13 +313,9 @@
       known->second.steps.at(static_cast<std::size_t>(command.task.step));
   run_state run;
   run.run = command.run;
-  run.reserved = step.demand;
-  if (step.best_effort)
-    run.reserved.processors_milli = 0;
-  coordination::resources reserved;
-  for (const auto& [task, other] : worker.runs)
-    reserved = scheduling::Plus(reserved, other.reserved);
-  if (!scheduling::Fits(run.reserved, reserved, worker.description.capacity)) {
+  run.reserved = ReservationFor(step);
+  if (!scheduling::Fits(run.reserved, ReservedOn(worker),
+                        worker.description.capacity)) {
     ++counts_.no_room;
     return start_outcome::kNoCapacity;
   }
@@ -267,6 +332,7 @@
   if (step.checkpoints && !command.checkpoint.empty())
     run.progress = std::stoi(command.checkpoint) / 1000.0;
   worker.runs[command.task] = run;
+  begun_.insert(command.task);
   ++counts_.starts;
   return start_outcome::kStarted;
 }
@@ -351,11 +417,7 @@
 
 void emulated_workers::Break(std::string_view name,
                              const submissions::task_ref& task) {
-  broken_.push_back({std::string(name),
-                     task.submission + "." + std::to_string(task.occurrence) +
-                         "." + std::to_string(task.step) + "." +
-                         std::to_string(task.index),
-                     loop_.Now()});
+  broken_.push_back({std::string(name), NameOf(task), loop_.Now()});
 }
 
 double emulated_workers::LoadOf(const submissions::task_ref& service) const {
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -90,7 +90,7 @@
 }
 
 std::string emulation::Replace(const std::string& worker) {
-  const std::string successor = worker + "-next";
+  std::string successor = worker + "-next";
   workers_.Replace(worker, successor, ++last_started_at_ms_);
   List(successor);
   return successor;
--- a/tests/emulator/tests/day_fixture.h
+++ b/tests/emulator/tests/day_fixture.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "chivecrank/emulator/emulation.h"
+#include "chivecrank/emulator/lasting_task_monitor.h"
 
 namespace chivecrank::emulator {
 
@@ -56,6 +57,9 @@
   return load;
 }
 
+/// Time for all that was begun to end.
+constexpr std::chrono::seconds kSettleTime{25};
+
 /// Three instances, twelve workers and callers of two queues.
 struct day_fixture {
   day_fixture() { settings.queues = {UrgentLoad(), FillingLoad()}; }
@@ -72,7 +76,14 @@
 
   /// What always holds, once the load has ended and all had time to finish.
   void CheckPromises() {
-    Day().Run(std::chrono::seconds(25), false);
+    lasting_task_monitor monitor(Day());
+    const base::time_point calm_since = Day().Now();
+    while (Day().Now() < calm_since + kSettleTime) {
+      Day().Run(lasting_task_monitor::kInterval, false);
+      monitor.Observe(calm_since);
+    }
+    for (const idle_lasting_task& idle : monitor.Broken())
+      BOOST_ERROR("lasting and without a run: " + idle.task);
     for (const broken_promise& broken : Day().Workers().Broken())
       BOOST_ERROR(broken.name + ": " + broken.task);
     const auto open = Day().Open();
--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -1,3 +1,5 @@
+#include <optional>
+
 #include "day_fixture.h"
 
 namespace chivecrank::emulator {
@@ -9,8 +11,6 @@
 /// A lasting task runs again by then, counted from the end of the last fault:
 /// three seconds until all instances are in touch, seven of calm.
 constexpr seconds kRunsAgainWithin{10};
-/// Time for which crashed workers are away.
-constexpr seconds kAway{2};
 constexpr std::size_t kCrashed = 4;
 /// The longest lease that an owner grants.
 constexpr milliseconds kLease{7800};
@@ -56,6 +56,22 @@
     day->StartInstance(owner);
   }
 
+  void KillAll() {
+    for (std::size_t i = 0; i < settings.instances; ++i)
+      day->KillInstance(i);
+  }
+
+  /// Lets the time pass and observes the lasting tasks meanwhile.
+  void Watch(lasting_task_monitor& monitor,
+             milliseconds time,
+             std::optional<base::time_point> calm_since) {
+    const base::time_point end = day->Now() + time;
+    while (day->Now() < end) {
+      day->Run(lasting_task_monitor::kInterval, false);
+      monitor.Observe(calm_since);
+    }
+  }
+
   void CheckAllRun() {
     BOOST_TEST(day->IdleLastingTasks().size() == 0u);
     CheckPromises();
@@ -100,6 +116,52 @@
   CheckAllRun();
 }
 
+BOOST_AUTO_TEST_CASE(TasksWithoutARunBreakAPromiseOnceAllHasBeenCalm) {
+  KillAll();
+  Crash();
+  const std::size_t idle = day->IdleLastingTasks().size();
+  const base::time_point calm_since = day->Now();
+  lasting_task_monitor monitor(*day);
+  // The other tasks run until their leases are over.
+  Watch(monitor, kRunsAgainWithin - lasting_task_monitor::kInterval,
+        calm_since);
+  BOOST_TEST(monitor.Broken().size() == 0u);
+  Watch(monitor, lasting_task_monitor::kInterval, calm_since);
+  BOOST_TEST(monitor.Broken().size() == idle);
+  Watch(monitor, seconds(20), calm_since);
+  BOOST_TEST(monitor.Broken().size() == 24u);
+}
+
+BOOST_AUTO_TEST_CASE(TasksWithoutARunBreakNoPromiseDuringAFault) {
+  KillAll();
+  Crash();
+  lasting_task_monitor monitor(*day);
+  Watch(monitor, seconds(30), std::nullopt);
+  BOOST_TEST(monitor.Broken().size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(TasksWithoutARunBreakNoPromiseWithoutRoom) {
+  KillAll();
+  Crash();
+  for (const std::string& id : day->Workers().Ids())
+    day->Workers().FaultsOf(id).cut_off = true;
+  lasting_task_monitor monitor(*day);
+  Watch(monitor, seconds(30), day->Now());
+  BOOST_TEST(monitor.Broken().size() == 0u);
+  BOOST_TEST(!day->IdleLastingTasks().empty());
+}
+
+BOOST_AUTO_TEST_CASE(RoomIsWhatIsNotReservedOnSoundWorkers) {
+  // Each worker of 16 cores and 64 GB takes five tasks of 3 cores.
+  const submissions::task_ref task{"0000000000000001", 0, 0, 0};
+  BOOST_TEST(day->Workers().RoomFor(task) == 12u * 5 - 24);
+  day->Workers().Crash("w-000");
+  day->Workers().FaultsOf("w-001").cut_off = true;
+  const std::size_t left = day->Workers().RoomFor(task);
+  BOOST_TEST(left < 36u);
+  BOOST_TEST(left >= 26u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
