--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chivecrank/emulator/emulation.h"
@@ -36,19 +37,37 @@
   kBurst,
 };
 
+/// Which instances a fault hits.
+enum class fault_aim {
+  kAny,
+  /// The owner of shard 0 at that moment, then others.
+  kOwner,
+};
+
 /// One fault: it begins at `at`, counted from the begin of the load, and is
-/// over `lasts` later.
+/// over `lasts` later. A series repeats it.
 struct day_fault {
   fault_kind kind = fault_kind::kKillInstances;
   std::chrono::milliseconds at{0};
   std::chrono::milliseconds lasts{0};
+  /// How often it begins, and the time from one begin to the next.
+  std::size_t times = 1;
+  std::chrono::milliseconds every{0};
   /// Instances or workers that it hits, drawn by the seed.
   std::size_t count = 1;
+  fault_aim aim = fault_aim::kAny;
+  /// Instances that are isolated lose their keys in the store at once.
+  bool takes_keys = false;
   /// How strong it is: the factor of slowness or of a burst, the share of
   /// answers lost, or the seconds by which clocks are off.
   double strength = 1;
 };
 
+/// The fault's name in a day's file.
+std::string_view NameOf(fault_kind kind);
+/// Whether the fault can be aimed at the owner of a shard.
+bool CanHitOwner(fault_kind kind);
+
 /// A day for the emulator.
 struct day_description {
   emulation_settings system;
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -126,6 +126,8 @@
   /// Starts and lists another worker at the address of a crashed one, and
   /// returns its identifier.
   std::string Replace(const std::string& worker);
+  /// The worker that replaced `worker` last, or itself.
+  std::string NewestAt(std::string worker) const;
   /// The worker's entry says that it is about to leave.
   void Drain(const std::string& worker);
   /// Callers hand in so many times their usual load from now on.
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <memory>
 #include <numeric>
 #include <utility>
 
@@ -19,6 +21,7 @@
 
 day_player::day_player(const day_description& day, std::uint64_t seed)
     : day_(day),
+      faults_(AllFaults(day)),
       random_(seed),
       emulation_(Seeded(day.system, seed)),
       monitor_(emulation_),
@@ -30,8 +33,18 @@
   return settings;
 }
 
+std::vector<day_fault> day_player::AllFaults(const day_description& day) {
+  std::vector<day_fault> all;
+  for (day_fault fault : day.faults) {
+    const std::size_t times = std::exchange(fault.times, 1);
+    for (std::size_t i = 0; i < times; ++i, fault.at += fault.every)
+      all.push_back(fault);
+  }
+  return all;
+}
+
 day_report day_player::Play() {
-  for (const day_fault& fault : day_.faults)
+  for (const day_fault& fault : faults_)
     Schedule(fault);
   PassUntil(std::chrono::milliseconds(0));
   for (auto& [time, action] : steps_) {
@@ -66,7 +79,7 @@
 
 std::optional<base::time_point> day_player::CalmSince() const {
   std::chrono::milliseconds calm_since = -kWarmUp;
-  for (const day_fault& fault : day_.faults) {
+  for (const day_fault& fault : faults_) {
     const auto over = fault.at + fault.lasts;
     if (fault.at <= now_ && now_ < over)
       return std::nullopt;
@@ -110,14 +123,33 @@
 }
 
 void day_player::HitInstances(const day_fault& fault) {
-  for (const std::size_t index : DrawInstances(fault.count)) {
-    At(fault.at, [this, index, fault] {
-      if (emulation_.IsAlive(index))
-        SetInstanceFault(index, fault, true);
-    });
-    At(fault.at + fault.lasts,
-       [this, index, fault] { SetInstanceFault(index, fault, false); });
+  const auto hit = std::make_shared<std::vector<std::size_t>>();
+  At(fault.at, [this, fault, hit, drawn = DrawInstances()] {
+    *hit = TargetsOf(fault, drawn);
+    for (const std::size_t index : *hit)
+      SetInstanceFault(index, fault, true);
+  });
+  At(fault.at + fault.lasts, [this, fault, hit] {
+    for (const std::size_t index : *hit)
+      SetInstanceFault(index, fault, false);
+  });
+}
+
+std::vector<std::size_t> day_player::TargetsOf(
+    const day_fault& fault,
+    std::vector<std::size_t> drawn) const {
+  const auto is_dead = [this](std::size_t index) {
+    return !emulation_.IsAlive(index);
+  };
+  if (fault.aim == fault_aim::kOwner) {
+    std::erase_if(drawn, is_dead);
+    const auto owner = std::ranges::find(drawn, emulation_.OwnerOf(0));
+    if (owner != drawn.end())
+      std::rotate(drawn.begin(), owner, std::next(owner));
   }
+  drawn.resize(std::min(fault.count, drawn.size()));
+  std::erase_if(drawn, is_dead);
+  return drawn;
 }
 
 void day_player::SetInstanceFault(std::size_t index,
@@ -127,13 +159,20 @@
       std::llround(begins ? fault.strength * kMillisecondsPerSecond : 0));
   switch (fault.kind) {
     case fault_kind::kKillInstances:
-      return begins ? emulation_.KillInstance(index)
-                    : emulation_.StartInstance(index);
+      if (begins)
+        return emulation_.KillInstance(index);
+      // Another fault may have ended before and started it.
+      if (!emulation_.IsAlive(index))
+        emulation_.StartInstance(index);
+      return;
     case fault_kind::kStopInstances:
       return begins ? emulation_.StopInstance(index)
                     : emulation_.StartInstance(index);
     case fault_kind::kIsolateInstances:
-      return emulation_.Isolate(index, begins);
+      emulation_.Isolate(index, begins);
+      if (begins && fault.takes_keys)
+        emulation_.Store().RevokeKeysOf(emulation_.NodeOf(index));
+      return;
     case fault_kind::kFreezeInstances:
       return emulation_.Freeze(index, begins);
     case fault_kind::kClockAhead:
@@ -146,15 +185,19 @@
 }
 
 void day_player::HitWorkers(const day_fault& fault) {
-  for (const std::string& id : DrawWorkers(fault.count)) {
-    At(fault.at, [this, id, fault] { SetWorkerFault(id, fault, true); });
+  for (const std::string& drawn : DrawWorkers(fault.count)) {
+    const auto hit = std::make_shared<std::string>();
+    At(fault.at, [this, drawn, hit, fault] {
+      *hit = emulation_.NewestAt(drawn);
+      SetWorkerFault(*hit, fault, true);
+    });
     if (fault.kind == fault_kind::kDrainWorkers)
-      At(fault.at + kDrain, [this, id] {
-        emulation_.Workers().Crash(id);
-        emulation_.Unlist(id);
+      At(fault.at + kDrain, [this, hit] {
+        emulation_.Workers().Crash(*hit);
+        emulation_.Unlist(*hit);
       });
     At(fault.at + fault.lasts,
-       [this, id, fault] { SetWorkerFault(id, fault, false); });
+       [this, hit, fault] { SetWorkerFault(*hit, fault, false); });
   }
 }
 
@@ -174,8 +217,12 @@
         emulation_.Workers().Crash(worker);
         return emulation_.Unlist(worker);
       }
-      if (!emulation_.Workers().IsReplaced(worker))
-        emulation_.Replace(worker);
+      if (emulation_.Workers().IsReplaced(worker))
+        return;
+      // Another fault may have brought it back before.
+      emulation_.Workers().Crash(worker);
+      emulation_.Unlist(worker);
+      emulation_.Replace(worker);
       return;
     case fault_kind::kDrainWorkers:
       if (!begins)
@@ -250,11 +297,10 @@
   return ids;
 }
 
-std::vector<std::size_t> day_player::DrawInstances(std::size_t count) {
+std::vector<std::size_t> day_player::DrawInstances() {
   std::vector<std::size_t> places(day_.system.instances);
   std::iota(places.begin(), places.end(), std::size_t{0});
   std::shuffle(places.begin(), places.end(), random_);
-  places.resize(std::min(count, places.size()));
   return places;
 }
 
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -24,6 +24,8 @@
 
   static emulation_settings Seeded(emulation_settings settings,
                                    std::uint64_t seed);
+  /// Each fault of the day as often as it begins.
+  static std::vector<day_fault> AllFaults(const day_description& day);
   void Schedule(const day_fault& fault);
   /// Lets the time pass until `end`, counted from the begin of the load, and
   /// observes the lasting tasks meanwhile.
@@ -32,6 +34,10 @@
   std::optional<base::time_point> CalmSince() const;
   void At(std::chrono::milliseconds time, step action);
   void HitInstances(const day_fault& fault);
+  /// The living instances that the fault hits now. `drawn` are all, in an order
+  /// drawn by the seed.
+  std::vector<std::size_t> TargetsOf(const day_fault& fault,
+                                     std::vector<std::size_t> drawn) const;
   void SetInstanceFault(std::size_t index, const day_fault& fault, bool begins);
   void HitWorkers(const day_fault& fault);
   void HitStore(const day_fault& fault);
@@ -43,9 +49,11 @@
   void Revive(const std::string& worker);
   /// `count` of them, drawn by the seed.
   std::vector<std::string> DrawWorkers(std::size_t count);
-  std::vector<std::size_t> DrawInstances(std::size_t count);
+  /// All instances in an order drawn by the seed.
+  std::vector<std::size_t> DrawInstances();
 
   const day_description& day_;
+  const std::vector<day_fault> faults_;
   std::mt19937_64 random_;
   emulation emulation_;
   lasting_task_monitor monitor_;
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -1,39 +1,21 @@
-#include <array>
-#include <optional>
-
 #include "chivecrank/emulator/day.h"
 #include "chivecrank/emulator/pair_pressure.h"
 #include "chivecrank/settings/document.h"
+#include "internal/fault_names.h"
 
 namespace chivecrank::emulator {
 namespace {
 
 constexpr settings::integer_range kCounts = {1, 10'000};
 constexpr settings::integer_range kNoneOrMore = {0, 10'000};
+constexpr settings::integer_range kRepeats = {1, 100};
 constexpr settings::integer_range kTimesMs = {0, 3'600'000};
+constexpr settings::integer_range kLeasesMs = {1000, 60'000};
 constexpr settings::integer_range kAmounts = {0, 1'000'000'000};
 constexpr settings::number_range kRates = {0, 10'000};
 constexpr settings::number_range kShares = {0, 1};
 constexpr settings::number_range kStrengths = {0, 1000};
-
-constexpr std::array<std::string_view, 20> kFaultNames = {
-    "kill_instances",    "stop_instances",
-    "isolate_instances", "freeze_instances",
-    "clock_ahead",       "clock_behind",
-    "crash_workers",     "replace_workers",
-    "cut_workers",       "drain_workers",
-    "failing_workers",   "hanging_workers",
-    "slow_workers",      "late_orders",
-    "store_down",        "store_silent",
-    "store_slow",        "store_loses_answers",
-    "store_compacts",    "burst"};
-
-std::optional<fault_kind> FaultKindOf(std::string_view name) {
-  for (std::size_t i = 0; i < kFaultNames.size(); ++i)
-    if (kFaultNames[i] == name)
-      return static_cast<fault_kind>(i);
-  return std::nullopt;
-}
+constexpr std::string_view kOwner = "owner";
 
 std::size_t CountOr(settings::section& from,
                     std::string_view key,
@@ -123,10 +105,40 @@
   return load;
 }
 
+/// How often the fault is repeated.
+void ReadSeries(settings::section& from, day_fault& fault) {
+  fault.times = static_cast<std::size_t>(from.IntegerOr("times", kRepeats, 1));
+  fault.every = from.MillisecondsOr("every_ms", kTimesMs, fault.every);
+  if (fault.times > 1 && fault.every.count() == 0)
+    from.Reject("times", "a fault can't begin again within no time",
+                "give every_ms, the time from one begin to the next");
+  if (fault.times == 1 && fault.every.count() > 0)
+    from.Reject("every_ms", "the fault begins only once",
+                "give times, or leave every_ms out");
+}
+
+/// Which instances the fault hits and how.
+void ReadAim(settings::section& from, day_fault& fault) {
+  const std::string first = from.StringOr("first", "");
+  if (first == kOwner)
+    fault.aim = fault_aim::kOwner;
+  else if (!first.empty())
+    from.Reject("first", "no instance is called \"" + first + "\"",
+                "use \"owner\", or leave it out");
+  if (fault.aim == fault_aim::kOwner && !CanHitOwner(fault.kind))
+    from.Reject("first", "this fault can't be aimed at the owner",
+                "leave it out, or use it with kill_instances, stop_instances, "
+                "isolate_instances or freeze_instances");
+  fault.takes_keys = from.BooleanOr("takes_keys", fault.takes_keys);
+  if (fault.takes_keys && fault.kind != fault_kind::kIsolateInstances)
+    from.Reject("takes_keys", "only isolated instances lose their keys",
+                "leave it out, or use it with isolate_instances");
+}
+
 day_fault ReadFault(settings::section& from) {
   day_fault fault;
   const std::string name = from.String("kind");
-  const auto kind = FaultKindOf(name);
+  const auto kind = internal::FaultKindOf(name);
   if (kind)
     fault.kind = *kind;
   else
@@ -136,6 +148,8 @@
   fault.lasts = from.MillisecondsOr("lasts_ms", kTimesMs, fault.lasts);
   fault.count = CountOr(from, "count", fault.count);
   fault.strength = from.NumberOr("strength", kStrengths, fault.strength);
+  ReadSeries(from, fault);
+  ReadAim(from, fault);
   return fault;
 }
 
@@ -157,6 +171,8 @@
       "processors_milli", kAmounts, system.capacity.processors_milli);
   system.capacity.memory_mib =
       root.IntegerOr("memory_mib", kAmounts, system.capacity.memory_mib);
+  system.worker_lease =
+      root.MillisecondsOr("worker_lease_ms", kLeasesMs, system.worker_lease);
   day.load = root.MillisecondsOr("load_ms", kTimesMs, day.load);
   day.rest = root.MillisecondsOr("rest_ms", kTimesMs, day.rest);
   for (settings::section& queue : root.Tables("queue"))
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -25,6 +25,11 @@
   return worker.draining ? "draining" : "ready";
 }
 
+/// The identifier of the worker that replaces `worker`.
+std::string SuccessorOf(const std::string& worker) {
+  return worker + "-next";
+}
+
 settings::endpoint AddressOf(std::size_t worker) {
   return {absl::StrFormat("10.64.%d.%d", worker / kWorkersPerNetwork,
                           worker % kWorkersPerNetwork),
@@ -90,12 +95,18 @@
 }
 
 std::string emulation::Replace(const std::string& worker) {
-  std::string successor = worker + "-next";
+  std::string successor = SuccessorOf(worker);
   workers_.Replace(worker, successor, ++last_started_at_ms_);
   List(successor);
   return successor;
 }
 
+std::string emulation::NewestAt(std::string worker) const {
+  while (workers_.IsReplaced(worker))
+    worker = SuccessorOf(worker);
+  return worker;
+}
+
 std::vector<submissions::task_ref> emulation::IdleLastingTasks() const {
   std::vector<submissions::task_ref> idle;
   for (const auto& [id, caller] : submitted_) {
