--- /dev/null
+++ b/tests/emulator/include/chivecrank/emulator/hunt.h
@@ -0,0 +1,23 @@
+#ifndef CHIVECRANK_EMULATOR_HUNT_H_
+#define CHIVECRANK_EMULATOR_HUNT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "chivecrank/emulator/day.h"
+
+namespace chivecrank::emulator {
+
+/// A day that is drawn from the seed: its size, its queues (lasting, urgent and
+/// filling), and three to eight faults of all kinds that overlap, some in
+/// series on the owner. Played with the same seed, it is the same again.
+day_description HuntedDay(std::uint64_t seed);
+
+/// What a hunted day broke, its faults and how to play it again, in one line.
+std::string DescribeBrokenDay(const day_description& day,
+                              const day_report& report,
+                              std::uint64_t seed);
+
+}  // namespace chivecrank::emulator
+
+#endif  // CHIVECRANK_EMULATOR_HUNT_H_
--- /dev/null
+++ b/tests/emulator/internal/hunted_day.cc
@@ -0,0 +1,200 @@
+#include "internal/hunted_day.h"
+
+#include <algorithm>
+#include <array>
+
+#include "chivecrank/emulator/hunt.h"
+
+namespace chivecrank::emulator::internal {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLoad{32'000};
+constexpr milliseconds kRest{40'000};
+/// Faults overlap around so many moments of the load.
+constexpr std::int64_t kMoments = 3;
+constexpr milliseconds kFirstMoment{2000};
+constexpr milliseconds kLastMoment{16'000};
+constexpr milliseconds kSpread{4000};
+constexpr std::int64_t kFewestFaults = 3;
+constexpr std::int64_t kMostFaults = 8;
+constexpr std::array<milliseconds, 2> kWorkerLeases = {milliseconds(6000),
+                                                       milliseconds(7800)};
+constexpr double kAimedShare = 0.6;
+constexpr double kAimedInSeriesShare = 0.6;
+constexpr double kInSeriesShare = 0.15;
+constexpr double kKeysTakenShare = 0.5;
+
+/// What is drawn for the faults of one kind.
+struct fault_range {
+  milliseconds shortest;
+  milliseconds longest;
+  double weakest = 1;
+  double strongest = 1;
+};
+
+/// In the order of fault_kind.
+constexpr std::array<fault_range, 20> kRanges = {{
+    {milliseconds(300), milliseconds(6000)},             // kill_instances
+    {milliseconds(1500), milliseconds(6000)},            // stop_instances
+    {milliseconds(800), milliseconds(6000)},             // isolate_instances
+    {milliseconds(500), milliseconds(8000)},             // freeze_instances
+    {milliseconds(1000), milliseconds(6000), 1, 5},      // clock_ahead
+    {milliseconds(1000), milliseconds(6000), 1, 5},      // clock_behind
+    {milliseconds(500), milliseconds(9000)},             // crash_workers
+    {milliseconds(500), milliseconds(9000)},             // replace_workers
+    {milliseconds(500), milliseconds(9000)},             // cut_workers
+    {milliseconds(3500), milliseconds(9000)},            // drain_workers
+    {milliseconds(1000), milliseconds(5000)},            // failing_workers
+    {milliseconds(1000), milliseconds(6000)},            // hanging_workers
+    {milliseconds(1000), milliseconds(6000), 2, 8},      // slow_workers
+    {milliseconds(1000), milliseconds(6000), 0.1, 0.8},  // late_orders
+    {milliseconds(500), milliseconds(6000)},             // store_down
+    {milliseconds(500), milliseconds(6000)},             // store_silent
+    {milliseconds(1000), milliseconds(6000), 2, 40},     // store_slow
+    {milliseconds(1000), milliseconds(5000), 0.1, 0.5},  // store_loses_answers
+    {milliseconds(100), milliseconds(100)},              // store_compacts
+    {milliseconds(1000), milliseconds(4000), 1.5, 3},    // burst
+}};
+
+bool HitsWorkers(fault_kind kind) {
+  return kind >= fault_kind::kCrashWorkers && kind <= fault_kind::kLateOrders;
+}
+
+}  // namespace
+
+day_description hunted_day::Draw() {
+  day_description day;
+  day.load = kLoad;
+  day.rest = kRest;
+  DrawSize(day.system);
+  day.system.queues = {DrawUrgent(), DrawFilling(), DrawLasting(day.system)};
+  day.faults = DrawFaults(day.system);
+  return day;
+}
+
+void hunted_day::DrawSize(emulation_settings& system) {
+  system.instances = static_cast<std::size_t>(Between(3, 7));
+  system.workers = static_cast<std::size_t>(4 * Between(3, 6));
+  if (Chance(0.3))
+    system.workers_per_shard = static_cast<std::int64_t>(system.workers / 2);
+  system.worker_lease = kWorkerLeases.at(
+      static_cast<std::size_t>(Between(0, kWorkerLeases.size() - 1)));
+}
+
+queue_load hunted_day::DrawUrgent() {
+  queue_load load;
+  load.name = "urgent";
+  load.policy = {"service", 0, 3, 1.5, milliseconds(400)};
+  load.per_second = Real(0.5, 2);
+  load.steps = 2;
+  load.step.task_count = static_cast<std::int32_t>(Between(1, 5));
+  load.step.demand = {1000, 2000, 0};
+  load.work = Time(milliseconds(300), milliseconds(1500));
+  load.step.estimate = load.work;
+  return load;
+}
+
+queue_load hunted_day::DrawFilling() {
+  queue_load load;
+  load.name = "filling";
+  load.policy = {"service", 2, 3, 2, milliseconds(1000)};
+  load.per_second = Real(0.2, 0.7);
+  load.steps = 2;
+  load.step.task_count = static_cast<std::int32_t>(Between(2, 6));
+  load.step.demand = {1800, 3000, 0};
+  load.step.best_effort = true;
+  load.step.checkpoints = Chance(0.5);
+  load.step.image = "batch";
+  load.work = Time(milliseconds(1000), milliseconds(4000));
+  load.step.estimate = load.work;
+  return load;
+}
+
+queue_load hunted_day::DrawLasting(const emulation_settings& system) {
+  queue_load load;
+  load.name = "lasting";
+  load.policy = {"service", 0, 3, 2, milliseconds(2500)};
+  load.step.task_count = static_cast<std::int32_t>(Between(1, 6));
+  load.step.demand = {Between(500, 3000), 3000, 0};
+  load.step.long_running = true;
+  load.step.max_unavailable = Chance(0.5) ? 1 : 0;
+  load.step.latency_target = milliseconds(18);
+  load.step.image = "service";
+  const double processors =
+      static_cast<double>(system.workers) *
+      static_cast<double>(system.capacity.processors_milli);
+  const double each = static_cast<double>(load.step.task_count) *
+                      static_cast<double>(load.step.demand.processors_milli);
+  const double load_seconds = std::chrono::duration<double>(kLoad).count();
+  load.per_second =
+      std::min(2.0, Real(0.2, 0.5) * processors / each / load_seconds);
+  return load;
+}
+
+std::vector<day_fault> hunted_day::DrawFaults(
+    const emulation_settings& system) {
+  std::vector<milliseconds> moments;
+  for (std::int64_t i = Between(1, kMoments); i > 0; --i)
+    moments.push_back(Time(kFirstMoment, kLastMoment));
+  std::vector<day_fault> faults;
+  for (std::int64_t i = Between(kFewestFaults, kMostFaults); i > 0; --i) {
+    const auto moment = static_cast<std::size_t>(
+        Between(0, static_cast<std::int64_t>(moments.size()) - 1));
+    faults.push_back(DrawFault(moments.at(moment), system));
+  }
+  return faults;
+}
+
+day_fault hunted_day::DrawFault(milliseconds around,
+                                const emulation_settings& system) {
+  day_fault fault;
+  fault.kind = static_cast<fault_kind>(Between(0, kRanges.size() - 1));
+  const fault_range& range = kRanges.at(static_cast<std::size_t>(fault.kind));
+  fault.at = around + Time(milliseconds(0), kSpread);
+  fault.lasts = Time(range.shortest, range.longest);
+  fault.strength = Real(range.weakest, range.strongest);
+  const std::size_t most =
+      HitsWorkers(fault.kind) ? system.workers / 3 : system.instances;
+  fault.count =
+      static_cast<std::size_t>(Between(1, static_cast<std::int64_t>(most)));
+  if (CanHitOwner(fault.kind) && Chance(kAimedShare)) {
+    fault.aim = fault_aim::kOwner;
+    fault.count = Chance(0.7) ? 1 : fault.count;
+  }
+  if (fault.kind == fault_kind::kIsolateInstances)
+    fault.takes_keys = Chance(kKeysTakenShare);
+  DrawSeries(fault);
+  return fault;
+}
+
+void hunted_day::DrawSeries(day_fault& fault) {
+  const bool aimed = fault.aim == fault_aim::kOwner;
+  if (!Chance(aimed ? kAimedInSeriesShare : kInSeriesShare))
+    return;
+  fault.times = static_cast<std::size_t>(Between(2, 4));
+  fault.every = Time(milliseconds(1000), milliseconds(4500));
+}
+
+std::int64_t hunted_day::Between(std::int64_t least, std::int64_t most) {
+  return std::uniform_int_distribution<std::int64_t>(least, most)(random_);
+}
+
+double hunted_day::Real(double least, double most) {
+  return std::uniform_real_distribution<double>(least, most)(random_);
+}
+
+milliseconds hunted_day::Time(milliseconds least, milliseconds most) {
+  return milliseconds(Between(least.count(), most.count()));
+}
+
+}  // namespace chivecrank::emulator::internal
+
+namespace chivecrank::emulator {
+
+day_description HuntedDay(std::uint64_t seed) {
+  return internal::hunted_day(seed).Draw();
+}
+
+}  // namespace chivecrank::emulator
--- a/tests/emulator/tests/owner_faults_test.cc
+++ b/tests/emulator/tests/owner_faults_test.cc
@@ -27,9 +27,9 @@
     std::size_t times = 0;
     day.faults = {fault};
     day.system.on_log_line = [&times](std::string_view lines) {
-      constexpr std::string_view kWon = "\"event\":\"shard_won\"";
-      for (auto at = lines.find(kWon); at != std::string_view::npos;
-           at = lines.find(kWon, at + 1))
+      constexpr std::string_view won = "\"event\":\"shard_won\"";
+      for (auto at = lines.find(won); at != std::string_view::npos;
+           at = lines.find(won, at + 1))
         ++times;
     };
     const day_report report = PlayDay(day, seed);
