Emulator: workers that start anew hold nothing of before

Replaced and restarted workers took their starts from two counters, so one that was replaced and then restarted could have the same start twice, and its owner took the ends of its new life for acknowledged ones. Orders carried out late reached a worker that had started anew meanwhile; the protocol says that it holds and knows nothing of before.

The new test of late orders fails without the change.

--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -126,6 +126,8 @@
   /// Starts and lists another worker at the address of a crashed one, and
   /// returns its identifier.
   std::string Replace(const std::string& worker);
+  /// Starts and lists a crashed worker anew; it holds nothing.
+  void Restart(const std::string& worker);
   /// The worker that replaced `worker` last, or itself.
   std::string NewestAt(std::string worker) const;
   /// The worker's entry says that it is about to leave.
@@ -216,7 +218,7 @@
   std::map<std::string, caller_counts> callers_;
   std::map<std::string, bool> poisoned_;
   std::uint64_t last_id_ = 0;
-  /// Start of the newest worker that replaced another one.
+  /// Start of the worker that was replaced or restarted last.
   std::int64_t last_started_at_ms_ = 1;
   bool loading_ = false;
   double load_factor_ = 1;
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -253,8 +253,7 @@
     return;
   // Another fault may have brought it back before.
   emulation_.Workers().Crash(worker);
-  emulation_.Workers().Restart(worker, ++last_life_);
-  emulation_.List(worker);
+  emulation_.Restart(worker);
 }
 
 void day_player::HitStore(const day_fault& fault) {
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -60,7 +60,6 @@
   std::multimap<std::chrono::milliseconds, step> steps_;
   /// Now, counted from the begin of the load.
   std::chrono::milliseconds now_;
-  std::int64_t last_life_ = 1;
 };
 
 }  // namespace chivecrank::emulator::internal
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -10,6 +10,8 @@
 constexpr std::chrono::milliseconds kOneWay{1};
 constexpr std::chrono::milliseconds kOrderTimeout{1000};
 constexpr std::chrono::milliseconds kLookSlack{700};
+/// How much later orders are carried out that come late.
+constexpr std::chrono::milliseconds kLateBy{4000};
 
 base::error NoAnswer(base::error_kind kind) {
   return {kind, "the worker does not answer", "look again later"};
@@ -88,8 +90,11 @@
         return Answer(kOrderTimeout,
                       [done] { done(submissions::start_outcome::kNotSent); });
       if (dice < state->faults.late_share) {
-        Later(std::chrono::seconds(4), [this, id, command, terms, lease_end] {
-          if (auto* later = Reachable(id))
+        Later(kLateBy, [this, id, command, terms, lease_end,
+                        life = state->description.started_at_ms] {
+          auto* later = Reachable(id);
+          // A worker that started anew holds nothing of before.
+          if (later != nullptr && later->description.started_at_ms == life)
             shared_.Start(*later, command, terms, lease_end);
         });
         return Answer(kOrderTimeout,
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -101,6 +101,11 @@
   return successor;
 }
 
+void emulation::Restart(const std::string& worker) {
+  workers_.Restart(worker, ++last_started_at_ms_);
+  List(worker);
+}
+
 std::string emulation::NewestAt(std::string worker) const {
   while (workers_.IsReplaced(worker))
     worker = SuccessorOf(worker);
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -1,4 +1,6 @@
+#include <cstdint>
 #include <optional>
+#include <set>
 
 #include "day_fixture.h"
 
@@ -290,6 +292,36 @@
   BOOST_TEST(Day().Total().accepted == Day().Total().completed);
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatStartedAnewCarriesOutNoOrderOfBefore) {
+  for (const std::string& id : Day().Workers().Ids())
+    Day().Workers().FaultsOf(id).late_share = 1;
+  Day().Submit(settings.queues[0]);
+  Day().Run(milliseconds(500), false);
+  for (std::size_t i = 0; i < settings.instances; ++i)
+    Day().KillInstance(i);
+  for (const std::string& id : Day().Workers().Ids()) {
+    Day().Workers().Crash(id);
+    Day().Restart(id);
+  }
+  Day().Run(seconds(6), false);
+  BOOST_TEST(Day().Workers().Counts().starts == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(EachLifeAtAnAddressHasAStartOfItsOwn) {
+  std::set<std::int64_t> starts = {
+      Day().Workers().DescriptionOf("w-000").started_at_ms};
+  Day().Workers().Crash("w-000");
+  Day().Restart("w-000");
+  starts.insert(Day().Workers().DescriptionOf("w-000").started_at_ms);
+  Day().Workers().Crash("w-000");
+  const std::string successor = Day().Replace("w-000");
+  starts.insert(Day().Workers().DescriptionOf(successor).started_at_ms);
+  Day().Workers().Crash(successor);
+  Day().Restart(successor);
+  starts.insert(Day().Workers().DescriptionOf(successor).started_at_ms);
+  BOOST_TEST(starts.size() == 4u);
+}
+
 BOOST_AUTO_TEST_CASE(AnOwnerThatWasFrozenActsOnNothingThatRanOut) {
   settings.queues[0].per_second = 8;
   for (const int freeze_ms : {1200, 1900, 2600, 4100, 6300, 9000}) {
