Emulator: nothing of a killed instance runs on

An instance that loses a shard leaves its driver to the event loop to destroy; when the instance was killed in the same moment, the loop ran on and the driver read the freed runtime (valgrind). As with SIGKILL, the processor of a killed instance now does nothing any more.

--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -195,7 +195,10 @@
 }
 
 void emulation::KillInstance(std::size_t index) {
-  instances_.at(index).runtime.reset();
+  instance_state& killed = instances_.at(index);
+  killed.runtime.reset();
+  // Nothing of a dead process runs on.
+  killed.processor->Freeze(true);
 }
 
 void emulation::StopInstance(std::size_t index) {
@@ -224,7 +227,8 @@
 }
 
 void emulation::Freeze(std::size_t index, bool frozen) {
-  instances_.at(index).processor->Freeze(frozen);
+  if (IsAlive(index))
+    instances_.at(index).processor->Freeze(frozen);
 }
 
 void emulation::JumpClock(std::size_t index, std::chrono::milliseconds jump) {
