--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -4,9 +4,11 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chivecrank/emulator/emulation.h"
+#include "chivecrank/emulator/lasting_task_monitor.h"
 #include "chivecrank/settings/types.h"
 
 namespace chivecrank::emulator {
@@ -35,19 +37,37 @@
   kBurst,
 };
 
+/// Which instances a fault hits.
+enum class fault_aim {
+  kAny,
+  /// The owner of shard 0 at that moment, then others.
+  kOwner,
+};
+
 /// One fault: it begins at `at`, counted from the begin of the load, and is
-/// over `lasts` later.
+/// over `lasts` later. A series repeats it.
 struct day_fault {
   fault_kind kind = fault_kind::kKillInstances;
   std::chrono::milliseconds at{0};
   std::chrono::milliseconds lasts{0};
+  /// How often it begins, and the time from one begin to the next.
+  std::size_t times = 1;
+  std::chrono::milliseconds every{0};
   /// Instances or workers that it hits, drawn by the seed.
   std::size_t count = 1;
+  fault_aim aim = fault_aim::kAny;
+  /// Instances that are isolated lose their keys in the store at once.
+  bool takes_keys = false;
   /// How strong it is: the factor of slowness or of a burst, the share of
   /// answers lost, or the seconds by which clocks are off.
   double strength = 1;
 };
 
+/// The fault's name in a day's file.
+std::string_view NameOf(fault_kind kind);
+/// Whether the fault can be aimed at the owner of a shard.
+bool CanHitOwner(fault_kind kind);
+
 /// A day for the emulator.
 struct day_description {
   emulation_settings system;
@@ -72,6 +92,8 @@
   /// Submissions that were accepted and did not end, which breaks a promise.
   std::vector<std::string> open;
   std::vector<broken_promise> broken;
+  /// Lasting tasks that stayed without a run, which breaks a promise.
+  std::vector<idle_lasting_task> idle_lasting;
   /// Submissions that were rejected or in doubt, failed, or ended late.
   std::vector<std::string> missed;
   std::uint64_t store_calls = 0;
@@ -80,7 +102,9 @@
   /// Least share of a window's submissions that ended in time, by queue.
   std::map<std::string, double> worst_window;
 
-  bool KeepsPromises() const { return open.empty() && broken.empty(); }
+  bool KeepsPromises() const {
+    return open.empty() && broken.empty() && idle_lasting.empty();
+  }
 };
 
 /// Plays a day with the real decision code under the manual clock.
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -25,6 +25,11 @@
   return worker.draining ? "draining" : "ready";
 }
 
+/// The identifier of the worker that replaces `worker`.
+std::string SuccessorOf(const std::string& worker) {
+  return worker + "-next";
+}
+
 settings::endpoint AddressOf(std::size_t worker) {
   return {absl::StrFormat("10.64.%d.%d", worker / kWorkersPerNetwork,
                           worker % kWorkersPerNetwork),
@@ -90,12 +95,23 @@
 }
 
 std::string emulation::Replace(const std::string& worker) {
-  std::string successor = worker + "-next";
+  std::string successor = SuccessorOf(worker);
   workers_.Replace(worker, successor, ++last_started_at_ms_);
   List(successor);
   return successor;
 }
 
+void emulation::Restart(const std::string& worker) {
+  workers_.Restart(worker, ++last_started_at_ms_);
+  List(worker);
+}
+
+std::string emulation::NewestAt(std::string worker) const {
+  while (workers_.IsReplaced(worker))
+    worker = SuccessorOf(worker);
+  return worker;
+}
+
 std::vector<submissions::task_ref> emulation::IdleLastingTasks() const {
   std::vector<submissions::task_ref> idle;
   for (const auto& [id, caller] : submitted_) {
@@ -179,7 +195,10 @@
 }
 
 void emulation::KillInstance(std::size_t index) {
-  instances_.at(index).runtime.reset();
+  instance_state& killed = instances_.at(index);
+  killed.runtime.reset();
+  // Nothing of a dead process runs on.
+  killed.processor->Freeze(true);
 }
 
 void emulation::StopInstance(std::size_t index) {
@@ -208,7 +227,8 @@
 }
 
 void emulation::Freeze(std::size_t index, bool frozen) {
-  instances_.at(index).processor->Freeze(frozen);
+  if (IsAlive(index))
+    instances_.at(index).processor->Freeze(frozen);
 }
 
 void emulation::JumpClock(std::size_t index, std::chrono::milliseconds jump) {
