An instance whose member key is gone registers again

Cause: an instance registered once a lease; only members may claim, and a key can go without its lease. Knowledge kept in memory that the store no longer has. Change: an instance that sees in its copy of the shared keys that its member key is gone, at a revision after its registration, registers again.

--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -107,6 +107,8 @@
   void DropAll(std::string_view reason);
   void RequestLease();
   void RegisterMember();
+  /// Registers again if the member key is gone although the lease is valid.
+  void KeepRegistered();
   void RenewLater();
   void Renew();
   void LoseLease(std::string_view reason);
@@ -142,6 +144,7 @@
   metadata::lease_id lease_ = 0;
   base::time_point valid_until_;
   bool registered_ = false;
+  metadata::revision registered_at_ = 0;
   bool renewal_failing_ = false;
   bool releasing_ = false;
   std::map<std::uint32_t, metadata::revision> owned_;
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -130,9 +130,19 @@
             if (!answer)
               return guard_.Later(kRetryDelay, [this] { RegisterMember(); });
             registered_ = true;
+            registered_at_ = answer.value().at;
           }));
 }
 
+void ownership::KeepRegistered() {
+  if (!registered_ || shared_.Revision() < registered_at_ ||
+      shared_.Members().contains(settings_.node))
+    return;
+  registered_ = false;
+  log_.Write("member_key_gone", {{"lease", lease_}});
+  RegisterMember();
+}
+
 void ownership::RenewLater() {
   guard_.Later(renewal_failing_ ? settings_.renew_retry_interval
                                 : settings_.renew_interval,
@@ -177,7 +187,10 @@
   if (releasing_)
     return;
   guard_.Later(kClaimInterval, [this] { ClaimPeriodically(); });
-  if (!IsValid() || !registered_ || !hooks_.may_claim())
+  if (!IsValid() || !hooks_.may_claim())
+    return;
+  KeepRegistered();
+  if (!registered_)
     return;
   ClaimFreeShards();
   HandOverToLarger();
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -279,6 +279,15 @@
   CheckPromises();
 }
 
+BOOST_AUTO_TEST_CASE(InstancesWhoseKeysWereTakenAwayOwnShardsAgain) {
+  Day().Run(seconds(4), true);
+  for (std::size_t i = 0; i < settings.instances; ++i)
+    Day().Store().RevokeKeysOf(Day().NodeOf(i));
+  Day().Run(seconds(6), true);
+  BOOST_TEST(Day().OwnerOf(0) < settings.instances);
+  CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(OrdersThatAreCarriedOutLateRunNothingTwice) {
   for (const std::string& id : Day().Workers().Ids()) {
     Day().Workers().FaultsOf(id).late_share = 0.06;
