--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -5,6 +5,8 @@
 
 constexpr std::chrono::milliseconds kLongestLease{12'000};
 constexpr std::chrono::milliseconds kStep{250};
+/// A worker with runs answers a poll after this time unless a run ends.
+constexpr std::chrono::milliseconds kPollWait{600};
 
 /// An owner whose only run is on a worker that has an address.
 struct recorder_fixture : scheduler_fixture {
@@ -158,8 +160,6 @@
 }
 
 BOOST_AUTO_TEST_CASE(AWorkerThatHoldsTheFirstPollKeepsItsLease) {
-  // A worker with runs answers a poll after 600 ms unless a run ends.
-  constexpr std::chrono::milliseconds kPollWait{600};
   const auto next = NextOwner();
   Advance(kPollWait);
   next->Plan(now, since_epoch);
--- a/tests/emulator/tests/shard_balance_test.cc
+++ b/tests/emulator/tests/shard_balance_test.cc
@@ -36,6 +36,12 @@
   }
 };
 
+/// The calls to the store time out within it, when the owner may only renew
+/// leases; the store is back before the owner loses the shard.
+constexpr milliseconds kOutage{1800};
+/// Time between two looks at whether a submission was moved.
+constexpr milliseconds kMoveCheckInterval{5};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(shard_balance, two_shards)
@@ -54,10 +60,6 @@
 }
 
 BOOST_AUTO_TEST_CASE(SubmissionsWhoseMoveMetAnOutageAreStillDone) {
-  // The calls to the store time out after 1.5 s, when the owner may only renew
-  // leases; the store is back before it loses the shard.
-  constexpr milliseconds kOutage{1800};
-  constexpr milliseconds kStep{5};
   std::size_t moved = 0;
   settings.seed = 2;
   settings.instances = 4;
@@ -71,7 +73,7 @@
     const std::size_t moved_before = moved;
     const base::time_point latest = day->Now() + seconds(3);
     while (moved == moved_before && day->Now() < latest)
-      day->Run(kStep, true);
+      day->Run(kMoveCheckInterval, true);
     day->Store().Faults().silent = true;
     day->Run(kOutage, false);
     day->Store().Faults().silent = false;
