--- a/src/submissions/internal/run_tracker.cc
+++ b/src/submissions/internal/run_tracker.cc
@@ -10,6 +10,17 @@
 
 /// Delay from the end of a run until the worker's report of it arrives.
 constexpr std::chrono::milliseconds kReportDelay{40};
+constexpr std::int64_t kUnknownAge = -1;
+
+/// Milliseconds from when the run's phase began until the worker left a poll
+/// unanswered; kUnknownAge if either time is not known to this owner.
+std::int64_t AgeAtSilence(const worker_entry& worker, const active_run& run) {
+  if (!run.started_by_this_owner || !worker.silent_since)
+    return kUnknownAge;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             *worker.silent_since - run.phase_since)
+      .count();
+}
 
 }  // namespace
 
@@ -112,7 +123,8 @@
         .task = task,
         .worker = worker.description.id,
         .run = found->second.run,
-        .outcome = reason});
+        .outcome = reason,
+        .input = AgeAtSilence(worker, found->second)});
   Revert(worker, task);
 }
 
