A task that crashes its workers is found and given up

Cause: a run that is lost leaves no trace on its task; only ends that a worker lists as failed are counted. Class: what happened to a run wasn't part of its task's record.

Change: crash_attribution blames the runs that had just started when the worker fell silent, less or not at all while workers crash for other reasons. A suspect is started apart. With two confirmed crashes and more than one crash's worth of blame, or five crashes, the task is given up.

--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -361,7 +361,9 @@
   poll_state& state = polls_[worker];
   // The first poll, and each after one without an answer, is answered at once:
   // the worker gets no lease before.
-  if (state.answered && scheduler_.HasRuns(worker))
+  // Held answers would delay the end of a trial, for which others wait.
+  if (state.answered && scheduler_.HasRuns(worker) &&
+      !scheduler_.HasTrial(worker))
     request.wait = settings_.poll_wait;
   // A worker that did not answer the last poll is polled without a lease.
   // Otherwise each retry could renew its lease, which would then never expire.
@@ -393,11 +395,11 @@
                 {"kind", base::ErrorKindName(report.error().kind)},
                 {"error", report.error().message}});
     if (report.error().kind == base::error_kind::kNotFound) {
-      scheduler_.OnWorkerReplaced(worker, requested_at);
-      ScheduleDecision();
+      scheduler_.OnWorkerReplaced(worker, requested_at, loop_.Now());
     } else {
       scheduler_.OnPollUnanswered(worker, loop_.Now());
     }
+    ScheduleDecision();
     return SchedulePoll(worker, settings_.poll_retry_delay);
   }
   scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
--- a/src/submissions/include/chivecrank/submissions/progress.h
+++ b/src/submissions/include/chivecrank/submissions/progress.h
@@ -35,6 +35,20 @@
   /// Worker on which the newest failure happened.
   std::string last_failed_worker;
   std::string checkpoint;
+  /// Run whose worker fell silent soon after it had started the task, and is
+  /// not known to have survived that; 0 for none.
+  std::int32_t doubted_run = 0;
+  /// The worker had confirmed that it started the doubted run.
+  bool doubted_run_confirmed = false;
+  /// Number of workers that crashed soon after they had started the task, since
+  /// a run of it last survived its start.
+  std::int32_t crashes = 0;
+  /// Those of them whose worker had confirmed the start. A start without an
+  /// answer may not have happened.
+  std::int32_t confirmed_crashes = 0;
+  /// Blame for these crashes, in thousandths: 1000 for a crash that nothing but
+  /// the task can have caused.
+  std::int32_t crash_blame_permille = 0;
 
   bool operator==(const task_progress&) const = default;
 };
--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -25,6 +25,9 @@
   kBestEffortMoved,
   kTaskEvacuated,
   kStalledTaskMoved,
+  kTaskSuspected,
+  kTaskCleared,
+  kTaskGivenUp,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -29,6 +29,15 @@
   /// says how long these can still live, and the time between two such records.
   std::chrono::milliseconds silence_before_record{500};
   std::chrono::milliseconds bound_record_interval{500};
+  /// A run that was seen alive for this long is no cause of a later crash of
+  /// its worker.
+  std::chrono::milliseconds start_survival_time{250};
+  /// Workers that fall silent within this time of each other have a common
+  /// cause, unless tasks that had just started explain each of them.
+  std::chrono::milliseconds common_crash_window{500};
+  /// Within this time of a worker's crash that no task explains, other crashes
+  /// may be of the same kind.
+  std::chrono::milliseconds crash_series_window{3000};
   /// A worker whose last report is older than this gets no new tasks.
   std::chrono::milliseconds max_report_age{2200};
   /// How long a long-running submission waits for capacity for all of its tasks
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -91,7 +91,8 @@
   /// request sent at `requested_at`: the worker has ended, and its runs with
   /// it.
   void OnWorkerReplaced(const std::string& worker,
-                        base::time_point requested_at);
+                        base::time_point requested_at,
+                        base::time_point now);
   void OnStartOutcome(const start_command& command,
                       start_outcome outcome,
                       base::time_point now);
@@ -125,6 +126,8 @@
   std::int64_t AcknowledgedEnd(const std::string& worker) const;
   /// Whether a request to the worker may carry a lease.
   bool MayRenewLease(const std::string& worker) const;
+  /// Whether the worker has just started a task that may crash it.
+  bool HasTrial(const std::string& worker) const;
   /// Whether the scheduler knows of any run on the worker.
   bool HasRuns(const std::string& worker) const;
   /// Workers with runs, listed or not. Port 0 stands for an unknown address.
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -17,6 +17,10 @@
 /// Multiplies the expected number of services that a best-effort task brings
 /// over their latency targets.
 constexpr double kAddedRiskPenalty = 3;
+/// Weights for a task that may crash its worker.
+constexpr double kTrialLossPenalty = 2;
+constexpr double kTrialServicePenalty = 0.2;
+constexpr double kTrialSharedPenalty = 4;
 constexpr double kSameImageBonus = 1;
 constexpr double kOtherImagePenalty = 0.6;
 
@@ -97,7 +101,20 @@
                         : std::optional(ReservedShare(worker));
   if (!base)
     return std::nullopt;
-  return *base + FitnessOf(worker, request);
+  const double score = *base + FitnessOf(worker, request);
+  return request.on_trial ? score + TrialScore(worker) : score;
+}
+
+double placer::TrialScore(const worker_entry& worker) {
+  double score = -kTrialLossPenalty * ReservedShare(worker);
+  for (const auto& [task, run] : worker.runs) {
+    if (run.long_running)
+      score -= kTrialServicePenalty;
+    // If the worker crashes, one of these could be the cause as well.
+    if (!run.survived_start)
+      score -= kTrialSharedPenalty;
+  }
+  return score;
 }
 
 void placer::ReserveWorkerFor(const placement_request& request) {
@@ -144,6 +161,8 @@
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
     return false;
+  if (worker.trials > 0)
+    return false;
   if (description.service != *request.service ||
       &worker == request.current_worker)
     return false;
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -21,6 +21,8 @@
   const std::string* service = nullptr;
   image_number image = 0;
   task_ref task;
+  /// The task is suspected of crashing its workers.
+  bool on_trial = false;
   /// Worker that the task is moved away from; null if it runs nowhere.
   const worker_entry* current_worker = nullptr;
   /// Restricts the choice to one rack; empty for any.
@@ -75,6 +77,9 @@
   /// idle or the interference would be too large.
   std::optional<double> BestEffortScore(worker_entry& worker,
                                         const placement_request& request) const;
+  /// Scores the worker for a task that may crash it: the less would be lost
+  /// there, the better.
+  static double TrialScore(const worker_entry& worker);
   /// Adds bonuses and penalties that do not depend on capacity.
   double FitnessOf(worker_entry& worker,
                    const placement_request& request) const;
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "chivecrank/scheduling/resources.h"
+#include "internal/crash_attribution.h"
 
 namespace chivecrank::submissions::internal {
 namespace {
@@ -111,6 +112,7 @@
   request.service = &PolicyOf(live).service;
   request.image = tracker_.Images().NumberOf(request.step->image);
   request.task = task;
+  request.on_trial = crash_attribution::IsSuspect(*request.progress);
   request.now = now;
   if (PolicyOf(live).permits)
     request.permits = &permits_;
@@ -141,17 +143,32 @@
   permit_requests_.push_back(std::move(new_request));
 }
 
+bool planner::AwaitsTrial(const live_step& step, const task_progress& task) {
+  if (step.any_survived || step.done > 0 || !crash_attribution::IsSuspect(task))
+    return false;
+  return std::ranges::any_of(step.tasks, [](const task_progress& other) {
+    return other.phase == task_phase::kAssigned &&
+           crash_attribution::IsSuspect(other);
+  });
+}
+
 void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
   task_ref task{ready.live->request.id, ready.occurrence, ready.step};
   if (WaitsForFullCapacity(ready, now))
     return;
   const std::int32_t count = ready.Request().task_count;
+  const live_step& step =
+      ready.Occurrence().steps[static_cast<std::size_t>(ready.step)];
   std::optional<candidate_queue> workers;
   for (task.index = 0; task.index < count; ++task.index) {
     const task_progress& progress = *tracker_.Submissions().Find(task);
-    if (progress.phase != task_phase::kWaiting)
+    if (progress.phase != task_phase::kWaiting || AwaitsTrial(step, progress))
       continue;
     const placement_request request = RequestFor(*ready.live, task, now);
+    if (request.on_trial) {
+      PlaceApart(ready, request);
+      continue;
+    }
     if (!workers && !infeasible_.Covers(request, 1))
       workers.emplace(placer_, request);
     if (workers && PlaceTask(request, *workers))
@@ -168,6 +185,16 @@
   }
 }
 
+void planner::PlaceApart(const ready_step& ready,
+                         const placement_request& request) {
+  candidate_queue workers(placer_, request);
+  if (PlaceTask(request, workers))
+    return;
+  RequestPermits(ready, request);
+  if (request.step->long_running)
+    placer_.ReserveWorkerFor(request);
+}
+
 bool planner::PlaceTask(const placement_request& request,
                         candidate_queue& workers) {
   worker_entry* worker = workers.Take(request);
@@ -226,6 +253,7 @@
   for (; task.index < wanted.task_count; ++task.index) {
     request.task = task;
     request.progress = tracker_.Submissions().Find(task);
+    request.on_trial = crash_attribution::IsSuspect(*request.progress);
     worker_entry* worker = workers.Take(request);
     if (worker == nullptr)
       break;
@@ -234,6 +262,7 @@
     placeholder.processors_milli = wanted.demand.processors_milli;
     placeholder.image = request.image;
     placeholder.long_running = wanted.long_running;
+    placeholder.on_trial = request.on_trial;
     worker_table::AddRun(*worker, task, placeholder);
     workers.Return(*worker);
     chosen.push_back(worker);
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -59,9 +59,14 @@
   std::vector<ready_step> ReadySteps(base::time_point now,
                                      std::chrono::milliseconds since_epoch);
   const queue_policy& PolicyOf(const live_submission& live) const;
+  /// Whether the task must wait until another of its step, under suspicion as
+  /// well, has survived its start. Tasks of a step are alike.
+  static bool AwaitsTrial(const live_step& step, const task_progress& task);
   void PlaceTasks(const ready_step& ready, base::time_point now);
   /// Assigns the task to the best worker; returns false if there is none.
   bool PlaceTask(const placement_request& request, candidate_queue& workers);
+  /// Places a task that may crash its worker, if a worker can take it.
+  void PlaceApart(const ready_step& ready, const placement_request& request);
   /// Requests permits for the best workers without a known permit, if the step
   /// needs permits.
   void RequestPermits(const ready_step& ready,
--- a/src/submissions/internal/record_codec.cc
+++ b/src/submissions/internal/record_codec.cc
@@ -33,6 +33,12 @@
   kLastFailedWorker,
   kCheckpoint,
   kTaskColumns,
+  /// Follow only if a worker of the task fell silent or crashed.
+  kDoubtedRun = kTaskColumns,
+  kDoubtedRunConfirmed,
+  kCrashes,
+  kConfirmedCrashes,
+  kCrashBlame,
 };
 
 base::error Corrupt(std::string_view what) {
@@ -124,8 +130,14 @@
       .Integer(progress.failures)
       .Integer(progress.last_counted_failure)
       .String(progress.last_failed_worker)
-      .String(progress.checkpoint)
-      .EndArray();
+      .String(progress.checkpoint);
+  if (progress.crashes > 0 || progress.doubted_run > 0)
+    text.Integer(progress.doubted_run)
+        .Integer(progress.doubted_run_confirmed ? 1 : 0)
+        .Integer(progress.crashes)
+        .Integer(progress.confirmed_crashes)
+        .Integer(progress.crash_blame_permille);
+  text.EndArray();
 }
 
 base::result<task_change> ReadTask(const json::value& row) {
@@ -150,6 +162,15 @@
       static_cast<std::int32_t>(json::IntegerAt(row, kLastCountedFailure));
   progress.last_failed_worker = json::StringAt(row, kLastFailedWorker);
   progress.checkpoint = json::StringAt(row, kCheckpoint);
+  progress.doubted_run =
+      static_cast<std::int32_t>(json::IntegerAt(row, kDoubtedRun));
+  progress.doubted_run_confirmed =
+      json::IntegerAt(row, kDoubtedRunConfirmed) != 0;
+  progress.confirmed_crashes =
+      static_cast<std::int32_t>(json::IntegerAt(row, kConfirmedCrashes));
+  progress.crashes = static_cast<std::int32_t>(json::IntegerAt(row, kCrashes));
+  progress.crash_blame_permille =
+      static_cast<std::int32_t>(json::IntegerAt(row, kCrashBlame));
   return change;
 }
 
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -23,7 +23,8 @@
                                base::time_point requested_at,
                                base::time_point now,
                                std::uint64_t next_batch) {
-  HandleRestart(worker, report);
+  HandleRestart(worker, report, now);
+  worker.silent_since.reset();
   worker.reported = true;
   worker.reported_at = now;
   worker.lacks_capacity = false;
@@ -50,9 +51,10 @@
 }
 
 void report_processor::HandleRestart(worker_entry& worker,
-                                     const worker_report& report) {
+                                     const worker_report& report,
+                                     base::time_point now) {
   if (worker.reported_started_at_ms == report.started_at_ms)
-    return;
+    return crashes_.OnAnswered(worker);
   const bool known_before = worker.reported_started_at_ms != 0;
   worker.reported_started_at_ms = report.started_at_ms;
   worker.processed_end = 0;
@@ -60,6 +62,8 @@
   worker.pending_acks.clear();
   worker.health = {};
   worker.latency = {};
+  if (HasRunsOfEarlierIncarnation(worker))
+    crashes_.Examine(worker, now);
   // A start command of this owner may have reached the new incarnation. Its
   // reports will show whether it did, as for any other run.
   std::vector<task_ref> lost;
@@ -68,13 +72,19 @@
         IsOfEarlierIncarnation(worker, task))
       lost.push_back(task);
   for (const task_ref& task : lost)
-    tracker_.MarkLost(worker, task, "worker_restarted");
+    tracker_.MarkCrashed(worker, task, "worker_restarted", now);
   if (known_before)
     tracker_.Emit({.kind = scheduler_event_kind::kWorkerRestarted,
                    .worker = worker.description.id,
                    .input = report.started_at_ms});
 }
 
+bool report_processor::HasRunsOfEarlierIncarnation(const worker_entry& worker) {
+  return std::ranges::any_of(worker.runs, [&](const auto& entry) {
+    return IsOfEarlierIncarnation(worker, entry.first);
+  });
+}
+
 bool report_processor::IsOfEarlierIncarnation(const worker_entry& worker,
                                               const task_ref& task) {
   const task_progress* progress = tracker_.Submissions().Find(task);
@@ -108,10 +118,13 @@
                                       active_run& run,
                                       const reported_run& reported,
                                       base::time_point now) {
+  run.start_confirmed = true;
   if (!reported.checkpoint.empty())
     run.checkpoint = reported.checkpoint;
   UpdateProgress(reported, run, now);
   run.measurement = reported.measurement;
+  if (!run.survived_start && crashes_.HasSurvivedStart(run, now))
+    tracker_.MarkSurvived(worker, reported.task, run);
   if (run.phase == run_phase::kStopping) {
     if (now - run.stop_sent_at >= settings_.stop_interval)
       tracker_.Stop(worker, reported.task, run, now);
@@ -189,11 +202,10 @@
   const bool may_still_start = run.started_by_this_owner &&
                                !run.stop_confirmed &&
                                run.phase != run_phase::kRunning;
+  if (!may_still_start && IsOfEarlierIncarnation(worker, task))
+    return tracker_.MarkCrashed(worker, task, "worker_restarted", now);
   if (!may_still_start)
-    return tracker_.MarkLost(worker, task,
-                             IsOfEarlierIncarnation(worker, task)
-                                 ? "worker_restarted"
-                                 : "not_listed");
+    return tracker_.MarkLost(worker, task, "not_listed");
   if (now - run.stop_sent_at < settings_.stop_interval)
     return;
   run.stop_sent_at = now;
--- a/src/submissions/internal/report_processor.h
+++ b/src/submissions/internal/report_processor.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "chivecrank/submissions/types.h"
+#include "internal/crash_attribution.h"
 #include "internal/latency_guard.h"
 #include "internal/run_tracker.h"
 
@@ -14,10 +15,12 @@
  public:
   report_processor(const scheduler_settings& settings,
                    run_tracker& tracker,
-                   interference_model& interference)
+                   interference_model& interference,
+                   crash_attribution& crashes)
       : settings_(settings),
         tracker_(tracker),
         interference_(interference),
+        crashes_(crashes),
         guard_(settings, interference) {}
 
   /// Processes a report. Its ends may be acknowledged once `next_batch` is
@@ -30,7 +33,11 @@
 
  private:
   static void MarkForPlanning(worker_entry& worker);
-  void HandleRestart(worker_entry& worker, const worker_report& report);
+  void HandleRestart(worker_entry& worker,
+                     const worker_report& report,
+                     base::time_point now);
+  /// Whether runs on the worker were assigned to an earlier incarnation.
+  bool HasRunsOfEarlierIncarnation(const worker_entry& worker);
   /// Whether the task was assigned to an earlier incarnation of the worker.
   bool IsOfEarlierIncarnation(const worker_entry& worker, const task_ref& task);
   void ProcessEnds(worker_entry& worker,
@@ -60,6 +67,7 @@
   const scheduler_settings& settings_;
   run_tracker& tracker_;
   interference_model& interference_;
+  crash_attribution& crashes_;
   latency_guard guard_;
 };
 
--- a/src/submissions/internal/run_tracker.cc
+++ b/src/submissions/internal/run_tracker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal/crash_attribution.h"
 #include "internal/placer.h"
 
 namespace chivecrank::submissions::internal {
@@ -63,6 +64,7 @@
   submissions_.MarkChanged(task);
   active_run made = MakeRun(task, run, now);
   made.started_by_this_owner = true;
+  made.on_trial = crash_attribution::IsSuspect(progress);
   made.checkpoint = progress.checkpoint;
   made.is_run_time_sample = progress.checkpoint.empty();
   worker_table::AddRun(worker, task, made);
@@ -90,6 +92,9 @@
   active_run run = MakeRun(task, progress.run, now);
   run.phase = run_phase::kUncertain;
   run.checkpoint = progress.checkpoint;
+  run.on_trial = crash_attribution::IsSuspect(progress);
+  run.doubted = progress.doubted_run == progress.run;
+  run.start_confirmed = run.doubted && progress.doubted_run_confirmed;
   worker_table::AddRun(worker, task, run);
   live_submission& live = *submissions_.Find(task.submission);
   live.any_task_assigned = true;
@@ -107,6 +112,8 @@
       progress->run != run.run)
     return EraseIfFinished(task.submission);
   progress->phase = task_phase::kWaiting;
+  progress->doubted_run = 0;
+  progress->doubted_run_confirmed = false;
   if (!run.checkpoint.empty())
     progress->checkpoint = run.checkpoint;
   MarkChanged(*submissions_.Find(task.submission), task);
@@ -128,6 +135,80 @@
   Revert(worker, task);
 }
 
+void run_tracker::MarkCrashed(worker_entry& worker,
+                              const task_ref& task,
+                              std::string_view reason,
+                              base::time_point now) {
+  const auto found = worker.runs.find(task);
+  task_progress* progress = submissions_.Find(task);
+  if (found == worker.runs.end() || progress == nullptr ||
+      progress->run != found->second.run ||
+      !crash_attribution::Count(worker, found->second, *progress))
+    return MarkLost(worker, task, reason);
+  Emit({.kind = scheduler_event_kind::kTaskSuspected,
+        .task = task,
+        .worker = worker.description.id,
+        .run = progress->run,
+        .outcome = CrashSettingName(worker.crash.setting),
+        .input = progress->crash_blame_permille});
+  const bool is_given_up = crash_attribution::CrashesWorkers(*progress);
+  const std::int32_t crashes = progress->crashes;
+  MarkLost(worker, task, reason);
+  live_submission* live = submissions_.Find(task.submission);
+  if (!is_given_up || live == nullptr || live->outcome)
+    return;
+  Emit({.kind = scheduler_event_kind::kTaskGivenUp,
+        .task = task,
+        .worker = worker.description.id,
+        .outcome = "crashes_workers",
+        .input = crashes});
+  Finish(*live, submission_outcome::kFailed, now);
+}
+
+void run_tracker::MarkDoubted(const worker_entry& worker) {
+  for (const auto& [task, run] : worker.runs) {
+    task_progress* progress = submissions_.Find(task);
+    if (progress == nullptr || progress->run != run.run ||
+        progress->doubted_run == run.run ||
+        !crash_attribution::HasJustStarted(run))
+      continue;
+    progress->doubted_run = run.run;
+    progress->doubted_run_confirmed = run.start_confirmed;
+    MarkChanged(*submissions_.Find(task.submission), task);
+  }
+}
+
+void run_tracker::MarkSurvived(worker_entry& worker,
+                               const task_ref& task,
+                               active_run& run) {
+  worker_table::MarkSurvived(worker, run);
+  if (live_submission* live = submissions_.Find(task.submission)) {
+    submissions_.LiveStepOf(task).any_survived = true;
+    if (!live->outcome)
+      ClearSuspicion(worker, task, *submissions_.Find(task));
+  }
+}
+
+void run_tracker::ClearSuspicion(const worker_entry& worker,
+                                 const task_ref& task,
+                                 task_progress& progress) {
+  if (progress.crashes == 0 && progress.doubted_run == 0)
+    return;
+  if (progress.crashes > 0)
+    Emit({.kind = scheduler_event_kind::kTaskCleared,
+          .task = task,
+          .worker = worker.description.id,
+          .run = progress.run,
+          .outcome = "survived",
+          .input = progress.crashes});
+  progress.doubted_run = 0;
+  progress.doubted_run_confirmed = false;
+  progress.crashes = 0;
+  progress.confirmed_crashes = 0;
+  progress.crash_blame_permille = 0;
+  submissions_.MarkChanged(task);
+}
+
 void run_tracker::HandleEnd(worker_entry& worker,
                             const reported_end& end,
                             base::time_point now) {
@@ -150,6 +231,8 @@
   task_progress* progress = submissions_.Find(end.task);
   if (live == nullptr || progress == nullptr || live->outcome)
     return EraseIfFinished(end.task.submission);
+  if (end.run == progress->run)
+    ClearSuspicion(worker, end.task, *progress);
   const step_request& step = *submissions_.StepOf(end.task);
   if (end.outcome == run_outcome::kDone && !step.long_running) {
     submissions_.MarkDone(end.task);
--- a/src/submissions/internal/run_tracker.h
+++ b/src/submissions/internal/run_tracker.h
@@ -52,10 +52,23 @@
   /// Returns the task to waiting: the run never started, or was lost without a
   /// reported end.
   void Revert(worker_entry& worker, const task_ref& task);
-  /// Reverts a run that the worker lost by a crash or an expired lease.
+  /// Reverts a run that ended without a reported end.
   void MarkLost(worker_entry& worker,
                 const task_ref& task,
                 std::string_view reason);
+  /// Reverts a run that ended with a crash of its worker, and gives the task up
+  /// if it crashes its workers.
+  void MarkCrashed(worker_entry& worker,
+                   const task_ref& task,
+                   std::string_view reason,
+                   base::time_point now);
+  /// Notes in the progress of the tasks that the worker has just started that
+  /// it fell silent, for the owner that learns whether it crashed.
+  void MarkDoubted(const worker_entry& worker);
+  /// Records that the run is no cause of later crashes of its worker.
+  void MarkSurvived(worker_entry& worker,
+                    const task_ref& task,
+                    active_run& run);
   /// Processes the end of a run that the worker reported.
   void HandleEnd(worker_entry& worker,
                  const reported_end& end,
@@ -98,6 +111,9 @@
                      std::int32_t number,
                      base::time_point now);
   void RemoveRun(worker_entry& worker, const task_ref& task);
+  void ClearSuspicion(const worker_entry& worker,
+                      const task_ref& task,
+                      task_progress& progress);
   /// The load estimate that the runs of the task's step share.
   std::shared_ptr<service_load> LoadOf(const task_ref& task,
                                        base::time_point now);
--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -18,28 +18,32 @@
                   .worker = id,
                   .input = static_cast<std::int64_t>(worker.runs.size())});
     worker.reported = false;
-    MarkLost(
-        worker, [](const active_run&) { return true; }, "lease_over");
+    const auto lost = LostRuns(worker, [](const active_run&) { return true; });
+    for (const task_ref& task : lost)
+      tracker.MarkLost(worker, task, "lease_over");
   }
 }
 
-void shard_core::MarkEnded(worker_entry& worker, base::time_point known_at) {
+void shard_core::MarkEnded(worker_entry& worker,
+                           base::time_point known_at,
+                           base::time_point now) {
   worker.reported = false;
-  MarkLost(
-      worker,
-      [known_at](const active_run& run) { return run.phase_since < known_at; },
-      "worker_replaced");
+  crashes.Examine(worker, now);
+  const auto lost = LostRuns(worker, [known_at](const active_run& run) {
+    return run.phase_since < known_at;
+  });
+  for (const task_ref& task : lost)
+    tracker.MarkCrashed(worker, task, "worker_replaced", now);
 }
 
-void shard_core::MarkLost(worker_entry& worker,
-                          const std::function<bool(const active_run&)>& is_lost,
-                          std::string_view reason) {
+std::vector<task_ref> shard_core::LostRuns(
+    const worker_entry& worker,
+    const std::function<bool(const active_run&)>& is_lost) {
   std::vector<task_ref> lost;
   for (const auto& [task, run] : worker.runs)
     if (run.phase != run_phase::kUncommitted && is_lost(run))
       lost.push_back(task);
-  for (const task_ref& task : lost)
-    tracker.MarkLost(worker, task, reason);
+  return lost;
 }
 
 void shard_core::ReleaseAcks(std::uint64_t batch) {
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -10,6 +10,7 @@
 #include "chivecrank/submissions/commands.h"
 #include "chivecrank/submissions/scheduler_event.h"
 #include "chivecrank/submissions/scheduler_settings.h"
+#include "internal/crash_attribution.h"
 #include "internal/interference_model.h"
 #include "internal/permit_tracker.h"
 #include "internal/planner.h"
@@ -26,7 +27,8 @@
       : settings(initial_settings),
         on_event(std::move(hook)),
         tracker(settings, on_event),
-        reports(settings, tracker, interference),
+        crashes(settings, tracker.Workers()),
+        reports(settings, tracker, interference, crashes),
         run_planner(settings, tracker, interference, permits),
         recorder(settings, tracker.Workers()) {}
 
@@ -38,7 +40,9 @@
   void ExpireLeases(base::time_point now);
   /// Marks the runs of a worker that has ended as lost, but for those begun
   /// since `known_at`: they may be runs of a later incarnation.
-  void MarkEnded(worker_entry& worker, base::time_point known_at);
+  void MarkEnded(worker_entry& worker,
+                 base::time_point known_at,
+                 base::time_point now);
   /// Allows run ends that were recorded in this batch or an earlier one to be
   /// acknowledged.
   void ReleaseAcks(std::uint64_t batch);
@@ -56,6 +60,7 @@
   run_tracker tracker;
   interference_model interference;
   permit_tracker permits;
+  crash_attribution crashes;
   report_processor reports;
   planner run_planner;
   worker_recorder recorder;
@@ -66,10 +71,10 @@
   bool fenced = false;
 
  private:
-  /// Marks the committed runs that `is_lost` selects as lost.
-  void MarkLost(worker_entry& worker,
-                const std::function<bool(const active_run&)>& is_lost,
-                std::string_view reason);
+  /// The committed runs that `is_lost` selects.
+  static std::vector<task_ref> LostRuns(
+      const worker_entry& worker,
+      const std::function<bool(const active_run&)>& is_lost);
 };
 
 }  // namespace chivecrank::submissions::internal
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -139,7 +139,6 @@
   worker_entry* worker = core_->tracker.Workers().Find(worker_id);
   if (worker == nullptr)
     return;
-  worker->silent_since.reset();
   core_->reports.Process(*worker, report, requested_at, now,
                          core_->last_batch + 1);
 }
@@ -147,15 +146,16 @@
 void shard_scheduler::OnPollUnanswered(const std::string& worker_id,
                                        base::time_point now) {
   worker_entry* worker = core_->tracker.Workers().Find(worker_id);
-  if (worker != nullptr && !worker->silent_since)
-    worker->silent_since = now;
+  if (worker != nullptr && core_->crashes.OnSilent(*worker, now))
+    core_->tracker.MarkDoubted(*worker);
 }
 
 void shard_scheduler::OnWorkerReplaced(const std::string& worker_id,
-                                       base::time_point requested_at) {
+                                       base::time_point requested_at,
+                                       base::time_point now) {
   worker_entry* worker = core_->tracker.Workers().Find(worker_id);
   if (worker != nullptr)
-    core_->MarkEnded(*worker, requested_at);
+    core_->MarkEnded(*worker, requested_at, now);
 }
 
 void shard_scheduler::OnStartOutcome(const start_command& command,
@@ -170,6 +170,7 @@
   worker_entry& worker = *state.tracker.Workers().Find(command.worker);
   if (outcome == start_outcome::kStarted) {
     state.tracker.MarkReported(command.task);
+    run->start_confirmed = true;
     run->phase = run_phase::kRunning;
     run->phase_since = now;
     return;
@@ -296,6 +297,12 @@
   return worker != nullptr && !worker->runs.empty();
 }
 
+bool shard_scheduler::HasTrial(const std::string& worker_id) const {
+  const worker_entry* worker =
+      std::as_const(core_->tracker).Workers().Find(worker_id);
+  return worker != nullptr && worker->trials > 0;
+}
+
 awaited_runs shard_scheduler::AwaitedRuns(base::time_point now) const {
   awaited_runs awaited;
   for (const auto& [id, worker] : core_->tracker.Workers().All()) {
--- a/src/submissions/internal/submission_table.cc
+++ b/src/submissions/internal/submission_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal/crash_attribution.h"
+
 namespace chivecrank::submissions::internal {
 namespace {
 
@@ -214,13 +216,15 @@
 bool submission_table::HasFailed(const live_submission& live) {
   const std::int32_t limit = live.request.policy.attempt_limit;
   for (const live_occurrence& occurrence : live.occurrences)
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
-      if (!live.request.steps[i].long_running &&
-          std::ranges::any_of(occurrence.steps[i].tasks,
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const bool is_limited = !live.request.steps[i].long_running;
+      if (std::ranges::any_of(occurrence.steps[i].tasks,
                               [&](const task_progress& task) {
-                                return task.failures >= limit;
+                                return (is_limited && task.failures >= limit) ||
+                                       crash_attribution::CrashesWorkers(task);
                               }))
         return true;
+    }
   return false;
 }
 
--- a/src/submissions/internal/submission_table.h
+++ b/src/submissions/internal/submission_table.h
@@ -21,6 +21,8 @@
   std::vector<task_progress> tasks;
   std::int32_t done = 0;
   measured_runs measured;
+  /// A run of one of its tasks survived its start.
+  bool any_survived = false;
   /// Load estimate of its tasks; null if they have no latency target.
   std::shared_ptr<service_load> load;
 
@@ -100,7 +102,8 @@
   std::vector<task_change> AllProgress() const;
 
   static bool IsDone(const live_submission& live);
-  /// Whether a task has reached the queue's limit of failed attempts.
+  /// Whether a task has reached the queue's limit of failed attempts, or
+  /// crashes its workers.
   static bool HasFailed(const live_submission& live);
 
  private:
--- a/src/submissions/internal/worker_table.cc
+++ b/src/submissions/internal/worker_table.cc
@@ -1,6 +1,7 @@
 #include "internal/worker_table.h"
 
 #include <algorithm>
+#include <array>
 
 #include "chivecrank/scheduling/resources.h"
 
@@ -9,8 +10,18 @@
 
 constexpr std::int64_t kFullPercent = 100;
 
+bool IsOnTrial(const active_run& run) {
+  return run.on_trial && !run.survived_start;
+}
+
 }  // namespace
 
+std::string_view CrashSettingName(crash_setting value) {
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "alone", "in_series", "common_cause"};
+  return kNames.at(static_cast<std::size_t>(value));
+}
+
 worker_entry* worker_table::Find(const std::string& id) {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
@@ -26,6 +37,7 @@
                           const active_run& run) {
   worker.reserved = scheduling::Plus(worker.reserved, run.reserved);
   worker.runs[task] = run;
+  worker.trials += IsOnTrial(run) ? 1 : 0;
   worker.cached_occupancy.reset();
 }
 
@@ -34,10 +46,16 @@
   if (found == worker.runs.end())
     return;
   worker.reserved = scheduling::Minus(worker.reserved, found->second.reserved);
+  worker.trials -= IsOnTrial(found->second) ? 1 : 0;
   worker.runs.erase(found);
   worker.cached_occupancy.reset();
 }
 
+void worker_table::MarkSurvived(worker_entry& worker, active_run& run) {
+  worker.trials -= IsOnTrial(run) ? 1 : 0;
+  run.survived_start = true;
+}
+
 double worker_table::ShareOfProcessors(const worker_entry& worker,
                                        std::int64_t processors_milli) {
   return static_cast<double>(processors_milli) /
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/submissions/types.h"
@@ -58,6 +59,14 @@
   /// The worker confirmed a stop command, so the run can't start there any
   /// more.
   bool stop_confirmed = false;
+  /// The worker confirmed or reported the start.
+  bool start_confirmed = false;
+  /// The worker was seen alive for a while after the start.
+  bool survived_start = false;
+  /// The task is suspected of crashing its workers; it was started apart.
+  bool on_trial = false;
+  /// An earlier owner saw the worker fall silent soon after the start.
+  bool doubted = false;
   /// When a stop command was last sent; unset for never.
   base::time_point stop_sent_at;
   std::string checkpoint;
@@ -126,6 +135,28 @@
   bool is_due = false;
 };
 
+/// What happened around a worker's crash.
+enum class crash_setting {
+  /// Tasks that had just started explain why workers fell silent.
+  kAlone,
+  /// Many workers fell silent at the same time, or one within seconds that no
+  /// task explains.
+  kInSeries,
+  /// One that no task explains fell silent at the same time.
+  kCommonCause,
+};
+
+std::string_view CrashSettingName(crash_setting value);
+
+/// What a worker's crash says about the runs that were lost with it.
+struct crash_finding {
+  crash_setting setting = crash_setting::kAlone;
+  /// Runs that had just started, by commands of this owner or on trial.
+  std::int32_t started_runs = 0;
+  /// Runs of earlier owners; when they started is unknown.
+  std::int32_t unknown_runs = 0;
+};
+
 struct worker_entry {
   worker_description description;
   recorded_worker recorded;
@@ -142,6 +173,11 @@
   /// Ordered, so that decisions do not depend on addresses.
   absl::btree_map<task_ref, active_run> runs;
   coordination::resources reserved;
+  /// Runs on trial that have not survived their start. Nothing else starts
+  /// beside them.
+  std::int32_t trials = 0;
+  /// The newest crash.
+  crash_finding crash;
   /// No run of the worker can be alive after this time unless the lease is
   /// renewed.
   base::time_point lease_expiry;
@@ -183,6 +219,7 @@
                      const task_ref& task,
                      const active_run& run);
   static void RemoveRun(worker_entry& worker, const task_ref& task);
+  static void MarkSurvived(worker_entry& worker, active_run& run);
 
   /// `processors_milli` as a share of the worker's processors.
   static double ShareOfProcessors(const worker_entry& worker,
--- a/src/submissions/tests/crash_attribution_test.cc
+++ b/src/submissions/tests/crash_attribution_test.cc
@@ -77,8 +77,8 @@
   /// The next owner, from the journal of the one before.
   std::unique_ptr<shard_scheduler> NextOwner(
       const std::vector<submission>& accepted) {
-    auto next = std::make_unique<shard_scheduler>(settings,
-                                                  scheduler_event_hook{});
+    auto next =
+        std::make_unique<shard_scheduler>(settings, scheduler_event_hook{});
     for (const submission& known : accepted)
       next->Accept(known);
     next->Restore(
@@ -118,6 +118,178 @@
   BOOST_TEST(IsGivenUp("deadly"));
 }
 
+BOOST_AUTO_TEST_CASE(ATaskIsGivenUpAfterTwoWorkersThatNothingElseCrashed) {
+  scheduler.Accept(MakeSubmission("deadly", MakeStep(1, 1000)));
+  for (int crash = 0; crash < 2; ++crash) {
+    const auto started = Round();
+    BOOST_REQUIRE(started.size() == 1u);
+    CrashAndReturn({started[0].worker});
+  }
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(IsGivenUp("deadly"));
+}
+
+BOOST_AUTO_TEST_CASE(ALongRunningTaskThatCrashesItsWorkersIsGivenUpToo) {
+  step_request step = MakeStep(1, 1000);
+  step.long_running = true;
+  scheduler.Accept(MakeSubmission("deadly", step));
+  for (int crash = 0; crash < 2; ++crash)
+    CrashAndReturn({Round().at(0).worker});
+  Round();
+  BOOST_TEST(IsGivenUp("deadly"));
+}
+
+BOOST_AUTO_TEST_CASE(TasksBesideOneThatCrashesItsWorkersAreNotGivenUp) {
+  scheduler.Accept(MakeSubmission("deadly", MakeStep(1, 1000)));
+  scheduler.Accept(MakeSubmission("innocent", MakeStep(6, 1000)));
+  for (int round = 0; round < 12; ++round) {
+    for (const start_command& start : Round())
+      if (start.task.submission == "deadly")
+        Crash(start.worker);
+    Advance(kUntilReturn);
+    for (const worker_description& worker : workers)
+      if (down[worker.id])
+        Return(worker.id);
+    ReportAll();
+  }
+  BOOST_TEST(IsGivenUp("deadly"));
+  BOOST_TEST(!outcomes.contains("innocent"));
+  std::size_t innocent_runs = 0;
+  for (const auto& [worker, report] : running)
+    innocent_runs += report.running.size();
+  BOOST_TEST(innocent_runs == 6u);
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsBesideATaskUnderSuspicion) {
+  scheduler.Accept(MakeSubmission("suspect", MakeStep(1, 1000)));
+  CrashAndReturn({Round().at(0).worker});
+  const auto trial = Round();
+  BOOST_REQUIRE(trial.size() == 1u);
+  scheduler.Accept(MakeSubmission("other", MakeStep(60, 1000)));
+  for (const start_command& start : Round())
+    BOOST_TEST(start.worker != trial[0].worker);
+  Survive();
+  bool is_used = false;
+  for (const start_command& start : Round())
+    is_used = is_used || start.worker == trial[0].worker;
+  BOOST_TEST(is_used);
+}
+
+BOOST_AUTO_TEST_CASE(ATaskUnderSuspicionStartsWhereNothingHasJustStarted) {
+  scheduler.Accept(MakeSubmission("suspect", MakeStep(1, 1000)));
+  CrashAndReturn({Round().at(0).worker});
+  scheduler.Accept(MakeSubmission("other", MakeStep(3, 1000)));
+  const auto starts = Round();
+  BOOST_REQUIRE(starts.size() == 4u);
+  std::map<std::string, int> by_worker;
+  for (const start_command& start : starts)
+    ++by_worker[start.worker];
+  for (const start_command& start : starts)
+    if (start.task.submission == "suspect")
+      BOOST_TEST(by_worker[start.worker] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ARunThatSurvivedItsStartIsNotBlamed) {
+  step_request step = MakeStep(1, 1000);
+  step.long_running = true;
+  scheduler.Accept(MakeSubmission("service", step));
+  for (int crash = 0; crash < kForbiddenStarts; ++crash) {
+    const auto started = Round();
+    BOOST_REQUIRE(started.size() == 1u);
+    Survive();
+    CrashAndReturn({started[0].worker});
+  }
+  BOOST_TEST(outcomes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(CrashesOfIdleWorkersAtTheSameTimeClearATask) {
+  scheduler.Accept(MakeSubmission("innocent", MakeStep(1, 1000)));
+  for (int crash = 0; crash < 3; ++crash) {
+    const auto started = Round();
+    BOOST_REQUIRE(started.size() == 1u);
+    const std::string idle = started[0].worker == "w-4" ? "w-3" : "w-4";
+    CrashAndReturn({started[0].worker, idle});
+  }
+  BOOST_TEST(outcomes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AStartWithoutAnAnswerIsNoReasonToGiveATaskUp) {
+  scheduler.Accept(MakeSubmission("late", MakeStep(1, 1000)));
+  for (int crash = 0; crash < 2; ++crash) {
+    scheduler.Plan(now, since_epoch);
+    scheduler.OnCommitted(scheduler.TakeBatch()->number);
+    const auto starts = scheduler.TakeCommands(now).starts;
+    BOOST_REQUIRE(starts.size() == 1u);
+    scheduler.OnStartOutcome(starts[0], start_outcome::kUnknown, now);
+    const std::string worker = starts[0].worker;
+    Advance(kUntilCrash);
+    Crash(worker);
+    Advance(kUntilReturn);
+    ++born[worker];
+    down[worker] = false;
+    scheduler.OnWorkerReplaced(worker, now, now);
+    ReportAll();
+  }
+  Round();
+  BOOST_TEST(outcomes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ASilentWorkerIsNoCrash) {
+  scheduler.Accept(MakeSubmission("innocent", MakeStep(1, 1000)));
+  for (int cut = 0; cut < kForbiddenStarts; ++cut) {
+    const auto started = Round();
+    BOOST_REQUIRE(started.size() == 1u);
+    running.erase(started[0].worker);
+    scheduler.OnPollUnanswered(started[0].worker, now);
+    Advance(settings.worker_lease + settings.lease_margin + kUntilCrash);
+    scheduler.Plan(now, since_epoch);
+    ReportAll();
+  }
+  BOOST_TEST(outcomes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TheNextOwnerKnowsTheCrashesOfATask) {
+  const submission deadly = MakeSubmission("deadly", MakeStep(1, 1000));
+  scheduler.Accept(deadly);
+  CrashAndReturn({Round().at(0).worker});
+  const std::string worker = Round().at(0).worker;
+  const auto next = NextOwner({deadly});
+  ReportAllTo(*next);
+  Advance(kUntilCrash);
+  CrashFor(*next, worker);
+  Advance(kUntilReturn);
+  Return(worker);
+  ReportAllTo(*next);
+  RoundOn(*next);
+  BOOST_TEST(IsGivenUp("deadly"));
+}
+
+BOOST_AUTO_TEST_CASE(TheNextOwnerKnowsWhichRunsHadJustStartedAtACrash) {
+  const submission service = MakeSubmission("service", MakeStep(4, 1000));
+  const submission deadly = MakeSubmission("deadly", MakeStep(1, 1000));
+  scheduler.Accept(service);
+  const std::string worker = Round().at(0).worker;
+  Survive();
+  scheduler.Accept(deadly);
+  BOOST_REQUIRE(Round().at(0).worker == worker);
+  Advance(kUntilCrash);
+  Crash(worker);
+  Round();
+  const auto next = NextOwner({service, deadly});
+  Advance(kUntilReturn);
+  Return(worker);
+  ReportAllTo(*next);
+  // All five start anew, the one under suspicion apart from the others.
+  std::map<std::string, std::vector<std::string>> started;
+  for (const start_command& start : RoundOn(*next))
+    started[start.worker].push_back(start.task.submission);
+  std::size_t apart = 0;
+  for (const auto& [id, submissions] : started)
+    if (std::ranges::count(submissions, "deadly") > 0)
+      apart = submissions.size();
+  BOOST_TEST(apart == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
--- a/src/submissions/tests/record_codec_test.cc
+++ b/src/submissions/tests/record_codec_test.cc
@@ -55,6 +55,29 @@
   BOOST_TEST((read.value().tasks[0].progress == change.progress));
 }
 
+BOOST_AUTO_TEST_CASE(JournalEntryRoundTripPreservesCrashes) {
+  task_change change;
+  change.task = {"a", 0, 0, 0};
+  change.progress.run = 3;
+  change.progress.doubted_run = 3;
+  change.progress.doubted_run_confirmed = true;
+  change.progress.crashes = 2;
+  change.progress.confirmed_crashes = 1;
+  change.progress.crash_blame_permille = 1250;
+  const auto read = DecodeJournalEntry(EncodeJournalEntry({false, {change}}));
+  BOOST_REQUIRE(read);
+  BOOST_REQUIRE(read.value().tasks.size() == 1u);
+  BOOST_TEST((read.value().tasks[0].progress == change.progress));
+}
+
+BOOST_AUTO_TEST_CASE(ATaskWrittenBeforeCrashesWereCountedIsRead) {
+  const auto read = DecodeJournalEntry(
+      R"({"tasks":[["a",0,0,0,1,5,"w-1",77,1,4,"w-0","c0ffee"]]})");
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().tasks.at(0).progress.crashes == 0);
+  BOOST_TEST(read.value().tasks.at(0).progress.checkpoint == "c0ffee");
+}
+
 BOOST_AUTO_TEST_CASE(JournalEntryRoundTripPreservesWorkers) {
   journal_entry written;
   written.workers = {{"w-1", {"10.0.0.1", 8367}, {}},
--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -223,7 +223,7 @@
   const auto starts = RunRound();
   BOOST_REQUIRE(starts.size() == 1u);
   Advance(std::chrono::milliseconds(50));
-  scheduler.OnWorkerReplaced(starts[0].worker, now);
+  scheduler.OnWorkerReplaced(starts[0].worker, now, now);
   const auto restarted = RunRound();
   BOOST_REQUIRE(restarted.size() == 1u);
   BOOST_TEST(restarted[0].run == 2);
@@ -236,7 +236,7 @@
   scheduler.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   const auto starts = RunRound();
   BOOST_REQUIRE(starts.size() == 1u);
-  scheduler.OnWorkerReplaced(starts[0].worker, requested_at);
+  scheduler.OnWorkerReplaced(starts[0].worker, requested_at, now);
   BOOST_TEST(RunRound().empty());
 }
 
--- a/tests/lease_model/owner_driver.cc
+++ b/tests/lease_model/owner_driver.cc
@@ -165,7 +165,7 @@
   owner_.scheduler.Apply([id = WorkerId(worker), now = state_.now,
                           outcome](shard_scheduler& scheduler) {
     if (outcome == delivery::kReplaced)
-      scheduler.OnWorkerReplaced(id, now);
+      scheduler.OnWorkerReplaced(id, now, now);
     else
       scheduler.OnPollUnanswered(id, now);
   });
