A worker that shrinks while a start is committed doesn't get it

A start was decided for a worker's capacity at that moment; between the decision and the command lies a commit, which a slow store makes long, and a capacity that had shrunk meanwhile wasn't looked at again. A worker that doesn't guard its capacity would have started it (LIMIT).

ConfirmStart now drops a committed start, like one on a worker that drains, if what is reserved on the worker is more than it has.

--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chivecrank/scheduling/resources.h"
+
 namespace chivecrank::submissions::internal {
 
 void shard_core::AvoidFor(worker_entry& worker,
@@ -66,9 +68,10 @@
     return false;
   const live_submission* live =
       tracker.Submissions().Find(command.task.submission);
-  bool is_valid = live != nullptr && !live->outcome && worker->listed &&
-                  worker->reported && !worker->description.draining &&
-                  worker_recorder::MayStart(*worker);
+  bool is_valid =
+      live != nullptr && !live->outcome && worker->listed && worker->reported &&
+      !worker->description.draining && worker_recorder::MayStart(*worker) &&
+      scheduling::IsWithin(worker->reserved, worker->description.capacity);
   if (is_valid && run_planner.NeedsPermit(*live)) {
     const std::string* permit = permits.Find(command.task, *worker, now);
     is_valid = permit != nullptr;
--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -16,6 +16,33 @@
   BOOST_TEST(RunRound().empty());
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatShrinksWhileAStartIsCommittedDoesNotGetIt) {
+  scheduler.Accept(MakeSubmission("a", MakeStep(4, 16'000)));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  workers[0].capacity.processors_milli = 8000;
+  workers[1].capacity.processors_milli = 0;
+  scheduler.SetWorkers(workers);
+  scheduler.OnCommitted(batch->number);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_TEST(starts.size() == 2u);
+  for (const start_command& start : starts)
+    BOOST_TEST((start.worker == "w-3" || start.worker == "w-4"));
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatGrowsAgainGetsStartsAgain) {
+  for (worker_description& worker : workers)
+    worker.capacity.processors_milli = 0;
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(MakeSubmission("a", MakeStep(1, 16'000)));
+  BOOST_TEST(RunRound().empty());
+  workers[2].capacity.processors_milli = 16'000;
+  scheduler.SetWorkers(workers);
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  BOOST_TEST(starts[0].worker == "w-3");
+}
+
 BOOST_AUTO_TEST_CASE(LongRunningTasksLeaveADrainingWorkerHalfAtATime) {
   step_request service = MakeStep(4, 3000);
   service.long_running = true;
