Crashes that an owner can't judge yet, drained workers and early ends count for less

Several workers restarted within milliseconds, or just before the owner had taken over, so that it knew of no other crash.

--- a/src/submissions/internal/crash_attribution.cc
+++ b/src/submissions/internal/crash_attribution.cc
@@ -59,12 +59,13 @@
   if (worker.silent_since)
     return false;
   worker.silent_since = now;
+  worker.left_draining = worker.description.draining;
   std::erase_if(silences_, [now](const silence& past) {
     return now - past.since > kSilenceMemory;
   });
   // That a worker goes away after it has drained is no crash.
-  if (worker.description.draining)
-    return true;
+  if (worker.left_draining)
+    return false;
   const bool has_possible_cause = std::ranges::any_of(
       worker.runs,
       [](const auto& entry) { return HasJustStarted(entry.second); });
@@ -81,9 +82,11 @@
   });
 }
 
-crash_setting crash_attribution::SettingOf(const worker_entry& worker) const {
+crash_setting crash_attribution::SettingOf(const worker_entry& worker,
+                                           base::time_point now) const {
   const base::time_point at = *worker.silent_since;
-  crash_setting found = crash_setting::kAlone;
+  crash_setting found = IsTooEarlyToTell(at, now) ? crash_setting::kInSeries
+                                                  : crash_setting::kAlone;
   std::size_t at_once = 0;
   for (const silence& other : silences_) {
     const base::duration apart =
@@ -101,6 +104,12 @@
   return IsMany(at_once) ? crash_setting::kInSeries : found;
 }
 
+bool crash_attribution::IsTooEarlyToTell(base::time_point silent_since,
+                                         base::time_point now) const {
+  return silent_since - begun_at_ < settings_.crash_series_window ||
+         now - silent_since < settings_.common_crash_window;
+}
+
 bool crash_attribution::IsMany(std::size_t silent_workers) const {
   const double share = static_cast<double>(silent_workers) /
                        static_cast<double>(workers_.All().size());
@@ -109,7 +118,7 @@
 
 void crash_attribution::Examine(worker_entry& worker, base::time_point now) {
   OnSilent(worker, now);
-  worker.crash = {.setting = SettingOf(worker)};
+  worker.crash = {.setting = SettingOf(worker, now)};
   for (const auto& [task, run] : worker.runs) {
     worker.crash.started_runs += HasJustStarted(run) ? 1 : 0;
     worker.crash.unknown_runs += HasUnknownStart(run) ? 1 : 0;
@@ -120,7 +129,7 @@
                               const active_run& run,
                               task_progress& progress) {
   const crash_finding& crash = worker.crash;
-  if (worker.description.draining || !IsPossibleCause(run))
+  if (worker.left_draining || !IsPossibleCause(run))
     return false;
   const bool is_unknown = HasUnknownStart(run);
   if (is_unknown && crash.started_runs > 0)
--- a/src/submissions/internal/crash_attribution.h
+++ b/src/submissions/internal/crash_attribution.h
@@ -23,8 +23,10 @@
                     const worker_table& workers)
       : settings_(settings), workers_(workers) {}
 
-  /// Handles that a worker left a poll unanswered. Sets `silent_since`; returns
-  /// false, without effect, if it is set already.
+  /// Must be called when the owner has restored the shard.
+  void Begin(base::time_point now) { begun_at_ = now; }
+  /// Handles that a worker left a poll unanswered and sets `silent_since`, if
+  /// that isn't set yet. Returns whether it is news that it may have crashed.
   bool OnSilent(worker_entry& worker, base::time_point now);
   /// Handles an answer of the incarnation that was silent.
   void OnAnswered(const worker_entry& worker);
@@ -61,11 +63,17 @@
   /// Whether nobody can tell when the run started: its owner ended before the
   /// crash was seen.
   static bool HasUnknownStart(const active_run& run);
-  crash_setting SettingOf(const worker_entry& worker) const;
+  crash_setting SettingOf(const worker_entry& worker,
+                          base::time_point now) const;
+  /// Whether too little is known of the time around the silence to say that no
+  /// other worker fell silent.
+  bool IsTooEarlyToTell(base::time_point silent_since,
+                        base::time_point now) const;
   bool IsMany(std::size_t silent_workers) const;
 
   const scheduler_settings& settings_;
   const worker_table& workers_;
+  base::time_point begun_at_;
   std::vector<silence> silences_;
 };
 
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -62,7 +62,7 @@
   worker.pending_acks.clear();
   worker.health = {};
   worker.latency = {};
-  if (HasRunsOfEarlierIncarnation(worker))
+  if (known_before || HasRunsOfEarlierIncarnation(worker))
     crashes_.Examine(worker, now);
   // A start command of this owner may have reached the new incarnation. Its
   // reports will show whether it did, as for any other run.
--- a/src/submissions/internal/run_tracker.cc
+++ b/src/submissions/internal/run_tracker.cc
@@ -231,10 +231,9 @@
   task_progress* progress = submissions_.Find(end.task);
   if (live == nullptr || progress == nullptr || live->outcome)
     return EraseIfFinished(end.task.submission);
-  if (end.run == progress->run)
-    ClearSuspicion(worker, end.task, *progress);
   const step_request& step = *submissions_.StepOf(end.task);
   if (end.outcome == run_outcome::kDone && !step.long_running) {
+    ClearSuspicion(worker, end.task, *progress);
     submissions_.MarkDone(end.task);
     if (step.gang)
       ReleaseGang(end.task);
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -70,6 +70,7 @@
     if (change.progress.phase == task_phase::kAssigned)
       tracker.RestoreRun(change.task, now);
   core_->recorder.FinishRestore(acquired_at, longest_lease, now);
+  core_->crashes.Begin(now);
   // The previous owner may have stopped before it recorded these outcomes.
   for (auto& [id, live] : tracker.Submissions().All()) {
     if (internal::submission_table::IsDone(*live))
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -167,6 +167,8 @@
   /// Since when polls go unanswered; unset after an answer and before the first
   /// poll.
   std::optional<base::time_point> silent_since;
+  /// It was draining when it fell silent last.
+  bool left_draining = false;
   base::time_point reported_at;
   /// Incarnation of the worker that sent the last report.
   std::int64_t reported_started_at_ms = 0;
--- a/src/submissions/tests/crash_attribution_test.cc
+++ b/src/submissions/tests/crash_attribution_test.cc
@@ -11,13 +11,21 @@
 
 constexpr milliseconds kUntilCrash{10};
 constexpr milliseconds kUntilReturn{2000};
+constexpr milliseconds kUntilQuickReturn{1000};
 constexpr milliseconds kUntilSurvived{600};
+/// From then on an owner knows of the crashes around another one.
+constexpr milliseconds kUntilSettled{3500};
 /// Starts of a task that crashes its workers, from which on a promise is
 /// broken.
 constexpr int kForbiddenStarts = 6;
 
 /// Workers that crash and return under the same identifier.
 struct crash_fixture : scheduler_fixture {
+  crash_fixture() {
+    Advance(kUntilSettled);
+    ReportAll();
+  }
+
   /// Plans and commits as the scheduler's owner, and keeps what was committed.
   std::vector<start_command> Round() { return RoundOn(scheduler); }
   std::vector<start_command> RoundOn(shard_scheduler& owner) {
@@ -248,6 +256,57 @@
   BOOST_TEST(outcomes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatHadDrainedIsNoCrash) {
+  scheduler.Accept(MakeSubmission("innocent", MakeStep(1, 1000)));
+  for (int leave = 0; leave < 3; ++leave) {
+    const auto started = Round();
+    BOOST_REQUIRE(started.size() == 1u);
+    auto listed = workers;
+    for (worker_description& worker : listed)
+      worker.draining = worker.id == started[0].worker;
+    scheduler.SetWorkers(listed);
+    Advance(kUntilCrash);
+    Crash(started[0].worker);
+    Advance(kUntilReturn);
+    Return(started[0].worker);
+    scheduler.SetWorkers(workers);
+    ReportAll();
+  }
+  BOOST_TEST(outcomes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ARunThatFailsAtOnceHasNotSurvivedItsStart) {
+  submission deadly = MakeSubmission("deadly", MakeStep(1, 1000));
+  deadly.policy.attempt_limit = 100;
+  scheduler.Accept(deadly);
+  CrashAndReturn({Round().at(0).worker});
+  const start_command failing = Round().at(0);
+  running.erase(failing.worker);
+  worker_report report;
+  report.started_at_ms = Born(failing.worker);
+  report.ended = {{1, failing.task, failing.run, run_outcome::kFailed, {}}};
+  Report(failing.worker, report);
+  CrashAndReturn({Round().at(0).worker});
+  Round();
+  BOOST_TEST(IsGivenUp("deadly"));
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatHasJustBegunKnowsTooLittleToGiveATaskUp) {
+  const submission innocent = MakeSubmission("innocent", MakeStep(1, 1000));
+  const auto owner = NextOwner({innocent});
+  for (int crash = 0; crash < 2; ++crash) {
+    ReportAllTo(*owner);
+    const std::string worker = RoundOn(*owner).at(0).worker;
+    Advance(kUntilCrash);
+    CrashFor(*owner, worker);
+    Advance(kUntilQuickReturn);
+    Return(worker);
+  }
+  ReportAllTo(*owner);
+  BOOST_TEST(RoundOn(*owner).size() == 1u);
+  BOOST_TEST(outcomes.empty());
+}
+
 BOOST_AUTO_TEST_CASE(TheNextOwnerKnowsTheCrashesOfATask) {
   const submission deadly = MakeSubmission("deadly", MakeStep(1, 1000));
   scheduler.Accept(deadly);
