Emulator: tasks that crash their workers, and workers that shrink and grow

New promises: a deadly task is not started three times after three crashes (BUDGET), nothing that could be done is shown as failed, no start beyond a capacity that shrank (LIMIT). A crashed worker closes its connections and rejects new ones, like a real one.

--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -35,6 +35,8 @@
   kStoreLosesAnswers,
   kStoreCompacts,
   kBurst,
+  kShrinkWorkers,
+  kDeadlyTasks,
 };
 
 /// Which instances a fault hits.
@@ -59,7 +61,8 @@
   /// Instances that are isolated lose their keys in the store at once.
   bool takes_keys = false;
   /// How strong it is: the factor of slowness or of a burst, the share of
-  /// answers lost, or the seconds by which clocks are off.
+  /// answers lost, of capacity that stays or of deadly submissions, or the
+  /// seconds by which clocks are off.
   double strength = 1;
 };
 
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "chivecrank/emulator/attempt_ledger.h"
 #include "chivecrank/emulator/emulated_processor.h"
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/submissions/worker_gateway.h"
@@ -39,6 +40,8 @@
   std::chrono::milliseconds work{0};
   /// Fails each time.
   bool poisoned = false;
+  /// Crashes each worker that starts it.
+  bool deadly = false;
 };
 
 /// The task as logs write it: SUBMISSION.OCCURRENCE.STEP.INDEX.
@@ -73,6 +76,8 @@
   /// Whether the order's permit is good.
   using permit_hook =
       std::function<bool(const submissions::start_command& command)>;
+  /// Takes a worker down that has started a deadly task.
+  using crash_hook = std::function<void(const std::string& worker)>;
   /// Pressure that a filling image adds to a service when it has the whole
   /// worker.
   using pressure_hook = std::function<double(const std::string& service_image,
@@ -90,6 +95,7 @@
                    std::uint64_t seed,
                    truth_hook truth,
                    permit_hook has_permit,
+                   crash_hook crash,
                    pressure_hook pressure,
                    load_swing swing);
   ~emulated_workers();
@@ -115,6 +121,13 @@
   const submissions::worker_description& DescriptionOf(
       const std::string& id) const;
 
+  bool IsCrashed(const std::string& id) const;
+  /// The room of the worker changes; what runs there goes on.
+  void SetCapacity(const std::string& id,
+                   const coordination::resources& capacity);
+  /// Workers start whatever they are told, even if it doesn't fit.
+  void SetGuarding(bool guarding) { guards_capacity_ = guarding; }
+
   /// The worker has said that it leaves: soon nothing may start there.
   void Leaves(const std::string& id);
 
@@ -123,6 +136,8 @@
   void Know(const submissions::submission& accepted);
   /// The caller was told that the submission is over: nothing of it may start.
   void Over(const std::string& submission);
+  /// The caller was told that the submission has failed.
+  void ShownAsFailed(const std::string& submission);
 
   const worker_counts& Counts() const { return counts_; }
   const std::vector<broken_promise>& Broken() const { return broken_; }
@@ -158,6 +173,12 @@
   static std::size_t RoomOn(const worker_state& worker,
                             const submissions::task_ref& task,
                             const submissions::step_request& step);
+  /// Whether the worker starts a run that needs so much; records a broken
+  /// promise if it shouldn't have been told to.
+  bool TakesStart(const worker_state& worker,
+                  const submissions::task_ref& task,
+                  const coordination::resources& needed);
+  void CrashLater(const std::string& worker, const submissions::task_ref& task);
   base::result<submissions::worker_report> Report(worker_state& worker);
   void CheckStart(const submissions::start_command& command);
   void Break(std::string_view name, const submissions::task_ref& task);
@@ -175,6 +196,7 @@
   std::mt19937_64 random_;
   truth_hook truth_;
   permit_hook has_permit_;
+  crash_hook crash_;
   pressure_hook pressure_;
   const load_swing swing_;
   std::map<std::string, std::unique_ptr<worker_state>> workers_;
@@ -183,6 +205,8 @@
   std::set<submissions::task_ref> done_;
   std::set<submissions::task_ref> acknowledged_done_;
   std::map<std::string, base::time_point> over_;
+  bool guards_capacity_ = true;
+  attempt_ledger attempts_;
   worker_counts counts_;
   std::vector<broken_promise> broken_;
   double over_bound_seconds_ = 0;
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -58,6 +58,8 @@
   std::size_t workers = 12;
   std::size_t workers_per_rack = 4;
   coordination::resources capacity{16'000, 64'000, 0};
+  /// Workers reject what does not fit.
+  bool workers_guard_capacity = true;
   std::int64_t workers_per_shard = 100;
   std::chrono::milliseconds worker_lease{6000};
   /// Values that the store takes, and entries that journals are split into.
@@ -135,6 +137,13 @@
   /// Callers hand in so many times their usual load from now on.
   void SetLoadFactor(double factor) { load_factor_ = factor; }
   void List(const std::string& worker);
+  /// A worker has this share of its first capacity from now on.
+  void Resize(const std::string& worker, double share);
+  /// From now on this share of the submissions has a task that crashes each
+  /// worker that starts it.
+  void SetDeadlyShare(double share) { deadly_share_ = share; }
+  /// When the last worker that a deadly task crashed is back.
+  base::time_point BackAfterCrashesAt() const { return back_at_; }
 
   const std::map<std::string, caller_counts>& Callers() const {
     return callers_;
@@ -202,6 +211,10 @@
       submissions::submission& offered);
   /// Time in which the submission should be done.
   static std::chrono::duration<double> Objective(const caller_state& caller);
+  /// Draws whether a task of the submission is deadly, and which.
+  void DrawDeadlyTask(const submissions::submission& offered);
+  /// A deadly task takes its worker down, which is back after a while.
+  void CrashByTask(const std::string& worker);
   task_truth TruthOf(const submissions::task_ref& task) const;
 
   emulation_settings settings_;
@@ -217,6 +230,11 @@
   std::map<std::string, caller_state> submitted_;
   std::map<std::string, caller_counts> callers_;
   std::map<std::string, bool> poisoned_;
+  /// By submission, the task that crashes each worker that starts it.
+  std::map<std::string, submissions::task_ref> deadly_;
+  double deadly_share_ = 0;
+  std::uint64_t crashes_by_tasks_ = 0;
+  base::time_point back_at_;
   std::uint64_t last_id_ = 0;
   /// Start of the worker that was replaced or restarted last.
   std::int64_t last_started_at_ms_ = 1;
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -42,6 +42,7 @@
   void HitWorkers(const day_fault& fault);
   void HitStore(const day_fault& fault);
   void Burst(const day_fault& fault);
+  void OfferDeadlyTasks(const day_fault& fault);
   void SetWorkerFault(const std::string& worker,
                       const day_fault& fault,
                       bool begins);
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -173,6 +173,8 @@
       root.IntegerOr("memory_mib", kAmounts, system.capacity.memory_mib);
   system.worker_lease =
       root.MillisecondsOr("worker_lease_ms", kLeasesMs, system.worker_lease);
+  system.workers_guard_capacity =
+      root.BooleanOr("workers_guard_capacity", system.workers_guard_capacity);
   day.load = root.MillisecondsOr("load_ms", kTimesMs, day.load);
   day.rest = root.MillisecondsOr("rest_ms", kTimesMs, day.rest);
   for (settings::section& queue : root.Tables("queue"))
--- a/tests/emulator/internal/emulated_worker_state.h
+++ b/tests/emulator/internal/emulated_worker_state.h
@@ -32,6 +32,9 @@
 struct emulated_workers::worker_state {
   submissions::worker_description description;
   worker_faults faults;
+  /// What the worker had before its capacity changed last, and when it did.
+  coordination::resources earlier_capacity;
+  base::time_point resized_at;
   /// Another worker has its address.
   bool replaced = false;
   /// Since when it says that it leaves; unset while it doesn't.
--- a/tests/emulator/internal/hunted_day.cc
+++ b/tests/emulator/internal/hunted_day.cc
@@ -25,6 +25,10 @@
 constexpr double kAimedInSeriesShare = 0.6;
 constexpr double kInSeriesShare = 0.15;
 constexpr double kKeysTakenShare = 0.5;
+/// Shares of the days with tasks that crash their workers, and with workers
+/// whose capacity shrinks and grows.
+constexpr double kDeadlyShare = 0.35;
+constexpr double kShrinkingShare = 0.35;
 
 /// What is drawn for the faults of one kind.
 struct fault_range {
@@ -71,9 +75,30 @@
   DrawSize(day.system);
   day.system.queues = {DrawUrgent(), DrawFilling(), DrawLasting(day.system)};
   day.faults = DrawFaults(day.system);
+  AddLaterKinds(day);
   return day;
 }
 
+void hunted_day::AddLaterKinds(day_description& day) {
+  std::swap(random_, later_random_);
+  if (Chance(kDeadlyShare))
+    day.faults.push_back({.kind = fault_kind::kDeadlyTasks,
+                          .at = Time(kFirstMoment, kLastMoment),
+                          .lasts = Time(milliseconds(2000), milliseconds(9000)),
+                          .strength = Real(0.05, 0.4)});
+  if (Chance(kShrinkingShare)) {
+    const auto most = static_cast<std::int64_t>(day.system.workers / 2);
+    day.faults.push_back({.kind = fault_kind::kShrinkWorkers,
+                          .at = Time(kFirstMoment, kLastMoment),
+                          .lasts = Time(milliseconds(1000), milliseconds(9000)),
+                          .times = static_cast<std::size_t>(Between(1, 3)),
+                          .every = Time(milliseconds(2000), milliseconds(6000)),
+                          .count = static_cast<std::size_t>(Between(1, most)),
+                          .strength = Real(0, 0.7)});
+    day.system.workers_guard_capacity = Chance(0.5);
+  }
+}
+
 void hunted_day::DrawSize(emulation_settings& system) {
   system.instances = static_cast<std::size_t>(Between(3, 7));
   system.workers = static_cast<std::size_t>(4 * Between(3, 6));
