An instance that is stopped twice ends its lease once

Two stops of an owner whose first release was still under way ended lease 0 after lease 11; the emulated store took that for all keys without a lease and removed them, journals and workers' entries included. What the platform's store makes of such a call isn't said on its pages (404 would be expected), so it must not be made.

EndLease returns if the lease has been ended. The emulated store now answers 404 for a lease it doesn't have; the test was seen failing before that.

--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -34,8 +34,6 @@
   releasing_ = true;
   const std::map<std::uint32_t, metadata::revision> released = owned_;
   DropAll("stopping");
-  if (lease_ == 0)
-    return done();
   if (released.empty())
     return EndLease(std::move(done));
   auto pending = std::make_shared<std::size_t>(released.size());
@@ -50,6 +48,9 @@
 }
 
 void ownership::EndLease(std::function<void()> done) {
+  // Another call to Release() may have ended it.
+  if (lease_ == 0)
+    return done();
   store_.End(std::exchange(lease_, 0),
              [done = std::move(done)](base::result<bool>) { done(); });
 }
--- a/tests/emulator/internal/emulated_store.cc
+++ b/tests/emulator/internal/emulated_store.cc
@@ -140,9 +140,11 @@
   }
 
   void End(metadata::lease_id lease, metadata::callback<bool> done) override {
-    Call<bool>(true, std::move(done), [this, lease] {
+    Call<bool>(true, std::move(done), [this, lease]() -> base::result<bool> {
+      if (!shared_.leases_.contains(lease))
+        return NoLease();
       shared_.EndLease(lease);
-      return base::result<bool>(true);
+      return true;
     });
   }
 
--- a/tests/emulator/tests/owner_faults_test.cc
+++ b/tests/emulator/tests/owner_faults_test.cc
@@ -81,4 +81,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(owner_stops, day_fixture)
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatIsStoppedTwiceTakesNoOthersKeysAway) {
+  const std::size_t owner = Day().OwnerOf(0);
+  day->Run(milliseconds(2000), true);
+  day->StopInstance(owner);
+  day->StopInstance(owner);
+  day->Run(milliseconds(4000), true);
+  BOOST_TEST(day->OwnerOf(0) != settings.instances);
+  day->StartInstance(owner);
+  day->Run(milliseconds(2000), true);
+  CheckPromises();
+  BOOST_TEST(day->Total().completed > 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace chivecrank::emulator
