--- a/src/submissions/internal/crash_attribution.cc
+++ b/src/submissions/internal/crash_attribution.cc
@@ -9,8 +9,11 @@
 constexpr std::int32_t kWholeBlamePermille = 1000;
 /// Three such crashes are not enough to give a task up.
 constexpr std::int32_t kBlameInSeriesPermille = 330;
-/// Crashes that don't have to be another's doing before a task is given up.
-constexpr std::int32_t kFewestCrashes = 2;
+/// Crashes that make a task a suspect, whatever the blame for them is.
+constexpr std::int32_t kCrashesToSuspect = 2;
+/// Without so many confirmed starts that ended in a crash, blame is no reason
+/// to give a task up.
+constexpr std::int32_t kConfirmedCrashesToGiveUp = 2;
 /// After as many crashes in a row without a sign of life, a task is given up
 /// however little the blame for each is.
 constexpr std::int32_t kMostCrashes = 5;
@@ -145,13 +148,13 @@
 
 bool crash_attribution::IsSuspect(const task_progress& progress) {
   return progress.crash_blame_permille > 0 ||
-         progress.crashes >= kFewestCrashes;
+         progress.crashes >= kCrashesToSuspect;
 }
 
 bool crash_attribution::CrashesWorkers(const task_progress& progress) {
   if (progress.crashes >= kMostCrashes)
     return true;
-  return progress.confirmed_crashes >= kFewestCrashes &&
+  return progress.confirmed_crashes >= kConfirmedCrashesToGiveUp &&
          progress.crash_blame_permille > kWholeBlamePermille;
 }
 
--- a/src/submissions/internal/crash_attribution.h
+++ b/src/submissions/internal/crash_attribution.h
@@ -13,10 +13,10 @@
 namespace chivecrank::submissions::internal {
 
 /// Tells the tasks that crash their workers from those that were lost beside
-/// them. A run counts as a possible cause until its worker was seen alive for
-/// a while after the start. Each such run gets an equal share of the blame for
-/// the crash, and none if workers on which nothing had started fell silent at
-/// the same time.
+/// them. A run counts as a possible cause of a crash until its worker was seen
+/// alive for a while after the start. The possible causes share the blame,
+/// which is less, or none, if other workers fell silent meanwhile for no cause
+/// of this kind. See docs/design/crashing-tasks.md.
 class crash_attribution {
  public:
   crash_attribution(const scheduler_settings& settings,
