--- a/src/submissions/internal/worker_table.cc
+++ b/src/submissions/internal/worker_table.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::int64_t kFullPercent = 100;
+constexpr std::array<std::string_view, 3> kCrashSettingNames = {
+    "alone", "in_series", "common_cause"};
 
 bool IsOnTrial(const active_run& run) {
   return run.on_trial && !run.survived_start;
@@ -17,9 +19,7 @@
 }  // namespace
 
 std::string_view CrashSettingName(crash_setting value) {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "alone", "in_series", "common_cause"};
-  return kNames.at(static_cast<std::size_t>(value));
+  return kCrashSettingNames.at(static_cast<std::size_t>(value));
 }
 
 worker_entry* worker_table::Find(const std::string& id) {
--- a/src/submissions/tests/crash_attribution_test.cc
+++ b/src/submissions/tests/crash_attribution_test.cc
@@ -35,7 +35,7 @@
         outcomes[change.submission] = change.outcome;
       owner.OnCommitted(batch->number);
     }
-    const auto starts = owner.TakeCommands(now).starts;
+    auto starts = owner.TakeCommands(now).starts;
     for (const start_command& command : starts) {
       owner.OnStartOutcome(command, start_outcome::kStarted, now);
       running[command.worker].running.push_back(MakeReportedRun(command));
@@ -147,6 +147,27 @@
   BOOST_TEST(IsGivenUp("deadly"));
 }
 
+BOOST_AUTO_TEST_CASE(AGangWithATaskThatCrashesItsWorkersIsGivenUp) {
+  step_request step = MakeStep(3, 9000);
+  step.gang = true;
+  scheduler.Accept(MakeSubmission("gang", step));
+  std::int64_t number = 0;
+  for (int crash = 0; crash < 2; ++crash) {
+    const auto started = Round();
+    BOOST_REQUIRE(started.size() == 3u);
+    // The first member takes its worker down, and the others end with it.
+    for (const start_command& other : {started[1], started[2]}) {
+      worker_report& report = running[other.worker];
+      report.running.clear();
+      report.ended = {
+          {++number, other.task, other.run, run_outcome::kGangBroken, {}}};
+    }
+    CrashAndReturn({started[0].worker});
+  }
+  BOOST_TEST(Round().empty());
+  BOOST_TEST(IsGivenUp("gang"));
+}
+
 BOOST_AUTO_TEST_CASE(TasksBesideOneThatCrashesItsWorkersAreNotGivenUp) {
   scheduler.Accept(MakeSubmission("deadly", MakeStep(1, 1000)));
   scheduler.Accept(MakeSubmission("innocent", MakeStep(6, 1000)));
