Drain of a failure domain: nothing starts there, services leave into free room

The set of drained domains comes with the watch that carries the configuration; drain_tracker marks their workers, placement, permits, shard room and the check before a start command pass them over, long-running tasks leave at a bounded pace while the others keep free room, and nothing starts while what is known is too old. Decided in submissions, switched on by the operator's keys and, for the bound on age, by the settings.

--- a/apps/chivecrank_instance/instance_program.cc
+++ b/apps/chivecrank_instance/instance_program.cc
@@ -23,7 +23,7 @@
 runtime::configuration_source Configuration() {
   return {std::string(adapter::kOperatorPrefix),
           std::string(adapter::kConfigurationKey),
-          &adapter::DecodeConfiguration};
+          &adapter::DecodeConfiguration, &adapter::DecodeDrainKey};
 }
 
 }  // namespace
--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -7,6 +7,7 @@
 constexpr double kMostCpuShare = 1024;
 constexpr double kMilli = 1000;
 constexpr settings::integer_range kWorkerLeaseMs = {1000, 600'000};
+constexpr settings::integer_range kDrainWithinMs = {100, 600'000};
 constexpr settings::integer_range kWorkersPerShard = {1, 100'000};
 constexpr settings::integer_range kMemoryMb = {16, 1 << 20};
 
@@ -31,6 +32,9 @@
   settings::section scheduling = root.Table("scheduling");
   const std::chrono::milliseconds most_lease(
       scheduling.Integer("worker_lease_ms", kWorkerLeaseMs));
+  if (scheduling.Has("drain_within_ms"))
+    read.runtime.driver.scheduling.drain_within = std::chrono::milliseconds(
+        scheduling.Integer("drain_within_ms", kDrainWithinMs));
   // A machine that replaces another may have its name, but not its address.
   read.runtime.ownership.node = node + "@" + read.callers.host;
   read.runtime.ownership.processors_milli =
--- a/src/runtime/include/chivecrank/runtime/instance_metrics.h
+++ b/src/runtime/include/chivecrank/runtime/instance_metrics.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chivecrank/submissions/domain_drain.h"
 #include "chivecrank/submissions/scheduler_event.h"
 
 namespace chivecrank::runtime {
@@ -48,6 +49,8 @@
   void SetConfigurationVersion(std::int64_t version);
   /// Workers with runs that do not answer.
   void SetAwaitedWorkers(std::size_t workers);
+  /// Drained failure domains, as the owners of shards here see them.
+  void SetDrains(const std::vector<submissions::domain_drain>& drains);
   void SetReady(bool ready);
   /// Sets a total that another component counts.
   void SetTotal(std::string_view what, std::uint64_t total);
@@ -69,6 +72,8 @@
   prometheus::Family<prometheus::Counter>& events_;
   prometheus::Family<prometheus::Gauge>& state_;
   prometheus::Family<prometheus::Gauge>& totals_;
+  prometheus::Family<prometheus::Gauge>& drains_;
+  std::vector<prometheus::Gauge*> drain_gauges_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -5,8 +5,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "chivecrank/runtime/drained_domains.h"
 #include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/ownership.h"
 #include "chivecrank/runtime/prefix_watcher.h"
@@ -18,12 +20,15 @@
 
 namespace chivecrank::runtime {
 
-/// Location of the configuration in the store, and its decoder.
+/// Location of the configuration and of the operators' other requests in the
+/// store, and their decoders.
 struct configuration_source {
   std::string prefix;
   std::string key;
   std::function<base::result<submissions::queue_table>(std::string_view)>
       decode;
+  /// A key under the prefix that may drain a failure domain.
+  drain_key_decoder decode_drain;
 };
 
 struct runtime_settings {
@@ -75,7 +80,10 @@
   prefix_watcher_hooks SharedHooks();
   prefix_watcher_hooks ConfigurationHooks();
   void ApplyConfiguration(const metadata::item& item);
+  void ApplyDrains();
+  void ConfirmDrains(base::time_point as_of);
   void OnWorkersListed();
+  void UpdateDrainMetrics();
   void DecideShardCount();
   void AssignWorkers(std::uint32_t shard, shard_driver& driver);
   void OnShardAcquired(std::uint32_t shard, const acquisition& acquired);
@@ -92,6 +100,10 @@
   instance_metrics metrics_;
   replica shared_;
   std::shared_ptr<const submissions::queue_table> queues_;
+  drained_domains drains_;
+  /// The drained domains are known as of this time; unset before the first
+  /// listing.
+  std::optional<base::time_point> drains_as_of_;
   std::map<std::uint32_t, std::shared_ptr<shard_driver>> drivers_;
   /// What dropped drivers knew, by shard.
   std::map<std::uint32_t, earlier_ownership> earlier_;
--- a/src/runtime/include/chivecrank/runtime/prefix_watcher.h
+++ b/src/runtime/include/chivecrank/runtime/prefix_watcher.h
@@ -22,6 +22,8 @@
   std::function<void(const metadata::change&)> on_change;
   /// All changes up to this revision have been delivered.
   std::function<void(metadata::revision)> on_revision;
+  /// All changes up to this time have been delivered; may be empty.
+  std::function<void(base::time_point as_of)> on_current;
   /// Whether changes are needed quickly, which selects urgent_watch_interval;
   /// may be empty.
   std::function<bool()> is_urgent;
@@ -57,11 +59,14 @@
   bool IsCurrent() const { return listed_ && !failing_; }
 
  private:
-  void OnListed(base::result<prefix_listing> listing);
+  void OnListed(base::result<prefix_listing> listing, base::time_point sent);
   void Watch();
   void WatchLater(std::chrono::milliseconds delay);
-  void OnChanges(base::result<metadata::change_list> list);
+  void OnChanges(base::result<metadata::change_list> list,
+                 base::time_point sent);
+  void ReportCurrent(base::time_point sent);
 
+  reactor::event_loop& loop_;
   metadata::store& store_;
   const prefix_watcher_settings settings_;
   const prefix_watcher_hooks hooks_;
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,15 @@
   void OnMovedAway(const std::string& id);
   void SetQueues(const submissions::queue_table& queues);
   void SetWorkers(std::vector<submissions::worker_description> workers);
+  /// Sets the failure domains that operators have drained.
+  void SetDrainedDomains(const std::set<std::string>& domains);
+  /// The drained domains are complete as of this time.
+  void ConfirmDrains(base::time_point as_of) {
+    scheduler_.ConfirmDrains(as_of);
+  }
+  std::vector<submissions::domain_drain> Drains() const {
+    return scheduler_.Drains();
+  }
   bool IsRestored() const { return restored_; }
   /// What this process knows as the shard's owner, for its next ownership.
   earlier_ownership Knowledge() const;
@@ -101,6 +111,9 @@
   void DecidePeriodically();
   /// Logs the runs whose workers don't answer whenever their number changes.
   void LogAwaitedRuns();
+  /// Logs what is left in drained domains when it has changed, at most once a
+  /// second.
+  void LogDrains();
   void SendCommands();
   void SendStart(const submissions::start_command& command);
   void SendStop(const submissions::stop_command& command);
@@ -144,6 +157,8 @@
   std::map<std::string, poll_state> polls_;
   /// As last logged.
   std::size_t awaited_workers_ = 0;
+  std::map<std::string, std::size_t> left_in_drained_;
+  base::time_point drains_logged_at_;
   bool restored_ = false;
   bool decision_due_ = false;
   reactor::callback_guard guard_;
--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace chivecrank::runtime {
@@ -20,6 +21,7 @@
   kEvents,
   kState,
   kTotals,
+  kDrains,
 };
 
 template <class Builder>
@@ -59,6 +61,9 @@
       {"chivecrank_totals", "what",
        "Since the start: store and worker calls by kind, connections, log "
        "lines left out."},
+      {"chivecrank_domain_drain", "domain, what",
+       "Drained failure domains at the owners of their workers: workers, runs "
+       "left by kind (long_running, ending, best_effort) and moved tasks."},
   };
   return descriptions;
 }
@@ -81,7 +86,8 @@
                                    *registry_)),
       events_(RegisterFamily(prometheus::BuildCounter(), kEvents, *registry_)),
       state_(RegisterFamily(prometheus::BuildGauge(), kState, *registry_)),
-      totals_(RegisterFamily(prometheus::BuildGauge(), kTotals, *registry_)) {}
+      totals_(RegisterFamily(prometheus::BuildGauge(), kTotals, *registry_)),
+      drains_(RegisterFamily(prometheus::BuildGauge(), kDrains, *registry_)) {}
 
 void instance_metrics::OnSubmitAnswer(std::string_view answer,
                                       std::chrono::nanoseconds duration) {
@@ -135,6 +141,27 @@
   state_.Add({{"what", "awaited_workers"}}).Set(static_cast<double>(workers));
 }
 
+void instance_metrics::SetDrains(
+    const std::vector<submissions::domain_drain>& drains) {
+  // A domain whose drain is over has no gauges.
+  for (prometheus::Gauge* gauge : std::exchange(drain_gauges_, {}))
+    drains_.Remove(gauge);
+  for (const submissions::domain_drain& drain : drains) {
+    const auto add = [&](std::string_view what, double value) {
+      prometheus::Gauge& gauge = drains_.Add(
+          {{"domain", drain.failure_domain}, {"what", std::string(what)}});
+      gauge.Increment(value);
+      if (std::ranges::find(drain_gauges_, &gauge) == drain_gauges_.end())
+        drain_gauges_.push_back(&gauge);
+    };
+    add("workers", static_cast<double>(drain.workers));
+    add("long_running", static_cast<double>(drain.long_running));
+    add("ending", static_cast<double>(drain.ending));
+    add("best_effort", static_cast<double>(drain.best_effort));
+    add("moved", static_cast<double>(drain.moved));
+  }
+}
+
 void instance_metrics::SetReady(bool ready) {
   state_.Add({{"what", "ready"}}).Set(ready ? 1 : 0);
 }
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -38,6 +38,7 @@
       log_(log),
       settings_(WithOwnerTerms(std::move(settings))),
       configuration_(std::move(configuration)),
+      drains_(log, configuration_.decode_drain, [this] { ApplyDrains(); }),
       shared_watcher_(loop,
                       store,
                       {.prefix = std::string(kSharedPrefix)},
@@ -97,10 +98,19 @@
   for (const auto& [shard, driver] : drivers_)
     awaited_workers += driver->AwaitedRuns().workers;
   metrics_.SetAwaitedWorkers(awaited_workers);
+  UpdateDrainMetrics();
   metrics_.SetTotal("log_lines_left_out", log_.DroppedLines());
   return metrics_;
 }
 
+void instance_runtime::UpdateDrainMetrics() {
+  std::vector<submissions::domain_drain> drains;
+  for (const auto& [shard, driver] : drivers_)
+    for (submissions::domain_drain& drain : driver->Drains())
+      drains.push_back(std::move(drain));
+  metrics_.SetDrains(drains);
+}
+
 replica::hooks instance_runtime::ReplicaHooks() {
   return {
       .on_accepted =
@@ -135,7 +145,11 @@
               [this] {
                 return !stopping_ && queues_ && shared_watcher_.IsCurrent();
               },
-          .on_store_regained = [this] { shared_watcher_.Refresh(); }};
+          .on_store_regained =
+              [this] {
+                shared_watcher_.Refresh();
+                configuration_watcher_.Refresh();
+              }};
 }
 
 prefix_watcher_hooks instance_runtime::SharedHooks() {
@@ -154,17 +168,32 @@
 }
 
 prefix_watcher_hooks instance_runtime::ConfigurationHooks() {
-  return {.on_listed =
-              [this](const std::vector<metadata::item>& items) {
-                for (const metadata::item& item : items)
-                  ApplyConfiguration(item);
-              },
-          .on_change =
-              [this](const metadata::change& change) {
-                if (!change.deleted)
-                  ApplyConfiguration(change.now);
-              },
-          .on_revision = [](metadata::revision) {}};
+  return {
+      .on_listed =
+          [this](const std::vector<metadata::item>& items) {
+            for (const metadata::item& item : items)
+              ApplyConfiguration(item);
+            drains_.Reset(items);
+          },
+      .on_change =
+          [this](const metadata::change& change) {
+            if (!change.deleted)
+              ApplyConfiguration(change.now);
+            drains_.Apply(change);
+          },
+      .on_revision = [](metadata::revision) {},
+      .on_current = [this](base::time_point as_of) { ConfirmDrains(as_of); }};
+}
+
+void instance_runtime::ApplyDrains() {
+  for (const auto& [shard, driver] : drivers_)
+    driver->SetDrainedDomains(drains_.Domains());
+}
+
+void instance_runtime::ConfirmDrains(base::time_point as_of) {
+  drains_as_of_ = as_of;
+  for (const auto& [shard, driver] : drivers_)
+    driver->ConfirmDrains(as_of);
 }
 
 void instance_runtime::ApplyConfiguration(const metadata::item& item) {
@@ -234,6 +263,9 @@
                 ownership_.Drop(shard, reason);
               }});
   driver->SetQueues(*queues_);
+  driver->SetDrainedDomains(drains_.Domains());
+  if (drains_as_of_)
+    driver->ConfirmDrains(*drains_as_of_);
   drivers_[shard] = driver;
   driver->Start();
   directory_.Refresh();
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReplicaPollInterval{20};
+constexpr std::chrono::milliseconds kDrainLogInterval{1000};
+
+std::int64_t ToMilliseconds(base::duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
 
 }  // namespace
 
@@ -220,6 +225,12 @@
   ScheduleDecision();
 }
 
+void shard_driver::SetDrainedDomains(const std::set<std::string>& domains) {
+  scheduler_.SetDrainedDomains(domains, loop_.Now());
+  left_in_drained_.clear();
+  ScheduleDecision();
+}
+
 void shard_driver::ScheduleDecision() {
   if (decision_due_ || !restored_)
     return;
@@ -240,6 +251,7 @@
 void shard_driver::DecidePeriodically() {
   housekeeping_.MoveUnplaced();
   LogAwaitedRuns();
+  LogDrains();
   ScheduleDecision();
   guard_.Later(settings_.idle_decision_interval,
                [this] { DecidePeriodically(); });
@@ -256,6 +268,29 @@
                               {"longest_ms", awaited.longest_wait.count()}});
 }
 
+void shard_driver::LogDrains() {
+  const base::time_point now = loop_.Now();
+  if (now - drains_logged_at_ < kDrainLogInterval)
+    return;
+  drains_logged_at_ = now;
+  for (const submissions::domain_drain& drain : scheduler_.Drains()) {
+    const auto [known, is_new] =
+        left_in_drained_.try_emplace(drain.failure_domain, drain.RunsLeft());
+    if (!is_new && known->second == drain.RunsLeft())
+      continue;
+    known->second = drain.RunsLeft();
+    log_.Write("domain_drain", {{"shard", shard_},
+                                {"domain", drain.failure_domain},
+                                {"since_ms", ToMilliseconds(now - drain.since)},
+                                {"workers", drain.workers},
+                                {"long_running", drain.long_running},
+                                {"ending", drain.ending},
+                                {"best_effort", drain.best_effort},
+                                {"moved", drain.moved},
+                                {"empty", drain.empty_since.has_value()}});
+  }
+}
+
 void shard_driver::SendCommands() {
   if (!HasFullAuthority() || !tenure_.HasBegun())
     return;
--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -28,6 +28,8 @@
   kTaskSuspected,
   kTaskCleared,
   kTaskGivenUp,
+  /// A long-running task left a drained failure domain.
+  kDomainTaskMoved,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -81,6 +81,14 @@
   /// How long all services must stay below `restore_below` before best-effort
   /// tasks are sped up again.
   std::chrono::milliseconds calm_before_restore{1200};
+  /// Time after which no task may start in a failure domain that was drained;
+  /// 0 for no limit. What is known of drains has to be more recent than that
+  /// for tasks to start.
+  std::chrono::milliseconds drain_within{0};
+  /// Long-running tasks leave a drained domain at this rate while the other
+  /// domains keep this share of their processors unreserved, for urgent work.
+  double drain_moves_per_second = 20;
+  double drain_free_share = 0.25;
   /// Number of journal entries after which a snapshot is written.
   std::uint64_t entries_per_snapshot = 256;
 };
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "chivecrank/base/clock.h"
 #include "chivecrank/submissions/commands.h"
+#include "chivecrank/submissions/domain_drain.h"
 #include "chivecrank/submissions/progress.h"
 #include "chivecrank/submissions/record_codec.h"
 #include "chivecrank/submissions/scheduler_event.h"
@@ -77,6 +79,13 @@
   /// Sets the workers that discovery currently lists for this shard.
   void SetWorkers(const std::vector<worker_description>& workers);
 
+  /// Sets the failure domains that operators have drained.
+  void SetDrainedDomains(const std::set<std::string>& domains,
+                         base::time_point now);
+  /// The drained domains are complete as of this time.
+  void ConfirmDrains(base::time_point as_of);
+  std::vector<domain_drain> Drains() const;
+
   /// Must be called just before a lease, or a command that carries one, is sent
   /// to a worker.
   void OnLeaseSent(const std::string& worker, base::time_point now);
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -157,7 +157,8 @@
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
   if (!worker.listed || !worker.reported || description.draining ||
-      worker.lacks_capacity || request.now >= worker.lease_expiry ||
+      worker.domain_drained || worker.lacks_capacity ||
+      request.now >= worker.lease_expiry ||
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
     return false;
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -39,11 +39,17 @@
 
 void planner::Plan(base::time_point now,
                    std::chrono::milliseconds since_epoch) {
+  // A domain may have been drained unseen: nothing may start, so nothing may
+  // move either.
+  if (!drains_.IsCurrent(now))
+    return;
   placer_.BeginRound(now);
+  drains_.BeginRound(now);
   infeasible_.Clear();
   relocator_.MoveStalled(now);
   relocator_.MoveInterfering(now);
   relocator_.EvacuateDraining(now);
+  relocator_.LeaveDrainedDomains(now);
   std::vector<ready_step> ready = ReadySteps(now, since_epoch);
   SortByUrgency(ready, since_epoch);
   // Before a worker has answered, nothing is known of the room.
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "internal/candidate_queue.h"
+#include "internal/drain_tracker.h"
 #include "internal/infeasibility_cache.h"
 #include "internal/placer.h"
 #include "internal/relocator.h"
@@ -22,14 +23,17 @@
   planner(const scheduler_settings& settings,
           run_tracker& tracker,
           interference_model& interference,
-          permit_tracker& permits)
+          permit_tracker& permits,
+          drain_tracker& drains)
       : settings_(settings),
         tracker_(tracker),
         permits_(permits),
+        drains_(drains),
         placer_(settings, tracker.Workers(), interference),
         relocator_(tracker,
                    placer_,
                    infeasible_,
+                   drains,
                    [this](const live_submission& live,
                           const task_ref& task,
                           base::time_point now) {
@@ -91,6 +95,7 @@
   const scheduler_settings& settings_;
   run_tracker& tracker_;
   permit_tracker& permits_;
+  drain_tracker& drains_;
   std::vector<permit_request> permit_requests_;
   placer placer_;
   infeasibility_cache infeasible_;
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -105,6 +105,39 @@
          std::max(step.max_unavailable, (on_worker + 1) / 2);
 }
 
+bool relocator::CanLeaveAtLeisure(const task_ref& task) {
+  const step_request& step = *tracker_.Submissions().StepOf(task);
+  return UnavailableTasks(task) < std::max(step.max_unavailable, 1);
+}
+
+void relocator::LeaveDrainedDomains(base::time_point now) {
+  if (!drains_.IsAnyDrained())
+    return;
+  for (auto& [id, worker] : tracker_.Workers().All())
+    if (worker.domain_drained && !worker.description.draining &&
+        !LeaveDrainedDomain(worker, now))
+      return;
+}
+
+bool relocator::LeaveDrainedDomain(worker_entry& worker, base::time_point now) {
+  const auto serving =
+      RunningTasks(worker, [](const task_ref&, const active_run& run) {
+        return run.long_running && run.percent >= kFullPercent;
+      });
+  for (const task_ref& task : serving) {
+    const std::int64_t demand = worker.runs.at(task).reserved.processors_milli;
+    if (!drains_.MayMove(demand))
+      return false;
+    if (tracker_.Submissions().StepOf(task) == nullptr ||
+        !CanLeaveAtLeisure(task))
+      continue;
+    if (Move(worker, task, scheduler_event_kind::kDomainTaskMoved,
+             worker.runs.at(task).percent, now))
+      drains_.OnMoved(worker, demand);
+  }
+  return true;
+}
+
 std::int32_t relocator::UnavailableTasks(const task_ref& task) {
   const step_request& step = *tracker_.Submissions().StepOf(task);
   std::int32_t unavailable = 0;
@@ -127,7 +160,7 @@
          found->second.percent >= kFullPercent;
 }
 
-void relocator::Move(worker_entry& worker,
+bool relocator::Move(worker_entry& worker,
                      const task_ref& task,
                      scheduler_event_kind kind,
                      std::int64_t input,
@@ -135,7 +168,7 @@
   const live_submission* live = tracker_.Submissions().Find(task.submission);
   if (live == nullptr || live->outcome ||
       !ReserveCapacity(worker, *live, task, now))
-    return;
+    return false;
   active_run& run = worker.runs.at(task);
   tracker_.Emit({.kind = kind,
                  .task = task,
@@ -144,6 +177,7 @@
                  .outcome = tracker_.Images().NameOf(run.image),
                  .input = input});
   tracker_.Stop(worker, task, run, now);
+  return true;
 }
 
 bool relocator::ReserveCapacity(const worker_entry& current_worker,
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <vector>
 
+#include "internal/drain_tracker.h"
 #include "internal/infeasibility_cache.h"
 #include "internal/placer.h"
 #include "internal/run_tracker.h"
@@ -23,10 +24,12 @@
   relocator(run_tracker& tracker,
             placer& workers,
             infeasibility_cache& full,
+            drain_tracker& drains,
             request_builder request_for)
       : tracker_(tracker),
         placer_(workers),
         infeasible_(full),
+        drains_(drains),
         request_for_(std::move(request_for)) {}
 
   /// Moves throttled best-effort tasks to workers where they would not
@@ -40,6 +43,10 @@
   /// checkpoint, off draining workers.
   void EvacuateDraining(base::time_point now);
 
+  /// Moves long-running tasks out of drained failure domains, at the pace of
+  /// drain_tracker; all others end where they are.
+  void LeaveDrainedDomains(base::time_point now);
+
   /// Releases the capacity that was reserved for moves of this round.
   void EndRound();
 
@@ -56,10 +63,17 @@
   /// least half of those on a worker may go at a time, since the worker may
   /// shut down before the last one has moved.
   bool CanBeUnavailable(const worker_entry& worker, const task_ref& task);
+  /// Whether one more task of the step may become unavailable although its
+  /// worker stays.
+  bool CanLeaveAtLeisure(const task_ref& task);
+  /// Moves the tasks of one worker in a drained domain; returns false once no
+  /// more may move in this round.
+  bool LeaveDrainedDomain(worker_entry& worker, base::time_point now);
   std::int32_t UnavailableTasks(const task_ref& task);
   bool IsServing(const task_ref& task);
-  /// Stops the run if another worker has capacity for its task.
-  void Move(worker_entry& worker,
+  /// Stops the run if another worker has capacity for its task; returns
+  /// whether it did.
+  bool Move(worker_entry& worker,
             const task_ref& task,
             scheduler_event_kind kind,
             std::int64_t input,
@@ -74,6 +88,7 @@
   run_tracker& tracker_;
   placer& placer_;
   infeasibility_cache& infeasible_;
+  drain_tracker& drains_;
   const request_builder request_for_;
   std::vector<reservation> reservations_;
 };
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -11,6 +11,7 @@
 #include "chivecrank/submissions/scheduler_event.h"
 #include "chivecrank/submissions/scheduler_settings.h"
 #include "internal/crash_attribution.h"
+#include "internal/drain_tracker.h"
 #include "internal/interference_model.h"
 #include "internal/permit_tracker.h"
 #include "internal/planner.h"
@@ -28,8 +29,9 @@
         on_event(std::move(hook)),
         tracker(settings, on_event),
         crashes(settings, tracker.Workers()),
+        drains(settings, tracker.Workers()),
         reports(settings, tracker, interference, crashes),
-        run_planner(settings, tracker, interference, permits),
+        run_planner(settings, tracker, interference, permits, drains),
         recorder(settings, tracker.Workers()) {}
 
   /// Prefers other workers until `term` has passed.
@@ -61,6 +63,7 @@
   interference_model interference;
   permit_tracker permits;
   crash_attribution crashes;
+  drain_tracker drains;
   report_processor reports;
   planner run_planner;
   worker_recorder recorder;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -118,6 +118,7 @@
     worker.description = description;
     worker.listed = true;
   }
+  core_->drains.MarkWorkers();
   std::erase_if(table.All(), [](const auto& entry) {
     // A recorded bound has to be released first.
     return !entry.second.listed && entry.second.runs.empty() &&
@@ -125,6 +126,19 @@
   });
 }
 
+void shard_scheduler::SetDrainedDomains(const std::set<std::string>& domains,
+                                        base::time_point now) {
+  core_->drains.Set(domains, now);
+}
+
+void shard_scheduler::ConfirmDrains(base::time_point as_of) {
+  core_->drains.Confirm(as_of);
+}
+
+std::vector<domain_drain> shard_scheduler::Drains() const {
+  return core_->drains.All();
+}
+
 void shard_scheduler::OnLeaseSent(const std::string& worker_id,
                                   base::time_point now) {
   worker_entry& worker = core_->tracker.Workers().FindOrAdd(worker_id);
@@ -266,9 +280,11 @@
 command_set shard_scheduler::TakeCommands(base::time_point now) {
   shard_core& state = *core_;
   command_set commands;
-  for (start_command& command : std::exchange(state.committed_starts, {}))
-    if (state.ConfirmStart(command, now))
-      commands.starts.push_back(std::move(command));
+  // Starts wait while a domain may have been drained unseen.
+  if (state.drains.IsCurrent(now))
+    for (start_command& command : std::exchange(state.committed_starts, {}))
+      if (state.ConfirmStart(command, now))
+        commands.starts.push_back(std::move(command));
   commands.stops = state.tracker.TakeStops();
   commands.permit_requests = state.run_planner.TakePermitRequests();
   state.CollectThrottles(commands);
@@ -356,7 +372,7 @@
   shard_load load;
   load.workers_by_free_cores.resize(kMaxFreeCores + 1);
   for (const auto& [id, worker] : core_->tracker.Workers().All()) {
-    if (!worker.listed || worker.description.draining)
+    if (!worker.listed || worker.description.draining || worker.domain_drained)
       continue;
     load.capacity =
         scheduling::Plus(load.capacity, worker.description.capacity);
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -162,6 +162,8 @@
   recorded_worker recorded;
   /// Discovery lists the worker.
   bool listed = false;
+  /// Its failure domain is drained: it gets no new tasks.
+  bool domain_drained = false;
   /// The worker has answered this owner.
   bool reported = false;
   /// Since when polls go unanswered; unset after an answer and before the first
--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -37,6 +37,8 @@
   kBurst,
   kShrinkWorkers,
   kDeadlyTasks,
+  /// Operators drain failure domains.
+  kDrainDomains,
 };
 
 /// Which instances a fault hits.
@@ -55,7 +57,7 @@
   /// How often it begins, and the time from one begin to the next.
   std::size_t times = 1;
   std::chrono::milliseconds every{0};
-  /// Instances or workers that it hits, drawn by the seed.
+  /// Instances, workers or failure domains that it hits, drawn by the seed.
   std::size_t count = 1;
   fault_aim aim = fault_aim::kAny;
   /// Instances that are isolated lose their keys in the store at once.
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -128,6 +128,10 @@
   /// Workers start whatever they are told, even if it doesn't fit.
   void SetGuarding(bool guarding) { guards_capacity_ = guarding; }
 
+  /// Nothing may start in a failure domain this long after it was drained.
+  static constexpr std::chrono::milliseconds kDrainInForce{5000};
+  void SetDrained(const std::string& failure_domain, bool drained);
+
   /// The worker has said that it leaves: soon nothing may start there.
   void Leaves(const std::string& id);
 
@@ -165,10 +169,11 @@
   submissions::start_outcome Start(worker_state& worker,
                                    const submissions::start_command& command,
                                    const submissions::command_header& terms,
+                                   base::time_point given_at,
                                    base::time_point lease_end);
   bool Stop(worker_state& worker, const submissions::stop_command& command);
   /// Whether a new run may go to the worker at all.
-  static bool TakesRuns(const worker_state& worker);
+  bool TakesRuns(const worker_state& worker) const;
   static coordination::resources ReservedOn(const worker_state& worker);
   static std::size_t RoomOn(const worker_state& worker,
                             const submissions::task_ref& task,
@@ -180,7 +185,9 @@
                   const coordination::resources& needed);
   void CrashLater(const std::string& worker, const submissions::task_ref& task);
   base::result<submissions::worker_report> Report(worker_state& worker);
-  void CheckStart(const submissions::start_command& command);
+  void CheckStart(const submissions::start_command& command,
+                  base::time_point given_at);
+  bool IsDrained(const worker_state& worker) const;
   void Break(std::string_view name, const submissions::task_ref& task);
   /// The service's own load, from 0 to 1.
   double LoadOf(const submissions::task_ref& service) const;
@@ -205,6 +212,8 @@
   std::set<submissions::task_ref> done_;
   std::set<submissions::task_ref> acknowledged_done_;
   std::map<std::string, base::time_point> over_;
+  /// Drained failure domains, and since when.
+  std::map<std::string, base::time_point> drained_;
   bool guards_capacity_ = true;
   attempt_ledger attempts_;
   worker_counts counts_;
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -57,6 +57,9 @@
   std::chrono::milliseconds start_spread{0};
   std::size_t workers = 12;
   std::size_t workers_per_rack = 4;
+  /// Workers are in so many failure domains by turns. With more than one,
+  /// instances know how fast a drain of a domain has to be in force.
+  std::size_t failure_domains = 1;
   coordination::resources capacity{16'000, 64'000, 0};
   /// Workers reject what does not fit.
   bool workers_guard_capacity = true;
@@ -134,6 +137,8 @@
   std::string NewestAt(std::string worker) const;
   /// The worker's entry says that it is about to leave.
   void Drain(const std::string& worker);
+  /// An operator drains a failure domain, or takes that back.
+  void DrainDomain(std::size_t domain, bool begins);
   /// Callers hand in so many times their usual load from now on.
   void SetLoadFactor(double factor) { load_factor_ = factor; }
   void List(const std::string& worker);
--- a/tests/emulator/include/chivecrank/emulator/hunt.h
+++ b/tests/emulator/include/chivecrank/emulator/hunt.h
@@ -8,10 +8,19 @@
 
 namespace chivecrank::emulator {
 
+/// What a hunt draws beside the faults of all hunted days. Days without it stay
+/// what they were.
+enum class hunt_kind {
+  kUsual,
+  /// Operators drain failure domains, one or several at a time.
+  kWithDrains,
+};
+
 /// A day that is drawn from the seed: its size, its queues (lasting, urgent and
 /// filling), and three to eight faults of all kinds that overlap, some in
 /// series on the owner. Played with the same seed, it is the same again.
-day_description HuntedDay(std::uint64_t seed);
+day_description HuntedDay(std::uint64_t seed,
+                          hunt_kind kind = hunt_kind::kUsual);
 
 /// What a hunted day broke, its faults and how to play it again, in one line.
 std::string DescribeBrokenDay(const day_description& day,
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -81,6 +81,9 @@
   std::chrono::milliseconds calm_since = -kWarmUp;
   for (const day_fault& fault : faults_) {
     const auto over = fault.at + fault.lasts;
+    // Drained workers are no room, and all others have to be used.
+    if (fault.kind == fault_kind::kDrainDomains)
+      continue;
     if (fault.at <= now_ && now_ < over)
       return std::nullopt;
     if (over <= now_)
@@ -126,6 +129,8 @@
       return Burst(fault);
     case fault_kind::kDeadlyTasks:
       return OfferDeadlyTasks(fault);
+    case fault_kind::kDrainDomains:
+      return DrainDomains(fault);
   }
 }
 
@@ -306,6 +311,24 @@
   At(fault.at + fault.lasts, [this] { emulation_.SetDeadlyShare(0); });
 }
 
+void day_player::DrainDomains(const day_fault& fault) {
+  std::vector<std::size_t> domains(day_.system.failure_domains);
+  std::iota(domains.begin(), domains.end(), std::size_t{0});
+  std::shuffle(domains.begin(), domains.end(), random_);
+  domains.resize(std::min(fault.count, domains.size()));
+  const auto set = [this](std::size_t domain, bool begins) {
+    // Drains of one domain may overlap: it is taken back when the last is over.
+    std::size_t& drains = drains_of_[domain];
+    drains += begins ? 1 : -1;
+    if (drains == (begins ? 1 : 0))
+      emulation_.DrainDomain(domain, begins);
+  };
+  for (const std::size_t domain : domains) {
+    At(fault.at, [set, domain] { set(domain, true); });
+    At(fault.at + fault.lasts, [set, domain] { set(domain, false); });
+  }
+}
+
 std::vector<std::string> day_player::DrawWorkers(std::size_t count) {
   std::vector<std::string> ids = emulation_.Workers().Ids();
   std::shuffle(ids.begin(), ids.end(), random_);
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -43,6 +43,7 @@
   void HitStore(const day_fault& fault);
   void Burst(const day_fault& fault);
   void OfferDeadlyTasks(const day_fault& fault);
+  void DrainDomains(const day_fault& fault);
   void SetWorkerFault(const std::string& worker,
                       const day_fault& fault,
                       bool begins);
@@ -59,6 +60,8 @@
   emulation emulation_;
   lasting_task_monitor monitor_;
   std::multimap<std::chrono::milliseconds, step> steps_;
+  /// Drains of each failure domain that have begun and are not over.
+  std::map<std::size_t, std::size_t> drains_of_;
   /// Now, counted from the begin of the load.
   std::chrono::milliseconds now_;
 };
--- a/tests/emulator/internal/day_reader.cc
+++ b/tests/emulator/internal/day_reader.cc
@@ -165,6 +165,8 @@
   system.workers = CountOr(root, "workers", system.workers);
   system.workers_per_rack =
       CountOr(root, "workers_per_rack", system.workers_per_rack);
+  system.failure_domains =
+      CountOr(root, "failure_domains", system.failure_domains);
   system.workers_per_shard =
       root.IntegerOr("workers_per_shard", kCounts, system.workers_per_shard);
   system.capacity.processors_milli = root.IntegerOr(
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -80,7 +80,8 @@
     const base::time_point lease_end = LeaseEnd(terms);
     const double dice = Dice();
     Later(kOneWay, [this, id = worker.id, address = worker.address, command,
-                    terms, lease_end, done, dice] {
+                    terms, given_at = shared_.loop_.Now(), lease_end, done,
+                    dice] {
       if (AnotherAnswersAt(address, id))
         return Answer(kOneWay, [done] {
           done(submissions::start_outcome::kOtherIncarnation);
@@ -90,17 +91,18 @@
         return Answer(kOrderTimeout,
                       [done] { done(submissions::start_outcome::kNotSent); });
       if (dice < state->faults.late_share) {
-        Later(kLateBy, [this, id, command, terms, lease_end,
+        Later(kLateBy, [this, id, command, terms, given_at, lease_end,
                         life = state->description.started_at_ms] {
           auto* later = Reachable(id);
           // A worker that started anew holds nothing of before.
           if (later != nullptr && later->description.started_at_ms == life)
-            shared_.Start(*later, command, terms, lease_end);
+            shared_.Start(*later, command, terms, given_at, lease_end);
         });
         return Answer(kOrderTimeout,
                       [done] { done(submissions::start_outcome::kUnknown); });
       }
-      const auto answer = shared_.Start(*state, command, terms, lease_end);
+      const auto answer =
+          shared_.Start(*state, command, terms, given_at, lease_end);
       if (dice < state->faults.late_share + state->faults.lost_share)
         return Answer(kOrderTimeout,
                       [done] { done(submissions::start_outcome::kUnknown); });
--- a/tests/emulator/internal/emulated_store.cc
+++ b/tests/emulator/internal/emulated_store.cc
@@ -86,10 +86,13 @@
       AnswerChanges(changes, done);
     };
     shared_.watches_.push_back(waiting);
-    Later(wait, [this, waiting] {
+    Later(wait, [this, waiting, done] {
       if (std::exchange(waiting->answered, true))
         return;
       std::erase(shared_.watches_, waiting);
+      // What changed meanwhile was not told.
+      if (shared_.IsDown())
+        return Answer(kCallTimeout, [done] { done(NoAnswer()); });
       metadata::change_list none;
       none.current = shared_.revision_;
       waiting->answer(none);
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -131,6 +131,18 @@
   workers_.at(id)->description.draining = true;
 }
 
+void emulated_workers::SetDrained(const std::string& failure_domain,
+                                  bool drained) {
+  if (drained)
+    drained_.try_emplace(failure_domain, loop_.Now());
+  else
+    drained_.erase(failure_domain);
+}
+
+bool emulated_workers::IsDrained(const worker_state& worker) const {
+  return drained_.contains(worker.description.failure_domain);
+}
+
 std::vector<std::string> emulated_workers::Ids() const {
   std::vector<std::string> ids;
   for (const auto& [id, worker] : workers_)
@@ -178,11 +190,12 @@
   return begun_.contains(task);
 }
 
-bool emulated_workers::TakesRuns(const worker_state& worker) {
+bool emulated_workers::TakesRuns(const worker_state& worker) const {
   const worker_faults& faults = worker.faults;
   const bool is_sound =
       !faults.crashed && !faults.cut_off && !faults.fails_all && !faults.hangs;
-  return is_sound && !worker.replaced && !worker.leaves_since;
+  return is_sound && !worker.replaced && !worker.leaves_since &&
+         !IsDrained(worker);
 }
 
 coordination::resources emulated_workers::ReservedOn(
@@ -311,6 +324,7 @@
     worker_state& worker,
     const submissions::start_command& command,
     const submissions::command_header& terms,
+    base::time_point given_at,
     base::time_point lease_end) {
   using submissions::start_outcome;
   if (terms.fence < worker.fence)
@@ -343,7 +357,7 @@
     ++counts_.no_room;
     return start_outcome::kNoCapacity;
   }
-  CheckStart(command);
+  CheckStart(command, given_at);
   const task_truth truth = truth_(command.task);
   run.processors_milli = step.demand.processors_milli;
   run.lasting = step.long_running;
@@ -446,7 +460,8 @@
                                    kIdleTailOfTarget / (1 - pressure));
 }
 
-void emulated_workers::CheckStart(const submissions::start_command& command) {
+void emulated_workers::CheckStart(const submissions::start_command& command,
+                                  base::time_point given_at) {
   const submissions::task_ref& task = command.task;
   for (const auto& [id, worker] : workers_)
     if (!worker->faults.crashed && worker->runs.contains(task))
@@ -454,6 +469,10 @@
   const auto& leaves_since = workers_.at(command.worker)->leaves_since;
   if (leaves_since && loop_.Now() - *leaves_since > kLeavingIsKnown)
     Break("started on a worker that leaves", task);
+  const auto drained =
+      drained_.find(workers_.at(command.worker)->description.failure_domain);
+  if (drained != drained_.end() && given_at - drained->second > kDrainInForce)
+    Break("started in a drained failure domain", task);
   if (!attempts_.OnStart(task))
     Break("started again after it had crashed its workers", task);
   if (acknowledged_done_.contains(task))
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds kBackAfterCrash{3000};
 constexpr std::string_view kWorkers = "workers/";
 constexpr std::string_view kConfiguration = "operator/queues";
+constexpr std::string_view kDrains = "operator/drains/";
 constexpr std::uint16_t kWorkerPort = 8367;
 constexpr std::size_t kWorkersPerNetwork = 250;
 
@@ -49,6 +50,17 @@
           part(whole.accelerators)};
 }
 
+std::string DomainName(std::size_t domain) {
+  return absl::StrFormat("domain-%d", domain);
+}
+
+/// The emulator's own form of an operator's drain: a key a domain.
+base::result<std::optional<std::string>> ReadDrainKey(std::string_view key) {
+  if (!key.starts_with(kDrains))
+    return std::optional<std::string>();
+  return std::optional<std::string>(key.substr(kDrains.size()));
+}
+
 /// The identifier of the worker that replaces `worker`.
 std::string SuccessorOf(const std::string& worker) {
   return worker + "-next";
@@ -88,7 +100,7 @@
     submissions::worker_description worker;
     worker.id = absl::StrFormat("w-%03d", i);
     worker.service = "service";
-    worker.failure_domain = "domain";
+    worker.failure_domain = DomainName(i % settings_.failure_domains);
     worker.rack = absl::StrFormat("rack-%d", i / settings_.workers_per_rack);
     worker.labels = {"a", worker.rack};
     worker.capacity = settings_.capacity;
@@ -159,6 +171,16 @@
   List(worker);
 }
 
+void emulation::DrainDomain(std::size_t domain, bool begins) {
+  const std::string name = DomainName(domain);
+  const std::string key = std::string(kDrains) + name;
+  if (begins)
+    store_.Put(key, "{}");
+  else
+    store_.Delete(key);
+  workers_.SetDrained(name, begins);
+}
+
 void emulation::Resize(const std::string& worker, double share) {
   workers_.SetCapacity(worker, ShareOf(settings_.capacity, share));
   if (!workers_.IsCrashed(worker))
@@ -215,6 +237,8 @@
   wanted.driver.max_entry_bytes = settings_.max_entry_bytes;
   wanted.driver.scheduling.worker_lease = settings_.worker_lease;
   wanted.workers_per_shard = settings_.workers_per_shard;
+  if (settings_.failure_domains > 1)
+    wanted.driver.scheduling.drain_within = emulated_workers::kDrainInForce;
   runtime::worker_source workers{
       std::string(kWorkers),
       [this](std::string_view id, std::string_view entry)
@@ -233,7 +257,8 @@
           table.routes.push_back(
               {load.name, "host", "/" + load.name + "/", load.policy});
         return table;
-      }};
+      },
+      &ReadDrainKey};
   made.runtime = std::make_unique<runtime::instance_runtime>(
       made.processor->Loop(), *made.clock, *made.store, *made.orders,
       *made.permits, *made.log, std::move(wanted), std::move(workers),
--- a/tests/emulator/internal/hunted_day.cc
+++ b/tests/emulator/internal/hunted_day.cc
@@ -29,6 +29,8 @@
 /// whose capacity shrinks and grows.
 constexpr double kDeadlyShare = 0.35;
 constexpr double kShrinkingShare = 0.35;
+constexpr std::int64_t kMostDomains = 4;
+constexpr std::int64_t kMostDrains = 3;
 
 /// What is drawn for the faults of one kind.
 struct fault_range {
@@ -76,6 +78,8 @@
   day.system.queues = {DrawUrgent(), DrawFilling(), DrawLasting(day.system)};
   day.faults = DrawFaults(day.system);
   AddLaterKinds(day);
+  if (kind_ == hunt_kind::kWithDrains)
+    AddDrains(day);
   return day;
 }
 
@@ -99,6 +103,21 @@
   }
 }
 
+void hunted_day::AddDrains(day_description& day) {
+  day.system.failure_domains =
+      static_cast<std::size_t>(Between(2, kMostDomains));
+  for (std::int64_t i = Between(1, kMostDrains); i > 0; --i) {
+    const bool repeated = Chance(0.3);
+    day.faults.push_back(
+        {.kind = fault_kind::kDrainDomains,
+         .at = Time(kFirstMoment, kLastMoment),
+         .lasts = Time(milliseconds(300), milliseconds(14'000)),
+         .times = repeated ? std::size_t{3} : std::size_t{1},
+         .every = repeated ? Time(milliseconds(500), milliseconds(6000))
+                           : milliseconds(0)});
+  }
+}
+
 void hunted_day::DrawSize(emulation_settings& system) {
   system.instances = static_cast<std::size_t>(Between(3, 7));
   system.workers = static_cast<std::size_t>(4 * Between(3, 6));
@@ -218,8 +237,8 @@
 
 namespace chivecrank::emulator {
 
-day_description HuntedDay(std::uint64_t seed) {
-  return internal::hunted_day(seed).Draw();
+day_description HuntedDay(std::uint64_t seed, hunt_kind kind) {
+  return internal::hunted_day(seed, kind).Draw();
 }
 
 }  // namespace chivecrank::emulator
--- a/tests/emulator/internal/hunted_day.h
+++ b/tests/emulator/internal/hunted_day.h
@@ -7,14 +7,15 @@
 #include <vector>
 
 #include "chivecrank/emulator/day.h"
+#include "chivecrank/emulator/hunt.h"
 
 namespace chivecrank::emulator::internal {
 
 /// Draws one day of a hunt.
 class hunted_day {
  public:
-  explicit hunted_day(std::uint64_t seed)
-      : random_(seed), later_random_(seed + kLaterKinds) {}
+  hunted_day(std::uint64_t seed, hunt_kind kind)
+      : random_(seed), later_random_(seed + kLaterKinds), kind_(kind) {}
 
   day_description Draw();
 
@@ -32,6 +33,7 @@
   /// They have random numbers of their own, so that a day without them stays
   /// what it was.
   void AddLaterKinds(day_description& day);
+  void AddDrains(day_description& day);
 
   std::int64_t Between(std::int64_t least, std::int64_t most);
   double Real(double least, double most);
@@ -44,6 +46,7 @@
 
   std::mt19937_64 random_;
   std::mt19937_64 later_random_;
+  const hunt_kind kind_;
 };
 
 }  // namespace chivecrank::emulator::internal
--- a/tests/emulator/tests/hunt_test.cc
+++ b/tests/emulator/tests/hunt_test.cc
@@ -35,6 +35,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(HuntedDaysWithDrainsKeepTheirPromises) {
+  for (std::uint64_t seed = 1; seed <= kHuntedDays; ++seed) {
+    const day_description day = HuntedDay(seed, hunt_kind::kWithDrains);
+    const day_report report = PlayDay(day, seed);
+    BOOST_TEST(report.KeepsPromises(),
+               "--drains " << DescribeBrokenDay(day, report, seed));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AHuntedDayIsTheSameAgainWithTheSameSeed) {
   std::vector<std::string> kept;
   for (std::uint64_t seed = 101; seed <= 106; ++seed) {
--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -28,7 +28,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(ADayFeedsEveryFigure) {
+  settings.failure_domains = 2;
   Day().Run(seconds(10), true);
+  Day().DrainDomain(0, true);
+  Day().Run(seconds(2), true);
   std::string text;
   for (std::size_t i = 0; i < settings.instances; ++i)
     text += Day().InstanceAt(i).Metrics().Text();
--- a/tests/emulator/tool/main.cc
+++ b/tests/emulator/tool/main.cc
@@ -11,6 +11,7 @@
           hunt,
           0,
           "plays so many days that are drawn from the seed and those after it");
+ABSL_FLAG(bool, drains, false, "hunted days also drain failure domains");
 ABSL_FLAG(std::uint64_t, seed, 1, "draws arrivals and what the faults hit");
 ABSL_FLAG(bool,
           log,
@@ -53,9 +54,11 @@
 /// Tells each day that broke a promise; a single day is reported in full.
 int Hunt(std::uint64_t days) {
   const std::uint64_t first = absl::GetFlag(FLAGS_seed);
+  const hunt_kind kind =
+      absl::GetFlag(FLAGS_drains) ? hunt_kind::kWithDrains : hunt_kind::kUsual;
   std::uint64_t broken = 0;
   for (std::uint64_t seed = first; seed < first + days; ++seed) {
-    const day_description day = HuntedDay(seed);
+    const day_description day = HuntedDay(seed, kind);
     const day_report report = Play(day, seed);
     if (days == 1)
       Print(report);
