A worker that fails what it starts is put on probation; retries choose proven ones

Runs from before ended as done and cleared the count of failures. Avoided workers were still used while others were full. A task that failed went to another such worker and used up its attempts: 107 to 140 of some 690 cut-plans failed.

--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -30,6 +30,8 @@
   kTaskGivenUp,
   /// A long-running task left a drained failure domain.
   kDomainTaskMoved,
+  /// A worker that failed what it started has done a run since.
+  kWorkerTrusted,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -59,6 +59,10 @@
   /// is avoided.
   std::int32_t failures_before_avoidance = 2;
   std::chrono::milliseconds avoidance_period{4000};
+  /// Time until a worker on probation gets a run that tests it; doubles with
+  /// each test that fails, up to the longest.
+  std::chrono::milliseconds first_test_pause{500};
+  std::chrono::milliseconds longest_test_pause{8000};
   /// A run is moved if it made no progress for this long and for this share of
   /// its expected run time.
   std::chrono::milliseconds stalled_after{1200};
--- a/src/submissions/internal/candidate_queue.cc
+++ b/src/submissions/internal/candidate_queue.cc
@@ -46,7 +46,8 @@
                                           std::vector<candidate>& skipped) {
   while (!heap_.empty()) {
     const candidate best = Pop();
-    if (HasRun(*best.worker, request) || FailedOn(*best.worker, request)) {
+    if (HasRun(*best.worker, request) || FailedOn(*best.worker, request) ||
+        !placer_.IsTrusted(*best.worker, request)) {
       skipped.push_back(best);
       continue;
     }
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -14,6 +14,7 @@
 constexpr double kDataRackBonus = 0.5;
 constexpr double kAvoidPenalty = 4;
 constexpr double kFailedHerePenalty = 2;
+constexpr double kFailedInDomainPenalty = 0.5;
 /// Multiplies the expected number of services that a best-effort task brings
 /// over their latency targets.
 constexpr double kAddedRiskPenalty = 3;
@@ -82,11 +83,13 @@
 void placer::BeginRound(base::time_point now) {
   interference_.Advance(now);
   trials_.Recount(workers_);
+  health_.BeginRound(now);
   for (auto& [id, worker] : workers_.All())
     worker.reserved_for_service = false;
 }
 
 void placer::OnAssign(worker_entry& worker, const placement_request& request) {
+  worker_health::OnAssign(worker, request.task);
   if (request.step->best_effort)
     trials_.Add(interference_.OccupancyOf(worker), request.image);
 }
@@ -162,7 +165,7 @@
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
     return false;
-  if (worker.trials > 0)
+  if (worker.trials > 0 || !IsTrusted(worker, request))
     return false;
   if (description.service != *request.service ||
       &worker == request.current_worker)
@@ -181,6 +184,18 @@
          RunsOfStep(worker, request.task) < step.max_per_worker;
 }
 
+bool placer::IsTrusted(const worker_entry& worker,
+                       const placement_request& request) const {
+  const step_request& step = *request.step;
+  const bool stays = request.current_worker == nullptr && !request.on_trial;
+  const bool ends_alone = !step.long_running && !step.gang;
+  const start_candidate candidate{
+      .failures = step.long_running ? 0 : request.progress->failures,
+      .can_test_worker = stays && ends_alone && !request.last_attempt,
+      .is_bound = !step.required_label.empty() || request.permits != nullptr};
+  return health_.Allows(worker, candidate, request.now);
+}
+
 std::int32_t placer::RunsOfStep(const worker_entry& worker,
                                 const task_ref& task) {
   return static_cast<std::int32_t>(
@@ -216,6 +231,16 @@
          kAddedRiskPenalty * added_risk;
 }
 
+bool placer::FailedInDomainOf(const worker_entry& worker,
+                              const placement_request& request) const {
+  if (request.progress->last_failed_worker.empty())
+    return false;
+  const worker_entry* failed =
+      workers_.Find(request.progress->last_failed_worker);
+  return failed != nullptr && failed->description.failure_domain ==
+                                  worker.description.failure_domain;
+}
+
 double placer::FitnessOf(worker_entry& worker,
                          const placement_request& request) const {
   double fitness = 0;
@@ -226,6 +251,8 @@
     fitness -= kAvoidPenalty;
   if (request.progress->last_failed_worker == worker.description.id)
     fitness -= kFailedHerePenalty;
+  else if (FailedInDomainOf(worker, request))
+    fitness -= kFailedInDomainPenalty;
   if (request.step->long_running && !request.step->image.empty())
     fitness += ImageScore(interference_.OccupancyOf(worker), request.image);
   return fitness;
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -10,6 +10,7 @@
 #include "internal/interference_model.h"
 #include "internal/permit_tracker.h"
 #include "internal/trial_counter.h"
+#include "internal/worker_health.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
@@ -23,6 +24,8 @@
   task_ref task;
   /// The task is suspected of crashing its workers.
   bool on_trial = false;
+  /// It ends with its submission's failure if its next run fails.
+  bool last_attempt = false;
   /// Worker that the task is moved away from; null if it runs nowhere.
   const worker_entry* current_worker = nullptr;
   /// Restricts the choice to one rack; empty for any.
@@ -37,10 +40,12 @@
  public:
   placer(const scheduler_settings& settings,
          worker_table& workers,
-         interference_model& interference)
+         interference_model& interference,
+         worker_health& health)
       : settings_(settings),
         workers_(workers),
         interference_(interference),
+        health_(health),
         trials_(interference) {}
 
   /// Updates all derived state; must be called before each planning round.
@@ -59,6 +64,11 @@
   static std::int32_t RunsOfStep(const worker_entry& worker,
                                  const task_ref& task);
 
+  /// Whether the record of the worker's runs allows the start; it may allow
+  /// that of other tasks of the step.
+  bool IsTrusted(const worker_entry& worker,
+                 const placement_request& request) const;
+
   /// Scores the worker for the task; empty if it can't take the task.
   std::optional<double> ScoreOf(worker_entry& worker,
                                 const placement_request& request) const;
@@ -80,6 +90,9 @@
   /// Scores the worker for a task that may crash it: the less would be lost
   /// there, the better.
   static double TrialScore(const worker_entry& worker);
+  /// Whether the task failed last in the worker's failure domain.
+  bool FailedInDomainOf(const worker_entry& worker,
+                        const placement_request& request) const;
   /// Adds bonuses and penalties that do not depend on capacity.
   double FitnessOf(worker_entry& worker,
                    const placement_request& request) const;
@@ -87,6 +100,7 @@
   const scheduler_settings& settings_;
   worker_table& workers_;
   interference_model& interference_;
+  worker_health& health_;
   trial_counter trials_;
   mutable std::uint64_t scored_ = 0;
 };
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -119,6 +119,8 @@
   request.image = tracker_.Images().NumberOf(request.step->image);
   request.task = task;
   request.on_trial = crash_attribution::IsSuspect(*request.progress);
+  request.last_attempt =
+      request.progress->failures + 1 >= PolicyOf(live).attempt_limit;
   request.now = now;
   if (PolicyOf(live).permits)
     request.permits = &permits_;
@@ -179,6 +181,9 @@
       workers.emplace(placer_, request);
     if (workers && PlaceTask(request, *workers))
       continue;
+    // A retry is choosier than the tasks after it.
+    if (workers && !workers->IsEmpty() && progress.failures > 0)
+      continue;
     // The remaining tasks of the step have the same demand.
     if (workers && workers->IsEmpty())
       infeasible_.Add(request, 1);
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -29,7 +29,7 @@
         tracker_(tracker),
         permits_(permits),
         drains_(drains),
-        placer_(settings, tracker.Workers(), interference),
+        placer_(settings, tracker.Workers(), interference, tracker.Health()),
         relocator_(tracker,
                    placer_,
                    infeasible_,
--- a/src/submissions/internal/run_tracker.cc
+++ b/src/submissions/internal/run_tracker.cc
@@ -37,6 +37,7 @@
   run.long_running = step.long_running;
   run.latency_target = step.latency_target;
   run.image = images_.NumberOf(step.image);
+  run.begun_at = now;
   run.phase_since = now;
   if (step.latency_target.count() > 0)
     run.load = LoadOf(task, now);
@@ -218,11 +219,12 @@
         .run = end.run,
         .outcome = RunOutcomeName(end.outcome),
         .input = end.number});
-  UpdateHealth(worker, end, now);
   MarkReported(end.task);
   const auto found = worker.runs.find(end.task);
   const bool active =
       found != worker.runs.end() && found->second.run == end.run;
+  if (active)
+    UpdateHealth(worker, end, found->second, now);
   if (active && end.outcome == run_outcome::kDone)
     RecordRunTime(end.task, found->second, now);
   if (active)
@@ -286,19 +288,18 @@
 
 void run_tracker::UpdateHealth(worker_entry& worker,
                                const reported_end& end,
+                               const active_run& run,
                                base::time_point now) {
-  health_state& health = worker.health;
-  if (end.outcome == run_outcome::kDone) {
-    health = {};
-    return;
-  }
-  if (end.outcome != run_outcome::kFailed ||
-      health.last_failed_submission == end.task.submission)
-    return;
-  health.last_failed_submission = end.task.submission;
-  if (++health.consecutive_failures < settings_.failures_before_avoidance)
-    return;
-  Avoid(worker, "failures", health.consecutive_failures, now);
+  auto change = worker_health::change::kNone;
+  if (end.outcome == run_outcome::kDone)
+    change = worker_health::OnDone(worker, run.begun_at);
+  else if (end.outcome == run_outcome::kFailed)
+    change = health_.OnFailed(worker, end.task, run.begun_at, now);
+  if (change == worker_health::change::kOnProbation)
+    Avoid(worker, "failures", worker.health.consecutive_failures, now);
+  else if (change == worker_health::change::kTrusted)
+    Emit({.kind = scheduler_event_kind::kWorkerTrusted,
+          .worker = worker.description.id});
 }
 
 void run_tracker::Avoid(worker_entry& worker,
--- a/src/submissions/internal/run_tracker.h
+++ b/src/submissions/internal/run_tracker.h
@@ -11,6 +11,7 @@
 #include "chivecrank/submissions/scheduler_settings.h"
 #include "internal/run_time_estimator.h"
 #include "internal/submission_table.h"
+#include "internal/worker_health.h"
 #include "internal/worker_table.h"
 
 namespace chivecrank::submissions::internal {
@@ -30,6 +31,8 @@
   image_index& Images() { return images_; }
   const image_index& Images() const { return images_; }
 
+  worker_health& Health() { return health_; }
+
   const run_time_estimator& RunTimes() const { return run_time_estimator_; }
   /// Expected run time of a task, which must exist.
   std::chrono::duration<double, std::milli> ExpectedTime(const task_ref& task);
@@ -127,6 +130,7 @@
                     base::time_point now);
   void UpdateHealth(worker_entry& worker,
                     const reported_end& end,
+                    const active_run& run,
                     base::time_point now);
   void FinishIfDone(const std::string& submission, base::time_point now);
   void ReleaseGang(const task_ref& task);
@@ -136,6 +140,7 @@
   const scheduler_event_hook& on_event_;
   submission_table submissions_;
   worker_table workers_;
+  worker_health health_{settings_, workers_};
   image_index images_;
   run_time_estimator run_time_estimator_;
   std::chrono::milliseconds since_epoch_{0};
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -49,6 +49,8 @@
   bool best_effort = false;
   bool long_running = false;
   std::chrono::milliseconds latency_target{0};
+  /// When the run was assigned, or restored by this owner.
+  base::time_point begun_at;
   /// When the current phase began.
   base::time_point phase_since;
   /// This owner started the run without a checkpoint and never throttled it, so
@@ -96,11 +98,23 @@
   double max_latency_ratio = 0;
 };
 
-/// Health of a worker, derived from the ends of its runs.
+/// Health of a worker, derived from the ends of its runs; see worker_health.
 struct health_state {
-  /// Failures since the last successful run, each of a different submission.
+  /// Failures since the last success that counts, each of a different
+  /// submission, and the runs that ended as done meanwhile.
   std::int32_t consecutive_failures = 0;
+  std::int32_t done_meanwhile = 0;
   std::string last_failed_submission;
+  /// When the first of the failed runs began; unset without one.
+  std::optional<base::time_point> failing_since;
+  /// Share of failures among the newest ends.
+  double failure_share = 0;
+  bool has_ended_runs = false;
+  /// The worker gets only runs that test it, one at a time.
+  bool on_probation = false;
+  std::optional<task_ref> test;
+  base::time_point test_after;
+  std::chrono::milliseconds test_pause{0};
   /// Until then the worker is used only if no other worker is suitable.
   base::time_point avoid_until;
 };
--- /dev/null
+++ b/src/submissions/tests/worker_health_test.cc
@@ -0,0 +1,231 @@
+#include "internal/worker_health.h"
+
+#include <set>
+
+#include "scheduler_fixture.h"
+
+namespace chivecrank::submissions {
+namespace {
+
+using internal::worker_health;
+
+/// Workers that end what they start as their entry in `fails` says, within one
+/// step of the clock for failures and after a second otherwise.
+struct failing_fixture : scheduler_fixture {
+  failing_fixture() {
+    on_event = [this](const scheduler_event& event) {
+      if (event.kind == scheduler_event_kind::kSubmissionEnded)
+        outcomes[event.task.submission] = event.outcome;
+    };
+  }
+
+  static constexpr std::chrono::milliseconds kStep{50};
+  static constexpr std::chrono::milliseconds kRunTime{1000};
+
+  struct running {
+    start_command command;
+    base::time_point since;
+  };
+
+  void Play(std::chrono::milliseconds time) {
+    for (const base::time_point end = now + time; now < end; Advance(kStep)) {
+      for (const worker_description& worker : workers)
+        EndRuns(worker.id);
+      for (const start_command& start : RunRound()) {
+        runs[start.worker].push_back({start, now});
+        ++starts_on[start.worker];
+      }
+    }
+  }
+
+  void EndRuns(const std::string& worker) {
+    worker_report report;
+    std::vector<running> left;
+    for (const running& run : runs[worker]) {
+      const bool failed = fails.contains(worker) && run.since >= bad_since;
+      if (!failed && now - run.since < kRunTime) {
+        report.running.push_back(MakeReportedRun(run.command));
+        left.push_back(run);
+        continue;
+      }
+      report.ended.push_back(
+          {++ends[worker], run.command.task, run.command.run,
+           failed ? run_outcome::kFailed : run_outcome::kDone, ""});
+    }
+    runs[worker] = left;
+    Report(worker, report);
+  }
+
+  /// Submissions of four tasks on half of the workers' room, each 200 ms.
+  void Submit(int count) {
+    for (int i = 0; i < count; ++i) {
+      scheduler.Accept(
+          MakeSubmission("s" + std::to_string(++submitted), MakeStep(4, 1500)));
+      Play(std::chrono::milliseconds(200));
+    }
+  }
+
+  std::size_t Failed() {
+    std::size_t failed = 0;
+    for (const auto& [id, outcome] : outcomes)
+      failed += outcome == "failed" ? 1 : 0;
+    return failed;
+  }
+
+  std::set<std::string> fails;
+  base::time_point bad_since;
+  std::map<std::string, std::vector<running>> runs;
+  std::map<std::string, std::int64_t> ends;
+  std::map<std::string, int> starts_on;
+  int submitted = 0;
+  std::map<std::string, std::string> outcomes;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(worker_health_suite, failing_fixture)
+
+BOOST_AUTO_TEST_CASE(AWorkerThatFailsAllItStartsGetsFewStartsAndNoTaskIsLost) {
+  Submit(15);
+  starts_on.clear();
+  bad_since = now;
+  fails = {"w-1"};
+  Submit(30);
+  Play(std::chrono::milliseconds(4000));
+  BOOST_TEST(outcomes.size() == 45u);
+  // The first wave fails before its ends are known.
+  BOOST_TEST(starts_on["w-1"] < 16);
+  BOOST_TEST(Failed() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatRecoversIsUsedAgain) {
+  Submit(10);
+  bad_since = now;
+  fails = {"w-1"};
+  Submit(10);
+  fails.clear();
+  Play(std::chrono::milliseconds(9000));
+  // All workers are needed; the first run on it is a test.
+  for (const std::string id : {"wide-1", "wide-2"}) {
+    starts_on.clear();
+    scheduler.Accept(MakeSubmission(id, MakeStep(40, 1500)));
+    Play(std::chrono::milliseconds(3000));
+  }
+  BOOST_TEST(starts_on["w-1"] > 4);
+  BOOST_TEST(Failed() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(WithMostWorkersFailingAllStayInUse) {
+  Submit(10);
+  bad_since = now;
+  fails = {"w-1", "w-2", "w-3"};
+  Submit(10);
+  starts_on.clear();
+  Submit(10);
+  BOOST_TEST(starts_on["w-4"] > 0);
+  BOOST_TEST(starts_on["w-1"] + starts_on["w-2"] + starts_on["w-3"] > 3);
+}
+
+BOOST_AUTO_TEST_CASE(RunsFromBeforeTheFailureDoNotClearIt) {
+  const scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health(limits, table);
+  internal::worker_entry& worker = table.FindOrAdd("w");
+  worker.listed = true;
+  const auto before = now - std::chrono::seconds(1);
+  health.OnFailed(worker, {"a"}, now, now);
+  BOOST_TEST(
+      (worker_health::OnDone(worker, before) == worker_health::change::kNone));
+  health.OnFailed(worker, {"b"}, now, now);
+  BOOST_TEST((health.OnFailed(worker, {"c"}, now, now) ==
+              worker_health::change::kNone));
+  BOOST_TEST(worker.health.on_probation);
+  worker_health::OnDone(worker, before);
+  BOOST_TEST(worker.health.on_probation);
+  BOOST_TEST((worker_health::OnDone(worker, now + std::chrono::seconds(1)) ==
+              worker_health::change::kTrusted));
+  BOOST_TEST(!worker.health.on_probation);
+}
+
+BOOST_AUTO_TEST_CASE(FailuresAmongManyRunsThatAreDoneMeanNothing) {
+  const scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health(limits, table);
+  internal::worker_entry& worker = table.FindOrAdd("w");
+  const auto before = now - std::chrono::seconds(1);
+  health.OnFailed(worker, {"a"}, before, now);
+  for (int i = 0; i < 6; ++i)
+    worker_health::OnDone(worker, before - std::chrono::seconds(1));
+  health.OnFailed(worker, {"b"}, before, now);
+  BOOST_TEST(!worker.health.on_probation);
+}
+
+BOOST_AUTO_TEST_CASE(TestsOfAWorkerThatFailsComeLessAndLessOften) {
+  const scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health(limits, table);
+  internal::worker_entry& worker = table.FindOrAdd("w");
+  for (int i = 0; i < 3; ++i)
+    table.FindOrAdd("sound-" + std::to_string(i)).listed = true;
+  worker.listed = true;
+  health.OnFailed(worker, {"a"}, now, now);
+  health.OnFailed(worker, {"b"}, now, now);
+  const internal::start_candidate fresh{.can_test_worker = true};
+  const internal::start_candidate retry{.failures = 1};
+  int tests = 0;
+  for (int i = 0; i < 400; ++i) {
+    BOOST_TEST(!health.Allows(worker, retry, now));
+    if (health.Allows(worker, fresh, now)) {
+      const task_ref task{"t" + std::to_string(++tests)};
+      worker_health::OnAssign(worker, task);
+      BOOST_TEST(!health.Allows(worker, fresh, now));
+      health.OnFailed(worker, task, now, now);
+    }
+    Advance(std::chrono::milliseconds(100));
+  }
+  // After 0.5, 1, 2, 4 and then each 8 s.
+  BOOST_TEST(tests == 8);
+}
+
+BOOST_AUTO_TEST_CASE(ATestWhoseRunIsGoneDoesNotKeepTheWorkerOut) {
+  const scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health(limits, table);
+  for (int i = 0; i < 3; ++i)
+    table.FindOrAdd("sound-" + std::to_string(i)).listed = true;
+  internal::worker_entry& worker = table.FindOrAdd("w");
+  worker.listed = true;
+  health.OnFailed(worker, {"a"}, now, now);
+  health.OnFailed(worker, {"b"}, now, now);
+  worker_health::OnAssign(worker, {"test"});
+  const internal::start_candidate fresh{.can_test_worker = true};
+  Advance(std::chrono::milliseconds(10'000));
+  BOOST_TEST(!health.Allows(worker, fresh, now));
+  health.BeginRound(now);
+  Advance(std::chrono::milliseconds(10'000));
+  BOOST_TEST(health.Allows(worker, fresh, now));
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnerThatFollowsServesRetriesThoughItKnowsNoWorker) {
+  const submission accepted = MakeSubmission("a", MakeStep(1, 1500));
+  scheduler.Accept(accepted);
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  worker_report report;
+  report.ended = {{1, starts[0].task, 1, run_outcome::kFailed, ""}};
+  Report(starts[0].worker, report);
+  shard_scheduler next{settings, {}};
+  next.Accept(accepted);
+  next.Restore(scheduler.Snapshot());
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
+  next.SetWorkers(workers);
+  for (const worker_description& worker : workers)
+    ReportTo(next, worker.id, {});
+  const auto again = RunRoundOn(next);
+  BOOST_REQUIRE(again.size() == 1u);
+  BOOST_TEST(again[0].worker != starts[0].worker);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::submissions
