A new owner restores the speed of tasks that it finds throttled

Change: a best-effort run that an owner finds, and that makes less than 0.7 of the progress expected of it in 600 ms, counts as of unknown speed and is commanded again.

--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -8,6 +8,12 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
+constexpr double kWholePercent = 100;
+/// How long a run of an earlier owner is watched until its speed is known, and
+/// the share of its expected speed below which it counts as throttled.
+constexpr std::chrono::milliseconds kFoundSpeedTime{600};
+constexpr double kFullSpeedShare = 0.7;
+
 bool IsReported(const worker_report& report,
                 const task_ref& task,
                 std::int32_t run) {
@@ -130,6 +136,7 @@
       tracker_.Stop(worker, reported.task, run, now);
     return;
   }
+  CheckFoundSpeed(worker, run, reported, now);
   if (run.phase == run_phase::kRunning)
     return;
   tracker_.MarkReported(reported.task);
@@ -137,6 +144,30 @@
   run.phase_since = now;
 }
 
+void report_processor::CheckFoundSpeed(worker_entry& worker,
+                                       active_run& run,
+                                       const reported_run& reported,
+                                       base::time_point now) {
+  if (run.started_by_this_owner || !run.best_effort || run.found_speed_known)
+    return;
+  if (!run.found_at) {
+    run.found_at = now;
+    run.found_percent = reported.percent;
+    return;
+  }
+  const base::duration passed = now - *run.found_at;
+  if (passed < kFoundSpeedTime)
+    return;
+  run.found_speed_known = true;
+  const auto done = tracker_.ExpectedTime(reported.task) *
+                    (reported.percent - run.found_percent) / kWholePercent;
+  if (done >= passed * kFullSpeedShare)
+    return;
+  run.throttle_percent = active_run::kThrottleUnknown;
+  worker.may_have_throttled = true;
+  worker.cached_occupancy.reset();
+}
+
 void report_processor::UpdateProgress(const reported_run& reported,
                                       active_run& run,
                                       base::time_point now) {
--- a/src/submissions/internal/report_processor.h
+++ b/src/submissions/internal/report_processor.h
@@ -52,6 +52,13 @@
                       const reported_run& reported,
                       base::time_point now);
   /// Updates the run's progress and whether it has stalled.
+  /// An earlier owner may have throttled a run, and the journal doesn't say so.
+  /// Marks the speed of a run as unknown that is slower than it should be, so
+  /// that it is commanded again.
+  void CheckFoundSpeed(worker_entry& worker,
+                       active_run& run,
+                       const reported_run& reported,
+                       base::time_point now);
   void UpdateProgress(const reported_run& reported,
                       active_run& run,
                       base::time_point now);
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -75,6 +75,12 @@
   std::int32_t percent = 0;
   /// When a report first contained the current progress.
   base::time_point progressed_at;
+  /// For a run of an earlier owner, its progress in this owner's first report
+  /// of it, and when that came.
+  std::int32_t found_percent = 0;
+  std::optional<base::time_point> found_at;
+  /// Whether an earlier owner throttled it was derived from its progress.
+  bool found_speed_known = false;
   /// It makes no progress although it may run at full speed.
   bool stalled = false;
   std::int64_t measurement = 0;
