A throttled task moves only if it probably ends sooner elsewhere

Change: move_benefit compares the time if the task stays, at its speed, with the restart, what the stop loses and what is left.

--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -3,14 +3,11 @@
 #include <algorithm>
 
 #include "internal/candidate_queue.h"
+#include "internal/move_benefit.h"
 
 namespace chivecrank::submissions::internal {
 namespace {
 
-/// A best-effort task that is throttled to this speed or below is moved if
-/// another worker can take it, unless it is nearly done.
-constexpr std::int32_t kMoveAtPercent = 50;
-constexpr std::int32_t kNearlyDonePercent = 85;
 constexpr std::int32_t kFullPercent = 100;
 /// Remaining run time above which a task with checkpoints is moved off a
 /// draining worker: it would hardly finish there in time.
@@ -42,10 +39,10 @@
   for (auto& [id, worker] : tracker_.Workers().All()) {
     if (!worker.may_have_throttled)
       continue;
-    const auto slowed =
-        RunningTasks(worker, [](const task_ref&, const active_run& run) {
-          return run.best_effort && run.target_percent <= kMoveAtPercent &&
-                 run.percent < kNearlyDonePercent;
+    const auto slowed = RunningTasks(
+        worker, [this](const task_ref& task, const active_run& run) {
+          return run.best_effort && run.target_percent < kFullPercent &&
+                 IsWorthMovingFrom(task, run);
         });
     for (const task_ref& task : slowed)
       Move(worker, task, scheduler_event_kind::kBestEffortMoved,
@@ -53,6 +50,18 @@
   }
 }
 
+bool relocator::IsWorthMovingFrom(const task_ref& task, const active_run& run) {
+  const step_request* step = tracker_.Submissions().StepOf(task);
+  if (step == nullptr)
+    return false;
+  const auto run_time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      tracker_.ExpectedTime(task));
+  return IsWorthMoving({.run_time = run_time,
+                        .done_percent = run.percent,
+                        .speed_percent = run.target_percent,
+                        .saves_progress = step->checkpoints});
+}
+
 void relocator::MoveStalled(base::time_point now) {
   for (auto& [id, worker] : tracker_.Workers().All()) {
     if (!worker.may_have_stalled)
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -56,6 +56,8 @@
     task_ref task;
   };
 
+  /// Whether the task of a throttled run would probably end sooner elsewhere.
+  bool IsWorthMovingFrom(const task_ref& task, const active_run& run);
   static bool ShouldEvacuate(const active_run& run,
                              const step_request& step,
                              base::time_point now);
