Submissions too large for every worker are refused with the size that fits

Cause: what no worker can ever run was accepted and waited for ever. Owners tell the largest sizes of workers they and owners before them have seen in the shard status; any instance compares before it stores anything.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -15,6 +15,7 @@
 #include "chivecrank/runtime/shard_room.h"
 #include "chivecrank/runtime/shard_tenure.h"
 #include "chivecrank/submissions/types.h"
+#include "chivecrank/submissions/worker_sizes.h"
 
 namespace chivecrank::runtime {
 
@@ -51,6 +52,8 @@
   std::vector<std::int32_t> workers_by_free_cores;
   /// Processor time of the owner that wrote it.
   std::int64_t owner_processors_milli = 0;
+  /// The largest workers that owners of the shard have seen.
+  submissions::worker_sizes sizes;
   /// Submissions none of whose tasks has started.
   std::set<std::string> not_started;
   metadata::revision written_revision = 0;
@@ -104,6 +107,10 @@
   std::optional<tenure_record> TenureOf(std::uint32_t shard) const;
   /// 0 until the number of shards has been decided.
   std::uint32_t ShardCount() const { return shard_count_; }
+  /// The largest workers of all shards; nullopt while a shard has told none of
+  /// the service.
+  std::optional<submissions::worker_sizes> SizesFor(
+      const std::string& service) const;
   /// Accepted submissions of a queue that have not started according to the
   /// last shard status.
   std::int64_t CountQueued(const std::string& queue) const;
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -26,6 +26,8 @@
   std::chrono::milliseconds retry{120};
   /// Retry delay that a rejected caller is given.
   std::chrono::milliseconds retry_after{1000};
+  /// The same for a submission that is too large for every worker.
+  std::chrono::milliseconds retry_too_large_after{60'000};
   /// Submissions with less time than this left until `give_up_at` are rejected
   /// at once.
   std::chrono::milliseconds min_time_left{40};
@@ -90,6 +92,8 @@
   void OnConflict(const group& sent, const metadata::commit_answer& answer);
   void Complete(pending_write& written, submit_outcome outcome);
   void Expire(pending_write& written);
+  /// An error if no worker can ever run the submission.
+  base::result<void> CheckSize(const submissions::submission& offered) const;
   /// Chooses the submission's shard and counts it there.
   std::uint32_t AssignShard(const submissions::submission& offered);
   bool IsStoreUnavailable() const;
--- a/src/runtime/include/chivecrank/runtime/submission_service.h
+++ b/src/runtime/include/chivecrank/runtime/submission_service.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "chivecrank/base/clock.h"
+#include "chivecrank/base/result.h"
 #include "chivecrank/submissions/types.h"
 
 namespace chivecrank::runtime {
@@ -26,6 +27,8 @@
   submit_outcome verdict = submit_outcome::kRejected;
   /// How long to wait before a rejected submission is submitted again.
   std::chrono::milliseconds retry_after{0};
+  /// Why it was rejected, if sending it again would not help.
+  std::optional<base::error> reason;
 };
 
 /// The state of a submission as shown to callers.
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -15,6 +15,38 @@
           .workers_by_free_cores = status.workers_by_free_cores};
 }
 
+namespace {
+
+/// A size is written as three numbers.
+constexpr std::size_t kNumbersPerSize = 3;
+
+void WriteSizes(json::writer& text,
+                const std::string& service,
+                const std::vector<coordination::resources>& sizes) {
+  text.Key(service).BeginArray();
+  for (const coordination::resources& size : sizes) {
+    text.Integer(size.processors_milli);
+    text.Integer(size.memory_mib);
+    text.Integer(size.accelerators);
+  }
+  text.EndArray();
+}
+
+void ReadSizes(const json::value& from, submissions::worker_sizes& sizes) {
+  for (const auto& member : from.GetObject()) {
+    const json::value& numbers = member.value;
+    if (!numbers.IsArray())
+      continue;
+    for (std::size_t i = 0; i + kNumbersPerSize <= numbers.Size();
+         i += kNumbersPerSize)
+      sizes.Add(member.name.GetString(),
+                {json::IntegerAt(numbers, i), json::IntegerAt(numbers, i + 1),
+                 json::IntegerAt(numbers, i + 2)});
+  }
+}
+
+}  // namespace
+
 std::string EncodeShardStatus(const shard_status& status) {
   json::writer text;
   text.BeginObject()
@@ -25,7 +57,10 @@
       .BeginArray();
   for (const std::int32_t workers : status.workers_by_free_cores)
     text.Integer(workers);
-  text.EndArray().Key("not_started").BeginArray();
+  text.EndArray().Key("sizes").BeginObject();
+  for (const auto& [service, sizes] : status.sizes.All())
+    WriteSizes(text, service, sizes);
+  text.EndObject().Key("not_started").BeginArray();
   for (const std::string& id : status.not_started)
     text.String(id);
   text.EndArray().EndObject();
@@ -45,6 +80,8 @@
     for (std::size_t i = 0; i < workers->Size(); ++i)
       status.workers_by_free_cores.push_back(
           static_cast<std::int32_t>(json::IntegerAt(*workers, i)));
+  if (const json::value* sizes = json::ObjectOf(parsed.value(), "sizes"))
+    ReadSizes(*sizes, status.sizes);
   if (const json::value* ids = json::ArrayOf(parsed.value(), "not_started"))
     for (std::size_t i = 0; i < ids->Size(); ++i)
       status.not_started.insert(json::StringAt(*ids, i));
@@ -111,6 +148,18 @@
          !status->second.not_started.contains(id);
 }
 
+std::optional<submissions::worker_sizes> replica::SizesFor(
+    const std::string& service) const {
+  submissions::worker_sizes all;
+  for (std::uint32_t shard = 0; shard < shard_count_; ++shard) {
+    const auto status = statuses_.find(shard);
+    if (status == statuses_.end() || !status->second.sizes.Knows(service))
+      return std::nullopt;
+    all.Add(status->second.sizes);
+  }
+  return all;
+}
+
 std::int64_t replica::CountQueued(const std::string& queue) const {
   std::int64_t waiting = 0;
   for (const auto& [id, known] : submissions_)
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -126,6 +126,9 @@
   scheduler_.FinishRestore(loop_.Now(), created_at_, LongestEarlierLease());
   if (was_last_owner_)
     scheduler_.RestrictLeases(earlier_.leases);
+  if (const auto status = shared_.Statuses().find(shard_);
+      status != shared_.Statuses().end())
+    scheduler_.AddSizes(status->second.sizes);
   AddUnlistedWorkers();
   restored_ = true;
   log_.Write("shard_restored", {{"shard", shard_},
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -205,6 +205,7 @@
       load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
   status.workers_by_free_cores = load.workers_by_free_cores;
   status.owner_processors_milli = settings_.processors_milli;
+  status.sizes = scheduler_.Sizes();
   for (std::string& id : scheduler_.UnstartedSubmissions())
     status.not_started.insert(std::move(id));
   return status;
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -45,6 +45,15 @@
                 {"reason", too_late ? "no_time" : "store_away"}});
     return done({submit_outcome::kRejected, settings_.retry_after});
   }
+  if (const auto checked = CheckSize(offered); !checked) {
+    metrics_.OnSubmitAnswer("rejected", {});
+    log_.Write("submission_rejected", {{"submission", offered.id},
+                                       {"queue", offered.queue},
+                                       {"reason", "too_large"},
+                                       {"error", checked.error().message}});
+    return done({submit_outcome::kRejected, settings_.retry_too_large_after,
+                 checked.error()});
+  }
   offered.shard = AssignShard(offered);
   offered.accepted_since_epoch =
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -231,6 +240,12 @@
                                  : submit_outcome::kRejected);
 }
 
+base::result<void> submission_intake::CheckSize(
+    const submissions::submission& offered) const {
+  const auto sizes = shared_.SizesFor(offered.policy.service);
+  return sizes ? sizes->Check(offered) : base::Success();
+}
+
 std::uint32_t submission_intake::AssignShard(
     const submissions::submission& offered) {
   std::map<std::uint32_t, shard_room> rooms;
--- a/src/runtime/tests/replica_test.cc
+++ b/src/runtime/tests/replica_test.cc
@@ -116,6 +116,24 @@
   BOOST_TEST(ended.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(SizesOfWorkersAreKnownOnceEveryShardToldThem) {
+  Put({key_kind::kShardCount, "count"}, "2", 1);
+  shard_status first;
+  first.sizes.Add("service", {16'000, 64'000, 1});
+  Put({key_kind::kShardStatus, ShardName(0)}, EncodeShardStatus(first), 2);
+  BOOST_TEST(!shared.SizesFor("service").has_value());
+  // An owner of an older version tells none.
+  Put({key_kind::kShardStatus, ShardName(1)}, R"({"capacity":1})", 3);
+  BOOST_TEST(!shared.SizesFor("service").has_value());
+  shard_status second;
+  second.sizes.Add("service", {8000, 128'000, 0});
+  Put({key_kind::kShardStatus, ShardName(1)}, EncodeShardStatus(second), 4);
+  submissions::worker_sizes both = first.sizes;
+  both.Add(second.sizes);
+  BOOST_REQUIRE(shared.SizesFor("service").has_value());
+  BOOST_TEST((*shared.SizesFor("service") == both));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::runtime
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -17,6 +17,7 @@
 #include "chivecrank/submissions/scheduler_event.h"
 #include "chivecrank/submissions/scheduler_settings.h"
 #include "chivecrank/submissions/types.h"
+#include "chivecrank/submissions/worker_sizes.h"
 
 namespace chivecrank::submissions {
 
@@ -150,6 +151,10 @@
   /// a worker has reported.
   std::vector<std::string> UnstartedSubmissions() const;
   shard_load Load() const;
+  /// The largest sizes of workers that were ever listed, here or for an owner
+  /// before.
+  const worker_sizes& Sizes() const;
+  void AddSizes(const worker_sizes& known);
 
   /// Returns the submissions that reserve processors, have never started and
   /// have waited for capacity for their `min_wait` or longer. They are valid
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -10,6 +10,7 @@
 #include "chivecrank/submissions/commands.h"
 #include "chivecrank/submissions/scheduler_event.h"
 #include "chivecrank/submissions/scheduler_settings.h"
+#include "chivecrank/submissions/worker_sizes.h"
 #include "internal/crash_attribution.h"
 #include "internal/drain_tracker.h"
 #include "internal/interference_model.h"
@@ -67,6 +68,7 @@
   report_processor reports;
   planner run_planner;
   worker_recorder recorder;
+  worker_sizes sizes;
   std::uint64_t last_batch = 0;
   std::vector<start_command> starts_in_commit;
   std::vector<outcome_change> outcomes_in_commit;
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -117,6 +117,7 @@
     worker_entry& worker = table.FindOrAdd(description.id);
     worker.description = description;
     worker.listed = true;
+    core_->sizes.Add(description.service, description.capacity);
   }
   core_->drains.MarkWorkers();
   std::erase_if(table.All(), [](const auto& entry) {
@@ -368,6 +369,14 @@
   return waiting;
 }
 
+const worker_sizes& shard_scheduler::Sizes() const {
+  return core_->sizes;
+}
+
+void shard_scheduler::AddSizes(const worker_sizes& known) {
+  core_->sizes.Add(known);
+}
+
 shard_load shard_scheduler::Load() const {
   shard_load load;
   load.workers_by_free_cores.resize(kMaxFreeCores + 1);
--- a/src/submissions/tests/move_benefit_test.cc
+++ b/src/submissions/tests/move_benefit_test.cc
@@ -29,9 +29,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(ALongTaskThatSavesItsProgressLeavesAHaltedWorker) {
-  constexpr std::chrono::milliseconds kLong{20'000};
-  BOOST_TEST(IsWorthMoving({kLong, 80, 0, true}));
-  BOOST_TEST(!IsWorthMoving({kLong, 80, 0, false}));
+  const std::chrono::milliseconds long_run_time(20'000);
+  BOOST_TEST(IsWorthMoving({long_run_time, 80, 0, true}));
+  BOOST_TEST(!IsWorthMoving({long_run_time, 80, 0, false}));
 }
 
 BOOST_AUTO_TEST_CASE(ATaskAtFullSpeedStays) {
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -376,6 +376,31 @@
   BOOST_TEST(Day().Total().failed == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(WhatIsTooLargeForEveryWorkerIsRejectedAlsoByANewOwner) {
+  queue_load large = settings.queues[0];
+  large.step.demand.processors_milli = 3 * settings.capacity.processors_milli;
+  Day().Run(seconds(3), true);
+  Day().Submit(large);
+  for (std::size_t i = 0; i < settings.instances; ++i)
+    Day().KillInstance(i);
+  // Workers that have shrunk meanwhile are no reason to reject what fits.
+  for (const std::string& worker : Day().Workers().Ids())
+    Day().Resize(worker, 0.05);
+  for (std::size_t i = 0; i < settings.instances; ++i)
+    Day().StartInstance(i);
+  Day().Run(seconds(6), false);
+  const std::uint64_t rejected = Day().Callers().at(large.name).rejected;
+  Day().Submit(settings.queues[0]);
+  Day().Run(seconds(3), false);
+  BOOST_TEST(Day().Callers().at(large.name).rejected == rejected);
+  for (const std::string& worker : Day().Workers().Ids())
+    Day().Resize(worker, 1);
+  Day().Submit(large);
+  Day().Run(seconds(400), false);
+  CheckPromises();
+  BOOST_TEST(Day().Callers().at(large.name).rejected == rejected + 2);
+}
+
 BOOST_AUTO_TEST_CASE(WhatCanNeverBeDoneFailsAndHarmsNothingElse) {
   settings.queues[0].poisoned_share = 0.3;
   Day().Run(seconds(12), true);
