--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -113,7 +113,8 @@
   const bool names_image =
       event.kind == submissions::scheduler_event_kind::kBestEffortThrottled ||
       event.kind == submissions::scheduler_event_kind::kBestEffortMoved ||
-      event.kind == submissions::scheduler_event_kind::kTaskEvacuated;
+      event.kind == submissions::scheduler_event_kind::kTaskEvacuated ||
+      event.kind == submissions::scheduler_event_kind::kDomainTaskMoved;
   events_
       .Add({{"event",
              std::string(submissions::SchedulerEventKindName(event.kind))},
--- a/src/runtime/tests/instance_metrics_test.cc
+++ b/src/runtime/tests/instance_metrics_test.cc
@@ -37,6 +37,27 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(ImagesAreNoLabels) {
+  using submissions::scheduler_event_kind;
+  instance_metrics metrics;
+  for (const auto kind : {scheduler_event_kind::kBestEffortThrottled,
+                          scheduler_event_kind::kBestEffortMoved,
+                          scheduler_event_kind::kTaskEvacuated,
+                          scheduler_event_kind::kDomainTaskMoved})
+    metrics.OnSchedulerEvent({.kind = kind, .outcome = "some-image"});
+  BOOST_TEST(metrics.Text().find("some-image") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainIsShownForAsLongAsItLasts) {
+  instance_metrics metrics;
+  metrics.SetDrains({{.failure_domain = "north", .long_running = 7}});
+  const std::string sample =
+      "chivecrank_domain_drain{domain=\"north\",what=\"long_running\"} 7";
+  BOOST_TEST(metrics.Text().find(sample) != std::string::npos);
+  metrics.SetDrains({});
+  BOOST_TEST(metrics.Text().find("north") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::runtime
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -182,8 +182,10 @@
     if (workers && PlaceTask(request, *workers))
       continue;
     // A retry is choosier than the tasks after it.
-    if (workers && !workers->IsEmpty() && progress.failures > 0)
+    if (workers && !workers->IsEmpty() && progress.failures > 0) {
+      RequestPermits(ready, request);
       continue;
+    }
     // The remaining tasks of the step have the same demand.
     if (workers && workers->IsEmpty())
       infeasible_.Add(request, 1);
