Tests: many workers on probation are only avoided; retries choose proven workers

A mutant that shuts all failing workers out passed the tests, and one that lets retries go anywhere was not told apart. Both decisions have a test of their own now.

--- a/src/submissions/tests/worker_health_test.cc
+++ b/src/submissions/tests/worker_health_test.cc
@@ -126,6 +126,50 @@
   BOOST_TEST(starts_on["w-1"] + starts_on["w-2"] + starts_on["w-3"] > 3);
 }
 
+BOOST_AUTO_TEST_CASE(ManyWorkersOnProbationAreOnlyAvoided) {
+  const scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health(limits, table);
+  const internal::start_candidate fresh{.can_test_worker = true};
+  std::vector<internal::worker_entry*> failing;
+  for (int i = 0; i < 10; ++i) {
+    internal::worker_entry& worker = table.FindOrAdd("w-" + std::to_string(i));
+    worker.listed = true;
+    if (i < 4)
+      failing.push_back(&worker);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    health.OnFailed(*failing[i], {"a"}, now, now);
+    health.OnFailed(*failing[i], {"b"}, now, now);
+  }
+  health.BeginRound(now);
+  BOOST_TEST(!health.Allows(*failing[0], fresh, now));
+  health.OnFailed(*failing[3], {"a"}, now, now);
+  health.OnFailed(*failing[3], {"b"}, now, now);
+  health.BeginRound(now);
+  for (const internal::worker_entry* worker : failing)
+    BOOST_TEST(health.Allows(*worker, fresh, now));
+}
+
+BOOST_AUTO_TEST_CASE(RetriesUseProvenWorkersOnceThereAreEnough) {
+  const scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health(limits, table);
+  const internal::start_candidate retry{.failures = 1};
+  const internal::start_candidate bound{.failures = 1, .is_bound = true};
+  internal::worker_entry& proven = table.FindOrAdd("proven");
+  internal::worker_entry& other = table.FindOrAdd("other");
+  proven.listed = true;
+  other.listed = true;
+  health.BeginRound(now);
+  BOOST_TEST(health.Allows(other, retry, now));
+  worker_health::OnDone(proven, now);
+  health.BeginRound(now);
+  BOOST_TEST(health.Allows(proven, retry, now));
+  BOOST_TEST(!health.Allows(other, retry, now));
+  BOOST_TEST(health.Allows(other, bound, now));
+}
+
 BOOST_AUTO_TEST_CASE(RunsFromBeforeTheFailureDoNotClearIt) {
   const scheduler_settings limits;
   internal::worker_table table;
