--- a/src/submissions/tests/domain_drain_test.cc
+++ b/src/submissions/tests/domain_drain_test.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+#include <memory>
 #include <set>
 
 #include "scheduler_fixture.h"
@@ -38,6 +41,19 @@
     return step;
   }
 
+  /// An owner whose settings say how fast a drain has to be in force.
+  std::unique_ptr<shard_scheduler> MakeBoundedOwner() {
+    scheduler_settings bounded;
+    bounded.drain_within = std::chrono::milliseconds(5000);
+    auto owner =
+        std::make_unique<shard_scheduler>(bounded, scheduler_event_hook());
+    owner->FinishRestore(now, now, std::chrono::milliseconds(0));
+    owner->SetWorkers(workers);
+    for (const worker_description& worker : workers)
+      ReportTo(*owner, worker.id, {});
+    return owner;
+  }
+
   domain_drain DrainOf(const std::string& domain) const {
     for (const domain_drain& drain : scheduler.Drains())
       if (drain.failure_domain == domain)
@@ -167,6 +183,26 @@
   BOOST_TEST(DrainOf("north").long_running == 4u);
 }
 
+BOOST_AUTO_TEST_CASE(ServicesLeaveOnlyWhatTheNeighboursNeedNotKeepFree) {
+  // The south has 32 cores, of which a quarter is kept free.
+  for (const std::int32_t neighbours : {6, 3}) {
+    drain_fixture fixture;
+    fixture.Drain({"north"});
+    fixture.scheduler.Accept(
+        MakeSubmission("south", LongRunning(neighbours, 4000)));
+    auto starts = fixture.RunRound();
+    fixture.Drain({"south"});
+    fixture.scheduler.Accept(MakeSubmission("north", LongRunning(2, 4000)));
+    std::ranges::copy(fixture.RunRound(), std::back_inserter(starts));
+    BOOST_REQUIRE(starts.size() == static_cast<std::size_t>(neighbours) + 2);
+    fixture.ReportServing(starts);
+    fixture.Drain({"north"});
+    fixture.Advance(std::chrono::milliseconds(500));
+    fixture.RunRound();
+    BOOST_TEST(fixture.stops.size() == (neighbours == 3 ? 1u : 0u));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ADrainTellsSinceWhenTheDomainIsEmpty) {
   Drain({"north"});
   const base::time_point began = now;
@@ -202,13 +238,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(WithoutRecentKnowledgeOfDrainsNothingStarts) {
-  scheduler_settings bounded;
-  bounded.drain_within = std::chrono::milliseconds(5000);
-  shard_scheduler owner{bounded, {}};
-  owner.FinishRestore(now, now, std::chrono::milliseconds(0));
-  owner.SetWorkers(workers);
-  for (const worker_description& worker : workers)
-    ReportTo(owner, worker.id, {});
+  const auto bounded = MakeBoundedOwner();
+  shard_scheduler& owner = *bounded;
   owner.Accept(MakeSubmission("a", MakeStep(1, 1000)));
   BOOST_TEST(RunRoundOn(owner).empty());
   owner.ConfirmDrains(now);
@@ -216,13 +247,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(AStartHeldBackInAnOutageIsCheckedAgainAfterIt) {
-  scheduler_settings bounded;
-  bounded.drain_within = std::chrono::milliseconds(5000);
-  shard_scheduler owner{bounded, {}};
-  owner.FinishRestore(now, now, std::chrono::milliseconds(0));
-  owner.SetWorkers(workers);
-  for (const worker_description& worker : workers)
-    ReportTo(owner, worker.id, {});
+  const auto bounded = MakeBoundedOwner();
+  shard_scheduler& owner = *bounded;
   owner.ConfirmDrains(now);
   owner.Accept(MakeSubmission("a", MakeStep(4, 16'000)));
   owner.Plan(now, since_epoch);
--- a/src/submissions/tests/worker_health_test.cc
+++ b/src/submissions/tests/worker_health_test.cc
@@ -7,6 +7,8 @@
 namespace chivecrank::submissions {
 namespace {
 
+using internal::start_candidate;
+using internal::worker_entry;
 using internal::worker_health;
 
 /// Workers that end what they start as their entry in `fails` says, within one
@@ -81,6 +83,32 @@
   std::map<std::string, std::string> outcomes;
 };
 
+/// Workers whose ends of runs are told to worker_health directly.
+struct judged_workers {
+  worker_entry& Listed(const std::string& id) {
+    worker_entry& worker = table.FindOrAdd(id);
+    worker.listed = true;
+    return worker;
+  }
+  void AddSound(int count) {
+    for (int i = 0; i < count; ++i)
+      Listed("sound-" + std::to_string(i));
+  }
+  /// Failures of two submissions, which put the worker on probation.
+  void FailTwice(worker_entry& worker) const {
+    health.OnFailed(worker, {"a"}, now, now);
+    health.OnFailed(worker, {"b"}, now, now);
+  }
+  void Advance(std::chrono::milliseconds time) { now += time; }
+
+  scheduler_settings limits;
+  internal::worker_table table;
+  worker_health health{limits, table};
+  base::time_point now = base::time_point(std::chrono::hours(1));
+  const start_candidate fresh{.can_test_worker = true};
+  const start_candidate retry{.failures = 1};
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(worker_health_suite, failing_fixture)
@@ -126,41 +154,51 @@
   BOOST_TEST(starts_on["w-1"] + starts_on["w-2"] + starts_on["w-3"] > 3);
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnerThatFollowsServesRetriesThoughItKnowsNoWorker) {
+  const submission accepted = MakeSubmission("a", MakeStep(1, 1500));
+  scheduler.Accept(accepted);
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 1u);
+  worker_report report;
+  report.ended = {{1, starts[0].task, 1, run_outcome::kFailed, ""}};
+  Report(starts[0].worker, report);
+  shard_scheduler next{settings, {}};
+  next.Accept(accepted);
+  next.Restore(scheduler.Snapshot());
+  next.FinishRestore(now, now, std::chrono::milliseconds(0));
+  next.SetWorkers(workers);
+  for (const worker_description& worker : workers)
+    ReportTo(next, worker.id, {});
+  const auto again = RunRoundOn(next);
+  BOOST_REQUIRE(again.size() == 1u);
+  BOOST_TEST(again[0].worker != starts[0].worker);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(worker_health_rules, judged_workers)
+
 BOOST_AUTO_TEST_CASE(ManyWorkersOnProbationAreOnlyAvoided) {
-  const scheduler_settings limits;
-  internal::worker_table table;
-  worker_health health(limits, table);
-  const internal::start_candidate fresh{.can_test_worker = true};
-  std::vector<internal::worker_entry*> failing;
+  std::vector<worker_entry*> failing;
   for (int i = 0; i < 10; ++i) {
-    internal::worker_entry& worker = table.FindOrAdd("w-" + std::to_string(i));
-    worker.listed = true;
+    worker_entry& worker = Listed("w-" + std::to_string(i));
     if (i < 4)
       failing.push_back(&worker);
   }
-  for (std::size_t i = 0; i < 3; ++i) {
-    health.OnFailed(*failing[i], {"a"}, now, now);
-    health.OnFailed(*failing[i], {"b"}, now, now);
-  }
+  for (std::size_t i = 0; i < 3; ++i)
+    FailTwice(*failing[i]);
   health.BeginRound(now);
   BOOST_TEST(!health.Allows(*failing[0], fresh, now));
-  health.OnFailed(*failing[3], {"a"}, now, now);
-  health.OnFailed(*failing[3], {"b"}, now, now);
+  FailTwice(*failing[3]);
   health.BeginRound(now);
-  for (const internal::worker_entry* worker : failing)
+  for (const worker_entry* worker : failing)
     BOOST_TEST(health.Allows(*worker, fresh, now));
 }
 
 BOOST_AUTO_TEST_CASE(RetriesUseProvenWorkersOnceThereAreEnough) {
-  const scheduler_settings limits;
-  internal::worker_table table;
-  worker_health health(limits, table);
-  const internal::start_candidate retry{.failures = 1};
-  const internal::start_candidate bound{.failures = 1, .is_bound = true};
-  internal::worker_entry& proven = table.FindOrAdd("proven");
-  internal::worker_entry& other = table.FindOrAdd("other");
-  proven.listed = true;
-  other.listed = true;
+  const start_candidate bound{.failures = 1, .is_bound = true};
+  worker_entry& proven = Listed("proven");
+  worker_entry& other = Listed("other");
   health.BeginRound(now);
   BOOST_TEST(health.Allows(other, retry, now));
   worker_health::OnDone(proven, now);
@@ -171,11 +209,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(RunsFromBeforeTheFailureDoNotClearIt) {
-  const scheduler_settings limits;
-  internal::worker_table table;
-  worker_health health(limits, table);
-  internal::worker_entry& worker = table.FindOrAdd("w");
-  worker.listed = true;
+  worker_entry& worker = Listed("w");
   const auto before = now - std::chrono::seconds(1);
   health.OnFailed(worker, {"a"}, now, now);
   BOOST_TEST(
@@ -192,10 +226,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(FailuresAmongManyRunsThatAreDoneMeanNothing) {
-  const scheduler_settings limits;
-  internal::worker_table table;
-  worker_health health(limits, table);
-  internal::worker_entry& worker = table.FindOrAdd("w");
+  worker_entry& worker = Listed("w");
   const auto before = now - std::chrono::seconds(1);
   health.OnFailed(worker, {"a"}, before, now);
   for (int i = 0; i < 6; ++i)
@@ -205,17 +236,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(TestsOfAWorkerThatFailsComeLessAndLessOften) {
-  const scheduler_settings limits;
-  internal::worker_table table;
-  worker_health health(limits, table);
-  internal::worker_entry& worker = table.FindOrAdd("w");
-  for (int i = 0; i < 3; ++i)
-    table.FindOrAdd("sound-" + std::to_string(i)).listed = true;
-  worker.listed = true;
-  health.OnFailed(worker, {"a"}, now, now);
-  health.OnFailed(worker, {"b"}, now, now);
-  const internal::start_candidate fresh{.can_test_worker = true};
-  const internal::start_candidate retry{.failures = 1};
+  worker_entry& worker = Listed("w");
+  AddSound(3);
+  FailTwice(worker);
   int tests = 0;
   for (int i = 0; i < 400; ++i) {
     BOOST_TEST(!health.Allows(worker, retry, now));
@@ -232,17 +255,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(ATestWhoseRunIsGoneDoesNotKeepTheWorkerOut) {
-  const scheduler_settings limits;
-  internal::worker_table table;
-  worker_health health(limits, table);
-  for (int i = 0; i < 3; ++i)
-    table.FindOrAdd("sound-" + std::to_string(i)).listed = true;
-  internal::worker_entry& worker = table.FindOrAdd("w");
-  worker.listed = true;
-  health.OnFailed(worker, {"a"}, now, now);
-  health.OnFailed(worker, {"b"}, now, now);
+  AddSound(3);
+  worker_entry& worker = Listed("w");
+  FailTwice(worker);
   worker_health::OnAssign(worker, {"test"});
-  const internal::start_candidate fresh{.can_test_worker = true};
   Advance(std::chrono::milliseconds(10'000));
   BOOST_TEST(!health.Allows(worker, fresh, now));
   health.BeginRound(now);
@@ -250,26 +266,6 @@
   BOOST_TEST(health.Allows(worker, fresh, now));
 }
 
-BOOST_AUTO_TEST_CASE(AnOwnerThatFollowsServesRetriesThoughItKnowsNoWorker) {
-  const submission accepted = MakeSubmission("a", MakeStep(1, 1500));
-  scheduler.Accept(accepted);
-  const auto starts = RunRound();
-  BOOST_REQUIRE(starts.size() == 1u);
-  worker_report report;
-  report.ended = {{1, starts[0].task, 1, run_outcome::kFailed, ""}};
-  Report(starts[0].worker, report);
-  shard_scheduler next{settings, {}};
-  next.Accept(accepted);
-  next.Restore(scheduler.Snapshot());
-  next.FinishRestore(now, now, std::chrono::milliseconds(0));
-  next.SetWorkers(workers);
-  for (const worker_description& worker : workers)
-    ReportTo(next, worker.id, {});
-  const auto again = RunRoundOn(next);
-  BOOST_REQUIRE(again.size() == 1u);
-  BOOST_TEST(again[0].worker != starts[0].worker);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::submissions
