Drains are counted when somebody asks; one predicate for workers that runs may go to

All() counts them now. That also mends the first domain_drain line, which came before a round and said 0 workers, that is "no such domain"; the new test fails with the code before. - listed, not draining and not in a drained domain stood in four places: worker_entry::IsOpen(). - relocator::CanLeaveAtLeisure was CanBeUnavailable with another bound: one function. - PlaceTasks and PlaceApart ended with the same two steps, and PlaceTasks asked for permits in two branches: OnNoWorker. IsRetry says in one place which failures count. - drain_within_ms is read by section::MillisecondsOr, which was there; the gauges of drains are kept as a set; an include without use is gone.

No assertion changes.

--- a/apps/chivecrank_instance/instance_settings.cc
+++ b/apps/chivecrank_instance/instance_settings.cc
@@ -32,16 +32,15 @@
   settings::section scheduling = root.Table("scheduling");
   const std::chrono::milliseconds most_lease(
       scheduling.Integer("worker_lease_ms", kWorkerLeaseMs));
-  if (scheduling.Has("drain_within_ms"))
-    read.runtime.driver.scheduling.drain_within = std::chrono::milliseconds(
-        scheduling.Integer("drain_within_ms", kDrainWithinMs));
+  submissions::scheduler_settings& limits = read.runtime.driver.scheduling;
+  limits.drain_within = scheduling.MillisecondsOr(
+      "drain_within_ms", kDrainWithinMs, limits.drain_within);
   // A machine that replaces another may have its name, but not its address.
   read.runtime.ownership.node = node + "@" + read.callers.host;
   read.runtime.ownership.processors_milli =
       static_cast<std::int64_t>(share * kMilli);
   read.runtime.driver.node = node;
-  read.runtime.driver.scheduling.worker_lease =
-      submissions::WorkerLeaseFor(most_lease);
+  limits.worker_lease = submissions::WorkerLeaseFor(most_lease);
   return read;
 }
 
--- a/src/runtime/include/chivecrank/runtime/drained_domains.h
+++ b/src/runtime/include/chivecrank/runtime/drained_domains.h
@@ -2,7 +2,6 @@
 #define CHIVECRANK_RUNTIME_DRAINED_DOMAINS_H_
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
--- a/src/runtime/include/chivecrank/runtime/instance_metrics.h
+++ b/src/runtime/include/chivecrank/runtime/instance_metrics.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -73,7 +74,7 @@
   prometheus::Family<prometheus::Gauge>& state_;
   prometheus::Family<prometheus::Gauge>& totals_;
   prometheus::Family<prometheus::Gauge>& drains_;
-  std::vector<prometheus::Gauge*> drain_gauges_;
+  std::set<prometheus::Gauge*> drain_gauges_;
 };
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -2,7 +2,6 @@
 
 #include <prometheus/text_serializer.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace chivecrank::runtime {
@@ -151,9 +150,9 @@
     const auto add = [&](std::string_view what, double value) {
       prometheus::Gauge& gauge = drains_.Add(
           {{"domain", drain.failure_domain}, {"what", std::string(what)}});
+      // Several shards here may have workers in the domain.
       gauge.Increment(value);
-      if (std::ranges::find(drain_gauges_, &gauge) == drain_gauges_.end())
-        drain_gauges_.push_back(&gauge);
+      drain_gauges_.insert(&gauge);
     };
     add("workers", static_cast<double>(drain.workers));
     add("long_running", static_cast<double>(drain.long_running));
--- a/src/submissions/internal/drain_tracker.cc
+++ b/src/submissions/internal/drain_tracker.cc
@@ -1,6 +1,7 @@
 #include "internal/drain_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chivecrank::submissions::internal {
 namespace {
@@ -30,6 +31,7 @@
     drains_.try_emplace(domain,
                         domain_drain{.failure_domain = domain, .since = now});
   MarkWorkers();
+  MarkEmpty(now);
 }
 
 void drain_tracker::Confirm(base::time_point as_of) {
@@ -53,39 +55,32 @@
     allowance_at_.reset();
     return;
   }
-  CountLeft(now);
+  MarkEmpty(now);
   MeasureRoom();
   AddAllowance(now);
 }
 
-void drain_tracker::CountLeft(base::time_point now) {
+void drain_tracker::MarkEmpty(base::time_point now) {
   for (auto& [domain, drain] : drains_) {
-    drain.workers = 0;
-    drain.long_running = 0;
-    drain.ending = 0;
-    drain.best_effort = 0;
-  }
-  for (const auto& [id, worker] : workers_.All()) {
-    if (!worker.domain_drained)
-      continue;
-    domain_drain& drain = drains_.at(worker.description.failure_domain);
-    ++drain.workers;
-    for (const auto& [task, run] : worker.runs)
-      CountRun(drain, run);
-  }
-  for (auto& [domain, drain] : drains_) {
-    if (drain.RunsLeft() > 0)
+    if (!IsEmpty(domain))
       drain.empty_since.reset();
     else if (!drain.empty_since)
       drain.empty_since = now;
   }
 }
 
+bool drain_tracker::IsEmpty(const std::string& domain) const {
+  return std::ranges::none_of(workers_.All(), [&](const auto& entry) {
+    const worker_entry& worker = entry.second;
+    return !worker.runs.empty() && worker.description.failure_domain == domain;
+  });
+}
+
 void drain_tracker::MeasureRoom() {
   usable_milli_ = 0;
   unreserved_milli_ = 0;
   for (const auto& [id, worker] : workers_.All()) {
-    if (!worker.listed || worker.domain_drained || worker.description.draining)
+    if (!worker.IsOpen())
       continue;
     const std::int64_t capacity = worker.description.capacity.processors_milli;
     usable_milli_ += capacity;
@@ -120,10 +115,19 @@
 }
 
 std::vector<domain_drain> drain_tracker::All() const {
+  std::map<std::string, domain_drain> counted = drains_;
+  for (const auto& [id, worker] : workers_.All()) {
+    if (!worker.domain_drained)
+      continue;
+    domain_drain& drain = counted.at(worker.description.failure_domain);
+    ++drain.workers;
+    for (const auto& [task, run] : worker.runs)
+      CountRun(drain, run);
+  }
   std::vector<domain_drain> all;
-  all.reserve(drains_.size());
-  for (const auto& [domain, drain] : drains_)
-    all.push_back(drain);
+  all.reserve(counted.size());
+  for (auto& [domain, drain] : counted)
+    all.push_back(std::move(drain));
   return all;
 }
 
--- a/src/submissions/internal/drain_tracker.h
+++ b/src/submissions/internal/drain_tracker.h
@@ -33,23 +33,27 @@
   bool IsCurrent(base::time_point now) const;
   bool IsAnyDrained() const { return !drains_.empty(); }
 
-  /// Updates the counts of what is left and the room in the other domains; must
-  /// be called before a round asks MayMove.
+  /// Updates which domains are empty and the room in the others; must be called
+  /// before a round asks MayMove.
   void BeginRound(base::time_point now);
   /// Whether one more long-running task that reserves `demand_milli` may leave
   /// its drained domain now.
   bool MayMove(std::int64_t demand_milli) const;
   void OnMoved(const worker_entry& from, std::int64_t demand_milli);
 
+  /// The drains with what is left there now.
   std::vector<domain_drain> All() const;
 
  private:
-  void CountLeft(base::time_point now);
+  void MarkEmpty(base::time_point now);
+  /// Whether nothing runs in the domain.
+  bool IsEmpty(const std::string& domain) const;
   void MeasureRoom();
   void AddAllowance(base::time_point now);
 
   const scheduler_settings& settings_;
   worker_table& workers_;
+  /// Without the counts of workers and runs, which All() makes.
   std::map<std::string, domain_drain> drains_;
   std::optional<base::time_point> known_at_;
   /// Millicores of the workers that are not drained.
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -159,8 +159,7 @@
                         const placement_request& request) const {
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
-  if (!worker.listed || !worker.reported || description.draining ||
-      worker.domain_drained || worker.lacks_capacity ||
+  if (!worker.IsOpen() || !worker.reported || worker.lacks_capacity ||
       request.now >= worker.lease_expiry ||
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
@@ -190,7 +189,7 @@
   const bool stays = request.current_worker == nullptr && !request.on_trial;
   const bool ends_alone = !step.long_running && !step.gang;
   const start_candidate candidate{
-      .failures = step.long_running ? 0 : request.progress->failures,
+      .failures = request.IsRetry() ? request.progress->failures : 0,
       .can_test_worker = stays && ends_alone && !request.last_attempt,
       .is_bound = !step.required_label.empty() || request.permits != nullptr};
   return health_.Allows(worker, candidate, request.now);
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -33,6 +33,9 @@
   /// Set if the task needs a permit for its worker.
   const permit_tracker* permits = nullptr;
   base::time_point now;
+
+  /// Whether an earlier run counts against the task's attempts.
+  bool IsRetry() const { return !step->long_running && progress->failures > 0; }
 };
 
 /// Decides which workers can take a run and scores them.
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -181,17 +181,14 @@
       workers.emplace(placer_, request);
     if (workers && PlaceTask(request, *workers))
       continue;
+    OnNoWorker(ready, request);
+    const bool none_left = workers && workers->IsEmpty();
     // A retry is choosier than the tasks after it.
-    if (workers && !workers->IsEmpty() && progress.failures > 0) {
-      RequestPermits(ready, request);
+    if (workers && !none_left && request.IsRetry())
       continue;
-    }
     // The remaining tasks of the step have the same demand.
-    if (workers && workers->IsEmpty())
+    if (none_left)
       infeasible_.Add(request, 1);
-    RequestPermits(ready, request);
-    if (request.step->long_running)
-      placer_.ReserveWorkerFor(request);
     if (!ready.live->no_capacity_since)
       ready.live->no_capacity_since = now;
     return;
@@ -201,8 +198,12 @@
 void planner::PlaceApart(const ready_step& ready,
                          const placement_request& request) {
   candidate_queue workers(placer_, request);
-  if (PlaceTask(request, workers))
-    return;
+  if (!PlaceTask(request, workers))
+    OnNoWorker(ready, request);
+}
+
+void planner::OnNoWorker(const ready_step& ready,
+                         const placement_request& request) {
   RequestPermits(ready, request);
   if (request.step->long_running)
     placer_.ReserveWorkerFor(request);
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -71,6 +71,8 @@
   bool PlaceTask(const placement_request& request, candidate_queue& workers);
   /// Places a task that may crash its worker, if a worker can take it.
   void PlaceApart(const ready_step& ready, const placement_request& request);
+  /// Prepares for a later round a task that no worker can take now.
+  void OnNoWorker(const ready_step& ready, const placement_request& request);
   /// Requests permits for the best workers without a known permit, if the step
   /// needs permits.
   void RequestPermits(const ready_step& ready,
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -91,7 +91,10 @@
         });
     std::sort(leaving.begin(), leaving.end());
     for (const task_ref& task : leaving)
-      if (!worker.runs.at(task).long_running || CanBeUnavailable(worker, task))
+      // At least half of the step's tasks there, since the worker may shut down
+      // before the last one has moved.
+      if (!worker.runs.at(task).long_running ||
+          CanBeUnavailable(task, (placer::RunsOfStep(worker, task) + 1) / 2))
         Move(worker, task, scheduler_event_kind::kTaskEvacuated,
              worker.runs.at(task).percent, now);
   }
@@ -106,17 +109,9 @@
          WorkLeft(run, step, now) > kMinWorkLeftToMove;
 }
 
-bool relocator::CanBeUnavailable(const worker_entry& worker,
-                                 const task_ref& task) {
+bool relocator::CanBeUnavailable(const task_ref& task, std::int32_t at_least) {
   const step_request& step = *tracker_.Submissions().StepOf(task);
-  const std::int32_t on_worker = placer::RunsOfStep(worker, task);
-  return UnavailableTasks(task) <
-         std::max(step.max_unavailable, (on_worker + 1) / 2);
-}
-
-bool relocator::CanLeaveAtLeisure(const task_ref& task) {
-  const step_request& step = *tracker_.Submissions().StepOf(task);
-  return UnavailableTasks(task) < std::max(step.max_unavailable, 1);
+  return UnavailableTasks(task) < std::max(step.max_unavailable, at_least);
 }
 
 void relocator::LeaveDrainedDomains(base::time_point now) {
@@ -138,7 +133,7 @@
     if (!drains_.MayMove(demand))
       return false;
     if (tracker_.Submissions().StepOf(task) == nullptr ||
-        !CanLeaveAtLeisure(task))
+        !CanBeUnavailable(task, 1))
       continue;
     if (Move(worker, task, scheduler_event_kind::kDomainTaskMoved,
              worker.runs.at(task).percent, now))
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -62,12 +62,8 @@
                              const step_request& step,
                              base::time_point now);
   /// Whether one more task of a long-running step may become unavailable. At
-  /// least half of those on a worker may go at a time, since the worker may
-  /// shut down before the last one has moved.
-  bool CanBeUnavailable(const worker_entry& worker, const task_ref& task);
-  /// Whether one more task of the step may become unavailable although its
-  /// worker stays.
-  bool CanLeaveAtLeisure(const task_ref& task);
+  /// least `at_least` may, whatever the step says.
+  bool CanBeUnavailable(const task_ref& task, std::int32_t at_least);
   /// Moves the tasks of one worker in a drained domain; returns false once no
   /// more may move in this round.
   bool LeaveDrainedDomain(worker_entry& worker, base::time_point now);
--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -69,9 +69,8 @@
   const live_submission* live =
       tracker.Submissions().Find(command.task.submission);
   bool is_valid =
-      live != nullptr && !live->outcome && worker->listed && worker->reported &&
-      !worker->description.draining && !worker->domain_drained &&
-      worker_recorder::MayStart(*worker) &&
+      live != nullptr && !live->outcome && worker->IsOpen() &&
+      worker->reported && worker_recorder::MayStart(*worker) &&
       scheduling::IsWithin(worker->reserved, worker->description.capacity);
   if (is_valid && run_planner.NeedsPermit(*live)) {
     const std::string* permit = permits.Find(command.task, *worker, now);
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -381,7 +381,7 @@
   shard_load load;
   load.workers_by_free_cores.resize(kMaxFreeCores + 1);
   for (const auto& [id, worker] : core_->tracker.Workers().All()) {
-    if (!worker.listed || worker.description.draining || worker.domain_drained)
+    if (!worker.IsOpen())
       continue;
     load.capacity =
         scheduling::Plus(load.capacity, worker.description.capacity);
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -225,6 +225,12 @@
   bool may_have_throttled = false;
   /// Totals of the runs; unset after one of them changed.
   std::optional<occupancy> cached_occupancy;
+
+  /// Whether the worker is there to stay, and not drained, so that new runs may
+  /// go to it.
+  bool IsOpen() const {
+    return listed && !description.draining && !domain_drained;
+  }
 };
 
 /// The workers of a shard and their runs.
--- a/src/submissions/tests/domain_drain_test.cc
+++ b/src/submissions/tests/domain_drain_test.cc
@@ -212,6 +212,18 @@
   BOOST_TEST(DrainOf("north").workers == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(WhatIsLeftIsToldBeforeTheNextRound) {
+  Drain({"south"});
+  scheduler.Accept(MakeSubmission("service", LongRunning(2, 3000)));
+  BOOST_REQUIRE(RunRound().size() == 2u);
+  Drain({"north", "south"});
+  BOOST_TEST(DrainOf("north").workers == 2u);
+  BOOST_TEST(DrainOf("north").long_running == 2u);
+  BOOST_TEST(!DrainOf("north").empty_since.has_value());
+  BOOST_TEST(DrainOf("south").workers == 2u);
+  BOOST_TEST(DrainOf("south").empty_since.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(DrainedWorkersAreNoRoom) {
   Drain({"north"});
   BOOST_TEST(scheduler.Load().capacity.processors_milli == 32'000);
