An event whose outcome is an image is never a metric label

OutcomeIsImage stands beside the events now. The test names all five kinds and fails with the code before.

--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -108,12 +108,8 @@
 
 void instance_metrics::OnSchedulerEvent(
     const submissions::scheduler_event& event) {
-  // Images are not used as labels because their number is unbounded.
-  const bool names_image =
-      event.kind == submissions::scheduler_event_kind::kBestEffortThrottled ||
-      event.kind == submissions::scheduler_event_kind::kBestEffortMoved ||
-      event.kind == submissions::scheduler_event_kind::kTaskEvacuated ||
-      event.kind == submissions::scheduler_event_kind::kDomainTaskMoved;
+  // Every label takes its values from a bounded set.
+  const bool names_image = submissions::OutcomeIsImage(event.kind);
   events_
       .Add({{"event",
              std::string(submissions::SchedulerEventKindName(event.kind))},
--- a/src/runtime/tests/instance_metrics_test.cc
+++ b/src/runtime/tests/instance_metrics_test.cc
@@ -43,6 +43,7 @@
   for (const auto kind : {scheduler_event_kind::kBestEffortThrottled,
                           scheduler_event_kind::kBestEffortMoved,
                           scheduler_event_kind::kTaskEvacuated,
+                          scheduler_event_kind::kStalledTaskMoved,
                           scheduler_event_kind::kDomainTaskMoved})
     metrics.OnSchedulerEvent({.kind = kind, .outcome = "some-image"});
   BOOST_TEST(metrics.Text().find("some-image") == std::string::npos);
--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -35,6 +35,8 @@
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
+/// Whether the outcome of such an event is an image. Their number is unbounded.
+bool OutcomeIsImage(scheduler_event_kind value);
 
 /// A decision and the input that led to it.
 struct scheduler_event {
--- a/src/submissions/internal/scheduler_event.cc
+++ b/src/submissions/internal/scheduler_event.cc
@@ -19,4 +19,17 @@
   return kNames.at(static_cast<std::size_t>(value));
 }
 
+bool OutcomeIsImage(scheduler_event_kind value) {
+  switch (value) {
+    case scheduler_event_kind::kBestEffortThrottled:
+    case scheduler_event_kind::kBestEffortMoved:
+    case scheduler_event_kind::kTaskEvacuated:
+    case scheduler_event_kind::kStalledTaskMoved:
+    case scheduler_event_kind::kDomainTaskMoved:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace chivecrank::submissions
