Logs say what a lease's end rests on, and why a task stayed on a leaving worker

Observability for the incident LOST after a takeover; no decision changes.

`worker_lease_over` has as its outcome what told when the lease ends: this owner's newest lease, the longest that an earlier owner may have granted, a recorded bound, or memory. `task_left_behind` names each long-running task that is still on a draining worker when that falls silent, and why: the owner didn't consider it, it wasn't known to run, too many tasks of its step were unavailable, or no worker had capacity. The end of a worker's lease, which four places changed, is a type of its own (lease_estimate).

--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -32,6 +32,8 @@
   kDomainTaskMoved,
   /// A worker that failed what it started has done a run since.
   kWorkerTrusted,
+  /// A draining worker fell silent before a long-running task had left it.
+  kTaskLeftBehind,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -160,7 +160,7 @@
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
   if (!worker.IsOpen() || !worker.reported || worker.lacks_capacity ||
-      request.now >= worker.lease_expiry ||
+      request.now >= worker.lease.Expiry() ||
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
     return false;
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -90,16 +90,29 @@
           return step != nullptr && ShouldEvacuate(run, *step, now);
         });
     std::sort(leaving.begin(), leaving.end());
+    for (auto& [task, run] : worker.runs)
+      run.stays = stay_reason::kNotRunning;
     for (const task_ref& task : leaving)
-      // At least half of the step's tasks there, since the worker may shut down
-      // before the last one has moved.
-      if (!worker.runs.at(task).long_running ||
-          CanBeUnavailable(task, (placer::RunsOfStep(worker, task) + 1) / 2))
-        Move(worker, task, scheduler_event_kind::kTaskEvacuated,
-             worker.runs.at(task).percent, now);
+      Evacuate(worker, task, now);
   }
 }
 
+void relocator::Evacuate(worker_entry& worker,
+                         const task_ref& task,
+                         base::time_point now) {
+  active_run& run = worker.runs.at(task);
+  // At least half of the step's tasks there, since the worker may shut down
+  // before the last one has moved.
+  if (run.long_running &&
+      !CanBeUnavailable(task, (placer::RunsOfStep(worker, task) + 1) / 2)) {
+    run.stays = stay_reason::kTooManyUnavailable;
+    return;
+  }
+  if (!Move(worker, task, scheduler_event_kind::kTaskEvacuated, run.percent,
+            now))
+    run.stays = stay_reason::kNoCapacity;
+}
+
 bool relocator::ShouldEvacuate(const active_run& run,
                                const step_request& step,
                                base::time_point now) {
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -58,6 +58,9 @@
 
   /// Whether the task of a throttled run would probably end sooner elsewhere.
   bool IsWorthMovingFrom(const task_ref& task, const active_run& run);
+  void Evacuate(worker_entry& worker,
+                const task_ref& task,
+                base::time_point now);
   static bool ShouldEvacuate(const active_run& run,
                              const step_request& step,
                              base::time_point now);
--- a/src/submissions/internal/run_tracker.cc
+++ b/src/submissions/internal/run_tracker.cc
@@ -166,6 +166,16 @@
   Finish(*live, submission_outcome::kFailed, now);
 }
 
+void run_tracker::ReportLeftBehind(const worker_entry& worker) const {
+  for (const auto& [task, run] : worker.runs)
+    if (run.long_running)
+      Emit({.kind = scheduler_event_kind::kTaskLeftBehind,
+            .task = task,
+            .worker = worker.description.id,
+            .run = run.run,
+            .outcome = StayReasonName(run.stays)});
+}
+
 void run_tracker::MarkDoubted(const worker_entry& worker) {
   for (const auto& [task, run] : worker.runs) {
     task_progress* progress = submissions_.Find(task);
--- a/src/submissions/internal/run_tracker.h
+++ b/src/submissions/internal/run_tracker.h
@@ -65,6 +65,8 @@
                    const task_ref& task,
                    std::string_view reason,
                    base::time_point now);
+  /// Logs which long-running tasks are still on a draining worker, and why.
+  void ReportLeftBehind(const worker_entry& worker) const;
   /// Notes in the progress of the tasks that the worker has just started that
   /// it fell silent, for the owner that learns whether it crashed.
   void MarkDoubted(const worker_entry& worker);
--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -14,10 +14,11 @@
 
 void shard_core::ExpireLeases(base::time_point now) {
   for (auto& [id, worker] : tracker.Workers().All()) {
-    if (worker.runs.empty() || now < worker.lease_expiry)
+    if (worker.runs.empty() || now < worker.lease.Expiry())
       continue;
     tracker.Emit({.kind = scheduler_event_kind::kWorkerLeaseExpired,
                   .worker = id,
+                  .outcome = LeaseBasisName(worker.lease.Basis()),
                   .input = static_cast<std::int64_t>(worker.runs.size())});
     worker.reported = false;
     const auto lost = LostRuns(worker, [](const active_run&) { return true; });
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -83,14 +83,14 @@
 lease_expiries shard_scheduler::LeaseExpiries() const {
   lease_expiries expiries;
   for (const auto& [id, worker] : core_->tracker.Workers().All())
-    expiries[id] = worker.lease_expiry;
+    expiries[id] = worker.lease.Expiry();
   return expiries;
 }
 
 void shard_scheduler::RestrictLeases(const lease_expiries& known) {
   for (auto& [id, worker] : core_->tracker.Workers().All())
     if (const auto found = known.find(id); found != known.end())
-      worker.lease_expiry = std::min(worker.lease_expiry, found->second);
+      worker.lease.Restrict(found->second, internal::lease_basis::kOwnMemory);
 }
 
 void shard_scheduler::Cancel(const std::string& submission,
@@ -143,9 +143,9 @@
 void shard_scheduler::OnLeaseSent(const std::string& worker_id,
                                   base::time_point now) {
   worker_entry& worker = core_->tracker.Workers().FindOrAdd(worker_id);
-  worker.lease_expiry =
-      std::max(worker.lease_expiry, now + core_->settings.worker_lease +
-                                        core_->settings.lease_margin);
+  worker.lease.Extend(
+      now + core_->settings.worker_lease + core_->settings.lease_margin,
+      internal::lease_basis::kOwnLease);
 }
 
 void shard_scheduler::OnReport(const std::string& worker_id,
@@ -162,7 +162,11 @@
 void shard_scheduler::OnPollUnanswered(const std::string& worker_id,
                                        base::time_point now) {
   worker_entry* worker = core_->tracker.Workers().Find(worker_id);
-  if (worker != nullptr && core_->crashes.OnSilent(*worker, now))
+  if (worker == nullptr)
+    return;
+  if (worker->description.draining && !worker->silent_since)
+    core_->tracker.ReportLeftBehind(*worker);
+  if (core_->crashes.OnSilent(*worker, now))
     core_->tracker.MarkDoubted(*worker);
 }
 
@@ -333,7 +337,7 @@
     awaited.longest_wait =
         std::max(awaited.longest_wait,
                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                     worker.lease_expiry - now));
+                     worker.lease.Expiry() - now));
   }
   return awaited;
 }
--- a/src/submissions/internal/worker_recorder.cc
+++ b/src/submissions/internal/worker_recorder.cc
@@ -8,9 +8,9 @@
 
 std::chrono::milliseconds LeaseLeft(const worker_entry& worker,
                                     base::time_point now) {
-  return std::max(
-      std::chrono::milliseconds(0),
-      std::chrono::ceil<std::chrono::milliseconds>(worker.lease_expiry - now));
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::ceil<std::chrono::milliseconds>(
+                      worker.lease.Expiry() - now));
 }
 
 }  // namespace
@@ -28,7 +28,8 @@
     if (record.lease_left)
       workers_.FindOrAdd(id).description.id = id;
   for (auto& [id, worker] : workers_.All()) {
-    worker.lease_expiry = acquired_at + longest_lease;
+    worker.lease.Assume(acquired_at + longest_lease,
+                        lease_basis::kEarlierOwner);
     const auto found = restored_.find(id);
     if (found != restored_.end())
       RestoreWorker(worker, found->second, acquired_at, now);
@@ -46,8 +47,8 @@
   if (!record.lease_left)
     return;
   // The record was committed before this owner acquired the shard.
-  worker.lease_expiry =
-      std::min(worker.lease_expiry, acquired_at + *record.lease_left);
+  worker.lease.Restrict(acquired_at + *record.lease_left,
+                        lease_basis::kRecordedBound);
   worker.recorded.lease = lease_record::kBounded;
   worker.recorded.lease_left = LeaseLeft(worker, now);
   worker.recorded.bounded_at = now;
--- a/src/submissions/internal/worker_table.cc
+++ b/src/submissions/internal/worker_table.cc
@@ -12,6 +12,9 @@
 constexpr std::array<std::string_view, 3> kCrashSettingNames = {
     "alone", "in_series", "common_cause"};
 
+constexpr std::array<std::string_view, 4> kStayReasonNames = {
+    "not_considered", "not_running", "too_many_unavailable", "no_capacity"};
+
 bool IsOnTrial(const active_run& run) {
   return run.on_trial && !run.survived_start;
 }
@@ -22,6 +25,10 @@
   return kCrashSettingNames.at(static_cast<std::size_t>(value));
 }
 
+std::string_view StayReasonName(stay_reason value) {
+  return kStayReasonNames.at(static_cast<std::size_t>(value));
+}
+
 worker_entry* worker_table::Find(const std::string& id) {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -14,6 +14,7 @@
 #include "chivecrank/base/clock.h"
 #include "chivecrank/submissions/types.h"
 #include "internal/image_index.h"
+#include "internal/lease_estimate.h"
 #include "internal/occupancy.h"
 #include "internal/service_load.h"
 
@@ -33,6 +34,20 @@
   kStopping,
 };
 
+/// Why a long-running task is still on a draining worker.
+enum class stay_reason {
+  /// This owner has not considered moving it.
+  kNotConsidered,
+  /// It isn't known to run, or a stop command was issued.
+  kNotRunning,
+  /// Too many tasks of its step are unavailable.
+  kTooManyUnavailable,
+  /// No other worker has capacity for it.
+  kNoCapacity,
+};
+
+std::string_view StayReasonName(stay_reason value);
+
 /// A run that occupies capacity of a worker.
 struct active_run {
   /// A throttle command was not confirmed, so the speed is unknown.
@@ -83,6 +98,7 @@
   bool found_speed_known = false;
   /// It makes no progress although it may run at full speed.
   bool stalled = false;
+  stay_reason stays = stay_reason::kNotConsidered;
   std::int64_t measurement = 0;
   image_number image = 0;
   /// Shared with the other runs of its step; null if it has no latency target.
@@ -202,9 +218,8 @@
   std::int32_t trials = 0;
   /// The newest crash.
   crash_finding crash;
-  /// No run of the worker can be alive after this time unless the lease is
-  /// renewed.
-  base::time_point lease_expiry;
+  /// No run of the worker can be alive after its expiry.
+  lease_estimate lease;
   /// Number of the newest end that was processed, and of the newest that may be
   /// acknowledged.
   std::int64_t processed_end = 0;
--- a/tests/lease_model/scheduler_fingerprint.cc
+++ b/tests/lease_model/scheduler_fingerprint.cc
@@ -60,10 +60,11 @@
       worker.description.id + Number(worker.listed) + Number(worker.reported) +
       Number(worker.reported_started_at_ms) + Number(worker.lacks_capacity) +
       OfRecorded(worker.recorded, core, now);
-  text += RelativeTime(worker.reported_at, now, settings.max_report_age) +
-          RelativeTime(worker.lease_expiry, now, std::chrono::milliseconds(0)) +
-          RelativeTime(worker.health.avoid_until, now,
-                       std::chrono::milliseconds(0));
+  text +=
+      RelativeTime(worker.reported_at, now, settings.max_report_age) +
+      RelativeTime(worker.lease.Expiry(), now, std::chrono::milliseconds(0)) +
+      RelativeTime(worker.health.avoid_until, now,
+                   std::chrono::milliseconds(0));
   if (worker.silent_since)
     text += 's' + RelativeTime(*worker.silent_since, now,
                                settings.silence_before_record);
