--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -78,6 +78,32 @@
   BOOST_TEST((next->AwaitedRuns(now).longest_wait == kLongestLease));
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatAnsweredIsNotAwaitedForAnEarlierOwnersLease) {
+  const auto next = NextOwner();
+  worker_report report;
+  report.started_at_ms = 1;
+  report.running = {MakeReportedRun(start)};
+  next->OnReport(start.worker, report, now, now);
+  const base::time_point last_lease_over =
+      now + settings.worker_lease + settings.lease_margin;
+  StaySilent(*next, std::chrono::seconds(3));
+  BOOST_TEST((now + next->AwaitedRuns(now).longest_wait <= last_lease_over));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerDoesNotShortenALeaseOfItsOwner) {
+  const auto next = NextOwner();
+  worker_report report;
+  report.started_at_ms = 1;
+  report.running = {MakeReportedRun(start)};
+  next->OnReport(start.worker, report, now, now);
+  Advance(kStep);
+  next->OnLeaseSent(start.worker, now);
+  const base::time_point lease_over =
+      now + settings.worker_lease + settings.lease_margin;
+  next->OnReport(start.worker, report, now, now);
+  BOOST_TEST((next->LeaseExpiries().at(start.worker) == lease_over));
+}
+
 BOOST_AUTO_TEST_CASE(TheWaitForASilentWorkerGoesOnAcrossOwners) {
   StaySilent(scheduler, std::chrono::seconds(2));
   const auto second = NextOwner();
--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -128,6 +128,14 @@
   CheckAllRun();
 }
 
+BOOST_AUTO_TEST_CASE(TasksOfWorkersLostRightAfterATakeoverRunAgain) {
+  ChangeOwner(seconds(3));
+  Crash();
+  Unlist();
+  day->Run(kRunsAgainWithin, false);
+  CheckAllRun();
+}
+
 BOOST_AUTO_TEST_CASE(TasksOfReplacedWorkersRunAgainUnderAnotherOwner) {
   Crash();
   Unlist();
