An answer of a worker ends what an earlier owner may have granted it

Cause: a new owner assumes for each worker the longest lease that an owner before may still grant: its term, grace, the worker's lease and the margin from the claim on. Only longer leases of its own replaced that. An answer to the new owner proves that the worker follows the new fence, so that nobody before renews its lease any more, but was not used.

Why this works: an earlier owner's lease reached the worker before the answer did, so it ends within a lease and its margin of the answer.

--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -94,8 +94,7 @@
 }
 
 std::chrono::milliseconds shard_driver::LongestEarlierLease() const {
-  const std::chrono::milliseconds granted =
-      settings_.scheduling.worker_lease + settings_.scheduling.lease_margin;
+  const std::chrono::milliseconds granted = settings_.scheduling.LongestLease();
   if (earlier_owners_ended_)
     return granted;
   return settings_.owner_lease_term + settings_.outage_grace + granted;
--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -25,6 +25,10 @@
   /// Added to a lease before it counts as expired: covers clocks that run up to
   /// 4% apart over the longest lease, and messages in flight.
   std::chrono::milliseconds lease_margin{900};
+  /// How long a run can live after the newest lease of its worker was sent.
+  std::chrono::milliseconds LongestLease() const {
+    return worker_lease + lease_margin;
+  }
   /// How long a worker with runs must leave polls unanswered before the journal
   /// says how long these can still live, and the time between two such records.
   std::chrono::milliseconds silence_before_record{500};
--- a/src/submissions/internal/lease_estimate.cc
+++ b/src/submissions/internal/lease_estimate.cc
@@ -6,8 +6,8 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
-constexpr std::array<std::string_view, 4> kBasisNames = {
-    "earlier_owner", "recorded_bound", "own_memory", "own_lease"};
+constexpr std::array<std::string_view, 5> kBasisNames = {
+    "earlier_owner", "recorded_bound", "own_memory", "answer", "own_lease"};
 
 }  // namespace
 
--- a/src/submissions/internal/lease_estimate.h
+++ b/src/submissions/internal/lease_estimate.h
@@ -15,6 +15,9 @@
   kRecordedBound,
   /// What this instance remembers of the time when it owned the shard before.
   kOwnMemory,
+  /// An answer to this owner: since then no earlier owner has renewed the
+  /// lease.
+  kAnswer,
   /// The newest lease that this owner sent.
   kOwnLease,
 };
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -34,6 +34,8 @@
   worker.reported = true;
   worker.reported_at = now;
   worker.lacks_capacity = false;
+  // The worker follows this owner's fence and takes no lease of an earlier one.
+  worker.lease.Restrict(now + settings_.LongestLease(), lease_basis::kAnswer);
   ProcessEnds(worker, report, now, next_batch);
   for (const reported_run& reported : report.running)
     ProcessRunning(worker, reported, now);
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -143,9 +143,8 @@
 void shard_scheduler::OnLeaseSent(const std::string& worker_id,
                                   base::time_point now) {
   worker_entry& worker = core_->tracker.Workers().FindOrAdd(worker_id);
-  worker.lease.Extend(
-      now + core_->settings.worker_lease + core_->settings.lease_margin,
-      internal::lease_basis::kOwnLease);
+  worker.lease.Extend(now + core_->settings.LongestLease(),
+                      internal::lease_basis::kOwnLease);
 }
 
 void shard_scheduler::OnReport(const std::string& worker_id,
