What an owner waits for is logged by a class of its own

The lines on awaited runs and on drained domains move to shard_wait_log; they are the same as before. emulator_test (its one known red) and runtime_test pass.

--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -22,6 +22,7 @@
 #include "chivecrank/runtime/shard_housekeeping.h"
 #include "chivecrank/runtime/shard_journal.h"
 #include "chivecrank/runtime/shard_tenure.h"
+#include "chivecrank/runtime/shard_wait_log.h"
 #include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
@@ -109,11 +110,7 @@
 
   void ScheduleDecision();
   void DecidePeriodically();
-  /// Logs the runs whose workers don't answer whenever their number changes.
-  void LogAwaitedRuns();
-  /// Logs what is left in drained domains when it has changed, at most once a
-  /// second.
-  void LogDrains();
+  void LogWaits();
   void SendCommands();
   void SendStart(const submissions::start_command& command);
   void SendStop(const submissions::stop_command& command);
@@ -155,10 +152,7 @@
   bool was_last_owner_ = false;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, poll_state> polls_;
-  /// As last logged.
-  std::size_t awaited_workers_ = 0;
-  std::map<std::string, std::size_t> left_in_drained_;
-  base::time_point drains_logged_at_;
+  shard_wait_log wait_log_;
   bool restored_ = false;
   bool decision_due_ = false;
   reactor::callback_guard guard_;
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -9,11 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReplicaPollInterval{20};
-constexpr std::chrono::milliseconds kDrainLogInterval{1000};
-
-std::int64_t ToMilliseconds(base::duration time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
 
 }  // namespace
 
@@ -76,6 +71,7 @@
           fence_,
           {.settle_time = settings_.owner_lease_term + settings_.outage_grace,
            .retry_delay = settings_.commit_retry_delay}),
+      wait_log_(log, shard),
       guard_(loop) {}
 
 void shard_driver::Start() {
@@ -229,7 +225,7 @@
 
 void shard_driver::SetDrainedDomains(const std::set<std::string>& domains) {
   scheduler_.SetDrainedDomains(domains, loop_.Now());
-  left_in_drained_.clear();
+  wait_log_.ForgetDrains();
   ScheduleDecision();
 }
 
@@ -252,45 +248,17 @@
 
 void shard_driver::DecidePeriodically() {
   housekeeping_.MoveUnplaced();
-  LogAwaitedRuns();
-  LogDrains();
+  LogWaits();
   ScheduleDecision();
   guard_.Later(settings_.idle_decision_interval,
                [this] { DecidePeriodically(); });
 }
 
-void shard_driver::LogAwaitedRuns() {
-  const submissions::awaited_runs awaited = AwaitedRuns();
-  if (awaited.workers == awaited_workers_)
-    return;
-  awaited_workers_ = awaited.workers;
-  log_.Write("runs_awaited", {{"shard", shard_},
-                              {"workers", awaited.workers},
-                              {"runs", awaited.runs},
-                              {"longest_ms", awaited.longest_wait.count()}});
-}
-
-void shard_driver::LogDrains() {
+void shard_driver::LogWaits() {
   const base::time_point now = loop_.Now();
-  if (now - drains_logged_at_ < kDrainLogInterval)
-    return;
-  drains_logged_at_ = now;
-  for (const submissions::domain_drain& drain : scheduler_.Drains()) {
-    const auto [known, is_new] =
-        left_in_drained_.try_emplace(drain.failure_domain, drain.RunsLeft());
-    if (!is_new && known->second == drain.RunsLeft())
-      continue;
-    known->second = drain.RunsLeft();
-    log_.Write("domain_drain", {{"shard", shard_},
-                                {"domain", drain.failure_domain},
-                                {"since_ms", ToMilliseconds(now - drain.since)},
-                                {"workers", drain.workers},
-                                {"long_running", drain.long_running},
-                                {"ending", drain.ending},
-                                {"best_effort", drain.best_effort},
-                                {"moved", drain.moved},
-                                {"empty", drain.empty_since.has_value()}});
-  }
+  wait_log_.OnAwaitedRuns(scheduler_.AwaitedRuns(now));
+  if (wait_log_.IsDrainLogDue(now))
+    wait_log_.OnDrains(scheduler_.Drains(), now);
 }
 
 void shard_driver::SendCommands() {
