Tests: a stand-in's account that comes late is waited for, one that is missing ends the test

Cause, suspected then and shown now for the harness: Fetch returned an empty account when an upstream didn't answer within two seconds, so that all that ran there counted as not run; checks that nothing ran twice saw nothing of that upstream either. Now the account is asked for until it is there, for 30 s at most, and a test without one fails with the address and the error.

TheAccountOfAPausedUpstreamIsWaitedFor pauses an upstream for three seconds while the accounts are read: it fails with the Fetch of before and passes now.

--- a/tests/harness/deployment.cc
+++ b/tests/harness/deployment.cc
@@ -33,14 +33,30 @@
   return name;
 }
 
-http::json_object Fetch(const settings::endpoint& address,
-                        const std::string& target) {
+base::result<http::json_object> TryFetch(const settings::endpoint& address,
+                                         const std::string& target) {
   http::client client(address);
   const auto answer = client.Call({"GET", target, {}, ""}, kCallTimeout);
   if (!answer.has_value())
-    return {};
-  const auto body = http::ParseObject(answer.value().body);
-  return body.has_value() ? body.value() : http::json_object();
+    return answer.error();
+  return http::ParseObject(answer.value().body);
+}
+
+/// The account of a stand-in. A check without one would see nothing of what ran
+/// there, so one that can't be had ends the test.
+http::json_object FetchAccount(const settings::endpoint& address,
+                               const std::string& target) {
+  const auto limit = std::chrono::steady_clock::now() + kReadyLimit;
+  for (;;) {
+    const auto account = TryFetch(address, target);
+    if (account.has_value())
+      return account.value();
+    if (std::chrono::steady_clock::now() > limit)
+      throw std::runtime_error("no account from " +
+                               settings::ToString(address) + target + ": " +
+                               base::Describe(account.error()));
+    std::this_thread::sleep_for(kPoll);
+  }
 }
 
 void AppendRuns(const std::string& worker_id,
@@ -237,8 +253,10 @@
 void deployment::KillWorker(int index) {
   worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
   // Frozen first, so that the saved account is its last word.
-  worker.service_accounts.push_back(Fetch(worker.service, "/control/freeze"));
-  worker.task_accounts.push_back(Fetch(worker.listed.agent, "/control/freeze"));
+  worker.service_accounts.push_back(
+      FetchAccount(worker.service, "/control/freeze"));
+  worker.task_accounts.push_back(
+      FetchAccount(worker.listed.agent, "/control/freeze"));
   worker.process.reset();
   worker.shown = false;
   PublishInstances();
@@ -385,9 +403,9 @@
 std::int64_t deployment::LastStartAt(int index) {
   const worker_instance& worker = workers_.at(static_cast<std::size_t>(index));
   return std::max(
-      http::IntegerOf(Fetch(worker.service, "/control/account"),
+      http::IntegerOf(FetchAccount(worker.service, "/control/account"),
                       "last_start_ms"),
-      http::IntegerOf(Fetch(worker.listed.agent, "/control/account"),
+      http::IntegerOf(FetchAccount(worker.listed.agent, "/control/account"),
                       "last_start_ms"));
 }
 
@@ -422,7 +440,7 @@
     const worker_instance& worker) {
   std::vector<http::json_object> accounts = worker.service_accounts;
   if (worker.process)
-    accounts.push_back(Fetch(worker.service, "/control/account"));
+    accounts.push_back(FetchAccount(worker.service, "/control/account"));
   return accounts;
 }
 
@@ -430,7 +448,7 @@
     const worker_instance& worker) {
   std::vector<http::json_object> accounts = worker.task_accounts;
   if (worker.process)
-    accounts.push_back(Fetch(worker.listed.agent, "/control/account"));
+    accounts.push_back(FetchAccount(worker.listed.agent, "/control/account"));
   return accounts;
 }
 
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <functional>
+#include <thread>
 
 #include "harness/deployment.h"
 #include "integration/request_load.h"
@@ -94,6 +95,19 @@
   Run([&] { SignalWorker(1, SIGSTOP); }, [&] { SignalWorker(1, SIGCONT); });
 }
 
+BOOST_AUTO_TEST_CASE(TheAccountOfAPausedUpstreamIsWaitedFor) {
+  Run([] {}, [] {});
+  const auto runs = system.RequestRuns();
+  SignalWorker(1, SIGSTOP);
+  std::thread resume([this] {
+    std::this_thread::sleep_for(kFault);
+    SignalWorker(1, SIGCONT);
+  });
+  const bool is_whole = system.RequestRuns() == runs;
+  resume.join();
+  BOOST_TEST(is_whole);
+}
+
 BOOST_AUTO_TEST_CASE(UpstreamKilled) {
   Run([&] { system.KillWorker(1); }, [&] { system.StartWorker(1); });
 }
