Failing tests: lasting tasks stay on a worker that leaves, for want of others

ATaskThatDoesNotServeYetLeavesADrainingWorker: the task that would move is itself the one that counts as unavailable.

--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -1,6 +1,13 @@
 #include "scheduler_fixture.h"
 
 namespace chivecrank::submissions {
+namespace {
+
+/// A draining worker stays for about so long.
+constexpr std::chrono::seconds kDrainTime{6};
+constexpr std::chrono::milliseconds kStep{250};
+
+}  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(worker_lifecycle, scheduler_fixture)
 
@@ -81,6 +88,56 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ATaskThatDoesNotServeYetLeavesADrainingWorker) {
+  step_request service = MakeStep(2, 12'000);
+  service.long_running = true;
+  service.max_unavailable = 1;
+  scheduler.Accept(MakeSubmission("a", service));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 2u);
+  BOOST_REQUIRE(starts[0].worker != starts[1].worker);
+  Report(starts[0].worker, {.running = {MakeReportedRun(starts[0], 0, 50)}});
+  Report(starts[1].worker, {.running = {MakeReportedRun(starts[1], 0, 100)}});
+  workers[static_cast<std::size_t>(starts[0].worker[2] - '1')].draining = true;
+  scheduler.SetWorkers(workers);
+  RunRound();
+  // The only task that is unavailable is the one that moves.
+  BOOST_REQUIRE(stops.size() == 1u);
+  BOOST_TEST((stops[0].task == starts[0].task));
+}
+
+BOOST_AUTO_TEST_CASE(ATaskLeavesADrainingWorkerThoughAnotherWorkerIsLost) {
+  step_request service = MakeStep(2, 12'000);
+  service.long_running = true;
+  service.max_unavailable = 1;
+  scheduler.Accept(MakeSubmission("a", service));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 2u);
+  BOOST_REQUIRE(starts[0].worker != starts[1].worker);
+  shard_scheduler next(settings, {});
+  next.Accept(MakeSubmission("a", service));
+  next.Restore(scheduler.Snapshot());
+  next.FinishRestore(now, now, std::chrono::milliseconds(12'000));
+  workers[static_cast<std::size_t>(starts[0].worker[2] - '1')].draining = true;
+  next.SetWorkers(workers);
+  std::size_t stopped = 0;
+  for (std::chrono::milliseconds passed{0}; passed < kDrainTime;
+       passed += kStep) {
+    Advance(kStep);
+    for (const worker_description& worker : workers)
+      if (worker.id == starts[0].worker)
+        ReportTo(next, worker.id,
+                 {.running = {MakeReportedRun(starts[0], 0, 100)}});
+      else if (worker.id == starts[1].worker)
+        next.OnPollUnanswered(worker.id, now);
+      else
+        ReportTo(next, worker.id, {});
+    RunRoundOn(next);
+    stopped += stops.size();
+  }
+  BOOST_TEST(stopped > 0u);
+}
+
 BOOST_AUTO_TEST_CASE(
     LongRunningTasksStayOnADrainingWorkerWhileNoOtherHasCapacity) {
   step_request service = MakeStep(4, 16'000);
