Failing tests: starts prolong the wait for a worker that refuses connections

NoRunStartsOnAWorkerThatHasJustFallenSilent: until a bound is due (half a second) a worker whose poll has failed stays a candidate, and the lease of a start extends its estimate. AStartThatWasNotSentDoesNotProlongTheLease: though the outcome not_sent proves that no lease left.

--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -185,6 +185,36 @@
   BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(NoRunStartsOnAWorkerThatHasJustFallenSilent) {
+  scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
+  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  scheduler.Plan(now, since_epoch);
+  const auto batch = scheduler.TakeBatch();
+  BOOST_REQUIRE(batch.has_value());
+  scheduler.OnPollUnanswered(start.worker, now);
+  scheduler.OnCommitted(batch->number);
+  // The command's lease would make the others wait longer for the worker.
+  BOOST_TEST(scheduler.TakeCommands(now).starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AStartThatWasNotSentDoesNotProlongTheLease) {
+  scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
+  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
+  scheduler.SetWorkers(workers);
+  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  Commit(scheduler);
+  const auto starts = scheduler.TakeCommands(now).starts;
+  BOOST_REQUIRE(starts.size() == 1u);
+  const base::time_point lease_over =
+      scheduler.LeaseExpiries().at(start.worker);
+  Advance(kStep);
+  scheduler.OnLeaseSent(start.worker, now);
+  scheduler.OnStartOutcome(starts[0], start_outcome::kNotSent, now);
+  BOOST_TEST((scheduler.LeaseExpiries().at(start.worker) == lease_over));
+}
+
 BOOST_AUTO_TEST_CASE(AWorkerThatHoldsTheFirstPollKeepsItsLease) {
   const auto next = NextOwner();
   Advance(kPollWait);
