No run starts on a worker that left the last poll unanswered

What callers saw: tasks of a lost worker ran again up to 9.18 s after it was lost, with no change of owner; tasks that were started on it meanwhile waited as long.

Cause, found by the review: for half a second, until a bound is due, a worker whose poll had failed stayed a candidate, since `reported` remains true. Each start carries a lease, so it prolonged the wait for the worker.

--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -159,7 +159,7 @@
                         const placement_request& request) const {
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
-  if (!worker.IsOpen() || !worker.reported || worker.lacks_capacity ||
+  if (!worker.IsOpen() || !worker.Answers() || worker.lacks_capacity ||
       request.now >= worker.lease.Expiry() ||
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
--- a/src/submissions/internal/shard_core.cc
+++ b/src/submissions/internal/shard_core.cc
@@ -71,7 +71,7 @@
       tracker.Submissions().Find(command.task.submission);
   bool is_valid =
       live != nullptr && !live->outcome && worker->IsOpen() &&
-      worker->reported && worker_recorder::MayStart(*worker) &&
+      worker->Answers() && worker_recorder::MayStart(*worker) &&
       scheduling::IsWithin(worker->reserved, worker->description.capacity);
   if (is_valid && run_planner.NeedsPermit(*live)) {
     const std::string* permit = permits.Find(command.task, *worker, now);
--- a/src/submissions/internal/worker_recorder.cc
+++ b/src/submissions/internal/worker_recorder.cc
@@ -62,8 +62,7 @@
 void worker_recorder::UpdateWorker(worker_entry& worker,
                                    base::time_point now) const {
   recorded_worker& recorded = worker.recorded;
-  const bool answers = worker.reported && !worker.silent_since;
-  const bool is_needed = !answers && !worker.runs.empty();
+  const bool is_needed = !worker.Answers() && !worker.runs.empty();
   if (recorded.lease == lease_record::kBounded && !is_needed) {
     recorded.lease = lease_record::kReleasing;
     recorded.release_batch.reset();
--- a/src/submissions/internal/worker_table.h
+++ b/src/submissions/internal/worker_table.h
@@ -241,6 +241,9 @@
   /// Totals of the runs; unset after one of them changed.
   std::optional<occupancy> cached_occupancy;
 
+  /// Whether it answered this owner's last poll.
+  bool Answers() const { return reported && !silent_since; }
+
   /// Whether the worker is there to stay, and not drained, so that new runs may
   /// go to it.
   bool IsOpen() const {
