A tenure is settled once the workers' answers leave earlier owners nothing to prolong

Cause, the same class: its tenure counted as unsettled until the term and grace of the owner before were over, whatever the workers had answered. The owner after it therefore waited for both.

--- a/src/runtime/include/chivecrank/runtime/shard_tenure.h
+++ b/src/runtime/include/chivecrank/runtime/shard_tenure.h
@@ -19,7 +19,7 @@
 struct tenure_record {
   /// The owner's fence.
   metadata::revision fence = 0;
-  /// No earlier owner acts for the shard any more.
+  /// Nothing that an earlier owner may still do can prolong a run of the shard.
   bool settled = false;
   /// The owner has given the shard up and acts for it no more.
   bool released = false;
@@ -33,7 +33,7 @@
 /// The write that records a tenure of the shard.
 metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record);
 
-/// Whether no owner before the new one acts for the shard any more.
+/// Whether no owner before the new one can prolong a run of the shard any more.
 /// `ended_fence` is the fence of an owner that is known to have ended; 0 for
 /// none.
 bool AllEarlierOwnersEnded(const std::optional<tenure_record>& last,
@@ -58,6 +58,9 @@
 
   /// Records the begin. `earlier_ended`: the tenure is settled at once.
   void Begin(bool earlier_ended);
+  /// Records that the tenure is settled, before earlier owners have run out of
+  /// time; does nothing before the begin is recorded, or again.
+  void Settle();
   /// Whether the begin is recorded, so that leases may be granted.
   bool HasBegun() const { return has_begun_; }
 
@@ -73,6 +76,7 @@
   const shard_tenure_settings settings_;
   const base::time_point acquired_at_;
   bool has_begun_ = false;
+  bool is_settling_ = false;
   reactor::callback_guard guard_;
 };
 
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -247,6 +247,8 @@
 }
 
 void shard_driver::DecidePeriodically() {
+  if (!scheduler_.MayEarlierOwnersRenew())
+    tenure_.Settle();
   housekeeping_.MoveUnplaced();
   LogWaits();
   ScheduleDecision();
--- a/src/runtime/internal/shard_tenure.cc
+++ b/src/runtime/internal/shard_tenure.cc
@@ -58,9 +58,17 @@
       guard_(loop) {}
 
 void shard_tenure::Begin(bool earlier_ended) {
+  is_settling_ = earlier_ended;
   Commit(earlier_ended);
 }
 
+void shard_tenure::Settle() {
+  if (!has_begun_ || is_settling_)
+    return;
+  is_settling_ = true;
+  Commit(true);
+}
+
 void shard_tenure::Commit(bool settled) {
   metadata::transaction change;
   change.conditions.push_back(OwnershipCondition(shard_, fence_));
@@ -88,8 +96,7 @@
   }
   const base::duration left =
       acquired_at_ + settings_.settle_time - loop_.Now();
-  guard_.Later(std::max(left, base::duration::zero()),
-               [this] { Commit(true); });
+  guard_.Later(std::max(left, base::duration::zero()), [this] { Settle(); });
 }
 
 }  // namespace chivecrank::runtime
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -87,6 +87,10 @@
   void ConfirmDrains(base::time_point as_of);
   std::vector<domain_drain> Drains() const;
 
+  /// Whether an earlier owner may still renew the lease of a worker with runs,
+  /// for all that this one knows.
+  bool MayEarlierOwnersRenew() const;
+
   /// Must be called just before a lease, or a command that carries one, is sent
   /// to a worker.
   void OnLeaseSent(const std::string& worker, base::time_point now);
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -140,6 +140,15 @@
   return core_->drains.All();
 }
 
+bool shard_scheduler::MayEarlierOwnersRenew() const {
+  return std::ranges::any_of(
+      core_->tracker.Workers().All(), [](const auto& entry) {
+        const worker_entry& worker = entry.second;
+        return !worker.runs.empty() && !worker.reported &&
+               worker.lease.Basis() == internal::lease_basis::kEarlierOwner;
+      });
+}
+
 void shard_scheduler::OnLeaseSent(const std::string& worker_id,
                                   base::time_point now) {
   worker_entry& worker = core_->tracker.Workers().FindOrAdd(worker_id);
