Failing test: a worker on probation takes no lasting task though nothing else runs

Only tasks that end may test a worker on probation. When none come, it stays there, and a lasting task that fits nowhere else isn't placed: 30 s in the test.

--- a/src/submissions/tests/worker_health_test.cc
+++ b/src/submissions/tests/worker_health_test.cc
@@ -18,6 +18,10 @@
     on_event = [this](const scheduler_event& event) {
       if (event.kind == scheduler_event_kind::kSubmissionEnded)
         outcomes[event.task.submission] = event.outcome;
+      if (event.kind == scheduler_event_kind::kWorkerAvoided)
+        on_probation.insert(event.worker);
+      if (event.kind == scheduler_event_kind::kWorkerTrusted)
+        on_probation.erase(event.worker);
     };
   }
 
@@ -45,7 +49,8 @@
     std::vector<running> left;
     for (const running& run : runs[worker]) {
       const bool failed = fails.contains(worker) && run.since >= bad_since;
-      if (!failed && now - run.since < kRunTime) {
+      const bool lasts = lasting.contains(run.command.task.submission);
+      if (!failed && (lasts || now - run.since < kRunTime)) {
         report.running.push_back(MakeReportedRun(run.command));
         left.push_back(run);
         continue;
@@ -75,12 +80,15 @@
   }
 
   std::set<std::string> fails;
+  /// Submissions whose runs don't end by themselves.
+  std::set<std::string> lasting;
   base::time_point bad_since;
   std::map<std::string, std::vector<running>> runs;
   std::map<std::string, std::int64_t> ends;
   std::map<std::string, int> starts_on;
   int submitted = 0;
   std::map<std::string, std::string> outcomes;
+  std::set<std::string> on_probation;
 };
 
 /// Workers whose ends of runs are told to worker_health directly.
@@ -143,6 +151,23 @@
   BOOST_TEST(Failed() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatRecoversTakesServicesThoughNothingElseRuns) {
+  fails = {"w-3"};
+  Submit(10);
+  Play(std::chrono::seconds(5));
+  fails.clear();
+  BOOST_REQUIRE(on_probation == std::set<std::string>{"w-3"});
+  BOOST_REQUIRE(outcomes.size() == 10u);
+  // One task for each worker.
+  step_request services = MakeServiceStep(12'000);
+  services.task_count = 4;
+  lasting = {"services"};
+  scheduler.Accept(MakeSubmission("services", services));
+  Play(std::chrono::seconds(30));
+  for (const worker_description& worker : workers)
+    BOOST_TEST(runs[worker.id].size() == 1u, "no service on " << worker.id);
+}
+
 BOOST_AUTO_TEST_CASE(WithMostWorkersFailingAllStayInUse) {
   Submit(10);
   bad_since = now;
