--- a/tests/emulator/tests/shard_loss_test.cc
+++ b/tests/emulator/tests/shard_loss_test.cc
@@ -67,7 +67,7 @@
 
   /// The tasks of a lost worker run elsewhere before the next is lost.
   void LoseWorkersBut(std::size_t kept) {
-    BOOST_REQUIRE(UsedWorkers().size() > 0u);
+    BOOST_REQUIRE(!UsedWorkers().empty());
     for (auto used = UsedWorkers(); used.size() > kept; used = UsedWorkers()) {
       day->Workers().Crash(used.front());
       day->Unlist(used.front());
