Instances know until when a leaving worker stays at least

A draining worker's entry says how much longer it stays at least; owners didn't read it, so they couldn't tell an orderly departure from one that is about to end.

The listing outlives changes of ownership. Entries can be old when they are read, so the earliest moment implied by any entry of the incarnation holds: reading an entry again never extends it.

--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "chivecrank/runtime/departure.h"
+
 namespace chivecrank::runtime {
 
 worker_directory::worker_directory(reactor::event_loop& loop,
@@ -60,6 +62,10 @@
                  {{"worker", id}, {"error", worker.error().message}});
       continue;
     }
+    const auto known = workers_.find(id);
+    UpdateDeparture(worker.value(),
+                    known == workers_.end() ? nullptr : &known->second,
+                    loop_.Now());
     now.emplace(id, std::move(worker.value()));
   }
   if (loop_.Now() - last_failure_at_ < settings_.reappearance_grace)
--- a/src/submissions/include/chivecrank/submissions/types.h
+++ b/src/submissions/include/chivecrank/submissions/types.h
@@ -170,6 +170,12 @@
   coordination::resources capacity;
   /// The worker is shutting down and gets no new tasks.
   bool draining = false;
+  /// How much longer a draining worker stays at least, as it wrote itself;
+  /// unset if it didn't say.
+  std::optional<std::chrono::milliseconds> stays_at_least;
+  /// Until when a draining worker stays at least, as far as this instance
+  /// knows; unset if unknown.
+  std::optional<base::time_point> stays_until;
   /// Start time of the worker's current incarnation, in milliseconds since
   /// 1970. A worker that restarts under the same identifier has lost its state.
   std::int64_t started_at_ms = 0;
