Lease model: a worker that answered counts as alive for no longer than a lease

Cause: the search had one rule about waiting, that the wait doesn't start anew.

Change: a rule. Once a worker has answered an owner, the end of its lease as that owner sees it is within a lease of the newest answer or lease. It is checked in each step against the state before, so that no times are added to the states. The fault kAnswerShortensNothing is planted without a product hook: the scheduler takes leases for longer by the earlier owner's term and grace, and its own are counted as sent that much earlier, so that only its answers have no effect. Three owners with a late lease are a further option set.

--- a/tests/lease_model/lease_model_test.cc
+++ b/tests/lease_model/lease_model_test.cc
@@ -70,6 +70,10 @@
   BOOST_TEST(Check({.claims = 2}) == "");
 }
 
+BOOST_AUTO_TEST_CASE(NoSecondRunWithLateLeasesOfThreeOwners) {
+  BOOST_TEST(Check({.claims = 2, .late_messages = 1}) == "");
+}
+
 BOOST_AUTO_TEST_CASE(TheWaitGoesOnAcrossFourOwners) {
   BOOST_TEST(Check({.claims = 3, .crashes = 1, .steady_owners = true}) == "");
 }
@@ -96,6 +100,11 @@
                         planted_fault::kStartAfterItsLease) == kTwoRuns);
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerThatShortensNothingIsFound) {
+  BOOST_TEST(CheckFault({}, planted_fault::kAnswerShortensNothing) ==
+             kAnswerIgnored);
+}
+
 BOOST_AUTO_TEST_CASE(FaultsThatLetTheWaitStartAnewAreFound) {
   const model_options options{
       .claims = 2, .crashes = 1, .snapshots = 1, .steady_owners = true};
--- a/tests/lease_model/model.cc
+++ b/tests/lease_model/model.cc
@@ -20,9 +20,10 @@
 model_state InitialState(const model_options& options) {
   model_state state;
   state.left = options;
-  state.owners.push_back({.fence = state.journal.Claim(),
-                          .claimed_at = state.now,
-                          .scheduler = replayed_scheduler(Settings())});
+  state.owners.push_back(
+      {.fence = state.journal.Claim(),
+       .claimed_at = state.now,
+       .scheduler = replayed_scheduler(Settings(options.fault))});
   owner_driver owner(state, 0);
   // The first run goes to the first worker, as no other one is listed yet.
   state.workers[1].ChangeListing();
--- a/tests/lease_model/model.h
+++ b/tests/lease_model/model.h
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kTick{500};
 constexpr std::chrono::milliseconds kOwnerLeaseTerm = kTick;
 constexpr std::chrono::milliseconds kOutageGrace = kTick;
+/// The clocks of the model agree, so that nothing is added to it.
+constexpr std::chrono::milliseconds kWorkerLease = 3 * kTick;
 
 /// How long a steady owner lives after its restore.
 constexpr std::chrono::milliseconds kMinOwnerLife{1000};
@@ -34,6 +36,8 @@
 constexpr const char* kTwoRuns = "two runs are alive";
 constexpr const char* kWaitStartsAnew =
     "the wait for a worker that is gone starts anew";
+constexpr const char* kAnswerIgnored =
+    "a worker that answered may count as alive for longer than a lease";
 
 /// A fault planted in the model, to show that the search finds it.
 enum class planted_fault {
@@ -57,6 +61,8 @@
   kNoBounds,
   /// Snapshots don't contain the workers.
   kSnapshotWithoutWorkers,
+  /// An answer doesn't shorten what an owner before may have granted.
+  kAnswerShortensNothing,
 };
 
 /// What may happen in one search, and how often.
@@ -95,6 +101,10 @@
   replayed_scheduler scheduler;
   /// Whether the workers answered the last poll.
   std::array<bool, kWorkers> answered{};
+  /// Whether the workers have answered any poll.
+  std::array<bool, kWorkers> has_answered{};
+  /// Whether the workers answered a poll or were sent a lease in this step.
+  std::array<bool, kWorkers> was_in_touch{};
   /// The first worker was polled in this tick.
   bool has_polled = false;
   std::optional<pending_commit> commit;
--- a/tests/lease_model/owner_driver.cc
+++ b/tests/lease_model/owner_driver.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kWorkerLease = 3 * kTick;
 /// Nothing in the model depends on the time of day.
 constexpr std::chrono::milliseconds kSinceEpoch{1'000'000};
 constexpr coordination::resources kCapacity{1000, 1000, 0};
@@ -49,10 +48,11 @@
 
 }  // namespace
 
-submissions::scheduler_settings Settings() {
+submissions::scheduler_settings Settings(planted_fault fault) {
   submissions::scheduler_settings settings;
   settings.worker_lease = kWorkerLease;
-  // The clocks of the model agree.
+  if (fault == planted_fault::kAnswerShortensNothing)
+    settings.worker_lease += kOwnerLeaseTerm + kOutageGrace;
   settings.lease_margin = std::chrono::milliseconds(0);
   settings.silence_before_record = kTick;
   settings.bound_record_interval = kTick;
@@ -82,6 +82,13 @@
           owner.scheduler.Get().HasRuns(WorkerId(0)));
 }
 
+base::time_point LeaseEnd(const model_owner& owner, std::size_t worker) {
+  const submissions::lease_expiries known =
+      owner.scheduler.Get().LeaseExpiries();
+  const auto found = known.find(WorkerId(worker));
+  return found == known.end() ? base::time_point() : found->second;
+}
+
 void owner_driver::Restore() {
   owner_.restored_at = state_.now;
   const planted_fault fault = state_.left.fault;
@@ -129,23 +136,38 @@
           owner_.scheduler.Get().MayRenewLease(WorkerId(worker)));
 }
 
+void owner_driver::OnLeaseSent(std::size_t worker) {
+  owner_.was_in_touch[worker] = true;
+  // With this fault, the scheduler takes leases for longer than they are.
+  base::time_point sent_at = state_.now;
+  if (state_.left.fault == planted_fault::kAnswerShortensNothing)
+    sent_at -= kOwnerLeaseTerm + kOutageGrace;
+  owner_.scheduler.Apply(
+      [id = WorkerId(worker), sent_at](shard_scheduler& scheduler) {
+        scheduler.OnLeaseSent(id, sent_at);
+      });
+}
+
+void owner_driver::OnAnswer(std::size_t worker) {
+  owner_.has_answered[worker] = true;
+  owner_.was_in_touch[worker] = true;
+  owner_.scheduler.Apply(
+      [id = WorkerId(worker),
+       report = state_.workers[worker].Report({Request().id}),
+       now = state_.now](shard_scheduler& scheduler) {
+        scheduler.OnReport(id, report, now, now);
+      });
+}
+
 void owner_driver::Poll(std::size_t worker, delivery outcome) {
   message poll{worker, owner_.fence, {}, {}};
   if (MaySendLease(worker)) {
     poll.lease_end = state_.now + kWorkerLease;
-    owner_.scheduler.Apply(
-        [id = WorkerId(worker), now = state_.now](shard_scheduler& scheduler) {
-          scheduler.OnLeaseSent(id, now);
-        });
+    OnLeaseSent(worker);
   }
   owner_.answered[worker] = Deliver(poll, outcome);
   if (owner_.answered[worker])
-    owner_.scheduler.Apply(
-        [id = WorkerId(worker),
-         report = state_.workers[worker].Report({Request().id}),
-         now = state_.now](shard_scheduler& scheduler) {
-          scheduler.OnReport(id, report, now, now);
-        });
+    OnAnswer(worker);
   else
     OnPollFailed(worker, outcome);
   Decide();
@@ -231,9 +253,9 @@
                      state_.now + kWorkerLease, command.run};
   const start_outcome answer = DeliverStart(sent, outcome);
   owner_.has_ended |= answer == start_outcome::kFenced;
+  OnLeaseSent(sent.worker);
   owner_.scheduler.Apply(
       [command, answer, now = state_.now](shard_scheduler& scheduler) {
-        scheduler.OnLeaseSent(command.worker, now);
         scheduler.OnStartOutcome(command, answer, now);
       });
 }
--- a/tests/lease_model/owner_driver.h
+++ b/tests/lease_model/owner_driver.h
@@ -11,13 +11,15 @@
 /// What becomes of a message and its answer.
 enum class delivery { kAnswered, kAnswerLost, kLost, kLate, kReplaced };
 
-submissions::scheduler_settings Settings();
+submissions::scheduler_settings Settings(planted_fault fault);
 std::string WorkerId(std::size_t worker);
 
 protocol::authority AuthorityOf(const model_state& state,
                                 const model_owner& owner);
 /// Whether the owner may poll the first worker in this tick.
 bool MayPollFirst(const model_state& state, const model_owner& owner);
+/// When the worker's lease ends at the latest, as far as the owner knows.
+base::time_point LeaseEnd(const model_owner& owner, std::size_t worker);
 
 /// Does in a model what runtime::shard_driver and shard_journal do for one
 /// owner.
@@ -38,6 +40,8 @@
  private:
   void CheckWait();
   bool MaySendLease(std::size_t worker) const;
+  void OnLeaseSent(std::size_t worker);
+  void OnAnswer(std::size_t worker);
   /// Returns whether the worker answered.
   bool Deliver(const message& sent, delivery outcome);
   void OnPollFailed(std::size_t worker, delivery outcome);
--- a/tests/lease_model/state_fingerprint.cc
+++ b/tests/lease_model/state_fingerprint.cc
@@ -26,6 +26,8 @@
   if (owner.superseded_at)
     text += 'x' + RelativeTime(*owner.superseded_at, now,
                                kOwnerLeaseTerm + kOutageGrace);
+  for (const bool has_answered : owner.has_answered)
+    text += std::to_string(has_answered);
   if (owner.commit)
     text += OfCommit(*owner.commit, state);
   if (state.left.steady_owners && owner.restored_at)
--- a/tests/lease_model/step_list.cc
+++ b/tests/lease_model/step_list.cc
@@ -21,6 +21,32 @@
     state.broken = kTwoRuns;
 }
 
+/// Whether the end of each worker's lease that has answered the owner is within
+/// a lease of the newest answer or lease. It was before the step, so that it
+/// may be later only if there was an answer or a lease in this step.
+bool LeasesEndInTime(const model_owner& before,
+                     const model_owner& after,
+                     base::time_point now) {
+  for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+    if (!after.has_answered[worker])
+      continue;
+    const base::time_point latest = after.was_in_touch[worker]
+                                        ? now + kWorkerLease
+                                        : LeaseEnd(before, worker);
+    if (LeaseEnd(after, worker) > latest)
+      return false;
+  }
+  return true;
+}
+
+void CheckLeases(const model_state& before, model_state& after) {
+  for (std::size_t i = 0; i < before.owners.size(); ++i)
+    if (after.broken.empty() &&
+        AuthorityOf(after, after.owners[i]) != protocol::authority::kNone &&
+        !LeasesEndInTime(before.owners[i], after.owners[i], after.now))
+      after.broken = kAnswerIgnored;
+}
+
 bool StartsOnFirstWorker(const pending_commit& commit) {
   for (const submissions::task_change& change : commit.entry.tasks)
     if (change.progress.phase == submissions::task_phase::kAssigned &&
@@ -47,8 +73,11 @@
 void step_list::Add(std::string step,
                     const std::function<void(model_state&)>& change) {
   successor next{std::move(step), from_};
+  for (model_owner& owner : next.state.owners)
+    owner.was_in_touch = {};
   change(next.state);
   CheckRuns(next.state);
+  CheckLeases(from_, next.state);
   next.state.fingerprint = FingerprintOf(next.state);
   for (model_owner& owner : next.state.owners)
     owner.scheduler.Discard();
@@ -152,9 +181,10 @@
   Add("the next owner claims the shard", [](model_state& next) {
     --next.left.claims;
     next.owners.back().superseded_at = next.now;
-    next.owners.push_back({.fence = next.journal.Claim(),
-                           .claimed_at = next.now,
-                           .scheduler = replayed_scheduler(Settings())});
+    next.owners.push_back(
+        {.fence = next.journal.Claim(),
+         .claimed_at = next.now,
+         .scheduler = replayed_scheduler(Settings(next.left.fault))});
   });
 }
 
