--- a/tests/lease_model/lease_model_test.cc
+++ b/tests/lease_model/lease_model_test.cc
@@ -100,6 +100,11 @@
                         planted_fault::kStartAfterItsLease) == kTwoRuns);
 }
 
+BOOST_AUTO_TEST_CASE(ALateLeaseAfterAnAnswerToTheNextOwnerIsFound) {
+  BOOST_TEST(CheckFault({.late_messages = 1},
+                        planted_fault::kLateFenceIgnored) == kEarlyStart);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerThatShortensNothingIsFound) {
   BOOST_TEST(CheckFault({}, planted_fault::kAnswerShortensNothing) ==
              kAnswerIgnored);
--- a/tests/lease_model/model.h
+++ b/tests/lease_model/model.h
@@ -63,6 +63,8 @@
   kSnapshotWithoutWorkers,
   /// An answer doesn't shorten what an owner before may have granted.
   kAnswerShortensNothing,
+  /// A late message takes effect though the worker follows a newer owner.
+  kLateFenceIgnored,
 };
 
 /// What may happen in one search, and how often.
--- a/tests/lease_model/step_list.cc
+++ b/tests/lease_model/step_list.cc
@@ -191,7 +191,9 @@
 void step_list::AddMessages() {
   for (std::size_t i = 0; i < from_.network.size(); ++i)
     Add("a late message arrives", [i](model_state& next) {
-      const message sent = next.network[i];
+      message sent = next.network[i];
+      if (next.left.fault == planted_fault::kLateFenceIgnored)
+        sent.fence = next.owners.back().fence;
       next.network.erase(next.network.begin() + static_cast<std::ptrdiff_t>(i));
       model_worker& worker = next.workers[sent.worker];
       if (worker.HasCrashed())
