--- a/tests/lease_model/owner_driver.cc
+++ b/tests/lease_model/owner_driver.cc
@@ -82,11 +82,11 @@
           owner.scheduler.Get().HasRuns(WorkerId(0)));
 }
 
-base::time_point LeaseEnd(const model_owner& owner, std::size_t worker) {
-  const submissions::lease_expiries known =
-      owner.scheduler.Get().LeaseExpiries();
-  const auto found = known.find(WorkerId(worker));
-  return found == known.end() ? base::time_point() : found->second;
+lease_ends LeaseEnds(const model_owner& owner) {
+  lease_ends ends{};
+  for (const auto& [id, expiry] : owner.scheduler.Get().LeaseExpiries())
+    ends[WorkerNumber(id)] = expiry;
+  return ends;
 }
 
 void owner_driver::Restore() {
--- a/tests/lease_model/owner_driver.h
+++ b/tests/lease_model/owner_driver.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_TESTS_LEASE_MODEL_OWNER_DRIVER_H_
 #define CHIVECRANK_TESTS_LEASE_MODEL_OWNER_DRIVER_H_
 
+#include <array>
 #include <string>
 
 #include "chivecrank/protocol/ownership_lease.h"
@@ -18,8 +19,9 @@
                                 const model_owner& owner);
 /// Whether the owner may poll the first worker in this tick.
 bool MayPollFirst(const model_state& state, const model_owner& owner);
-/// When the worker's lease ends at the latest, as far as the owner knows.
-base::time_point LeaseEnd(const model_owner& owner, std::size_t worker);
+using lease_ends = std::array<base::time_point, kWorkers>;
+/// When the workers' leases end at the latest, as far as the owner knows.
+lease_ends LeaseEnds(const model_owner& owner);
 
 /// Does in a model what runtime::shard_driver and shard_journal do for one
 /// owner.
--- a/tests/lease_model/step_list.cc
+++ b/tests/lease_model/step_list.cc
@@ -27,13 +27,12 @@
 bool LeasesEndInTime(const model_owner& before,
                      const model_owner& after,
                      base::time_point now) {
+  const lease_ends earlier = LeaseEnds(before);
+  const lease_ends ends = LeaseEnds(after);
   for (std::size_t worker = 0; worker < kWorkers; ++worker) {
-    if (!after.has_answered[worker])
-      continue;
-    const base::time_point latest = after.was_in_touch[worker]
-                                        ? now + kWorkerLease
-                                        : LeaseEnd(before, worker);
-    if (LeaseEnd(after, worker) > latest)
+    const base::time_point latest =
+        after.was_in_touch[worker] ? now + kWorkerLease : earlier[worker];
+    if (after.has_answered[worker] && ends[worker] > latest)
       return false;
   }
   return true;
