--- a/tests/lease_model/owner_driver.h
+++ b/tests/lease_model/owner_driver.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_TESTS_LEASE_MODEL_OWNER_DRIVER_H_
 #define CHIVECRANK_TESTS_LEASE_MODEL_OWNER_DRIVER_H_
 
+#include <array>
 #include <string>
 
 #include "chivecrank/protocol/ownership_lease.h"
@@ -11,13 +12,16 @@
 /// What becomes of a message and its answer.
 enum class delivery { kAnswered, kAnswerLost, kLost, kLate, kReplaced };
 
-submissions::scheduler_settings Settings();
+submissions::scheduler_settings Settings(planted_fault fault);
 std::string WorkerId(std::size_t worker);
 
 protocol::authority AuthorityOf(const model_state& state,
                                 const model_owner& owner);
 /// Whether the owner may poll the first worker in this tick.
 bool MayPollFirst(const model_state& state, const model_owner& owner);
+using lease_ends = std::array<base::time_point, kWorkers>;
+/// When the workers' leases end at the latest, as far as the owner knows.
+lease_ends LeaseEnds(const model_owner& owner);
 
 /// Does in a model what runtime::shard_driver and shard_journal do for one
 /// owner.
@@ -38,6 +42,8 @@
  private:
   void CheckWait();
   bool MaySendLease(std::size_t worker) const;
+  void OnLeaseSent(std::size_t worker);
+  void OnAnswer(std::size_t worker);
   /// Returns whether the worker answered.
   bool Deliver(const message& sent, delivery outcome);
   void OnPollFailed(std::size_t worker, delivery outcome);
