A task leaves a draining worker though others of its step are lost or it doesn't serve yet

A task that warms up counted itself as unavailable, so that it never left; a task on a silent worker blocked the others for as long as that worker's lease is assumed to last, while the draining worker leaves sooner.

Now those count that are on their way to serving: not the task itself, and not one whose worker is silent, as it comes back no sooner by waiting. For tasks that leave a drained domain nothing changes: they are not in a hurry.

--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -112,10 +112,8 @@
                          const task_ref& task,
                          base::time_point now) {
   active_run& run = worker.runs.at(task);
-  // At least half of the step's tasks there, since the worker may shut down
-  // before the last one has moved.
   if (run.long_running && CanTakeTurns(worker.description, now) &&
-      !CanBeUnavailable(task, (placer::RunsOfStep(worker, task) + 1) / 2)) {
+      !IsItsTurn(worker, task)) {
     run.stays = stay_reason::kTooManyUnavailable;
     return;
   }
@@ -124,6 +122,28 @@
     run.stays = stay_reason::kNoCapacity;
 }
 
+bool relocator::IsItsTurn(const worker_entry& worker, const task_ref& task) {
+  const step_request& step = *tracker_.Submissions().StepOf(task);
+  // At least half of the step's tasks there, since the worker may shut down
+  // before the last one has moved.
+  const std::int32_t limit = std::max(
+      step.max_unavailable, (placer::RunsOfStep(worker, task) + 1) / 2);
+  std::int32_t away = 0;
+  task_ref other = task;
+  for (other.index = 0; other.index < step.task_count; ++other.index)
+    away += other.index != task.index && IsAwayForNow(other) ? 1 : 0;
+  return away < limit;
+}
+
+bool relocator::IsAwayForNow(const task_ref& task) {
+  const task_progress& progress = *tracker_.Submissions().Find(task);
+  const worker_entry* worker = progress.phase == task_phase::kAssigned
+                                   ? tracker_.Workers().Find(progress.worker)
+                                   : nullptr;
+  const bool is_lost = worker != nullptr && worker->silent_since;
+  return !is_lost && !IsServing(task);
+}
+
 bool relocator::ShouldEvacuate(const active_run& run,
                                const step_request& step,
                                base::time_point now) {
@@ -133,9 +153,9 @@
          WorkLeft(run, step, now) > kMinWorkLeftToMove;
 }
 
-bool relocator::CanBeUnavailable(const task_ref& task, std::int32_t at_least) {
+bool relocator::CanBeUnavailable(const task_ref& task) {
   const step_request& step = *tracker_.Submissions().StepOf(task);
-  return UnavailableTasks(task) < std::max(step.max_unavailable, at_least);
+  return UnavailableTasks(task) < std::max(step.max_unavailable, 1);
 }
 
 void relocator::LeaveDrainedDomains(base::time_point now) {
@@ -157,7 +177,7 @@
     if (!drains_.MayMove(demand))
       return false;
     if (tracker_.Submissions().StepOf(task) == nullptr ||
-        !CanBeUnavailable(task, 1))
+        !CanBeUnavailable(task))
       continue;
     if (Move(worker, task, scheduler_event_kind::kDomainTaskMoved,
              worker.runs.at(task).percent, now))
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -65,9 +65,15 @@
   static bool ShouldEvacuate(const active_run& run,
                              const step_request& step,
                              base::time_point now);
+  /// Whether a task may leave a draining worker before the others of its step
+  /// that are on their way serve.
+  bool IsItsTurn(const worker_entry& worker, const task_ref& task);
+  /// Whether the task does not serve, and waiting for it makes sense: its run
+  /// isn't on a silent worker, where it may have been lost.
+  bool IsAwayForNow(const task_ref& task);
   /// Whether one more task of a long-running step may become unavailable. At
-  /// least `at_least` may, whatever the step says.
-  bool CanBeUnavailable(const task_ref& task, std::int32_t at_least);
+  /// least one may, whatever the step says.
+  bool CanBeUnavailable(const task_ref& task);
   /// Moves the tasks of one worker in a drained domain; returns false once no
   /// more may move in this round.
   bool LeaveDrainedDomain(worker_entry& worker, base::time_point now);
