--- a/tests/emulator/include/chivecrank/emulator/day.h
+++ b/tests/emulator/include/chivecrank/emulator/day.h
@@ -39,6 +39,12 @@
   kDeadlyTasks,
   /// Operators drain failure domains.
   kDrainDomains,
+  /// Workers crash and nothing ever answers at their addresses again; fresh
+  /// ones start at other addresses.
+  kLoseWorkers,
+  /// Workers say that they leave, are gone for good when the fault is over, and
+  /// leave fresh ones at other addresses.
+  kRetireWorkers,
 };
 
 /// Which instances a fault hits.
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -131,6 +131,8 @@
   /// Starts and lists another worker at the address of a crashed one, and
   /// returns its identifier.
   std::string Replace(const std::string& worker);
+  /// Starts and lists a fresh worker at an address of its own.
+  void AddWorker();
   /// Starts and lists a crashed worker anew; it holds nothing.
   void Restart(const std::string& worker);
   /// The worker that replaced `worker` last, or itself.
@@ -195,6 +197,7 @@
     std::int32_t attempts = 0;
   };
 
+  void AddWorkerAt(std::size_t place, std::int64_t started_at_ms);
   std::int64_t ProcessorsOf(std::size_t index) const;
   void StartLater(std::size_t index);
   instance_state* ReadyInstance();
@@ -241,7 +244,9 @@
   std::uint64_t crashes_by_tasks_ = 0;
   base::time_point back_at_;
   std::uint64_t last_id_ = 0;
-  /// Start of the worker that was replaced or restarted last.
+  /// Workers that were added, each at an address of its own.
+  std::size_t added_workers_ = 0;
+  /// Start of the worker that was replaced, restarted or added last.
   std::int64_t last_started_at_ms_ = 1;
   bool loading_ = false;
   double load_factor_ = 1;
--- a/tests/emulator/include/chivecrank/emulator/hunt.h
+++ b/tests/emulator/include/chivecrank/emulator/hunt.h
@@ -14,6 +14,13 @@
   kUsual,
   /// Operators drain failure domains, one or several at a time.
   kWithDrains,
+  /// Once all other faults are over, workers are lost for good just after a
+  /// change of owner, twice.
+  kWithLosses,
+  /// Once all other faults are over, workers leave one by one, each with a
+  /// fresh one in its place, while the store loses answers and the owner
+  /// changes.
+  kWithLeavers,
 };
 
 /// A day that is drawn from the seed: its size, its queues (lasting, urgent and
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -118,6 +118,8 @@
     case fault_kind::kSlowWorkers:
     case fault_kind::kLateOrders:
     case fault_kind::kShrinkWorkers:
+    case fault_kind::kLoseWorkers:
+    case fault_kind::kRetireWorkers:
       return HitWorkers(fault);
     case fault_kind::kStoreDown:
     case fault_kind::kStoreSilent:
@@ -260,11 +262,29 @@
     case fault_kind::kShrinkWorkers:
       return emulation_.Resize(emulation_.NewestAt(worker),
                                begins ? fault.strength : 1);
+    case fault_kind::kLoseWorkers:
+      if (!begins)
+        return;
+      Lose(worker);
+      return emulation_.AddWorker();
+    case fault_kind::kRetireWorkers:
+      if (!begins)
+        return Lose(worker);
+      if (emulation_.Workers().IsCrashed(worker))
+        return;
+      emulation_.Drain(worker);
+      emulation_.AddWorker();
+      return;
     default:
       return;
   }
 }
 
+void day_player::Lose(const std::string& worker) {
+  emulation_.Workers().Crash(worker);
+  emulation_.Unlist(worker);
+}
+
 void day_player::Revive(const std::string& worker) {
   if (emulation_.Workers().IsReplaced(worker))
     return;
--- a/tests/emulator/internal/day_player.h
+++ b/tests/emulator/internal/day_player.h
@@ -47,6 +47,8 @@
   void SetWorkerFault(const std::string& worker,
                       const day_fault& fault,
                       bool begins);
+  /// Ends a worker's life; its address stays silent.
+  void Lose(const std::string& worker);
   /// Begins a new, empty life of a worker.
   void Revive(const std::string& worker);
   /// `count` of them, drawn by the seed.
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -96,19 +96,8 @@
           [this](const std::string& worker) { CrashByTask(worker); },
           settings_.pressure,
           settings_.service_swing) {
-  for (std::size_t i = 0; i < settings_.workers; ++i) {
-    submissions::worker_description worker;
-    worker.id = absl::StrFormat("w-%03d", i);
-    worker.service = "service";
-    worker.failure_domain = DomainName(i % settings_.failure_domains);
-    worker.rack = absl::StrFormat("rack-%d", i / settings_.workers_per_rack);
-    worker.labels = {"a", worker.rack};
-    worker.capacity = settings_.capacity;
-    worker.address = AddressOf(i);
-    worker.started_at_ms = 1;
-    workers_.Add(worker);
-    List(worker.id);
-  }
+  for (std::size_t i = 0; i < settings_.workers; ++i)
+    AddWorkerAt(i, last_started_at_ms_);
   workers_.SetGuarding(settings_.workers_guard_capacity);
   store_.SetValueLimit(settings_.value_bytes);
   WriteConfiguration();
@@ -132,6 +121,25 @@
   store_.Delete(std::string(kWorkers) + worker);
 }
 
+void emulation::AddWorker() {
+  AddWorkerAt(settings_.workers + added_workers_, ++last_started_at_ms_);
+  ++added_workers_;
+}
+
+void emulation::AddWorkerAt(std::size_t place, std::int64_t started_at_ms) {
+  submissions::worker_description worker;
+  worker.id = absl::StrFormat("w-%03d", place);
+  worker.service = "service";
+  worker.failure_domain = DomainName(place % settings_.failure_domains);
+  worker.rack = absl::StrFormat("rack-%d", place / settings_.workers_per_rack);
+  worker.labels = {"a", worker.rack};
+  worker.capacity = settings_.capacity;
+  worker.address = AddressOf(place);
+  worker.started_at_ms = started_at_ms;
+  workers_.Add(worker);
+  List(worker.id);
+}
+
 std::string emulation::Replace(const std::string& worker) {
   std::string successor = SuccessorOf(worker);
   workers_.Replace(worker, successor, ++last_started_at_ms_);
--- a/tests/emulator/internal/fault_names.cc
+++ b/tests/emulator/internal/fault_names.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// In the order of fault_kind.
-constexpr std::array<std::string_view, 23> kFaultNames = {
+constexpr std::array<std::string_view, 25> kFaultNames = {
     "kill_instances",   "stop_instances",  "isolate_instances",
     "freeze_instances", "clock_ahead",     "clock_behind",
     "crash_workers",    "replace_workers", "cut_workers",
@@ -14,7 +14,8 @@
     "slow_workers",     "late_orders",     "store_down",
     "store_silent",     "store_slow",      "store_loses_answers",
     "store_compacts",   "burst",           "shrink_workers",
-    "deadly_tasks",     "drain_domains"};
+    "deadly_tasks",     "drain_domains",   "lose_workers",
+    "retire_workers"};
 
 }  // namespace
 
--- a/tests/emulator/internal/hunted_day.cc
+++ b/tests/emulator/internal/hunted_day.cc
@@ -32,6 +32,20 @@
 constexpr std::int64_t kMostDomains = 4;
 constexpr std::int64_t kMostDrains = 3;
 
+/// How long an owner stays away so that another instance wins.
+constexpr milliseconds kShortestAbsence{2500};
+constexpr milliseconds kLongestAbsence{3500};
+/// Workers are gone so long after their owner was killed, by when the next one
+/// has heard of them.
+constexpr milliseconds kSoonestGone{2800};
+constexpr milliseconds kLatestGone{6000};
+/// Time between two departures, and after the last, for lasting tasks to run
+/// again and to be seen to.
+constexpr milliseconds kCalmAfterDeparture{15'000};
+/// A worker that leaves is there for as long as this after it has said so.
+constexpr milliseconds kShortestNotice{1000};
+constexpr milliseconds kLongestNotice{6000};
+
 /// What is drawn for the faults of one kind.
 struct fault_range {
   milliseconds shortest;
@@ -68,6 +82,16 @@
   return kind >= fault_kind::kCrashWorkers && kind <= fault_kind::kLateOrders;
 }
 
+/// When the last fault of the day is over.
+milliseconds EndOfFaults(const day_description& day) {
+  milliseconds end{0};
+  for (const day_fault& fault : day.faults) {
+    const auto repeats = static_cast<std::int64_t>(fault.times) - 1;
+    end = std::max(end, fault.at + fault.every * repeats + fault.lasts);
+  }
+  return end;
+}
+
 }  // namespace
 
 day_description hunted_day::Draw() {
@@ -80,6 +104,8 @@
   AddLaterKinds(day);
   if (kind_ == hunt_kind::kWithDrains)
     AddDrains(day);
+  if (kind_ == hunt_kind::kWithLosses || kind_ == hunt_kind::kWithLeavers)
+    AddDepartures(day);
   return day;
 }
 
@@ -118,6 +144,62 @@
   }
 }
 
+void hunted_day::AddDepartures(day_description& day) {
+  if (kind_ == hunt_kind::kWithLeavers) {
+    AddLeavers(day, CalmMoment(day));
+  } else {
+    AddLosses(day, CalmMoment(day));
+    AddLosses(day, CalmMoment(day) + kCalmAfterDeparture);
+  }
+  day.rest =
+      std::max(day.rest, EndOfFaults(day) + kCalmAfterDeparture - day.load);
+}
+
+milliseconds hunted_day::CalmMoment(const day_description& day) {
+  return EndOfFaults(day) + Time(milliseconds(0), milliseconds(3000));
+}
+
+void hunted_day::AddLosses(day_description& day, milliseconds at) {
+  const auto most = static_cast<std::int64_t>(day.system.workers / 4);
+  day.faults.push_back({.kind = fault_kind::kKillInstances,
+                        .at = at,
+                        .lasts = Time(kShortestAbsence, kLongestAbsence),
+                        .aim = fault_aim::kOwner});
+  day.faults.push_back({.kind = fault_kind::kLoseWorkers,
+                        .at = at + Time(kSoonestGone, kLatestGone),
+                        .count = static_cast<std::size_t>(Between(1, most))});
+}
+
+void hunted_day::AddLeavers(day_description& day, milliseconds at) {
+  const auto most = static_cast<std::int64_t>(day.system.workers / 2);
+  const std::int64_t leaving = Between(3, most);
+  const milliseconds every = Time(milliseconds(500), milliseconds(1500));
+  const milliseconds notice = Time(kShortestNotice, kLongestNotice);
+  const milliseconds last_gone = at + every * (leaving - 1) + notice;
+  // The last owner is killed so long before the last worker is gone.
+  const milliseconds killed =
+      std::max(at, last_gone - Time(kSoonestGone, kLatestGone));
+  const milliseconds before = std::max(at, killed - milliseconds(4000));
+  day.faults.push_back({.kind = fault_kind::kRetireWorkers,
+                        .at = at,
+                        .lasts = notice,
+                        .times = static_cast<std::size_t>(leaving),
+                        .every = every});
+  day.faults.push_back({.kind = fault_kind::kStoreLosesAnswers,
+                        .at = at,
+                        .lasts = killed + milliseconds(1500) - at,
+                        .strength = Real(0.1, 0.5)});
+  if (Chance(0.5))
+    day.faults.push_back({.kind = fault_kind::kKillInstances,
+                          .at = before,
+                          .lasts = Time(milliseconds(300), kShortestAbsence),
+                          .aim = fault_aim::kOwner});
+  day.faults.push_back({.kind = fault_kind::kKillInstances,
+                        .at = killed,
+                        .lasts = Time(kShortestAbsence, kLongestAbsence),
+                        .aim = fault_aim::kOwner});
+}
+
 void hunted_day::DrawSize(emulation_settings& system) {
   system.instances = static_cast<std::size_t>(Between(3, 7));
   system.workers = static_cast<std::size_t>(4 * Between(3, 6));
--- a/tests/emulator/internal/hunted_day.h
+++ b/tests/emulator/internal/hunted_day.h
@@ -34,6 +34,16 @@
   /// what it was.
   void AddLaterKinds(day_description& day);
   void AddDrains(day_description& day);
+  /// Workers go for good after all other faults are over, with calm after that.
+  void AddDepartures(day_description& day);
+  /// The owner is away until another instance has won; workers that have
+  /// answered that one are lost.
+  void AddLosses(day_description& day, std::chrono::milliseconds at);
+  /// Workers leave one by one while the store loses answers and owners die; the
+  /// last ones are gone soon after the last change of owner.
+  void AddLeavers(day_description& day, std::chrono::milliseconds at);
+  /// Soon after the last fault of the day so far.
+  std::chrono::milliseconds CalmMoment(const day_description& day);
 
   std::int64_t Between(std::int64_t least, std::int64_t most);
   double Real(double least, double most);
--- a/tests/emulator/tool/main.cc
+++ b/tests/emulator/tool/main.cc
@@ -1,6 +1,8 @@
 #include <absl/flags/flag.h>
 
 #include <iostream>
+#include <optional>
+#include <vector>
 
 #include "chivecrank/emulator/day.h"
 #include "chivecrank/emulator/hunt.h"
@@ -12,6 +14,14 @@
           0,
           "plays so many days that are drawn from the seed and those after it");
 ABSL_FLAG(bool, drains, false, "hunted days also drain failure domains");
+ABSL_FLAG(bool,
+          losses,
+          false,
+          "on hunted days workers are also lost just after changes of owner");
+ABSL_FLAG(bool,
+          leavers,
+          false,
+          "on hunted days workers also leave one by one as owners change");
 ABSL_FLAG(std::uint64_t, seed, 1, "draws arrivals and what the faults hit");
 ABSL_FLAG(bool,
           log,
@@ -51,14 +61,32 @@
   return report.KeepsPromises() ? kKept : kBrokenPromise;
 }
 
+/// What hunted days have beside the usual; std::nullopt if the flags clash.
+std::optional<hunt_kind> WantedKind() {
+  std::vector<hunt_kind> wanted;
+  if (absl::GetFlag(FLAGS_drains))
+    wanted.push_back(hunt_kind::kWithDrains);
+  if (absl::GetFlag(FLAGS_losses))
+    wanted.push_back(hunt_kind::kWithLosses);
+  if (absl::GetFlag(FLAGS_leavers))
+    wanted.push_back(hunt_kind::kWithLeavers);
+  if (wanted.size() > 1)
+    return std::nullopt;
+  return wanted.empty() ? hunt_kind::kUsual : wanted.front();
+}
+
 /// Tells each day that broke a promise; a single day is reported in full.
 int Hunt(std::uint64_t days) {
   const std::uint64_t first = absl::GetFlag(FLAGS_seed);
-  const hunt_kind kind =
-      absl::GetFlag(FLAGS_drains) ? hunt_kind::kWithDrains : hunt_kind::kUsual;
+  const std::optional<hunt_kind> kind = WantedKind();
+  if (!kind) {
+    std::cerr << "--drains, --losses and --leavers are hunts of their own: "
+                 "give one\n";
+    return kWrongDay;
+  }
   std::uint64_t broken = 0;
   for (std::uint64_t seed = first; seed < first + days; ++seed) {
-    const day_description day = HuntedDay(seed, kind);
+    const day_description day = HuntedDay(seed, *kind);
     const day_report report = Play(day, seed);
     if (days == 1)
       Print(report);
