All long-running tasks leave a draining worker before its time is over

They took turns to the end: at most half of a step's tasks at a time, and only while few tasks of the step were unavailable. With others of the step away for seconds nobody's turn came before the worker left, and what stayed was away for a lease and its margin, some nine seconds, instead of half a second.

They take turns while there is time. Once the worker may leave within two seconds, each leaves as soon as another worker has capacity. A worker that doesn't say how long it stays is left in turns, as before.

The tests failed before: worker_lifecycle_test.cc(136): fatal error: in "worker_lifecycle/AWorkersLastTaskOfAHalfServedStepLeavesOnceTimeRunsShort": critical check stopped.size() == 1u has failed worker_lifecycle_test.cc(143): error: in "worker_lifecycle/ATaskLeavesAWorkerThatIsOverdueAtOnce": check StoppedAfter(std::chrono::milliseconds(0)).size() == 1u has failed [0 != 1] worker_lifecycle_test.cc(180): error: in "worker_lifecycle/AllTasksLeaveTogetherOnceTimeRunsShort": check stops.size() == 4u has failed [2 != 4]

--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -12,6 +12,10 @@
 /// Remaining run time above which a task with checkpoints is moved off a
 /// draining worker: it would hardly finish there in time.
 constexpr std::chrono::milliseconds kMinWorkLeftToMove{2000};
+/// With less time until a worker may leave, its tasks don't wait for each
+/// other: the entry that tells the time may have been over a second old, and a
+/// stop takes half a second.
+constexpr std::chrono::milliseconds kMinTimeToTakeTurns{2000};
 
 std::chrono::milliseconds WorkLeft(const active_run& run,
                                    const step_request& step,
@@ -23,6 +27,13 @@
   return ran * (kFullPercent - run.percent) / run.percent;
 }
 
+/// Whether the worker stays long enough for its tasks to leave one after the
+/// other, as far as is known.
+bool CanTakeTurns(const worker_description& worker, base::time_point now) {
+  return !worker.stays_until ||
+         *worker.stays_until - now >= kMinTimeToTakeTurns;
+}
+
 std::vector<task_ref> RunningTasks(
     const worker_entry& worker,
     const std::function<bool(const task_ref&, const active_run&)>& matches) {
@@ -103,7 +114,7 @@
   active_run& run = worker.runs.at(task);
   // At least half of the step's tasks there, since the worker may shut down
   // before the last one has moved.
-  if (run.long_running &&
+  if (run.long_running && CanTakeTurns(worker.description, now) &&
       !CanBeUnavailable(task, (placer::RunsOfStep(worker, task) + 1) / 2)) {
     run.stays = stay_reason::kTooManyUnavailable;
     return;
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -40,7 +40,8 @@
   void MoveStalled(base::time_point now);
 
   /// Moves long-running tasks, and long tasks that can resume from a
-  /// checkpoint, off draining workers.
+  /// checkpoint, off draining workers. The long-running tasks of a step take
+  /// turns while there is time.
   void EvacuateDraining(base::time_point now);
 
   /// Moves long-running tasks out of drained failure domains, at the pace of
--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -81,6 +81,105 @@
   }
 }
 
+/// A service with a task on each of two workers. The first of them drains while
+/// the task of the second does not serve.
+struct half_served_fixture : scheduler_fixture {
+  half_served_fixture() {
+    step_request service = MakeStep(2, 3000);
+    service.long_running = true;
+    service.max_unavailable = 1;
+    service.max_per_worker = 1;
+    scheduler.Accept(MakeSubmission("a", service));
+    starts = RunRound();
+    BOOST_REQUIRE(starts.size() == 2u);
+    ReportAll();
+  }
+
+  void ReportAll() {
+    for (const worker_description& worker : workers)
+      if (worker.id != starts[0].worker && worker.id != starts[1].worker)
+        Report(worker.id, {});
+    Report(starts[0].worker, {.running = {MakeReportedRun(starts[0], 0, 100)}});
+    Report(starts[1].worker, {.running = {MakeReportedRun(starts[1], 0, 50)}});
+  }
+
+  void Drain(std::optional<base::time_point> stays_until) {
+    for (worker_description& worker : workers)
+      if (worker.id == starts[0].worker) {
+        worker.draining = true;
+        worker.stays_until = stays_until;
+      }
+    scheduler.SetWorkers(workers);
+  }
+
+  /// The tasks that are told to stop in a round after `time`.
+  std::vector<task_ref> StoppedAfter(std::chrono::milliseconds time) {
+    Advance(time);
+    ReportAll();
+    RunRound();
+    std::vector<task_ref> stopped;
+    for (const stop_command& stop : stops)
+      stopped.push_back(stop.task);
+    return stopped;
+  }
+
+  std::vector<start_command> starts;
+};
+
+BOOST_FIXTURE_TEST_CASE(
+    AWorkersLastTaskOfAHalfServedStepLeavesOnceTimeRunsShort,
+    half_served_fixture) {
+  Drain(now + std::chrono::milliseconds(6000));
+  BOOST_TEST(StoppedAfter(std::chrono::milliseconds(0)).empty());
+  BOOST_TEST(StoppedAfter(std::chrono::milliseconds(3000)).empty());
+  const auto stopped = StoppedAfter(std::chrono::milliseconds(2000));
+  BOOST_REQUIRE(stopped.size() == 1u);
+  BOOST_TEST((stopped[0] == starts[0].task));
+}
+
+BOOST_FIXTURE_TEST_CASE(ATaskLeavesAWorkerThatIsOverdueAtOnce,
+                        half_served_fixture) {
+  Drain(now - std::chrono::milliseconds(100));
+  BOOST_TEST(StoppedAfter(std::chrono::milliseconds(0)).size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(AStepKeepsItsLimitWhileTheTimeOfLeavingIsUnknown,
+                        half_served_fixture) {
+  Drain(std::nullopt);
+  BOOST_TEST(StoppedAfter(std::chrono::milliseconds(0)).empty());
+  BOOST_TEST(StoppedAfter(std::chrono::milliseconds(6000)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ATaskStaysWhenTimeRunsShortWhileNoOtherHasCapacity,
+                        half_served_fixture) {
+  for (worker_description& worker : workers)
+    if (worker.id != starts[0].worker && worker.id != starts[1].worker)
+      worker.capacity.processors_milli = 0;
+  Drain(now);
+  BOOST_TEST(StoppedAfter(std::chrono::milliseconds(0)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(AllTasksLeaveTogetherOnceTimeRunsShort) {
+  step_request service = MakeStep(4, 3000);
+  service.long_running = true;
+  service.max_unavailable = 1;
+  scheduler.Accept(MakeSubmission("a", service));
+  const auto starts = RunRound();
+  BOOST_REQUIRE(starts.size() == 4u);
+  worker_report report;
+  for (const start_command& start : starts)
+    report.running.push_back(MakeReportedRun(start, 0, 100));
+  Report(starts[0].worker, report);
+  for (worker_description& worker : workers)
+    if (worker.id == starts[0].worker) {
+      worker.draining = true;
+      worker.stays_until = now + std::chrono::milliseconds(1000);
+    }
+  scheduler.SetWorkers(workers);
+  RunRound();
+  BOOST_TEST(stops.size() == 4u);
+}
+
 BOOST_AUTO_TEST_CASE(
     LongRunningTasksStayOnADrainingWorkerWhileNoOtherHasCapacity) {
   step_request service = MakeStep(4, 16'000);
