--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -132,8 +133,10 @@
   static constexpr std::chrono::milliseconds kDrainInForce{5000};
   void SetDrained(const std::string& failure_domain, bool drained);
 
-  /// The worker has said that it leaves: soon nothing may start there.
-  void Leaves(const std::string& id);
+  /// The worker has said that it leaves, and how much longer it stays at least
+  /// unless that is unset: soon nothing may start there.
+  void Leaves(const std::string& id,
+              std::optional<std::chrono::milliseconds> stays_at_least);
 
   /// What the workers must know of a submission to run its tasks and judge
   /// the order of its steps.
--- a/tests/emulator/include/chivecrank/emulator/emulation.h
+++ b/tests/emulator/include/chivecrank/emulator/emulation.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -137,8 +138,10 @@
   void Restart(const std::string& worker);
   /// The worker that replaced `worker` last, or itself.
   std::string NewestAt(std::string worker) const;
-  /// The worker's entry says that it is about to leave.
-  void Drain(const std::string& worker);
+  /// The worker's entry says that it is about to leave, and how much longer it
+  /// stays at least unless that is unset.
+  void Drain(const std::string& worker,
+             std::optional<std::chrono::milliseconds> stays_at_least = {});
   /// An operator drains a failure domain, or takes that back.
   void DrainDomain(std::size_t domain, bool begins);
   /// Callers hand in so many times their usual load from now on.
--- a/tests/emulator/internal/day_player.cc
+++ b/tests/emulator/internal/day_player.cc
@@ -272,7 +272,7 @@
         return Lose(worker);
       if (emulation_.Workers().IsCrashed(worker))
         return;
-      emulation_.Drain(worker);
+      emulation_.Drain(worker, fault.lasts);
       emulation_.AddWorker();
       return;
     default:
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -126,9 +126,13 @@
   return workers_.at(id)->replaced;
 }
 
-void emulated_workers::Leaves(const std::string& id) {
-  workers_.at(id)->leaves_since = loop_.Now();
-  workers_.at(id)->description.draining = true;
+void emulated_workers::Leaves(
+    const std::string& id,
+    std::optional<std::chrono::milliseconds> stays_at_least) {
+  worker_state& worker = *workers_.at(id);
+  worker.leaves_since = loop_.Now();
+  worker.description.draining = true;
+  worker.description.stays_at_least = stays_at_least;
 }
 
 void emulated_workers::SetDrained(const std::string& failure_domain,
--- a/tests/emulator/internal/emulation.cc
+++ b/tests/emulator/internal/emulation.cc
@@ -23,22 +23,31 @@
 constexpr std::uint16_t kWorkerPort = 8367;
 constexpr std::size_t kWorkersPerNetwork = 250;
 
-/// The emulator's own form of a worker's entry: whether it drains, and its
-/// capacity; the rest is looked up.
+constexpr std::int64_t kUnknownStay = -1;
+
+/// The emulator's own form of a worker's entry: whether it drains, its capacity
+/// and how much longer it stays; the rest is looked up.
 std::string EntryOf(const submissions::worker_description& worker) {
   const coordination::resources& capacity = worker.capacity;
-  return absl::StrFormat("%s %d %d %d", worker.draining ? "draining" : "ready",
+  const std::int64_t stay =
+      worker.stays_at_least ? worker.stays_at_least->count() : kUnknownStay;
+  return absl::StrFormat("%s %d %d %d %d",
+                         worker.draining ? "draining" : "ready",
                          capacity.processors_milli, capacity.memory_mib,
-                         capacity.accelerators);
+                         capacity.accelerators, stay);
 }
 
 void ReadEntry(std::string_view entry,
                submissions::worker_description& worker) {
   std::istringstream words{std::string(entry)};
   std::string state;
+  std::int64_t stay = kUnknownStay;
   words >> state >> worker.capacity.processors_milli >>
-      worker.capacity.memory_mib >> worker.capacity.accelerators;
+      worker.capacity.memory_mib >> worker.capacity.accelerators >> stay;
   worker.draining = state == "draining";
+  worker.stays_at_least.reset();
+  if (stay != kUnknownStay)
+    worker.stays_at_least = std::chrono::milliseconds(stay);
 }
 
 coordination::resources ShareOf(const coordination::resources& whole,
@@ -172,10 +181,11 @@
   return idle;
 }
 
-void emulation::Drain(const std::string& worker) {
+void emulation::Drain(const std::string& worker,
+                      std::optional<std::chrono::milliseconds> stays_at_least) {
   if (workers_.IsCrashed(worker))
     return;
-  workers_.Leaves(worker);
+  workers_.Leaves(worker, stays_at_least);
   List(worker);
 }
 
