--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -34,6 +34,15 @@
     owner.OnCommitted(batch->number);
   }
 
+  /// The run's worker reports that the run is gone, and is the only one for the
+  /// next task.
+  void OfferWorkToItsWorkerAlone() {
+    scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
+    workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
+    scheduler.SetWorkers(workers);
+    scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  }
+
   /// The worker stays silent for so long.
   void StaySilent(shard_scheduler& owner, std::chrono::milliseconds time) {
     for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
@@ -171,10 +180,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(NoRunStartsOnAWorkerWhoseBoundIsRecorded) {
-  scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
-  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
-  scheduler.SetWorkers(workers);
-  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  OfferWorkToItsWorkerAlone();
   scheduler.Plan(now, since_epoch);
   const auto batch = scheduler.TakeBatch();
   BOOST_REQUIRE(batch.has_value());
@@ -186,10 +192,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(NoRunStartsOnAWorkerThatHasJustFallenSilent) {
-  scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
-  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
-  scheduler.SetWorkers(workers);
-  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  OfferWorkToItsWorkerAlone();
   scheduler.Plan(now, since_epoch);
   const auto batch = scheduler.TakeBatch();
   BOOST_REQUIRE(batch.has_value());
@@ -200,10 +203,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AStartThatWasNotSentDoesNotProlongTheLease) {
-  scheduler.OnReport(start.worker, {.started_at_ms = 1}, now, now);
-  workers = {workers[static_cast<std::size_t>(start.worker[2] - '1')]};
-  scheduler.SetWorkers(workers);
-  scheduler.Accept(MakeSubmission("b", MakeStep(1, 1000)));
+  OfferWorkToItsWorkerAlone();
   Commit(scheduler);
   const auto starts = scheduler.TakeCommands(now).starts;
   BOOST_REQUIRE(starts.size() == 1u);
