One loop counts a step's other tasks; a settled tenure is asked for no more

The driver went through all workers each 200 ms to see whether its tenure may be settled, for as long as it owned the shard; now only until it is.

--- a/src/runtime/include/chivecrank/runtime/shard_tenure.h
+++ b/src/runtime/include/chivecrank/runtime/shard_tenure.h
@@ -61,6 +61,8 @@
   /// Records that the tenure is settled, before earlier owners have run out of
   /// time; does nothing before the begin is recorded, or again.
   void Settle();
+  /// Whether it is settled, or the record of that is on its way.
+  bool IsSettling() const { return is_settling_; }
   /// Whether the begin is recorded, so that leases may be granted.
   bool HasBegun() const { return has_begun_; }
 
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -247,7 +247,7 @@
 }
 
 void shard_driver::DecidePeriodically() {
-  if (!scheduler_.MayEarlierOwnersRenew())
+  if (!tenure_.IsSettling() && !scheduler_.MayEarlierOwnersRenew())
     tenure_.Settle();
   housekeeping_.MoveUnplaced();
   LogWaits();
--- a/src/submissions/internal/relocator.cc
+++ b/src/submissions/internal/relocator.cc
@@ -128,11 +128,9 @@
   // before the last one has moved.
   const std::int32_t limit = std::max(
       step.max_unavailable, (placer::RunsOfStep(worker, task) + 1) / 2);
-  std::int32_t away = 0;
-  task_ref other = task;
-  for (other.index = 0; other.index < step.task_count; ++other.index)
-    away += other.index != task.index && IsAwayForNow(other) ? 1 : 0;
-  return away < limit;
+  return CountOthers(task, [this](const task_ref& other) {
+           return IsAwayForNow(other);
+         }) < limit;
 }
 
 bool relocator::IsAwayForNow(const task_ref& task) {
@@ -155,7 +153,9 @@
 
 bool relocator::CanBeUnavailable(const task_ref& task) {
   const step_request& step = *tracker_.Submissions().StepOf(task);
-  return UnavailableTasks(task) < std::max(step.max_unavailable, 1);
+  return CountOthers(task, [this](const task_ref& other) {
+           return !IsServing(other);
+         }) < std::max(step.max_unavailable, 1);
 }
 
 void relocator::LeaveDrainedDomains(base::time_point now) {
@@ -186,13 +186,15 @@
   return true;
 }
 
-std::int32_t relocator::UnavailableTasks(const task_ref& task) {
+std::int32_t relocator::CountOthers(
+    const task_ref& task,
+    const std::function<bool(const task_ref&)>& matches) {
   const step_request& step = *tracker_.Submissions().StepOf(task);
-  std::int32_t unavailable = 0;
+  std::int32_t count = 0;
   task_ref other = task;
   for (other.index = 0; other.index < step.task_count; ++other.index)
-    unavailable += IsServing(other) ? 0 : 1;
-  return unavailable;
+    count += other.index != task.index && matches(other) ? 1 : 0;
+  return count;
 }
 
 bool relocator::IsServing(const task_ref& task) {
--- a/src/submissions/internal/relocator.h
+++ b/src/submissions/internal/relocator.h
@@ -71,13 +71,15 @@
   /// Whether the task does not serve, and waiting for it makes sense: its run
   /// isn't on a silent worker, where it may have been lost.
   bool IsAwayForNow(const task_ref& task);
-  /// Whether one more task of a long-running step may become unavailable. At
-  /// least one may, whatever the step says.
+  /// Whether a task that serves may become unavailable. At least one of its
+  /// step may, whatever the step says.
   bool CanBeUnavailable(const task_ref& task);
   /// Moves the tasks of one worker in a drained domain; returns false once no
   /// more may move in this round.
   bool LeaveDrainedDomain(worker_entry& worker, base::time_point now);
-  std::int32_t UnavailableTasks(const task_ref& task);
+  /// How many other tasks of its step match.
+  std::int32_t CountOthers(const task_ref& task,
+                           const std::function<bool(const task_ref&)>& matches);
   bool IsServing(const task_ref& task);
   /// Stops the run if another worker has capacity for its task; returns
   /// whether it did.
