Tests share set-ups that were written twice; a thread is joined if its test throws

An owner that restarts, an answer with the run, and a service on two workers stood two or three times. TheAccountOfAPausedUpstreamIsWaitedFor would have ended the whole program instead of failing if no account had come, as its thread wasn't joined then. All assertions are kept; the same cases pass and fail.

--- a/src/submissions/tests/worker_lifecycle_test.cc
+++ b/src/submissions/tests/worker_lifecycle_test.cc
@@ -188,14 +188,23 @@
   BOOST_TEST(stops.size() == 4u);
 }
 
-BOOST_AUTO_TEST_CASE(ATaskThatDoesNotServeYetLeavesADrainingWorker) {
-  step_request service = MakeStep(2, 12'000);
-  service.long_running = true;
-  service.max_unavailable = 1;
-  scheduler.Accept(MakeSubmission("a", service));
-  const auto starts = RunRound();
-  BOOST_REQUIRE(starts.size() == 2u);
-  BOOST_REQUIRE(starts[0].worker != starts[1].worker);
+/// A service whose two tasks don't fit on one worker.
+struct two_workers_fixture : scheduler_fixture {
+  two_workers_fixture() {
+    service.steps[0].long_running = true;
+    service.steps[0].max_unavailable = 1;
+    scheduler.Accept(service);
+    starts = RunRound();
+    BOOST_REQUIRE(starts.size() == 2u);
+    BOOST_REQUIRE(starts[0].worker != starts[1].worker);
+  }
+
+  submission service = MakeSubmission("a", MakeStep(2, 12'000));
+  std::vector<start_command> starts;
+};
+
+BOOST_FIXTURE_TEST_CASE(ATaskThatDoesNotServeYetLeavesADrainingWorker,
+                        two_workers_fixture) {
   Report(starts[0].worker, {.running = {MakeReportedRun(starts[0], 0, 50)}});
   Report(starts[1].worker, {.running = {MakeReportedRun(starts[1], 0, 100)}});
   workers[static_cast<std::size_t>(starts[0].worker[2] - '1')].draining = true;
@@ -206,16 +215,10 @@
   BOOST_TEST((stops[0].task == starts[0].task));
 }
 
-BOOST_AUTO_TEST_CASE(ATaskLeavesADrainingWorkerThoughAnotherWorkerIsLost) {
-  step_request service = MakeStep(2, 12'000);
-  service.long_running = true;
-  service.max_unavailable = 1;
-  scheduler.Accept(MakeSubmission("a", service));
-  const auto starts = RunRound();
-  BOOST_REQUIRE(starts.size() == 2u);
-  BOOST_REQUIRE(starts[0].worker != starts[1].worker);
+BOOST_FIXTURE_TEST_CASE(ATaskLeavesADrainingWorkerThoughAnotherWorkerIsLost,
+                        two_workers_fixture) {
   shard_scheduler next(settings, {});
-  next.Accept(MakeSubmission("a", service));
+  next.Accept(service);
   next.Restore(scheduler.Snapshot());
   next.FinishRestore(now, now, std::chrono::milliseconds(12'000));
   workers[static_cast<std::size_t>(starts[0].worker[2] - '1')].draining = true;
--- a/src/submissions/tests/worker_recorder_test.cc
+++ b/src/submissions/tests/worker_recorder_test.cc
@@ -34,6 +34,14 @@
     owner.OnCommitted(batch->number);
   }
 
+  /// The run's worker answers the owner and still has the run.
+  void AnswerWithItsRun(shard_scheduler& owner) {
+    worker_report report;
+    report.started_at_ms = 1;
+    report.running = {MakeReportedRun(start)};
+    owner.OnReport(start.worker, report, now, now);
+  }
+
   /// The run's worker reports that the run is gone, and is the only one for the
   /// next task.
   void OfferWorkToItsWorkerAlone() {
@@ -89,27 +97,19 @@
 
 BOOST_AUTO_TEST_CASE(AWorkerThatAnsweredIsNotAwaitedForAnEarlierOwnersLease) {
   const auto next = NextOwner();
-  worker_report report;
-  report.started_at_ms = 1;
-  report.running = {MakeReportedRun(start)};
-  next->OnReport(start.worker, report, now, now);
-  const base::time_point last_lease_over =
-      now + settings.worker_lease + settings.lease_margin;
+  AnswerWithItsRun(*next);
+  const base::time_point last_lease_over = now + settings.LongestLease();
   StaySilent(*next, std::chrono::seconds(3));
   BOOST_TEST((now + next->AwaitedRuns(now).longest_wait <= last_lease_over));
 }
 
 BOOST_AUTO_TEST_CASE(AnAnswerDoesNotShortenALeaseOfItsOwner) {
   const auto next = NextOwner();
-  worker_report report;
-  report.started_at_ms = 1;
-  report.running = {MakeReportedRun(start)};
-  next->OnReport(start.worker, report, now, now);
+  AnswerWithItsRun(*next);
   Advance(kStep);
   next->OnLeaseSent(start.worker, now);
-  const base::time_point lease_over =
-      now + settings.worker_lease + settings.lease_margin;
-  next->OnReport(start.worker, report, now, now);
+  const base::time_point lease_over = now + settings.LongestLease();
+  AnswerWithItsRun(*next);
   BOOST_TEST((next->LeaseExpiries().at(start.worker) == lease_over));
 }
 
--- a/tests/emulator/tests/lasting_tasks_test.cc
+++ b/tests/emulator/tests/lasting_tasks_test.cc
@@ -61,6 +61,14 @@
     day->StartInstance(owner);
   }
 
+  /// Kills the owner, which starts again before its lease is over.
+  void RestartOwner() {
+    const std::size_t owner = day->OwnerOf(0);
+    day->KillInstance(owner);
+    day->Run(milliseconds(550), false);
+    day->StartInstance(owner);
+  }
+
   void KillAll() {
     for (std::size_t i = 0; i < settings.instances; ++i)
       day->KillInstance(i);
@@ -92,10 +100,7 @@
 BOOST_AUTO_TEST_CASE(TasksOfReplacedWorkersRunAgainAfterTheOwnerRestarted) {
   Crash();
   day->Run(seconds(1), false);
-  const std::size_t owner = day->OwnerOf(0);
-  day->KillInstance(owner);
-  day->Run(milliseconds(550), false);
-  day->StartInstance(owner);
+  RestartOwner();
   day->Run(milliseconds(450), false);
   Unlist();
   Replace();
@@ -145,10 +150,7 @@
   ChangeOwner(seconds(3));
   Crash();
   Unlist();
-  const std::size_t owner = day->OwnerOf(0);
-  day->KillInstance(owner);
-  day->Run(milliseconds(550), false);
-  day->StartInstance(owner);
+  RestartOwner();
   day->Run(kRunsAgainWithin, false);
   CheckAllRun();
 }
@@ -197,10 +199,7 @@
 BOOST_AUTO_TEST_CASE(TasksOfWorkersLostWithTheirOwnerRunAgain) {
   Crash();
   Unlist();
-  const std::size_t owner = day->OwnerOf(0);
-  day->KillInstance(owner);
-  day->Run(milliseconds(550), false);
-  day->StartInstance(owner);
+  RestartOwner();
   day->Run(kRunsAgainWithin, false);
   CheckAllRun();
 }
--- a/tests/emulator/tests/leavers_test.cc
+++ b/tests/emulator/tests/leavers_test.cc
@@ -6,6 +6,7 @@
 #include "hunted_days.h"
 
 namespace chivecrank::emulator {
+
 BOOST_AUTO_TEST_SUITE(leavers)
 
 BOOST_DATA_TEST_CASE(HuntedDaysWithLeaversKeepTheirPromises,
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -99,7 +99,7 @@
   Run([] {}, [] {});
   const auto runs = system.RequestRuns();
   SignalWorker(1, SIGSTOP);
-  std::thread resume([this] {
+  std::jthread resume([this] {
     std::this_thread::sleep_for(kFault);
     SignalWorker(1, SIGCONT);
   });
