--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -5,7 +5,7 @@
 "ms=40" a task that is done after that time, "lasts" one that goes on, and
 "cpu=16000" what it takes up here. "save=1000" saves after each second of work,
 "gang=4" waits for the members of the gang and works with them; see gang.py.
-"fail=1" fails at once.
+"fail=1" fails its first run at once.
 """
 
 import argparse
@@ -166,7 +166,7 @@
         gang = int(words.get("gang", 0))
         self.runs[task] = {
             "run": number, "cpu": cpu, "gang": gang, "stop_at": None,
-            "work_ms": int(words.get("ms", 0)), "fails": "fail" in words,
+            "work_ms": int(words.get("ms", 0)), "fails": number <= int(words.get("fail", 0)),
             "save_ms": int(words.get("save", 0)),
             "base_ms": int(checkpoint[:8], 16) if checkpoint else 0,
             "since": None if gang else time.monotonic()}
