--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -164,15 +164,17 @@
         self.instances.append(process)
         return process
 
-    async def start_worker(self, name, cpu=16000, rack="r1"):
+    async def start_worker(self, name, cpu=16000, rack="r1", service=None,
+                           more=()):
         """Starts the worker, or a new life of one that has ended."""
         process = self.workers.get(name)
         if process is None:
             process = Process(
                 [sys.executable, "-B", HERE / "worker.py", "--id", name,
                  "--port", free_port(), "--register-port", self.register_port,
-                 "--service", self.service, "--cpu", cpu, "--rack", rack,
-                 "--hold-max-ms", self.bounds["HoldMaxMs"]],
+                 "--service", service or self.service, "--cpu", cpu,
+                 "--rack", rack, "--hold-max-ms", self.bounds["HoldMaxMs"],
+                 *more],
                 self.folder / f"worker-{name}.log")
             process.name = name
             self.workers[name] = process
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -29,7 +29,7 @@
         self.most_lease_ms = options.hold_max_ms
         self.begun = time.monotonic()
         self.born = int(time.time() * 1000)
-        self.fence = 0
+        self.fence = options.fence
         self.lease_ms = 0
         self.runs = {}
         self.barred = {}
@@ -130,6 +130,8 @@
             return 421, {"ClockMs": self.clock_ms()}
         body = request.json()
         if body.get("FenceToken", 0) < self.fence:
+            self.write("refused", call=request.path,
+                       fence=body.get("FenceToken", 0), follows=self.fence)
             return self.refusal("fence")
         self.fence = body.get("FenceToken", 0)
         if request.path == "/-/run-start":
@@ -235,6 +237,8 @@
     parser.add_argument("--cpu", type=int, default=16000)
     parser.add_argument("--hold-max-ms", type=int, required=True)
     parser.add_argument("--heartbeat-ms", type=int, default=1100)
+    parser.add_argument("--fence", type=int, default=0,
+                        help="the token that its owner gave it before")
     options = parser.parse_args()
     worker = Worker(options)
     server = await httpd.serve(options.host, options.port, worker.handle)
