--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,6 +13,7 @@
 
 BOUNDS = {"HoldMaxMs": 6000}
 WORKERS = 6
+INSTANCES = 7
 FREEZE_S = 3.5
 TIMEOUT_S = 3.0
 CANCEL_MS = 3000
@@ -89,7 +90,7 @@
                               "Prefix": "/q/"}])
     for i in range(WORKERS):
         await deployment.start_worker(f"i-{i}")
-    for i in range(4):
+    for i in range(INSTANCES):
         await deployment.start_instance(f"front-{i}")
     await deployment.wait_ready()
     await deployment.owner()
