--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -213,7 +213,7 @@
                 "Version": "v1", "Slots": 8, "State": "ready",
                 "ColdLeftMs": 0, "ClockMs": self.clock_ms(), "Seq": seq,
                 "Capacity": {"Cpu": self.capacity, "MemMb": 64000, "Gpu": 0},
-                "Labels": ["a", options.rack], "born": self.born}
+                "Labels": [options.kind, options.rack], "born": self.born}
 
     async def register(self, options):
         """Writes the worker's entry into the store."""
@@ -234,6 +234,7 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--zone", default="zone-a")
     parser.add_argument("--rack", default="r1")
+    parser.add_argument("--kind", default="a")
     parser.add_argument("--cpu", type=int, default=16000)
     parser.add_argument("--hold-max-ms", type=int, required=True)
     parser.add_argument("--heartbeat-ms", type=int, default=1100)
