--- a/src/submissions/include/chivecrank/submissions/scheduler_event.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_event.h
@@ -34,6 +34,8 @@
   kWorkerTrusted,
   /// A draining worker fell silent before a long-running task had left it.
   kTaskLeftBehind,
+  /// No worker that its rules allow takes a task for too long.
+  kTaskWaits,
 };
 
 std::string_view SchedulerEventKindName(scheduler_event_kind value);
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "chivecrank/scheduling/resources.h"
 #include "internal/latency_guard.h"
@@ -147,16 +148,34 @@
 
 bool placer::HasCapacity(const worker_entry& worker,
                          const placement_request& request) const {
+  return HasRoom(worker, request) && IsEligible(worker, request);
+}
+
+bool placer::HasRoom(const worker_entry& worker,
+                     const placement_request& request) {
   const bool is_reserved =
       worker.reserved_for_service && !request.step->long_running;
   return !is_reserved &&
          scheduling::Fits(ReservedBy(*request.step), worker.reserved,
-                          worker.description.capacity) &&
-         IsEligible(worker, request);
+                          worker.description.capacity);
+}
+
+std::int64_t placer::CountLeftOut(const placement_request& request) const {
+  return std::ranges::count_if(
+      std::as_const(workers_).All(), [&](const auto& entry) {
+        const worker_entry& worker = entry.second;
+        return HasRoom(worker, request) && IsSuitable(worker, request) &&
+               !IsTrusted(worker, request);
+      });
 }
 
 bool placer::IsEligible(const worker_entry& worker,
                         const placement_request& request) const {
+  return IsSuitable(worker, request) && IsTrusted(worker, request);
+}
+
+bool placer::IsSuitable(const worker_entry& worker,
+                        const placement_request& request) const {
   const worker_description& description = worker.description;
   const step_request& step = *request.step;
   if (!worker.IsOpen() || !worker.Answers() || worker.lacks_capacity ||
@@ -164,7 +183,7 @@
       worker.recorded.lease == lease_record::kBounded ||
       request.now - worker.reported_at > settings_.max_report_age)
     return false;
-  if (worker.trials > 0 || !IsTrusted(worker, request))
+  if (worker.trials > 0)
     return false;
   if (description.service != *request.service ||
       &worker == request.current_worker)
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -36,6 +36,8 @@
 
   /// Whether an earlier run counts against the task's attempts.
   bool IsRetry() const { return !step->long_running && progress->failures > 0; }
+  /// Whether its wait for a worker says nothing of the others of its step.
+  bool WaitsAlone() const { return IsRetry() && !step->gang; }
 };
 
 /// Decides which workers can take a run and scores them.
@@ -72,17 +74,27 @@
   bool IsTrusted(const worker_entry& worker,
                  const placement_request& request) const;
 
+  /// Number of workers with room that only the record of their runs rules out.
+  std::int64_t CountLeftOut(const placement_request& request) const;
+
   /// Scores the worker for the task; empty if it can't take the task.
   std::optional<double> ScoreOf(worker_entry& worker,
                                 const placement_request& request) const;
 
  private:
+  /// Whether the worker has enough unreserved capacity.
+  static bool HasRoom(const worker_entry& worker,
+                      const placement_request& request);
   /// Whether the worker is eligible and has enough unreserved capacity.
   bool HasCapacity(const worker_entry& worker,
                    const placement_request& request) const;
   /// Whether the demand fits if only the long-running tasks stay on the worker.
   bool FitsBesideServices(worker_entry& worker,
                           const coordination::resources& demand) const;
+  /// Whether the worker meets all constraints other than free capacity and the
+  /// record of its runs.
+  bool IsSuitable(const worker_entry& worker,
+                  const placement_request& request) const;
   /// Whether the worker meets all constraints other than free capacity.
   bool IsEligible(const worker_entry& worker,
                   const placement_request& request) const;
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -28,6 +28,10 @@
   });
 }
 
+task_ref FirstTaskOf(const ready_step& ready) {
+  return {ready.live->request.id, ready.occurrence, ready.step};
+}
+
 std::int32_t HighestRun(const live_step& step) {
   std::int32_t highest = 0;
   for (const task_progress& task : step.tasks)
@@ -44,6 +48,7 @@
   if (!drains_.IsCurrent(now))
     return;
   placer_.BeginRound(now);
+  waits_.BeginRound(now);
   drains_.BeginRound(now);
   infeasible_.Clear();
   relocator_.MoveStalled(now);
@@ -161,7 +166,7 @@
 }
 
 void planner::PlaceTasks(const ready_step& ready, base::time_point now) {
-  task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  task_ref task = FirstTaskOf(ready);
   if (WaitsForFullCapacity(ready, now))
     return;
   const std::int32_t count = ready.Request().task_count;
@@ -205,15 +210,28 @@
 void planner::OnNoWorker(const ready_step& ready,
                          const placement_request& request) {
   RequestPermits(ready, request);
+  RecordWait(request);
   if (request.step->long_running)
     placer_.ReserveWorkerFor(request);
 }
 
+void planner::RecordWait(const placement_request& request) {
+  if (!waits_.OnNoWorker(request.task, request.WaitsAlone(), request.now))
+    return;
+  const std::int64_t left_out = placer_.CountLeftOut(request);
+  tracker_.Emit({.kind = scheduler_event_kind::kTaskWaits,
+                 .task = request.task,
+                 .run = request.progress->run,
+                 .outcome = left_out > 0 ? "bad_records" : "no_room",
+                 .input = left_out});
+}
+
 bool planner::PlaceTask(const placement_request& request,
                         candidate_queue& workers) {
   worker_entry* worker = workers.Take(request);
   if (worker == nullptr)
     return false;
+  waits_.OnPlaced(request.task, request.WaitsAlone());
   placer_.OnAssign(*worker, request);
   tracker_.Assign(request.task, request.progress->run + 1, *worker,
                   request.now);
@@ -231,7 +249,8 @@
     for (const std::string& rack : RacksByFreeCapacity())
       if (PlaceGangOn(ready, rack, now))
         return;
-  PlaceGangOn(ready, {}, now);
+  if (!PlaceGangOn(ready, {}, now))
+    RecordWait(RequestFor(*ready.live, FirstTaskOf(ready), now));
 }
 
 bool planner::PlaceGangOn(const ready_step& ready,
@@ -243,7 +262,7 @@
   if (chosen.empty())
     return false;
   const std::int32_t run = HighestRun(step) + 1;
-  task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  task_ref task = FirstTaskOf(ready);
   for (worker_entry* worker : chosen) {
     tracker_.Assign(task, run, *worker, now);
     ++task.index;
@@ -255,7 +274,7 @@
                                                  const std::string& rack,
                                                  base::time_point now) {
   const step_request& wanted = ready.Request();
-  task_ref task{ready.live->request.id, ready.occurrence, ready.step};
+  task_ref task = FirstTaskOf(ready);
   // Capacity is reserved with placeholder runs, which are removed before
   // returning.
   std::vector<worker_entry*> chosen;
@@ -302,6 +321,7 @@
   if (!ready.Request().long_running || live.any_task_assigned ||
       !ChooseForAll(ready, {}, now).empty())
     return false;
+  RecordWait(RequestFor(live, FirstTaskOf(ready), now));
   if (!live.no_capacity_since)
     live.no_capacity_since = now;
   return now - *live.no_capacity_since < settings_.full_capacity_timeout;
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "internal/candidate_queue.h"
+#include "internal/choice_waits.h"
 #include "internal/drain_tracker.h"
 #include "internal/infeasibility_cache.h"
 #include "internal/placer.h"
@@ -29,6 +30,7 @@
         tracker_(tracker),
         permits_(permits),
         drains_(drains),
+        waits_(settings.longest_choice),
         placer_(settings, tracker.Workers(), interference, tracker.Health()),
         relocator_(tracker,
                    placer_,
@@ -73,6 +75,8 @@
   void PlaceApart(const ready_step& ready, const placement_request& request);
   /// Prepares for a later round a task that no worker can take now.
   void OnNoWorker(const ready_step& ready, const placement_request& request);
+  /// Counts the time that the task waits, and tells of a wait that is long.
+  void RecordWait(const placement_request& request);
   /// Requests permits for the best workers without a known permit, if the step
   /// needs permits.
   void RequestPermits(const ready_step& ready,
@@ -99,6 +103,7 @@
   permit_tracker& permits_;
   drain_tracker& drains_;
   std::vector<permit_request> permit_requests_;
+  choice_waits waits_;
   placer placer_;
   infeasibility_cache infeasible_;
   relocator relocator_;
--- a/src/submissions/internal/scheduler_event.cc
+++ b/src/submissions/internal/scheduler_event.cc
@@ -5,14 +5,14 @@
 namespace chivecrank::submissions {
 namespace {
 
-constexpr std::array<std::string_view, 19> kNames = {
+constexpr std::array<std::string_view, 20> kNames = {
     "task_assigned",    "run_ended",         "run_lost",
     "start_refused",    "stray_stopped",     "submission_ended",
     "worker_restarted", "worker_avoided",    "worker_lease_over",
     "fills_throttled",  "fill_moved",        "task_evacuated",
     "stalled_moved",    "task_suspected",    "task_cleared",
     "task_given_up",    "domain_task_moved", "worker_trusted",
-    "task_left_behind"};
+    "task_left_behind", "task_waits"};
 
 }  // namespace
 
