A retry that finds no proven worker takes another one after two seconds

Cause: a task that has failed starts only on workers with good records, while half of the workers have one.

The usual rule goes first in each round.

ARetryStartsThough... and AGangStartsAgainThough... fail on the code before and pass now.

--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -67,7 +67,8 @@
   /// each test that fails, up to the longest.
   std::chrono::milliseconds first_test_pause{500};
   std::chrono::milliseconds longest_test_pause{8000};
-  /// How long a task waits for one of the workers that its rules prefer.
+  /// How long a task that starts only on workers with good records waits for
+  /// one before it takes another.
   std::chrono::milliseconds longest_choice{2000};
   /// A run is moved if it made no progress for this long and for this share of
   /// its expected run time.
--- a/src/submissions/internal/infeasibility_cache.cc
+++ b/src/submissions/internal/infeasibility_cache.cc
@@ -35,7 +35,8 @@
           .long_running = step.long_running,
           .required_label = step.required_label,
           .max_per_worker = step.max_per_worker,
-          .rack = request.rack};
+          .rack = request.rack,
+          .has_waited = request.has_waited};
 }
 
 bool infeasibility_cache::IsGeneral(const placement_request& request,
--- a/src/submissions/internal/infeasibility_cache.h
+++ b/src/submissions/internal/infeasibility_cache.h
@@ -32,6 +32,7 @@
     std::string required_label;
     std::int32_t max_per_worker = 0;
     std::string rack;
+    bool has_waited = false;
 
     bool operator==(const request_shape&) const = default;
   };
--- a/src/submissions/internal/placer.h
+++ b/src/submissions/internal/placer.h
@@ -26,6 +26,8 @@
   bool on_trial = false;
   /// It ends with its submission's failure if its next run fails.
   bool last_attempt = false;
+  /// No worker has taken it for too long; see choice_waits.
+  bool has_waited = false;
   /// Worker that the task is moved away from; null if it runs nowhere.
   const worker_entry* current_worker = nullptr;
   /// Restricts the choice to one rack; empty for any.
@@ -58,6 +60,7 @@
   /// Must be called before the task of `request` is assigned to the worker.
   void OnAssign(worker_entry& worker, const placement_request& request);
   worker_table& Workers() const { return workers_; }
+  const worker_health& Health() const { return health_; }
   /// Reserves the eligible worker with the most free processors for a task of a
   /// service until the round ends.
   void ReserveWorkerFor(const placement_request& request);
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -186,6 +186,8 @@
       workers.emplace(placer_, request);
     if (workers && PlaceTask(request, *workers))
       continue;
+    if (PlaceAfterWait(request))
+      continue;
     OnNoWorker(ready, request);
     const bool none_left = workers && workers->IsEmpty();
     // A retry is choosier than the tasks after it.
@@ -203,10 +205,30 @@
 void planner::PlaceApart(const ready_step& ready,
                          const placement_request& request) {
   candidate_queue workers(placer_, request);
-  if (!PlaceTask(request, workers))
+  if (!PlaceTask(request, workers) && !PlaceAfterWait(request))
     OnNoWorker(ready, request);
 }
 
+bool planner::HasWaited(const placement_request& request) const {
+  return placer_.Health().MayRuleOut(request.IsRetry()) &&
+         waits_.HasWaited(request.task, request.WaitsAlone(), request.now);
+}
+
+bool planner::PlaceAfterWait(const placement_request& request) {
+  if (!HasWaited(request))
+    return false;
+  placement_request unchoosy = request;
+  unchoosy.has_waited = true;
+  if (infeasible_.Covers(unchoosy, 1))
+    return false;
+  candidate_queue workers(placer_, unchoosy);
+  if (PlaceTask(unchoosy, workers))
+    return true;
+  if (workers.IsEmpty())
+    infeasible_.Add(unchoosy, 1);
+  return false;
+}
+
 void planner::OnNoWorker(const ready_step& ready,
                          const placement_request& request) {
   RequestPermits(ready, request);
@@ -231,7 +253,9 @@
   worker_entry* worker = workers.Take(request);
   if (worker == nullptr)
     return false;
-  waits_.OnPlaced(request.task, request.WaitsAlone());
+  // A task that gave up its choice says nothing of workers for the others.
+  if (!request.has_waited || request.WaitsAlone())
+    waits_.OnPlaced(request.task, request.WaitsAlone());
   placer_.OnAssign(*worker, request);
   tracker_.Assign(request.task, request.progress->run + 1, *worker,
                   request.now);
@@ -244,42 +268,45 @@
       ready.Occurrence().steps[static_cast<std::size_t>(ready.step)];
   if (!AllWait(step))
     return;
-  const bool same_rack = ready.Request().same_rack;
-  if (same_rack)
-    for (const std::string& rack : RacksByFreeCapacity())
-      if (PlaceGangOn(ready, rack, now))
+  placement_request request = RequestFor(*ready.live, FirstTaskOf(ready), now);
+  if (ready.Request().same_rack)
+    for (const std::string& rack : RacksByFreeCapacity()) {
+      request.rack = rack;
+      if (PlaceGangOn(ready, request))
         return;
-  if (!PlaceGangOn(ready, {}, now))
-    RecordWait(RequestFor(*ready.live, FirstTaskOf(ready), now));
+    }
+  request.rack.clear();
+  if (PlaceGangOn(ready, request))
+    return;
+  request.has_waited = HasWaited(request);
+  if (request.has_waited && PlaceGangOn(ready, request))
+    return;
+  RecordWait(request);
 }
 
 bool planner::PlaceGangOn(const ready_step& ready,
-                          const std::string& rack,
-                          base::time_point now) {
+                          const placement_request& request) {
   const live_step& step =
       ready.Occurrence().steps[static_cast<std::size_t>(ready.step)];
-  const auto chosen = ChooseForAll(ready, rack, now);
+  const auto chosen = ChooseForAll(ready, request);
   if (chosen.empty())
     return false;
   const std::int32_t run = HighestRun(step) + 1;
   task_ref task = FirstTaskOf(ready);
   for (worker_entry* worker : chosen) {
-    tracker_.Assign(task, run, *worker, now);
+    tracker_.Assign(task, run, *worker, request.now);
     ++task.index;
   }
   return true;
 }
 
 std::vector<worker_entry*> planner::ChooseForAll(const ready_step& ready,
-                                                 const std::string& rack,
-                                                 base::time_point now) {
+                                                 placement_request request) {
   const step_request& wanted = ready.Request();
   task_ref task = FirstTaskOf(ready);
   // Capacity is reserved with placeholder runs, which are removed before
   // returning.
   std::vector<worker_entry*> chosen;
-  placement_request request = RequestFor(*ready.live, task, now);
-  request.rack = rack;
   if (infeasible_.Covers(request, wanted.task_count))
     return chosen;
   candidate_queue workers(placer_, request);
@@ -319,7 +346,7 @@
                                    base::time_point now) {
   live_submission& live = *ready.live;
   if (!ready.Request().long_running || live.any_task_assigned ||
-      !ChooseForAll(ready, {}, now).empty())
+      !ChooseForAll(ready, RequestFor(live, FirstTaskOf(ready), now)).empty())
     return false;
   RecordWait(RequestFor(live, FirstTaskOf(ready), now));
   if (!live.no_capacity_since)
--- a/src/submissions/internal/planner.h
+++ b/src/submissions/internal/planner.h
@@ -82,14 +82,18 @@
   void RequestPermits(const ready_step& ready,
                       const placement_request& request);
   void PlaceGang(const ready_step& ready, base::time_point now);
-  bool PlaceGangOn(const ready_step& ready,
-                   const std::string& rack,
-                   base::time_point now);
+  /// Places all tasks of a step under the constraints of `request`, which is
+  /// for the first of them.
+  bool PlaceGangOn(const ready_step& ready, const placement_request& request);
   /// Chooses workers for all tasks of a step; empty if any task finds no
   /// capacity.
   std::vector<worker_entry*> ChooseForAll(const ready_step& ready,
-                                          const std::string& rack,
-                                          base::time_point now);
+                                          placement_request request);
+  /// Places a task that has waited too long for a worker of its choice on any
+  /// that can take it.
+  bool PlaceAfterWait(const placement_request& request);
+  /// Whether a task must give up its choice of workers to be placed.
+  bool HasWaited(const placement_request& request) const;
   /// Whether a long-running submission should wait, so that it can move to a
   /// shard with capacity for all of its tasks instead of starting here in part.
   bool WaitsForFullCapacity(const ready_step& ready, base::time_point now);
--- a/src/submissions/internal/worker_health.cc
+++ b/src/submissions/internal/worker_health.cc
@@ -57,6 +57,7 @@
     return static_cast<double>(count) /
            static_cast<double>(std::max<std::size_t>(usable, 1));
   };
+  any_on_probation_ = on_probation > 0;
   leaves_alone_ = share_of(on_probation) <= kMaxOnProbation;
   retries_choose_ = share_of(proven) >= kEnoughProven;
 }
@@ -111,8 +112,8 @@
   if (health.on_probation && leaves_alone_)
     return candidate.can_test_worker && !health.test &&
            now >= health.test_after;
-  const bool chooses =
-      candidate.failures > 0 && retries_choose_ && !candidate.is_bound;
+  const bool chooses = candidate.failures > 0 && retries_choose_ &&
+                       !candidate.is_bound && !candidate.has_waited;
   return !chooses || IsProven(worker);
 }
 
--- a/src/submissions/internal/worker_health.h
+++ b/src/submissions/internal/worker_health.h
@@ -17,6 +17,8 @@
   bool can_test_worker = false;
   /// It may be too bound to be choosy.
   bool is_bound = false;
+  /// For too long no worker with a good record has taken it.
+  bool has_waited = false;
 };
 
 /// Judges workers by the ends of their runs. The load it answers: workers that
@@ -45,6 +47,11 @@
   bool Allows(const worker_entry& worker,
               const start_candidate& candidate,
               base::time_point now) const;
+  /// Whether the record of some worker may rule out a start.
+  bool MayRuleOut(bool is_retry) const {
+    return (any_on_probation_ && leaves_alone_) ||
+           (is_retry && retries_choose_);
+  }
   /// A start of the task was decided.
   static void OnAssign(worker_entry& worker, const task_ref& task);
 
@@ -54,6 +61,7 @@
  private:
   const scheduler_settings& settings_;
   worker_table& workers_;
+  bool any_on_probation_ = false;
   /// Few enough workers are on probation to leave them alone.
   bool leaves_alone_ = true;
   /// Enough workers are proven for retries to be choosy.
--- a/src/submissions/tests/worker_health_test.cc
+++ b/src/submissions/tests/worker_health_test.cc
@@ -72,6 +72,47 @@
     }
   }
 
+  /// Each worker does a run; then services leave room on w-4 only.
+  void FillAllButOneWorker() {
+    scheduler.Accept(MakeSubmission("first", MakeStep(4, 16'000)));
+    Play(std::chrono::seconds(2));
+    step_request services = MakeServiceStep(9000);
+    services.task_count = 3;
+    services.max_per_worker = 1;
+    services.image.clear();
+    services.required_label = "full";
+    for (int i = 0; i < 3; ++i)
+      workers[static_cast<std::size_t>(i)].labels.push_back("full");
+    scheduler.SetWorkers(workers);
+    lasting = {"services"};
+    scheduler.Accept(MakeSubmission("services", services));
+    Play(std::chrono::seconds(2));
+    BOOST_REQUIRE(runs["w-4"].empty());
+  }
+
+  /// All runs end as stopped.
+  void StopRuns() {
+    for (auto& [worker, left] : runs) {
+      worker_report report;
+      for (const running& run : left)
+        report.ended.push_back({++ends[worker], run.command.task,
+                                run.command.run, run_outcome::kStopped, ""});
+      left.clear();
+      Report(worker, report);
+    }
+  }
+
+  /// A submission whose first run fails on w-4.
+  void FailOnce(const step_request& step) {
+    submission failing = MakeSubmission("failing", step);
+    failing.policy.attempt_limit = 4;
+    fails = {"w-4"};
+    scheduler.Accept(failing);
+    Play(2 * kStep);
+    fails.clear();
+    BOOST_REQUIRE(outcomes.count("failing") == 0u);
+  }
+
   std::size_t Failed() {
     std::size_t failed = 0;
     for (const auto& [id, outcome] : outcomes)
@@ -168,6 +209,37 @@
     BOOST_TEST(runs[worker.id].size() == 1u, "no service on " << worker.id);
 }
 
+/// review/4: a task that failed once was never started again while the workers
+/// with good records were full of services.
+BOOST_AUTO_TEST_CASE(ARetryStartsThoughOnlyTheWorkerThatFailedItHasRoom) {
+  FillAllButOneWorker();
+  FailOnce(MakeStep(1, 8000));
+  Play(std::chrono::seconds(4));
+  BOOST_TEST(outcomes["failing"] == "completed");
+}
+
+/// The same cause as for review/4, with tasks that are placed together.
+BOOST_AUTO_TEST_CASE(AGangStartsAgainThoughOnlyTheWorkerThatFailedItHasRoom) {
+  FillAllButOneWorker();
+  step_request gang = MakeStep(2, 8000);
+  gang.gang = true;
+  FailOnce(gang);
+  Play(std::chrono::seconds(4));
+  BOOST_TEST(runs["w-4"].empty());
+  BOOST_TEST(outcomes["failing"] == "completed");
+}
+
+BOOST_AUTO_TEST_CASE(ARetryWaitsForAProvenWorkerThatSoonHasRoom) {
+  FillAllButOneWorker();
+  FailOnce(MakeStep(1, 8000));
+  starts_on.clear();
+  scheduler.Cancel("services", now);
+  StopRuns();
+  Play(std::chrono::seconds(1));
+  BOOST_TEST(starts_on["w-1"] + starts_on["w-2"] + starts_on["w-3"] == 1);
+  BOOST_TEST(starts_on["w-4"] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(WithMostWorkersFailingAllStayInUse) {
   Submit(10);
   bad_since = now;
