Any task may test a worker on probation once it has waited

Cause: the same as for retries, a preference that is a condition without end, here for services, gangs and last attempts.

Change: after two seconds without another worker, such a task may be the test; a service proves the worker by running for a second.

--- a/src/submissions/include/chivecrank/submissions/scheduler_settings.h
+++ b/src/submissions/include/chivecrank/submissions/scheduler_settings.h
@@ -70,6 +70,9 @@
   /// How long a task that starts only on workers with good records waits for
   /// one before it takes another.
   std::chrono::milliseconds longest_choice{2000};
+  /// A long-running task that has run for this long has not failed its worker's
+  /// test.
+  std::chrono::milliseconds service_test_time{1000};
   /// A run is moved if it made no progress for this long and for this share of
   /// its expected run time.
   std::chrono::milliseconds stalled_after{1200};
--- a/src/submissions/internal/placer.cc
+++ b/src/submissions/internal/placer.cc
@@ -211,7 +211,8 @@
       .failures = request.IsRetry() ? request.progress->failures : 0,
       .can_test_worker = stays && ends_alone && !request.last_attempt,
       .is_bound = !step.required_label.empty() || request.permits != nullptr,
-      .has_waited = request.has_waited};
+      .has_waited = request.has_waited,
+      .has_spare_attempts = step.long_running};
   return health_.Allows(worker, candidate, request.now);
 }
 
--- a/src/submissions/internal/planner.cc
+++ b/src/submissions/internal/planner.cc
@@ -294,6 +294,7 @@
   const std::int32_t run = HighestRun(step) + 1;
   task_ref task = FirstTaskOf(ready);
   for (worker_entry* worker : chosen) {
+    worker_health::OnAssign(*worker, task);
     tracker_.Assign(task, run, *worker, request.now);
     ++task.index;
   }
--- a/src/submissions/internal/report_processor.cc
+++ b/src/submissions/internal/report_processor.cc
@@ -139,8 +139,11 @@
     return;
   }
   CheckFoundSpeed(worker, run, reported, now);
-  if (run.phase == run_phase::kRunning)
+  if (run.phase == run_phase::kRunning) {
+    if (run.long_running)
+      tracker_.CheckTest(worker, reported.task, run, now);
     return;
+  }
   tracker_.MarkReported(reported.task);
   run.phase = run_phase::kRunning;
   run.phase_since = now;
--- a/src/submissions/internal/run_tracker.cc
+++ b/src/submissions/internal/run_tracker.cc
@@ -308,8 +308,21 @@
   if (change == worker_health::change::kOnProbation)
     Avoid(worker, "failures", worker.health.consecutive_failures, now);
   else if (change == worker_health::change::kTrusted)
-    Emit({.kind = scheduler_event_kind::kWorkerTrusted,
-          .worker = worker.description.id});
+    EmitTrusted(worker);
+}
+
+void run_tracker::CheckTest(worker_entry& worker,
+                            const task_ref& task,
+                            const active_run& run,
+                            base::time_point now) {
+  const auto change = health_.OnAlive(worker, task, run.phase_since, now);
+  if (change == worker_health::change::kTrusted)
+    EmitTrusted(worker);
+}
+
+void run_tracker::EmitTrusted(const worker_entry& worker) const {
+  Emit({.kind = scheduler_event_kind::kWorkerTrusted,
+        .worker = worker.description.id});
 }
 
 void run_tracker::Avoid(worker_entry& worker,
--- a/src/submissions/internal/run_tracker.h
+++ b/src/submissions/internal/run_tracker.h
@@ -79,6 +79,12 @@
                  const reported_end& end,
                  base::time_point now);
 
+  /// A report shows a long-running task at work, which may test its worker.
+  void CheckTest(worker_entry& worker,
+                 const task_ref& task,
+                 const active_run& run,
+                 base::time_point now);
+
   /// Prefers other workers for the avoidance period.
   void Avoid(worker_entry& worker,
              std::string_view reason,
@@ -134,6 +140,7 @@
                     const reported_end& end,
                     const active_run& run,
                     base::time_point now);
+  void EmitTrusted(const worker_entry& worker) const;
   void FinishIfDone(const std::string& submission, base::time_point now);
   void ReleaseGang(const task_ref& task);
   void MarkChanged(const live_submission& live, const task_ref& task);
--- a/src/submissions/internal/worker_health.cc
+++ b/src/submissions/internal/worker_health.cc
@@ -109,14 +109,39 @@
                            const start_candidate& candidate,
                            base::time_point now) const {
   const health_state& health = worker.health;
-  if (health.on_probation && leaves_alone_)
-    return candidate.can_test_worker && !health.test &&
-           now >= health.test_after;
+  if (health.on_probation && leaves_alone_) {
+    if (health.test)
+      return false;
+    if (candidate.can_test_worker && now >= health.test_after)
+      return true;
+    return candidate.has_waited && now >= TestDueAfterWait(health, candidate);
+  }
   const bool chooses = candidate.failures > 0 && retries_choose_ &&
                        !candidate.is_bound && !candidate.has_waited;
   return !chooses || IsProven(worker);
 }
 
+base::time_point worker_health::TestDueAfterWait(
+    const health_state& health,
+    const start_candidate& candidate) const {
+  // Others, who risk less, go first.
+  if (!candidate.has_spare_attempts)
+    return health.test_after + settings_.longest_choice;
+  const base::time_point last_failure = health.test_after - health.test_pause;
+  return std::min(health.test_after, last_failure + settings_.longest_choice);
+}
+
+worker_health::change worker_health::OnAlive(worker_entry& worker,
+                                             const task_ref& task,
+                                             base::time_point running_since,
+                                             base::time_point now) const {
+  if (!IsTest(worker.health, task) ||
+      now - running_since < settings_.service_test_time)
+    return change::kNone;
+  ForgetFailures(worker.health);
+  return change::kTrusted;
+}
+
 void worker_health::OnAssign(worker_entry& worker, const task_ref& task) {
   if (worker.health.on_probation)
     worker.health.test = task;
--- a/src/submissions/internal/worker_health.h
+++ b/src/submissions/internal/worker_health.h
@@ -19,6 +19,8 @@
   bool is_bound = false;
   /// For too long no worker with a good record has taken it.
   bool has_waited = false;
+  /// It lasts, so that a failure uses up no attempt.
+  bool has_spare_attempts = false;
 };
 
 /// Judges workers by the ends of their runs. The load it answers: workers that
@@ -55,10 +57,21 @@
   /// A start of the task was decided.
   static void OnAssign(worker_entry& worker, const task_ref& task);
 
+  /// A report shows the run of a long-running task at work. Such a run proves
+  /// the worker that it tests by staying alive, since it doesn't end.
+  change OnAlive(worker_entry& worker,
+                 const task_ref& task,
+                 base::time_point running_since,
+                 base::time_point now) const;
+
   /// Whether nearly all newest ends of the worker's runs are done.
   static bool IsProven(const worker_entry& worker);
 
  private:
+  /// When a task that has waited may test the worker.
+  base::time_point TestDueAfterWait(const health_state& health,
+                                    const start_candidate& candidate) const;
+
   const scheduler_settings& settings_;
   worker_table& workers_;
   bool any_on_probation_ = false;
--- a/src/submissions/tests/worker_health_test.cc
+++ b/src/submissions/tests/worker_health_test.cc
@@ -240,6 +240,48 @@
   BOOST_TEST(starts_on["w-4"] == 0);
 }
 
+/// The probation of a worker on which only a last attempt or a gang has room.
+BOOST_AUTO_TEST_CASE(AWorkerThatRecoversTakesLastAttemptsIfNothingElseTestsIt) {
+  FillAllButOneWorker();
+  fails = {"w-4"};
+  for (const std::string id : {"once-1", "once-2"}) {
+    submission once = MakeSubmission(id, MakeStep(1, 8000));
+    once.policy.attempt_limit = 1;
+    scheduler.Accept(once);
+    Play(std::chrono::milliseconds(500));
+  }
+  BOOST_REQUIRE(on_probation == std::set<std::string>{"w-4"});
+  fails.clear();
+  submission last = MakeSubmission("last", MakeStep(1, 8000));
+  last.policy.attempt_limit = 1;
+  scheduler.Accept(last);
+  step_request gang = MakeStep(2, 8000);
+  gang.gang = true;
+  scheduler.Accept(MakeSubmission("gang", gang));
+  Play(std::chrono::seconds(8));
+  BOOST_TEST(outcomes["last"] == "completed");
+  BOOST_TEST(outcomes["gang"] == "completed");
+}
+
+BOOST_AUTO_TEST_CASE(AServiceThatTestsAWorkerProvesItByStayingAlive) {
+  FillAllButOneWorker();
+  fails = {"w-4"};
+  for (const std::string id : {"once-1", "once-2"}) {
+    scheduler.Accept(MakeSubmission(id, MakeStep(1, 8000)));
+    Play(std::chrono::milliseconds(100));
+  }
+  lasting.insert("tests");
+  scheduler.Accept(MakeSubmission("tests", MakeServiceStep(8000)));
+  Play(std::chrono::seconds(10));
+  BOOST_TEST(on_probation.contains("w-4"));
+  // Its failures take up no attempt, and come at a pause.
+  BOOST_TEST(starts_on["w-4"] < 12);
+  fails.clear();
+  Play(std::chrono::seconds(5));
+  BOOST_TEST(runs["w-4"].size() == 1u);
+  BOOST_TEST(on_probation.empty());
+}
+
 BOOST_AUTO_TEST_CASE(WithMostWorkersFailingAllStayInUse) {
   Submit(10);
   bad_since = now;
