After an outage an owner waits for a fresh list of workers

Cause: with its lease renewed, an owner decided at once on the list of workers from before the outage. Ruled out: commands from before it.

Change: on the store's return the workers are listed at once, and nothing is decided or started before a list that was asked for since.

--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -105,6 +105,8 @@
   /// listing.
   std::optional<base::time_point> drains_as_of_;
   std::map<std::uint32_t, std::shared_ptr<shard_driver>> drivers_;
+  /// Since when the store has answered again.
+  base::time_point store_regained_at_;
   /// What dropped drivers knew, by shard.
   std::map<std::uint32_t, earlier_ownership> earlier_;
   prefix_watcher shared_watcher_;
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -44,6 +44,9 @@
   struct hooks {
     /// What the owner may do; called before every command and poll.
     std::function<protocol::authority()> authority;
+    /// Whether the list of workers shows which of them leave; called before
+    /// decisions and starts.
+    std::function<bool()> are_workers_current;
     /// The store or a worker has seen a newer owner.
     std::function<void(std::string_view reason)> on_fenced;
   };
@@ -99,6 +102,9 @@
   bool HasFullAuthority() const {
     return hooks_.authority() == protocol::authority::kFull;
   }
+  bool MayDecide() const {
+    return HasFullAuthority() && hooks_.are_workers_current();
+  }
   void WaitForReplica();
   /// How long runs that earlier owners left may live after the acquisition.
   std::chrono::milliseconds LongestEarlierLease() const;
--- a/src/runtime/include/chivecrank/runtime/worker_directory.h
+++ b/src/runtime/include/chivecrank/runtime/worker_directory.h
@@ -47,10 +47,13 @@
   /// Starts listing the workers periodically while `is_needed` returns true;
   /// `on_listed` is called after each listing.
   void Start(std::function<bool()> is_needed, std::function<void()> on_listed);
-  /// Lists the workers at once. The last listing may be old, from the time when
-  /// this instance last owned a shard.
-  void Refresh();
+  /// Lists the workers at once, unless a listing sent since `wanted_as_of` is
+  /// in progress. The last one may be old, from the time when this instance
+  /// last owned a shard or when the store was away.
+  void Refresh(base::time_point wanted_as_of);
   const worker_map& Workers() const { return workers_; }
+  /// The list shows all that the store had accepted by then.
+  base::time_point AsOf() const { return as_of_; }
 
  private:
   void Poll();
@@ -67,6 +70,9 @@
   std::function<void()> on_listed_;
   worker_map workers_;
   base::time_point last_failure_at_;
+  base::time_point as_of_;
+  /// When the newest listing was sent; answers to others are ignored.
+  base::time_point sent_at_;
   bool listing_ = false;
   reactor::timer_id next_poll_ = 0;
   reactor::callback_guard guard_;
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -147,8 +147,10 @@
               },
           .on_store_regained =
               [this] {
+                store_regained_at_ = loop_.Now();
                 shared_watcher_.Refresh();
                 configuration_watcher_.Refresh();
+                directory_.Refresh(store_regained_at_);
               }};
 }
 
@@ -258,6 +260,8 @@
       acquired, std::exchange(earlier_[shard], {}), settings_.driver,
       shard_driver::hooks{
           .authority = [this] { return ownership_.GetAuthority(); },
+          .are_workers_current =
+              [this] { return directory_.AsOf() >= store_regained_at_; },
           .on_fenced =
               [this, shard](std::string_view reason) {
                 ownership_.Drop(shard, reason);
@@ -268,7 +272,7 @@
     driver->ConfirmDrains(*drains_as_of_);
   drivers_[shard] = driver;
   driver->Start();
-  directory_.Refresh();
+  directory_.Refresh({});
 }
 
 void instance_runtime::OnShardLost(std::uint32_t shard) {
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -235,7 +235,7 @@
   decision_due_ = true;
   guard_.Later(settings_.decision_delay, [this] {
     decision_due_ = false;
-    if (!HasFullAuthority())
+    if (!MayDecide())
       return;
     const auto since_epoch =
         std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -264,7 +264,7 @@
 }
 
 void shard_driver::SendCommands() {
-  if (!HasFullAuthority() || !tenure_.HasBegun())
+  if (!MayDecide() || !tenure_.HasBegun())
     return;
   const submissions::command_set commands =
       scheduler_.TakeCommands(loop_.Now());
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -25,9 +25,8 @@
   Poll();
 }
 
-void worker_directory::Refresh() {
-  // The result of a listing in progress is recent enough.
-  if (listing_)
+void worker_directory::Refresh(base::time_point wanted_as_of) {
+  if (listing_ && sent_at_ >= wanted_as_of)
     return;
   loop_.Cancel(next_poll_);
   Poll();
@@ -37,18 +36,23 @@
   if (!is_needed_())
     return SchedulePoll();
   listing_ = true;
+  sent_at_ = loop_.Now();
   ListAll(store_, source_.prefix,
-          guard_.Wrap([this](base::result<prefix_listing> listing) {
-            OnListed(std::move(listing));
-          }));
+          guard_.Wrap(
+              [this, sent_at = sent_at_](base::result<prefix_listing> listing) {
+                if (sent_at == sent_at_)
+                  OnListed(std::move(listing));
+              }));
 }
 
 void worker_directory::OnListed(base::result<prefix_listing> listing) {
   listing_ = false;
-  if (listing)
+  if (listing) {
+    as_of_ = sent_at_;
     Publish(listing.value().items);
-  else
+  } else {
     last_failure_at_ = loop_.Now();
+  }
   SchedulePoll();
 }
 
--- a/tests/emulator/tests/faults_test.cc
+++ b/tests/emulator/tests/faults_test.cc
@@ -118,6 +118,22 @@
   CheckPromises();
 }
 
+/// The hunted days 1207, 1497 and others: an owner went on after an outage with
+/// a list of workers from before it.
+BOOST_AUTO_TEST_CASE(
+    AWorkerThatLeavesWhileTheStoreIsAwayGetsNothingAfterwards) {
+  for (int round = 0; round < 6; ++round) {
+    Day().Run(seconds(2), true);
+    Day().Store().Faults().silent = true;
+    Day().Run(milliseconds(300), true);
+    Day().Drain(Day().Workers().Ids().at(static_cast<std::size_t>(round)));
+    Day().Run(milliseconds(2000 + 130 * round), true);
+    Day().Store().Faults() = {};
+    Day().Run(seconds(2), true);
+  }
+  CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(AStoppingOwnerHandsOverAtOnce) {
   Day().Run(seconds(4), true);
   const std::size_t owner = Day().OwnerOf(0);
