Worker leases are counted from the owner's newest write of its tenure

Cause: a successor knew nothing of when its predecessor last acted, and assumed that it acts still: owner lease, grace and worker lease, 12.7 s from its own claim (worker_lease_over says earlier_owner). Ruled out: a late takeover (1.9 s), free tasks that aren't placed.

In an outage it may go on with short leases while two thirds of its workers witness that they follow no newer owner.

--- a/src/runtime/include/chivecrank/runtime/driver_settings.h
+++ b/src/runtime/include/chivecrank/runtime/driver_settings.h
@@ -6,23 +6,28 @@
 #include <cstdint>
 #include <string>
 
+#include "chivecrank/runtime/lease_horizon.h"
 #include "chivecrank/runtime/shard_housekeeping.h"
 #include "chivecrank/submissions/scheduler_settings.h"
 
 namespace chivecrank::runtime {
 
 /// Settings of the driver of one owned shard. instance_runtime takes the first
-/// three from ownership_settings.
+/// two from ownership_settings.
 struct driver_settings {
   /// Processor time of this instance, in millicores.
   std::int64_t processors_milli = 0;
   /// Lease term of the previous owner, which may consider its lease valid for
   /// up to this long after its owner key is gone.
   std::chrono::milliseconds owner_lease_term{0};
-  /// How long the previous owner may have renewed worker leases after that.
-  std::chrono::milliseconds outage_grace{0};
   std::string node;
   submissions::scheduler_settings scheduling;
+  lease_horizon_settings LeaseHorizon() const {
+    return {.worker_lease = scheduling.worker_lease};
+  }
+  /// How long owners of older programs renewed worker leases after their own
+  /// lease.
+  std::chrono::milliseconds unbounded_grace{2000};
   /// Time from a change to the decision it causes, so that one decision covers
   /// several changes.
   std::chrono::milliseconds decision_delay{8};
--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -32,9 +32,9 @@
   /// much earlier than the store does.
   std::chrono::milliseconds clock_margin{250};
   /// How long an owner that the store does not answer goes on renewing worker
-  /// leases after its own lease may have expired. The next owner counts runs on
-  /// workers that it can't reach as alive for so much longer.
-  std::chrono::milliseconds outage_grace{2000};
+  /// leases after its own lease may have expired, as far as lease_horizon lets
+  /// it.
+  std::chrono::milliseconds outage_grace{8000};
   claim_order_settings claim_order;
   /// How long a much larger instance must have been registered before this one
   /// hands a shard over to it.
--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -81,6 +81,10 @@
     std::function<void(std::uint32_t shard)> on_owner;
   };
 
+  /// `now` returns the time of the instance's event loop.
+  explicit replica(std::function<base::time_point()> now)
+      : now_(std::move(now)) {}
+
   void SetHooks(hooks handlers) { hooks_ = std::move(handlers); }
 
   /// Applies a change; ignores it if it is not newer than the known state of
@@ -104,7 +108,7 @@
     return statuses_;
   }
   /// Unset if no owner of the shard has recorded a tenure.
-  std::optional<tenure_record> TenureOf(std::uint32_t shard) const;
+  std::optional<known_tenure> TenureOf(std::uint32_t shard) const;
   /// 0 until the number of shards has been decided.
   std::uint32_t ShardCount() const { return shard_count_; }
   /// The largest workers of all shards; nullopt while a shard has told none of
@@ -125,6 +129,7 @@
   void ApplySubmission(const std::string& id, const metadata::item& item);
   void MarkEnded(const std::string& id, known_submission& known);
 
+  const std::function<base::time_point()> now_;
   hooks hooks_;
   metadata::revision revision_ = 0;
   std::map<std::string, metadata::revision> key_revisions_;
@@ -132,7 +137,7 @@
   std::map<std::string, known_member> members_;
   std::map<std::uint32_t, known_owner> owners_;
   std::map<std::uint32_t, shard_status> statuses_;
-  std::map<std::uint32_t, tenure_record> tenures_;
+  std::map<std::uint32_t, known_tenure> tenures_;
   std::uint32_t shard_count_ = 0;
 };
 
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -23,6 +23,7 @@
 #include "chivecrank/runtime/shard_journal.h"
 #include "chivecrank/runtime/shard_tenure.h"
 #include "chivecrank/runtime/shard_wait_log.h"
+#include "chivecrank/runtime/worker_witnesses.h"
 #include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
 #include "chivecrank/submissions/shard_scheduler.h"
@@ -106,8 +107,13 @@
     return HasFullAuthority() && hooks_.are_workers_current();
   }
   void WaitForReplica();
-  /// How long runs that earlier owners left may live after the acquisition.
-  std::chrono::milliseconds LongestEarlierLease() const;
+  /// When runs that earlier owners left are over, if nothing more is learned.
+  base::time_point EarlierLeasesEnd() const;
+  void SetWitnesses();
+  /// Restricts the leases of earlier owners once most workers follow this one.
+  void ConsiderWitnesses();
+  /// The longest lease that may be granted now; 0 for none.
+  std::chrono::milliseconds GrantableLease() const;
   void ReadJournal();
   void Restore(const std::vector<metadata::item>& journal);
   /// Adds the workers that have runs of earlier owners and aren't listed.
@@ -130,7 +136,9 @@
               base::result<submissions::worker_report> report);
 
   void OnEvent(const submissions::scheduler_event& event);
-  submissions::command_header CommandHeader() const;
+  /// The header of a command that carries a lease only if it needs one.
+  submissions::command_header CommandHeader(
+      std::chrono::milliseconds lease = std::chrono::milliseconds(0)) const;
   const submissions::worker_description* FindWorker(
       const std::string& id) const;
 
@@ -153,6 +161,12 @@
   shard_housekeeping housekeeping_;
   shard_journal journal_;
   shard_tenure tenure_;
+  const lease_horizon horizon_;
+  worker_witnesses witnesses_;
+  /// Since when most workers follow this owner; unset before.
+  std::optional<base::time_point> witnessed_at_;
+  /// The newest tenure of the owners before this one.
+  std::optional<known_tenure> earlier_tenure_;
   bool earlier_owners_ended_ = false;
   /// `earlier_` was the last ownership before this one.
   bool was_last_owner_ = false;
--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -35,6 +35,10 @@
     std::function<void(std::string_view reason)> on_fenced;
     /// A transaction was committed: its decisions may be carried out.
     std::function<void()> on_committed;
+    /// The write that renews the shard's tenure, if one is due.
+    std::function<std::optional<metadata::write>()> tenure_renewal;
+    /// The renewal was applied with a transaction sent at this time.
+    std::function<void(base::time_point sent_at)> on_tenure_renewed;
   };
 
   shard_journal(reactor::event_loop& loop,
@@ -65,6 +69,7 @@
     /// Number of the batch's tasks, and of its outcomes.
     std::size_t tasks = 0;
     std::size_t outcomes = 0;
+    bool renews_tenure = false;
     /// Number of old entries to delete.
     std::uint64_t deletes = 0;
   };
@@ -91,6 +96,7 @@
   shard_status CurrentStatus() const;
   void Commit(metadata::transaction changes);
   void OnCommit(const metadata::transaction& changes,
+                base::time_point sent_at,
                 base::result<metadata::commit_answer> answer);
   void OnCommitted();
   void AdvanceBatch();
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -15,7 +15,6 @@
 runtime_settings WithOwnerTerms(runtime_settings settings) {
   settings.driver.processors_milli = settings.ownership.processors_milli;
   settings.driver.owner_lease_term = settings.ownership.term;
-  settings.driver.outage_grace = settings.ownership.outage_grace;
   return settings;
 }
 
@@ -38,6 +37,7 @@
       log_(log),
       settings_(WithOwnerTerms(std::move(settings))),
       configuration_(std::move(configuration)),
+      shared_([this] { return loop_.Now(); }),
       drains_(log, configuration_.decode_drain, [this] { ApplyDrains(); }),
       shared_watcher_(loop,
                       store,
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -285,11 +285,12 @@
   release.deletes.push_back(OwnerKey(shard));
   // An owner without a tenure of its own has granted no leases, so the record
   // of the last one that has stays as it is.
-  std::optional<tenure_record> tenure = shared_.TenureOf(shard);
-  if (!tenure || tenure->fence != fence)
+  const std::optional<known_tenure> tenure = shared_.TenureOf(shard);
+  if (!tenure || tenure->record.fence != fence)
     return release;
-  tenure->released = true;
-  release.writes.push_back(TenureWrite(shard, *tenure));
+  tenure_record record = tenure->record;
+  record.released = true;
+  release.writes.push_back(TenureWrite(shard, record));
   return release;
 }
 
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -131,7 +131,7 @@
   return &found->second;
 }
 
-std::optional<tenure_record> replica::TenureOf(std::uint32_t shard) const {
+std::optional<known_tenure> replica::TenureOf(std::uint32_t shard) const {
   const auto found = tenures_.find(shard);
   if (found == tenures_.end())
     return std::nullopt;
@@ -213,7 +213,7 @@
       const auto shard = ParseShardName(key.name);
       const auto record = DecodeTenure(item.value);
       if (shard && record)
-        tenures_[*shard] = *record;
+        tenures_[*shard] = {*record, now_()};
       return;
     }
   }
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReplicaPollInterval{20};
+/// A run that starts with a shorter lease could end before it is renewed.
+constexpr std::chrono::milliseconds kShortestStartLease{1000};
+
+std::int64_t ToMilliseconds(base::duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
 
 }  // namespace
 
@@ -53,24 +59,27 @@
                     fence_,
                     settings_.housekeeping,
                     [this] { return HasFullAuthority(); }),
-      journal_(loop,
-               store,
-               log,
-               metrics,
-               scheduler_,
-               shard,
-               fence_,
-               settings_,
-               {[this] { return HasFullAuthority(); }, hooks_.on_fenced,
-                [this] { SendCommands(); }}),
-      tenure_(
+      journal_(
           loop,
           store,
           log,
+          metrics,
+          scheduler_,
           shard,
           fence_,
-          {.settle_time = settings_.owner_lease_term + settings_.outage_grace,
-           .retry_delay = settings_.commit_retry_delay}),
+          settings_,
+          {[this] { return HasFullAuthority(); }, hooks_.on_fenced,
+           [this] { SendCommands(); }, [this] { return tenure_.RenewalDue(); },
+           [this](base::time_point sent_at) { tenure_.OnRenewed(sent_at); }}),
+      tenure_(loop,
+              store,
+              log,
+              shard,
+              fence_,
+              {.settle_time =
+                   settings_.owner_lease_term + settings_.unbounded_grace,
+               .retry_delay = settings_.commit_retry_delay}),
+      horizon_(settings_.LeaseHorizon()),
       wait_log_(log, shard),
       guard_(loop) {}
 
@@ -81,7 +90,10 @@
 void shard_driver::WaitForReplica() {
   if (shared_.Revision() < fence_)
     return guard_.Later(kReplicaPollInterval, [this] { WaitForReplica(); });
-  const std::optional<tenure_record> last = shared_.TenureOf(shard_);
+  earlier_tenure_ = shared_.TenureOf(shard_);
+  std::optional<tenure_record> last;
+  if (earlier_tenure_)
+    last = earlier_tenure_->record;
   earlier_owners_ended_ = AllEarlierOwnersEnded(last, acquired_.ended_fence);
   was_last_owner_ =
       earlier_owners_ended_ && last && last->fence == earlier_.fence;
@@ -89,11 +101,48 @@
   ReadJournal();
 }
 
-std::chrono::milliseconds shard_driver::LongestEarlierLease() const {
-  const std::chrono::milliseconds granted = settings_.scheduling.LongestLease();
+base::time_point shard_driver::EarlierLeasesEnd() const {
+  const bool are_bounded =
+      earlier_tenure_ && earlier_tenure_->record.bounds_leases;
+  const std::chrono::milliseconds margin = settings_.scheduling.lease_margin;
+  if (are_bounded && earlier_owners_ended_)
+    return horizon_.LatestEndOfEnded(earlier_tenure_->seen_at, created_at_) +
+           margin;
+  if (are_bounded)
+    return horizon_.LatestEnd(earlier_tenure_->seen_at) + margin;
+  const base::time_point unbounded =
+      created_at_ + settings_.scheduling.LongestLease();
   if (earlier_owners_ended_)
-    return granted;
-  return settings_.owner_lease_term + settings_.outage_grace + granted;
+    return unbounded;
+  return unbounded + settings_.owner_lease_term + settings_.unbounded_grace;
+}
+
+void shard_driver::ConsiderWitnesses() {
+  // An unsettled tenure may have followed that of an older program.
+  if (witnessed_at_ || !restored_ || !earlier_tenure_ ||
+      !earlier_tenure_->record.bounds_leases ||
+      !earlier_tenure_->record.settled || !witnesses_.AreMostSince(created_at_))
+    return;
+  witnessed_at_ = loop_.Now();
+  const base::time_point end =
+      horizon_.LatestEnd(earlier_tenure_->seen_at, *witnessed_at_) +
+      settings_.scheduling.lease_margin;
+  scheduler_.RestrictEarlierLeases(end);
+  log_.Write("shard_witnessed",
+             {{"shard", shard_},
+              {"fence", fence_},
+              {"earlier_leases_ms", ToMilliseconds(end - *witnessed_at_)}});
+}
+
+std::chrono::milliseconds shard_driver::GrantableLease() const {
+  if (!tenure_.HasBegun())
+    return std::chrono::milliseconds(0);
+  const base::time_point now = loop_.Now();
+  const base::time_point recorded_at = tenure_.RecordedAt();
+  const bool is_witnessed =
+      horizon_.NeedsWitnesses(recorded_at, now) &&
+      witnesses_.AreMostSince(now - settings_.LeaseHorizon().witness_age);
+  return horizon_.Grantable(recorded_at, is_witnessed, now);
 }
 
 void shard_driver::ReadJournal() {
@@ -118,7 +167,9 @@
       journal_.ReadEntries(journal);
   for (const submissions::journal_entry& entry : entries)
     scheduler_.Restore(entry);
-  scheduler_.FinishRestore(loop_.Now(), created_at_, LongestEarlierLease());
+  scheduler_.FinishRestore(loop_.Now(), created_at_,
+                           std::chrono::ceil<std::chrono::milliseconds>(
+                               EarlierLeasesEnd() - created_at_));
   if (was_last_owner_)
     scheduler_.RestrictLeases(earlier_.leases);
   if (const auto status = shared_.Statuses().find(shard_);
@@ -150,6 +201,7 @@
        scheduler_.WorkersWithRuns())
     if (worker.address.port != 0)
       workers_.emplace(worker.id, worker);
+  SetWitnesses();
 }
 
 void shard_driver::Accept(const std::string& id,
@@ -215,6 +267,7 @@
       now.emplace(id, worker);
   workers_ = std::move(now);
   scheduler_.SetWorkers(listed);
+  SetWitnesses();
   if (!restored_)
     return;
   for (const auto& [id, worker] : workers_)
@@ -223,6 +276,13 @@
   ScheduleDecision();
 }
 
+void shard_driver::SetWitnesses() {
+  std::set<std::string> ids;
+  for (const auto& [id, worker] : workers_)
+    ids.insert(id);
+  witnesses_.SetWorkers(std::move(ids));
+}
+
 void shard_driver::SetDrainedDomains(const std::set<std::string>& domains) {
   scheduler_.SetDrainedDomains(domains, loop_.Now());
   wait_log_.ForgetDrains();
@@ -302,9 +362,13 @@
   if (worker == nullptr)
     return scheduler_.OnStartOutcome(
         command, submissions::start_outcome::kNotSent, loop_.Now());
+  const std::chrono::milliseconds lease = GrantableLease();
+  if (lease < kShortestStartLease)
+    return scheduler_.OnStartOutcome(
+        command, submissions::start_outcome::kNotSent, loop_.Now());
   scheduler_.OnLeaseSent(command.worker, loop_.Now());
   gateway_.Start(
-      *worker, command, CommandHeader(),
+      *worker, command, CommandHeader(lease),
       guard_.Wrap([this, command](submissions::start_outcome outcome) {
         scheduler_.OnStartOutcome(command, outcome, loop_.Now());
         if (scheduler_.IsFenced())
@@ -374,10 +438,10 @@
     request.wait = settings_.poll_wait;
   // A worker that did not answer the last poll is polled without a lease.
   // Otherwise each retry could renew its lease, which would then never expire.
-  if (state.answered && tenure_.HasBegun() && scheduler_.MayRenewLease(worker))
+  if (state.answered && scheduler_.MayRenewLease(worker))
+    request.header.lease = GrantableLease();
+  if (request.header.lease.count() > 0)
     scheduler_.OnLeaseSent(worker, now);
-  else
-    request.header.lease = std::chrono::milliseconds(0);
   state.in_flight = true;
   gateway_.Poll(
       *known, request,
@@ -409,6 +473,8 @@
     ScheduleDecision();
     return SchedulePoll(worker, settings_.poll_retry_delay);
   }
+  witnesses_.OnAnswer(worker, requested_at);
+  ConsiderWitnesses();
   scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
   SchedulePoll(worker, scheduler_.HasRuns(worker)
                            ? settings_.poll_spacing
@@ -433,8 +499,9 @@
               {"input", event.input}});
 }
 
-submissions::command_header shard_driver::CommandHeader() const {
-  return {fence_, settings_.scheduling.worker_lease};
+submissions::command_header shard_driver::CommandHeader(
+    std::chrono::milliseconds lease) const {
+  return {fence_, lease};
 }
 
 const submissions::worker_description* shard_driver::FindWorker(
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -15,10 +15,10 @@
 /// late must find its entry existing, and fail.
 constexpr std::uint64_t kRetainedEntries = 128;
 /// Maximum number of entries written by one transaction. Each needs a condition
-/// of its own; the transaction also has the condition on the owner key and the
-/// status.
+/// of its own; the transaction also has the condition on the owner key, the
+/// status and the tenure.
 constexpr std::uint64_t kMaxEntriesPerCommit =
-    (metadata::kMaxTransactionEntries - kMaxDeletesPerCommit - 2) / 2;
+    (metadata::kMaxTransactionEntries - kMaxDeletesPerCommit - 3) / 2;
 
 }  // namespace
 
@@ -84,6 +84,10 @@
   content_ = {};
   if (auto status = StatusWrite())
     changes.writes.push_back(std::move(*status));
+  if (auto renewal = hooks_.tenure_renewal()) {
+    changes.writes.push_back(std::move(*renewal));
+    content_.renews_tenure = true;
+  }
   if (!batch_ && changes.writes.empty())
     return changes;
   changes.conditions.push_back(OwnershipCondition(shard_, fence_));
@@ -219,14 +223,15 @@
                         });
   auto sent = std::make_shared<metadata::transaction>(changes);
   store_.Commit(std::move(changes),
-                guard_.Wrap([this, sent, since = loop_.Now()](
+                guard_.Wrap([this, sent, sent_at = loop_.Now()](
                                 base::result<metadata::commit_answer> answer) {
-                  metrics_.OnCommit(answer.has_value(), loop_.Now() - since);
-                  OnCommit(*sent, std::move(answer));
+                  metrics_.OnCommit(answer.has_value(), loop_.Now() - sent_at);
+                  OnCommit(*sent, sent_at, std::move(answer));
                 }));
 }
 
 void shard_journal::OnCommit(const metadata::transaction& changes,
+                             base::time_point sent_at,
                              base::result<metadata::commit_answer> answer) {
   if (!answer) {
     log_.Write("commit_failed", {{"shard", shard_},
@@ -237,8 +242,11 @@
     return guard_.Later(settings_.commit_retry_delay,
                         [this, changes] { Commit(changes); });
   }
-  if (answer.value().applied)
+  if (answer.value().applied) {
+    if (content_.renews_tenure)
+      hooks_.on_tenure_renewed(sent_at);
     return OnCommitted();
+  }
   const std::string owner_key = OwnerKey(shard_);
   bool still_owner = false;
   bool applied_before = false;
--- a/src/runtime/internal/shard_tenure.cc
+++ b/src/runtime/internal/shard_tenure.cc
@@ -15,6 +15,7 @@
       .Field("fence", record.fence)
       .Flag("settled", record.settled)
       .Flag("released", record.released)
+      .Flag("bounds_leases", record.bounds_leases)
       .EndObject();
   return text.Text();
 }
@@ -27,6 +28,7 @@
   record.fence = json::IntegerOf(parsed.value(), "fence");
   record.settled = json::BooleanOf(parsed.value(), "settled");
   record.released = json::BooleanOf(parsed.value(), "released");
+  record.bounds_leases = json::BooleanOf(parsed.value(), "bounds_leases");
   return record;
 }
 
@@ -69,19 +71,26 @@
   Commit(true);
 }
 
+std::optional<metadata::write> shard_tenure::RenewalDue() const {
+  if (!has_begun_ || loop_.Now() - recorded_at_ < settings_.renew_interval)
+    return std::nullopt;
+  return TenureWrite(shard_, {.fence = fence_, .settled = is_settling_});
+}
+
 void shard_tenure::Commit(bool settled) {
   metadata::transaction change;
   change.conditions.push_back(OwnershipCondition(shard_, fence_));
   change.writes.push_back(
       TenureWrite(shard_, {.fence = fence_, .settled = settled}));
   store_.Commit(std::move(change),
-                guard_.Wrap([this, settled](
+                guard_.Wrap([this, settled, sent_at = loop_.Now()](
                                 base::result<metadata::commit_answer> answer) {
-                  OnCommit(settled, std::move(answer));
+                  OnCommit(settled, sent_at, std::move(answer));
                 }));
 }
 
 void shard_tenure::OnCommit(bool settled,
+                            base::time_point sent_at,
                             base::result<metadata::commit_answer> answer) {
   if (!answer)
     return guard_.Later(settings_.retry_delay,
@@ -90,6 +99,7 @@
   if (!answer.value().applied)
     return;
   has_begun_ = true;
+  recorded_at_ = std::max(recorded_at_, sent_at);
   if (settled) {
     log_.Write("tenure_settled", {{"shard", shard_}, {"fence", fence_}});
     return;
--- a/src/runtime/tests/replica_test.cc
+++ b/src/runtime/tests/replica_test.cc
@@ -40,7 +40,8 @@
     shared.Apply({{ToString(key), std::move(value), at, 0}, false});
   }
 
-  replica shared;
+  base::time_point now;
+  replica shared{[this] { return now; }};
   std::vector<std::string> accepted;
   std::vector<std::string> ended;
   std::vector<std::string> moved;
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -87,6 +87,9 @@
   void ConfirmDrains(base::time_point as_of);
   std::vector<domain_drain> Drains() const;
 
+  /// No lease that earlier owners granted lasts any longer than that.
+  void RestrictEarlierLeases(base::time_point latest_end);
+
   /// Whether an earlier owner may still renew the lease of a worker with runs,
   /// for all that this one knows.
   bool MayEarlierOwnersRenew() const;
--- a/src/submissions/internal/lease_estimate.cc
+++ b/src/submissions/internal/lease_estimate.cc
@@ -6,8 +6,9 @@
 namespace chivecrank::submissions::internal {
 namespace {
 
-constexpr std::array<std::string_view, 5> kBasisNames = {
-    "earlier_owner", "recorded_bound", "own_memory", "answer", "own_lease"};
+constexpr std::array<std::string_view, 6> kBasisNames = {
+    "earlier_owner", "witnesses", "recorded_bound",
+    "own_memory",    "answer",    "own_lease"};
 
 }  // namespace
 
--- a/src/submissions/internal/lease_estimate.h
+++ b/src/submissions/internal/lease_estimate.h
@@ -11,6 +11,8 @@
 enum class lease_basis {
   /// The longest lease that an earlier owner may have granted.
   kEarlierOwner,
+  /// The same, for one that most workers follow no more.
+  kWitnesses,
   /// A bound in the journal.
   kRecordedBound,
   /// What this instance remembers of the time when it owned the shard before.
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -93,6 +93,12 @@
       worker.lease.Restrict(found->second, internal::lease_basis::kOwnMemory);
 }
 
+void shard_scheduler::RestrictEarlierLeases(base::time_point latest_end) {
+  for (auto& [id, worker] : core_->tracker.Workers().All())
+    if (worker.lease.Basis() == internal::lease_basis::kEarlierOwner)
+      worker.lease.Restrict(latest_end, internal::lease_basis::kWitnesses);
+}
+
 void shard_scheduler::Cancel(const std::string& submission,
                              base::time_point now) {
   live_submission* live = core_->tracker.Submissions().Find(submission);
