A Content-Length that is no number is an error, not the end of the process

Cause: BodySize let POCO's exception for a length that is no number pass through the event loop. Change: the length is read as digits, without exceptions.

--- a/src/reactor/internal/message_codec.cc
+++ b/src/reactor/internal/message_codec.cc
@@ -5,10 +5,13 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
+#include <algorithm>
 #include <sstream>
 #include <string_view>
 #include <utility>
 
+#include "chivecrank/base/numbers.h"
+
 namespace chivecrank::reactor::internal {
 namespace {
 
@@ -20,6 +23,10 @@
   std::size_t body_size = 0;
 };
 
+bool IsDigit(char character) {
+  return character >= '0' && character <= '9';
+}
+
 base::error Malformed(std::string what) {
   return {base::error_kind::kInvalidArgument, std::move(what),
           "send HTTP/1.1 with a Content-Length"};
@@ -73,12 +80,13 @@
     return Malformed("chunked HTTP bodies are not supported");
   if (!head.hasContentLength())
     return std::size_t{0};
-  const auto declared = head.getContentLength64();
-  if (declared < 0)
-    return Malformed("an HTTP message has a negative Content-Length");
-  if (static_cast<std::size_t>(declared) > limits.body_bytes)
+  const std::string& text = head.get(Poco::Net::HTTPMessage::CONTENT_LENGTH);
+  if (text.empty() || !std::ranges::all_of(text, IsDigit))
+    return Malformed("the Content-Length of an HTTP message is not a number");
+  const auto declared = base::ParseInteger<std::size_t>(text);
+  if (!declared || *declared > limits.body_bytes)
     return TooLarge("the body of an HTTP message is too large");
-  return static_cast<std::size_t>(declared);
+  return *declared;
 }
 
 }  // namespace
--- a/src/reactor/tests/http_test.cc
+++ b/src/reactor/tests/http_test.cc
@@ -1,6 +1,11 @@
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "chivecrank/base/boot_clock.h"
@@ -39,6 +44,19 @@
   http_caller caller{loop, address, {.connections = 1}};
 };
 
+/// Values of a Content-Length that say no length.
+const std::vector<std::string> kOddLengths = {
+    "abc", "", "-1", "+2", "1e3", "0x10", "2, 2", "99999999999999999999"};
+constexpr std::uint16_t kOddPeerPort = 18432;
+
+std::string Read(Poco::Net::StreamSocket& socket) {
+  std::string bytes(1024, '\0');
+  const int size =
+      socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+  bytes.resize(static_cast<std::size_t>(std::max(size, 0)));
+  return bytes;
+}
+
 http::response Answer(std::string body) {
   http::response answer;
   answer.body = std::move(body);
@@ -172,6 +190,58 @@
   BOOST_TEST(!internal::TakeRequest(endless, {1024, 1024}));
 }
 
+BOOST_AUTO_TEST_CASE(AContentLengthThatIsNoNumberIsAnError) {
+  for (const std::string& length : kOddLengths) {
+    std::string request =
+        "POST /a HTTP/1.1\r\nContent-Length: " + length + "\r\n\r\nab";
+    BOOST_TEST(!internal::TakeRequest(request, {1024, 1024}), length);
+    std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nab";
+    BOOST_TEST(!internal::TakeResponse(response, {1024, 1024}), length);
+  }
+}
+
+/// The review's trial: one request with such a length ended every instance.
+BOOST_AUTO_TEST_CASE(AServerGoesOnAfterARequestWithAnOddLength) {
+  for (const std::string& length : kOddLengths) {
+    Poco::Net::StreamSocket client(
+        Poco::Net::SocketAddress(address.host, address.port));
+    const std::string request =
+        "POST /a HTTP/1.1\r\nContent-Length: " + length + "\r\n\r\n";
+    client.sendBytes(request.data(), static_cast<int>(request.size()));
+    RunUntil([&] { return client.available() > 0; });
+    const std::string answer = Read(client);
+    const bool is_refused = answer.starts_with("HTTP/1.1 400") ||
+                            answer.starts_with("HTTP/1.1 429");
+    BOOST_TEST(is_refused, answer);
+  }
+  BOOST_TEST(received.empty());
+  caller.Call({"GET", "/b", {}, ""}, base::milliseconds(5000),
+              [](base::result<http::response>) {});
+  RunUntil([&] { return received.size() == 1; });
+}
+
+/// The same from the other side: a worker's answer.
+BOOST_AUTO_TEST_CASE(ACallerGoesOnAfterAnAnswerWithAnOddLength) {
+  for (const std::string& length : kOddLengths) {
+    Poco::Net::ServerSocket peer(
+        Poco::Net::SocketAddress(address.host, kOddPeerPort));
+    http_caller to_peer(loop, {address.host, kOddPeerPort}, {.connections = 1});
+    std::optional<base::error_kind> kind;
+    to_peer.Call({"GET", "/a", {}, ""}, base::milliseconds(5000),
+                 [&](base::result<http::response> answer) {
+                   BOOST_REQUIRE(!answer);
+                   kind = answer.error().kind;
+                 });
+    Poco::Net::StreamSocket accepted = peer.acceptConnection();
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n";
+    accepted.sendBytes(answer.data(), static_cast<int>(answer.size()));
+    RunUntil([&] { return kind.has_value(); });
+    BOOST_TEST((*kind == base::error_kind::kOutcomeUnknown), length);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::reactor
