--- a/src/runtime/include/chivecrank/runtime/worker_directory.h
+++ b/src/runtime/include/chivecrank/runtime/worker_directory.h
@@ -60,6 +60,9 @@
   void SchedulePoll();
   void OnListed(base::result<prefix_listing> listing);
   void Publish(const std::vector<metadata::item>& items);
+  /// Tells of an entry that names no worker, once for each of its versions.
+  void ReportRejected(const metadata::item& entry,
+                      const base::error& reason) const;
 
   reactor::event_loop& loop_;
   metadata::store& store_;
@@ -69,6 +72,8 @@
   std::function<bool()> is_needed_;
   std::function<void()> on_listed_;
   worker_map workers_;
+  /// Keys of the entries that the last listing rejected, and their versions.
+  std::map<std::string, metadata::revision> rejected_;
   base::time_point last_failure_at_;
   base::time_point as_of_;
   /// When the newest listing was sent; answers to others are ignored.
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -58,12 +58,13 @@
 
 void worker_directory::Publish(const std::vector<metadata::item>& items) {
   worker_map now;
+  std::map<std::string, metadata::revision> rejected;
   for (const metadata::item& item : items) {
     const std::string id = item.key.substr(source_.prefix.size());
     auto worker = source_.decode(id, item.value);
     if (!worker) {
-      log_.Write("worker_entry_rejected",
-                 {{"worker", id}, {"error", worker.error().message}});
+      ReportRejected(item, worker.error());
+      rejected[item.key] = item.changed_at;
       continue;
     }
     const auto known = workers_.find(id);
@@ -82,9 +83,20 @@
     if (!now.contains(id))
       log_.Write("worker_unlisted", {{"worker", id}});
   workers_ = std::move(now);
+  rejected_ = std::move(rejected);
   on_listed_();
 }
 
+void worker_directory::ReportRejected(const metadata::item& entry,
+                                      const base::error& reason) const {
+  const auto known = rejected_.find(entry.key);
+  if (known != rejected_.end() && known->second == entry.changed_at)
+    return;
+  log_.Write("worker_entry_rejected",
+             {{"worker", entry.key.substr(source_.prefix.size())},
+              {"error", reason.message}});
+}
+
 void worker_directory::SchedulePoll() {
   next_poll_ = loop_.After(settings_.interval, guard_.Wrap([this] { Poll(); }));
 }
