--- a/src/runtime/include/chivecrank/runtime/lease_horizon.h
+++ b/src/runtime/include/chivecrank/runtime/lease_horizon.h
@@ -44,10 +44,10 @@
   /// When the leases end at the latest that an earlier owner granted whose
   /// newest tenure was first seen at `seen_at`.
   base::time_point LatestEnd(base::time_point seen_at) const;
-  /// The same if that owner has found no witnesses since `witnessed_at` plus
-  /// their age, because they follow a newer one.
-  base::time_point LatestEnd(base::time_point seen_at,
-                             base::time_point witnessed_at) const;
+  /// The same for an owner that most workers had ceased to follow by
+  /// `replaced_by`.
+  base::time_point LatestEndOfReplaced(base::time_point seen_at,
+                                       base::time_point replaced_by) const;
   /// The same for an owner that had ended by `ended_by`.
   base::time_point LatestEndOfEnded(base::time_point seen_at,
                                     base::time_point ended_by) const;
--- a/src/runtime/internal/lease_horizon.cc
+++ b/src/runtime/internal/lease_horizon.cc
@@ -25,10 +25,11 @@
   return seen_at + settings_.worker_lease + settings_.outage_extension;
 }
 
-base::time_point lease_horizon::LatestEnd(base::time_point seen_at,
-                                          base::time_point witnessed_at) const {
+base::time_point lease_horizon::LatestEndOfReplaced(
+    base::time_point seen_at,
+    base::time_point replaced_by) const {
   const base::time_point last_witnessed_grant =
-      witnessed_at + settings_.witness_age;
+      replaced_by + settings_.witness_age;
   const base::time_point end =
       std::max(seen_at + settings_.worker_lease,
                last_witnessed_grant + settings_.witnessed_lease);
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -125,7 +125,7 @@
     return;
   witnessed_at_ = loop_.Now();
   const base::time_point end =
-      horizon_.LatestEnd(earlier_tenure_->seen_at, *witnessed_at_) +
+      horizon_.LatestEndOfReplaced(earlier_tenure_->seen_at, *witnessed_at_) +
       settings_.scheduling.lease_margin;
   scheduler_.RestrictEarlierLeases(end);
   log_.Write("shard_witnessed",
--- a/src/runtime/internal/worker_directory.cc
+++ b/src/runtime/internal/worker_directory.cc
@@ -98,6 +98,7 @@
 }
 
 void worker_directory::SchedulePoll() {
+  loop_.Cancel(next_poll_);
   next_poll_ = loop_.After(settings_.interval, guard_.Wrap([this] { Poll(); }));
 }
 
--- a/src/runtime/tests/lease_horizon_test.cc
+++ b/src/runtime/tests/lease_horizon_test.cc
@@ -53,7 +53,7 @@
           of_successor.OnAnswer(Name(++follow_successor), now);
       if (!is_witnessed && of_successor.AreMostSince(At(seen_ms))) {
         is_witnessed = true;
-        assumed = horizon.LatestEnd(At(seen_ms), now);
+        assumed = horizon.LatestEndOfReplaced(At(seen_ms), now);
       }
       for (int i = 0; i < kWorkers; ++i)
         if (i == 0 || i > follow_successor)
@@ -115,11 +115,11 @@
 /// instance takes over after two seconds and a half.
 BOOST_AUTO_TEST_CASE(ASuccessorWaitsForNoMoreThanALeaseFromTheLastRecord) {
   const lease_horizon horizon(kSettings);
-  BOOST_TEST(
-      (horizon.LatestEnd(At(0), At(3000)) == At(0) + kSettings.worker_lease));
+  BOOST_TEST((horizon.LatestEndOfReplaced(At(0), At(3000)) ==
+              At(0) + kSettings.worker_lease));
   // One that reaches most workers late, or never, assumes an outage.
-  BOOST_TEST((horizon.LatestEnd(At(0), At(6000)) == At(10'300)));
-  BOOST_TEST((horizon.LatestEnd(At(0), At(60'000)) == At(11'800)));
+  BOOST_TEST((horizon.LatestEndOfReplaced(At(0), At(6000)) == At(10'300)));
+  BOOST_TEST((horizon.LatestEndOfReplaced(At(0), At(60'000)) == At(11'800)));
   BOOST_TEST((horizon.LatestEnd(At(0)) == At(11'800)));
 }
 
