--- a/src/runtime/include/chivecrank/runtime/shard_tenure.h
+++ b/src/runtime/include/chivecrank/runtime/shard_tenure.h
@@ -90,6 +90,9 @@
   bool HasBegun() const { return has_begun_; }
 
  private:
+  /// Renews the record without the journal while that makes no progress, so
+  /// that leases don't depend on the journal.
+  void RenewIfOverdue();
   void Commit(bool settled);
   void OnCommit(bool settled,
                 base::time_point sent_at,
--- a/src/runtime/internal/shard_tenure.cc
+++ b/src/runtime/internal/shard_tenure.cc
@@ -8,6 +8,12 @@
 #include "chivecrank/runtime/keys.h"
 
 namespace chivecrank::runtime {
+namespace {
+
+/// In intervals between two renewals.
+constexpr int kOverdueAfter = 2;
+
+}  // namespace
 
 std::string EncodeTenure(const tenure_record& record) {
   json::writer text;
@@ -71,6 +77,23 @@
   Commit(true);
 }
 
+void shard_tenure::RenewIfOverdue() {
+  guard_.Later(settings_.renew_interval, [this] { RenewIfOverdue(); });
+  if (loop_.Now() - recorded_at_ < kOverdueAfter * settings_.renew_interval)
+    return;
+  metadata::transaction change;
+  change.conditions.push_back(OwnershipCondition(shard_, fence_));
+  change.writes.push_back(
+      TenureWrite(shard_, {.fence = fence_, .settled = is_settling_}));
+  store_.Commit(std::move(change),
+                guard_.Wrap([this, sent_at = loop_.Now()](
+                                base::result<metadata::commit_answer> answer) {
+                  // A failure is followed by another try at the next interval.
+                  if (answer && answer.value().applied)
+                    OnRenewed(sent_at);
+                }));
+}
+
 std::optional<metadata::write> shard_tenure::RenewalDue() const {
   if (!has_begun_ || loop_.Now() - recorded_at_ < settings_.renew_interval)
     return std::nullopt;
@@ -98,8 +121,9 @@
   // Another owner: the driver learns that from its own commits.
   if (!answer.value().applied)
     return;
-  has_begun_ = true;
-  recorded_at_ = std::max(recorded_at_, sent_at);
+  OnRenewed(sent_at);
+  if (!std::exchange(has_begun_, true))
+    RenewIfOverdue();
   if (settled) {
     log_.Write("tenure_settled", {{"shard", shard_}, {"fence", fence_}});
     return;
