--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -109,8 +109,9 @@
 
     async def kill(self):
         self.deployment.record.write(f"worker {self.name}: SIGKILL")
-        self.deployment.runs_end_with(self.name)
         self.process.send_signal(signal.SIGKILL)
+        self.deployment.killed_at[self.name] = time.monotonic()
+        self.deployment.runs_end_with(self.name)
         await self.process.wait()
 
 
@@ -176,6 +177,7 @@
         self.instances = [Instance(self, f"front-{i}", i) for i in range(instances)]
         self.workers = [WorkerProcess(self, f"w{i:02d}", i) for i in range(workers)]
         self.runs = []       # dict(task, run, worker, began, ended, how)
+        self.killed_at = {}  # worker -> time of its last SIGKILL
         self.hooks = []
 
     async def __aenter__(self):
@@ -237,6 +239,8 @@
             self.runs.append({"task": event["task"], "run": event["run"],
                               "worker": event["worker"], "began": event["t"],
                               "ended": None, "how": None})
+            if event["t"] < self.killed_at.get(event["worker"], 0):
+                self.runs_end_with(event["worker"])
         if kind == "ended":
             for run in self.runs:
                 if (run["task"], run["run"], run["worker"]) == (
@@ -248,7 +252,7 @@
     def runs_end_with(self, worker):
         for run in self.runs:
             if run["worker"] == worker and run["ended"] is None:
-                run["ended"], run["how"] = time.monotonic(), "crashed"
+                run["ended"], run["how"] = self.killed_at[worker], "crashed"
 
     def runs_of(self, submission):
         return [run for run in self.runs if run["task"].startswith(submission)]
