--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -84,6 +84,7 @@
         self.zone = f"zone-{'abcd'[index % 4]}"
         self.rack = f"r{index // 4}"
         self.process = None
+        self.processes = []
         self.events = []
 
     async def start(self):
@@ -96,6 +97,7 @@
             "%s:%d" % self.deployment.store_address, json.dumps(settings),
             stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
             stderr=self.deployment.logs)
+        self.processes.append(self.process)
         asyncio.ensure_future(self.listen(self.process.stdout))
 
     async def listen(self, output):
@@ -107,11 +109,19 @@
     def say(self, word):
         self.process.stdin.write(word.encode() + b"\n")
 
-    async def kill(self):
-        self.deployment.record.write(f"worker {self.name}: SIGKILL")
-        self.process.send_signal(signal.SIGKILL)
+    def signal(self, number):
+        self.deployment.record.write(
+            f"worker {self.name}: {signal.Signals(number).name}")
+        self.process.send_signal(number)
+
+    def runs_are_over(self):
+        """What ran on it is lost with its process."""
         self.deployment.killed_at[self.name] = time.monotonic()
         self.deployment.runs_end_with(self.name)
+
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        self.runs_are_over()
         await self.process.wait()
 
 
@@ -201,10 +211,13 @@
         return self
 
     async def __aexit__(self, *unused):
-        for child in self.instances + self.workers:
-            if child.process and child.process.returncode is None:
-                child.process.send_signal(signal.SIGKILL)
-                await child.process.wait()
+        processes = [instance.process for instance in self.instances]
+        for worker in self.workers:
+            processes += worker.processes
+        for process in processes:
+            if process and process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+                await process.wait()
         self.logs.close()
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.folder)
