Logs: the owner writes which status of its shard the store holds

Change: the event shard_load_stored, with the revision, whenever the replica shows another status of an owned shard.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -79,6 +79,8 @@
     /// The submission was moved from shard `from` to another one.
     std::function<void(const std::string& id, std::uint32_t from)> on_moved;
     std::function<void(std::uint32_t shard)> on_owner;
+    /// The shard's status was written.
+    std::function<void(std::uint32_t shard)> on_status;
   };
 
   /// `now` returns the time of the instance's event loop.
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -72,6 +72,8 @@
   void OnAccepted(const std::string& id);
   void OnEnded(const std::string& id);
   void OnMovedAway(const std::string& id);
+  /// The store holds another status of the shard.
+  void OnStatusStored();
   void SetQueues(const submissions::queue_table& queues);
   void SetWorkers(std::vector<submissions::worker_description> workers);
   /// Sets the failure domains that operators have drained.
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -112,27 +112,32 @@
 }
 
 replica::hooks instance_runtime::ReplicaHooks() {
-  return {
-      .on_accepted =
-          [this](const std::string& id) {
-            for (const auto& [shard, driver] : drivers_)
-              driver->OnAccepted(id);
-          },
-      .on_ended =
-          [this](const std::string& id) {
-            for (const auto& [shard, driver] : drivers_)
-              driver->OnEnded(id);
-          },
-      .on_moved =
-          [this](const std::string& id, std::uint32_t from) {
-            const auto before = drivers_.find(from);
-            if (before != drivers_.end())
-              before->second->OnMovedAway(id);
-            for (const auto& [shard, driver] : drivers_)
-              driver->OnAccepted(id);
-          },
-      .on_owner =
-          [this](std::uint32_t shard) { ownership_.OnOwnerChanged(shard); }};
+  return {.on_accepted =
+              [this](const std::string& id) {
+                for (const auto& [shard, driver] : drivers_)
+                  driver->OnAccepted(id);
+              },
+          .on_ended =
+              [this](const std::string& id) {
+                for (const auto& [shard, driver] : drivers_)
+                  driver->OnEnded(id);
+              },
+          .on_moved =
+              [this](const std::string& id, std::uint32_t from) {
+                const auto before = drivers_.find(from);
+                if (before != drivers_.end())
+                  before->second->OnMovedAway(id);
+                for (const auto& [shard, driver] : drivers_)
+                  driver->OnAccepted(id);
+              },
+          .on_owner =
+              [this](std::uint32_t shard) { ownership_.OnOwnerChanged(shard); },
+          .on_status =
+              [this](std::uint32_t shard) {
+                if (const auto driver = drivers_.find(shard);
+                    driver != drivers_.end())
+                  driver->second->OnStatusStored();
+              }};
 }
 
 ownership::hooks instance_runtime::OwnershipHooks() {
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -192,6 +192,8 @@
         return;
       status->written_revision = item.changed_at;
       statuses_[*shard] = std::move(*status);
+      if (hooks_.on_status)
+        hooks_.on_status(*shard);
       return;
     }
     case key_kind::kSubmission:
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -238,6 +238,14 @@
   scheduler_.FinishMove(id);
 }
 
+void shard_driver::OnStatusStored() {
+  const shard_status& stored = shared_.Statuses().at(shard_);
+  log_.Write("shard_load_stored", {{"shard", shard_},
+                                   {"revision", stored.written_revision},
+                                   {"reserved_milli", stored.reserved_milli},
+                                   {"not_started", stored.not_started.size()}});
+}
+
 void shard_driver::SetQueues(const submissions::queue_table& queues) {
   for (const submissions::queue_route& route : queues.routes)
     scheduler_.SetPolicy(route.name, route.policy);
