Status of a shard: each write is conditional on the status that it replaces

The owner compared the shard with what it had sent last, never with what was stored, and left the old status in place.

Evidence: shard_load_stored shows the first status again at revision 52, after the newest at revision 48, without a shard_load before it.

Change: status_publisher writes the status in a transaction of its own, on the condition of the status that it replaces. That orders the writes of all owners: a late one finds another status and fails, and an owner can't replace the status of a later one, which the new field fence tells. The condition on the owner key adds nothing to that and is gone. The publisher compares with what the store holds, as answers, conflicts and the replica tell it.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -46,6 +46,8 @@
 
 /// The load of a shard as last written by its owner, in millicores.
 struct shard_status {
+  /// Fence of the owner that wrote it; 0 if that ran an older program.
+  metadata::revision fence = 0;
   std::int64_t capacity_milli = 0;
   std::int64_t reserved_milli = 0;
   /// See shard_room.
@@ -56,14 +58,18 @@
   submissions::worker_sizes sizes;
   /// Submissions none of whose tasks has started.
   std::set<std::string> not_started;
+  /// 0 for a status that isn't stored.
   metadata::revision written_revision = 0;
+
+  bool operator==(const shard_status&) const = default;
 };
 
 /// What the status tells of the shard's room.
 shard_room RoomOf(const shard_status& status);
 
 std::string EncodeShardStatus(const shard_status& status);
-std::optional<shard_status> DecodeShardStatus(std::string_view text);
+/// Decodes a stored status; nullopt if its value can't be read.
+std::optional<shard_status> DecodeShardStatus(const metadata::item& stored);
 
 /// Encodes an accepted submission for the store: first its shard and queue,
 /// which every instance needs, then the record, which only the owner decodes.
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -23,6 +23,7 @@
 #include "chivecrank/runtime/shard_journal.h"
 #include "chivecrank/runtime/shard_tenure.h"
 #include "chivecrank/runtime/shard_wait_log.h"
+#include "chivecrank/runtime/status_publisher.h"
 #include "chivecrank/runtime/worker_witnesses.h"
 #include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
@@ -73,7 +74,7 @@
   void OnEnded(const std::string& id);
   void OnMovedAway(const std::string& id);
   /// The store holds another status of the shard.
-  void OnStatusStored();
+  void OnStatusStored() { publisher_.OnStored(); }
   void SetQueues(const submissions::queue_table& queues);
   void SetWorkers(std::vector<submissions::worker_description> workers);
   /// Sets the failure domains that operators have drained.
@@ -125,6 +126,8 @@
   void ScheduleDecision();
   void DecidePeriodically();
   void LogWaits();
+  /// The shard's status, without what the publisher adds.
+  shard_status CurrentStatus() const;
   void SendCommands();
   void SendStart(const submissions::start_command& command);
   void SendStop(const submissions::stop_command& command);
@@ -163,6 +166,7 @@
   shard_housekeeping housekeeping_;
   shard_journal journal_;
   shard_tenure tenure_;
+  status_publisher publisher_;
   const lease_horizon horizon_;
   worker_witnesses witnesses_;
   /// Since when most workers follow this owner; unset before.
--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -15,7 +15,7 @@
 #include "chivecrank/reactor/event_loop.h"
 #include "chivecrank/runtime/driver_settings.h"
 #include "chivecrank/runtime/instance_metrics.h"
-#include "chivecrank/runtime/replica.h"
+#include "chivecrank/runtime/keys.h"
 #include "chivecrank/submissions/record_codec.h"
 #include "chivecrank/submissions/shard_scheduler.h"
 
@@ -24,8 +24,7 @@
 /// The journal of one shard in the store: numbered entries, each written on the
 /// condition that this instance still owns the shard and that the entry does
 /// not exist. One transaction is in flight at a time and carries all changes
-/// since the previous one, together with the outcomes of submissions and the
-/// shard's status.
+/// since the previous one, together with the outcomes of submissions.
 class shard_journal {
  public:
   struct hooks {
@@ -92,8 +91,6 @@
   bool IsSnapshotDue() const;
   /// The oldest entry that must not be deleted.
   std::uint64_t FirstRetainedEntry() const;
-  std::optional<metadata::write> StatusWrite();
-  shard_status CurrentStatus() const;
   void Commit(metadata::transaction changes);
   void OnCommit(const metadata::transaction& changes,
                 base::time_point sent_at,
@@ -122,8 +119,6 @@
   /// 0 if none was.
   std::uint64_t oversized_snapshot_at_ = 0;
   bool in_flight_ = false;
-  std::string written_status_;
-  base::time_point status_written_at_;
   reactor::callback_guard guard_;
 };
 
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -50,6 +50,7 @@
 std::string EncodeShardStatus(const shard_status& status) {
   json::writer text;
   text.BeginObject()
+      .Field("fence", status.fence)
       .Field("capacity", status.capacity_milli)
       .Field("reserved", status.reserved_milli)
       .Field("owner_processors", status.owner_processors_milli)
@@ -67,11 +68,13 @@
   return text.Text();
 }
 
-std::optional<shard_status> DecodeShardStatus(std::string_view text) {
-  const auto parsed = json::ParseObject(text);
+std::optional<shard_status> DecodeShardStatus(const metadata::item& stored) {
+  const auto parsed = json::ParseObject(stored.value);
   if (!parsed)
     return std::nullopt;
   shard_status status;
+  status.written_revision = stored.changed_at;
+  status.fence = json::IntegerOf(parsed.value(), "fence");
   status.capacity_milli = json::IntegerOf(parsed.value(), "capacity");
   status.reserved_milli = json::IntegerOf(parsed.value(), "reserved");
   status.owner_processors_milli =
@@ -187,10 +190,9 @@
       return;
     case key_kind::kShardStatus: {
       const auto shard = ParseShardName(key.name);
-      auto status = DecodeShardStatus(item.value);
+      auto status = DecodeShardStatus(item);
       if (!shard || !status)
         return;
-      status->written_revision = item.changed_at;
       statuses_[*shard] = std::move(*status);
       if (hooks_.on_status)
         hooks_.on_status(*shard);
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -11,6 +11,9 @@
 constexpr std::chrono::milliseconds kReplicaPollInterval{20};
 /// A run that starts with a shorter lease could end before it is renewed.
 constexpr std::chrono::milliseconds kShortestStartLease{1000};
+/// The status rounds reserved processors down to a multiple of this many
+/// millicores, so that it does not change with every task.
+constexpr std::int64_t kStatusStepMilli = 16'000;
 
 std::int64_t ToMilliseconds(base::duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -79,6 +82,16 @@
               {.settle_time =
                    settings_.owner_lease_term + settings_.unbounded_grace,
                .retry_delay = settings_.commit_retry_delay}),
+      publisher_(loop,
+                 store,
+                 shared,
+                 log,
+                 shard,
+                 fence_,
+                 {.interval = settings_.status_interval,
+                  .retry_delay = settings_.commit_retry_delay},
+                 {[this] { return CurrentStatus(); },
+                  [this] { return HasFullAuthority(); }, hooks_.on_fenced}),
       horizon_(settings_.LeaseHorizon()),
       wait_log_(log, shard),
       guard_(loop) {}
@@ -175,6 +188,7 @@
   if (const auto status = shared_.Statuses().find(shard_);
       status != shared_.Statuses().end())
     scheduler_.AddSizes(status->second.sizes);
+  publisher_.OnStored();
   AddUnlistedWorkers();
   restored_ = true;
   log_.Write("shard_restored", {{"shard", shard_},
@@ -238,14 +252,6 @@
   scheduler_.FinishMove(id);
 }
 
-void shard_driver::OnStatusStored() {
-  const shard_status& stored = shared_.Statuses().at(shard_);
-  log_.Write("shard_load_stored", {{"shard", shard_},
-                                   {"revision", stored.written_revision},
-                                   {"reserved_milli", stored.reserved_milli},
-                                   {"not_started", stored.not_started.size()}});
-}
-
 void shard_driver::SetQueues(const submissions::queue_table& queues) {
   for (const submissions::queue_route& route : queues.routes)
     scheduler_.SetPolicy(route.name, route.policy);
@@ -310,6 +316,7 @@
             clock_.WallNow().time_since_epoch());
     scheduler_.Plan(loop_.Now(), since_epoch);
     journal_.WriteNext();
+    publisher_.PublishIfDue();
     SendCommands();
   });
 }
@@ -331,6 +338,20 @@
     wait_log_.OnDrains(scheduler_.Drains(), now);
 }
 
+shard_status shard_driver::CurrentStatus() const {
+  const submissions::shard_load load = scheduler_.Load();
+  shard_status status;
+  status.capacity_milli = load.capacity.processors_milli;
+  status.reserved_milli =
+      load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
+  status.workers_by_free_cores = load.workers_by_free_cores;
+  status.owner_processors_milli = settings_.processors_milli;
+  status.sizes = scheduler_.Sizes();
+  for (std::string& id : scheduler_.UnstartedSubmissions())
+    status.not_started.insert(std::move(id));
+  return status;
+}
+
 void shard_driver::SendCommands() {
   if (!MayDecide() || !tenure_.HasBegun())
     return;
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -6,19 +6,16 @@
 namespace chivecrank::runtime {
 namespace {
 
-/// The status rounds reserved processors down to a multiple of this many
-/// millicores, so that it does not change with every task.
-constexpr std::int64_t kStatusStepMilli = 16'000;
 /// Maximum number of old journal entries deleted by one transaction.
 constexpr std::uint64_t kMaxDeletesPerCommit = 8;
 /// Number of entries kept before a snapshot: a write that the store applies
 /// late must find its entry existing, and fail.
 constexpr std::uint64_t kRetainedEntries = 128;
 /// Maximum number of entries written by one transaction. Each needs a condition
-/// of its own; the transaction also has the condition on the owner key, the
-/// status and the tenure.
+/// of its own; the transaction also has the condition on the owner key and the
+/// tenure.
 constexpr std::uint64_t kMaxEntriesPerCommit =
-    (metadata::kMaxTransactionEntries - kMaxDeletesPerCommit - 3) / 2;
+    (metadata::kMaxTransactionEntries - kMaxDeletesPerCommit - 2) / 2;
 
 }  // namespace
 
@@ -82,8 +79,6 @@
 metadata::transaction shard_journal::NextTransaction() {
   metadata::transaction changes;
   content_ = {};
-  if (auto status = StatusWrite())
-    changes.writes.push_back(std::move(*status));
   if (auto renewal = hooks_.tenure_renewal()) {
     changes.writes.push_back(std::move(*renewal));
     content_.renews_tenure = true;
@@ -183,38 +178,6 @@
                                             : 0;
 }
 
-std::optional<metadata::write> shard_journal::StatusWrite() {
-  const base::time_point now = loop_.Now();
-  if (now - status_written_at_ < settings_.status_interval)
-    return std::nullopt;
-  const shard_status current = CurrentStatus();
-  std::string status = EncodeShardStatus(current);
-  if (status == written_status_)
-    return std::nullopt;
-  log_.Write("shard_load", {{"shard", shard_},
-                            {"capacity_milli", current.capacity_milli},
-                            {"reserved_milli", current.reserved_milli},
-                            {"not_started", current.not_started.size()}});
-  status_written_at_ = now;
-  written_status_ = status;
-  return metadata::write{ToString({key_kind::kShardStatus, ShardName(shard_)}),
-                         std::move(status)};
-}
-
-shard_status shard_journal::CurrentStatus() const {
-  const submissions::shard_load load = scheduler_.Load();
-  shard_status status;
-  status.capacity_milli = load.capacity.processors_milli;
-  status.reserved_milli =
-      load.reserved.processors_milli / kStatusStepMilli * kStatusStepMilli;
-  status.workers_by_free_cores = load.workers_by_free_cores;
-  status.owner_processors_milli = settings_.processors_milli;
-  status.sizes = scheduler_.Sizes();
-  for (std::string& id : scheduler_.UnstartedSubmissions())
-    status.not_started.insert(std::move(id));
-  return status;
-}
-
 void shard_journal::Commit(metadata::transaction changes) {
   if (!hooks_.is_valid())
     return guard_.Later(settings_.commit_retry_delay,
--- /dev/null
+++ b/src/runtime/tests/scripted_store.h
@@ -0,0 +1,102 @@
+#ifndef CHIVECRANK_RUNTIME_TESTS_SCRIPTED_STORE_H_
+#define CHIVECRANK_RUNTIME_TESTS_SCRIPTED_STORE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "chivecrank/metadata/store.h"
+
+namespace chivecrank::runtime {
+
+/// A store that holds items and carries out a transaction when the test says
+/// so: in time, unanswered, or late. All other calls stay unanswered.
+class scripted_store final : public metadata::store {
+ public:
+  void Get(const std::string&,
+           metadata::callback<std::optional<metadata::item>>) override {}
+  void List(const std::string&,
+            const std::string&,
+            bool,
+            metadata::callback<metadata::page>) override {}
+  void Watch(const std::string&,
+             metadata::revision,
+             std::chrono::milliseconds,
+             metadata::callback<metadata::change_list>) override {}
+  void Commit(metadata::transaction changes,
+              metadata::callback<metadata::commit_answer> done) override {
+    ++commits;
+    sent_.push_back({std::move(changes), std::move(done)});
+  }
+  void Grant(std::chrono::milliseconds,
+             metadata::callback<metadata::granted_lease>) override {}
+  void Renew(metadata::lease_id,
+             metadata::callback<metadata::granted_lease>) override {}
+  void End(metadata::lease_id, metadata::callback<bool>) override {}
+
+  /// Whether a transaction was sent whose fate is open.
+  bool HasSent() const { return !sent_.empty(); }
+  /// Carries out the oldest such transaction and answers it.
+  void AnswerNext() {
+    const call next = TakeNext();
+    next.done(Apply(next.changes));
+  }
+  /// Answers the oldest one with an error, and returns it so that it can be
+  /// carried out late.
+  metadata::transaction LoseNext() {
+    call next = TakeNext();
+    next.done(base::error{base::error_kind::kOutcomeUnknown,
+                          "no answer in time", "read back what was done"});
+    return std::move(next.changes);
+  }
+  /// Carries out a transaction if its conditions hold.
+  metadata::commit_answer Apply(const metadata::transaction& changes) {
+    metadata::commit_answer answer;
+    answer.applied = true;
+    for (const metadata::condition& condition : changes.conditions) {
+      const auto found = items.find(condition.key);
+      if (found != items.end())
+        answer.current.push_back(found->second);
+      if (RevisionOf(condition.key) != condition.changed_at)
+        answer.applied = false;
+    }
+    if (!answer.applied)
+      return answer;
+    answer.at = ++revision;
+    for (const metadata::write& written : changes.writes)
+      items[written.key] = {written.key, written.value, answer.at,
+                            written.lease};
+    for (const std::string& key : changes.deletes)
+      items.erase(key);
+    return answer;
+  }
+  /// 0 for a key that does not exist.
+  metadata::revision RevisionOf(const std::string& key) const {
+    const auto found = items.find(key);
+    return found == items.end() ? 0 : found->second.changed_at;
+  }
+
+  std::map<std::string, metadata::item> items;
+  metadata::revision revision = 100;
+  int commits = 0;
+
+ private:
+  struct call {
+    metadata::transaction changes;
+    metadata::callback<metadata::commit_answer> done;
+  };
+
+  call TakeNext() {
+    call next = std::move(sent_.front());
+    sent_.pop_front();
+    return next;
+  }
+
+  std::deque<call> sent_;
+};
+
+}  // namespace chivecrank::runtime
+
+#endif  // CHIVECRANK_RUNTIME_TESTS_SCRIPTED_STORE_H_
--- a/tests/emulator/include/chivecrank/emulator/emulated_store.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -33,6 +34,11 @@
   double slowness = 1;
   /// Leases run out while the store is down.
   bool leases_lapse = false;
+  /// How much later a transaction is carried out, if its conditions still hold
+  /// then; it gets no answer. Unset: it is carried out at once.
+  std::function<std::optional<std::chrono::milliseconds>(
+      const metadata::transaction&)>
+      lateness = [](const metadata::transaction&) { return std::nullopt; };
 };
 
 /// The key-value store with revisions, leases, watches and faults.
--- a/tests/emulator/internal/emulated_store.cc
+++ b/tests/emulator/internal/emulated_store.cc
@@ -102,6 +102,8 @@
   void Commit(metadata::transaction changes,
               metadata::callback<metadata::commit_answer> done) override {
     ++shared_.writes_;
+    if (const auto late_by = shared_.faults_.lateness(changes))
+      return CommitLate(std::move(changes), *late_by, std::move(done));
     Call<metadata::commit_answer>(
         true, std::move(done),
         [this, changes]() -> base::result<metadata::commit_answer> {
@@ -152,6 +154,16 @@
   }
 
  private:
+  void CommitLate(metadata::transaction changes,
+                  std::chrono::milliseconds late_by,
+                  metadata::callback<metadata::commit_answer> done) {
+    Later(late_by, [this, changes = std::move(changes)] {
+      bool lease_missing = false;
+      shared_.Apply(changes, lease_missing);
+    });
+    Answer(kCallTimeout, [done = std::move(done)] { done(NoAnswer()); });
+  }
+
   void Later(std::chrono::milliseconds delay, std::function<void()> step) {
     shared_.loop_.After(delay, std::move(step));
   }
--- /dev/null
+++ b/tests/emulator/tests/late_writes_test.cc
@@ -0,0 +1,92 @@
+#include <optional>
+#include <string_view>
+
+#include "chivecrank/runtime/keys.h"
+#include "day_fixture.h"
+
+namespace chivecrank::emulator {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kLateBy{5800};
+constexpr std::int64_t kWaiting = 20;
+
+bool WritesKind(const metadata::transaction& changes, runtime::key_kind kind) {
+  for (const metadata::write& written : changes.writes)
+    if (const auto key = runtime::ParseSharedKey(written.key);
+        key && key->kind == kind)
+      return true;
+  return false;
+}
+
+bool WritesJournal(const metadata::transaction& changes) {
+  for (const metadata::write& written : changes.writes)
+    if (written.key.starts_with(runtime::JournalPrefix(0)))
+      return true;
+  return false;
+}
+
+/// A day on which the store does one write late and doesn't answer it: the
+/// first one of a kind of key that carries no journal entries.
+struct late_writes_fixture : day_fixture {
+  late_writes_fixture() {
+    settings.queues = {UrgentLoad()};
+    settings.queues[0].steps = 1;
+    settings.queues[0].step.task_count = 1;
+    settings.queues[0].step.demand = settings.capacity;
+  }
+
+  void LoseNext(runtime::key_kind kind) {
+    Day().Store().Faults().lateness =
+        [this, kind](const metadata::transaction& changes)
+        -> std::optional<milliseconds> {
+      if (lost_at || !WritesKind(changes, kind) || WritesJournal(changes))
+        return std::nullopt;
+      lost_at = Day().Now();
+      return kLateBy;
+    };
+  }
+
+  /// Hands in submissions of one task that fills a worker for `work`.
+  void SubmitFillers(std::int64_t count, milliseconds work) {
+    filler = settings.queues[0];
+    filler.work = work;
+    filler.step.estimate = work;
+    for (std::int64_t i = 0; i < count; ++i)
+      Day().Submit(filler);
+  }
+
+  queue_load filler;
+  std::optional<base::time_point> lost_at;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(late_writes, late_writes_fixture)
+
+/// Case 9 of the review: an old status, done late by the store, said that
+/// nothing waits.
+BOOST_AUTO_TEST_CASE(AStatusThatIsWrittenLateHidesNoWaitingSubmissions) {
+  LoseNext(runtime::key_kind::kShardStatus);
+  // The status of the second half goes without journal entries.
+  const auto half = static_cast<std::int64_t>(settings.workers / 2);
+  SubmitFillers(half, seconds(60));
+  Day().Run(milliseconds(300), false);
+  SubmitFillers(half, seconds(60));
+  Day().Run(milliseconds(1500), false);
+  BOOST_REQUIRE(lost_at.has_value());
+  SubmitFillers(kWaiting, seconds(1));
+  Day().Run(seconds(2), false);
+  while (Day().Now() < *lost_at + kLateBy + seconds(4)) {
+    Day().Run(milliseconds(100), false);
+    for (std::size_t i = 0; i < settings.instances; ++i)
+      BOOST_TEST(Day().InstanceAt(i).Intake().CountQueued(filler.name) ==
+                 kWaiting);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace chivecrank::emulator
