Tenure: each write is conditional on the record that it replaces

A begin that got no answer and was done late took the record of the settling back, until the next renewal. A renewal that was done late looked newer than it was.

Evidence: late_writes/ATenureThatIsWrittenLateUnsettlesNone fails at: a settled tenure is stored as unsettled after the late write.

Change: shard_tenure is the only writer of the record. Each write has the condition of the record that it replaces. If a condition shows that an unanswered write was applied, leases are counted from the first write that can have been it.

--- a/src/metadata/include/chivecrank/metadata/types.h
+++ b/src/metadata/include/chivecrank/metadata/types.h
@@ -1,9 +1,11 @@
 #ifndef CHIVECRANK_METADATA_TYPES_H_
 #define CHIVECRANK_METADATA_TYPES_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Asynchronous interface of the key-value store that holds persistent state.
@@ -57,6 +59,12 @@
   bool applied = false;
   revision at = 0;
   std::vector<item> current;
+
+  /// The item of a condition that has this key; null if it does not exist.
+  const item* Current(std::string_view key) const {
+    const auto found = std::ranges::find(current, key, &item::key);
+    return found == current.end() ? nullptr : &*found;
+  }
 };
 
 /// A page of the items under a prefix. Consecutive pages don't form a
--- a/src/runtime/include/chivecrank/runtime/shard_journal.h
+++ b/src/runtime/include/chivecrank/runtime/shard_journal.h
@@ -34,10 +34,6 @@
     std::function<void(std::string_view reason)> on_fenced;
     /// A transaction was committed: its decisions may be carried out.
     std::function<void()> on_committed;
-    /// The write that renews the shard's tenure, if one is due.
-    std::function<std::optional<metadata::write>()> tenure_renewal;
-    /// The renewal was applied with a transaction sent at this time.
-    std::function<void(base::time_point sent_at)> on_tenure_renewed;
   };
 
   shard_journal(reactor::event_loop& loop,
@@ -68,11 +64,12 @@
     /// Number of the batch's tasks, and of its outcomes.
     std::size_t tasks = 0;
     std::size_t outcomes = 0;
-    bool renews_tenure = false;
     /// Number of old entries to delete.
     std::uint64_t deletes = 0;
   };
 
+  /// What is next to be written of the batch: at least one entry, whose
+  /// condition makes a transaction that is applied late fail.
   metadata::transaction NextTransaction();
   /// Adds a snapshot of one or more entries. All are written in one
   /// transaction, since the first one invalidates the entries before it.
@@ -93,7 +90,6 @@
   std::uint64_t FirstRetainedEntry() const;
   void Commit(metadata::transaction changes);
   void OnCommit(const metadata::transaction& changes,
-                base::time_point sent_at,
                 base::result<metadata::commit_answer> answer);
   void OnCommitted();
   void AdvanceBatch();
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -217,7 +217,7 @@
       const auto shard = ParseShardName(key.name);
       const auto record = DecodeTenure(item.value);
       if (shard && record)
-        tenures_[*shard] = {*record, now_()};
+        tenures_[*shard] = {*record, item.changed_at, now_()};
       return;
     }
   }
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -62,18 +62,16 @@
                     fence_,
                     settings_.housekeeping,
                     [this] { return HasFullAuthority(); }),
-      journal_(
-          loop,
-          store,
-          log,
-          metrics,
-          scheduler_,
-          shard,
-          fence_,
-          settings_,
-          {[this] { return HasFullAuthority(); }, hooks_.on_fenced,
-           [this] { SendCommands(); }, [this] { return tenure_.RenewalDue(); },
-           [this](base::time_point sent_at) { tenure_.OnRenewed(sent_at); }}),
+      journal_(loop,
+               store,
+               log,
+               metrics,
+               scheduler_,
+               shard,
+               fence_,
+               settings_,
+               {[this] { return HasFullAuthority(); }, hooks_.on_fenced,
+                [this] { SendCommands(); }}),
       tenure_(loop,
               store,
               log,
@@ -110,7 +108,8 @@
   earlier_owners_ended_ = AllEarlierOwnersEnded(last, acquired_.ended_fence);
   was_last_owner_ =
       earlier_owners_ended_ && last && last->fence == earlier_.fence;
-  tenure_.Begin(earlier_owners_ended_);
+  tenure_.Begin(earlier_owners_ended_,
+                earlier_tenure_ ? earlier_tenure_->written_revision : 0);
   ReadJournal();
 }
 
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -12,10 +12,9 @@
 /// late must find its entry existing, and fail.
 constexpr std::uint64_t kRetainedEntries = 128;
 /// Maximum number of entries written by one transaction. Each needs a condition
-/// of its own; the transaction also has the condition on the owner key and the
-/// tenure.
+/// of its own; the transaction also has the condition on the owner key.
 constexpr std::uint64_t kMaxEntriesPerCommit =
-    (metadata::kMaxTransactionEntries - kMaxDeletesPerCommit - 2) / 2;
+    (metadata::kMaxTransactionEntries - kMaxDeletesPerCommit - 1) / 2;
 
 }  // namespace
 
@@ -69,25 +68,16 @@
     outcomes_written_ = 0;
     tasks_written_ = 0;
   }
-  metadata::transaction changes = NextTransaction();
-  if (changes.writes.empty())
+  if (!batch_)
     return;
   in_flight_ = true;
-  Commit(std::move(changes));
+  Commit(NextTransaction());
 }
 
 metadata::transaction shard_journal::NextTransaction() {
   metadata::transaction changes;
   content_ = {};
-  if (auto renewal = hooks_.tenure_renewal()) {
-    changes.writes.push_back(std::move(*renewal));
-    content_.renews_tenure = true;
-  }
-  if (!batch_ && changes.writes.empty())
-    return changes;
   changes.conditions.push_back(OwnershipCondition(shard_, fence_));
-  if (!batch_)
-    return changes;
   if (!IsSnapshotDue() || !AddSnapshot(changes))
     AddTasks(changes);
   if (WritesLastTask())
@@ -189,12 +179,11 @@
                 guard_.Wrap([this, sent, sent_at = loop_.Now()](
                                 base::result<metadata::commit_answer> answer) {
                   metrics_.OnCommit(answer.has_value(), loop_.Now() - sent_at);
-                  OnCommit(*sent, sent_at, std::move(answer));
+                  OnCommit(*sent, std::move(answer));
                 }));
 }
 
 void shard_journal::OnCommit(const metadata::transaction& changes,
-                             base::time_point sent_at,
                              base::result<metadata::commit_answer> answer) {
   if (!answer) {
     log_.Write("commit_failed", {{"shard", shard_},
@@ -205,11 +194,8 @@
     return guard_.Later(settings_.commit_retry_delay,
                         [this, changes] { Commit(changes); });
   }
-  if (answer.value().applied) {
-    if (content_.renews_tenure)
-      hooks_.on_tenure_renewed(sent_at);
+  if (answer.value().applied)
     return OnCommitted();
-  }
   const std::string owner_key = OwnerKey(shard_);
   bool still_owner = false;
   bool applied_before = false;
@@ -227,8 +213,7 @@
 
 void shard_journal::OnCommitted() {
   in_flight_ = false;
-  if (batch_)
-    AdvanceBatch();
+  AdvanceBatch();
   WriteNext();
   hooks_.on_committed();
 }
--- a/src/runtime/internal/shard_tenure.cc
+++ b/src/runtime/internal/shard_tenure.cc
@@ -8,12 +8,6 @@
 #include "chivecrank/runtime/keys.h"
 
 namespace chivecrank::runtime {
-namespace {
-
-/// In intervals between two renewals.
-constexpr int kOverdueAfter = 2;
-
-}  // namespace
 
 std::string EncodeTenure(const tenure_record& record) {
   json::writer text;
@@ -38,9 +32,12 @@
   return record;
 }
 
+std::string TenureKey(std::uint32_t shard) {
+  return ToString({key_kind::kTenure, ShardName(shard)});
+}
+
 metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record) {
-  return {ToString({key_kind::kTenure, ShardName(shard)}),
-          EncodeTenure(record)};
+  return {TenureKey(shard), EncodeTenure(record)};
 }
 
 bool AllEarlierOwnersEnded(const std::optional<tenure_record>& last,
@@ -65,69 +62,96 @@
       acquired_at_(loop.Now()),
       guard_(loop) {}
 
-void shard_tenure::Begin(bool earlier_ended) {
+void shard_tenure::Begin(bool earlier_ended, metadata::revision last_written) {
   is_settling_ = earlier_ended;
-  Commit(earlier_ended);
+  stored_revision_ = last_written;
+  Record();
 }
 
 void shard_tenure::Settle() {
   if (!has_begun_ || is_settling_)
     return;
   is_settling_ = true;
-  Commit(true);
+  Record();
 }
 
-void shard_tenure::RenewIfOverdue() {
-  guard_.Later(settings_.renew_interval, [this] { RenewIfOverdue(); });
-  if (loop_.Now() - recorded_at_ < kOverdueAfter * settings_.renew_interval)
-    return;
+void shard_tenure::Record() {
+  const std::uint64_t attempt = ++attempts_;
+  const base::time_point now = loop_.Now();
+  if (!first_sent_at_)
+    first_sent_at_ = now;
   metadata::transaction change;
   change.conditions.push_back(OwnershipCondition(shard_, fence_));
+  change.conditions.push_back({TenureKey(shard_), stored_revision_});
   change.writes.push_back(
       TenureWrite(shard_, {.fence = fence_, .settled = is_settling_}));
   store_.Commit(std::move(change),
-                guard_.Wrap([this, sent_at = loop_.Now()](
+                guard_.Wrap([this, attempt, now, settled = is_settling_](
                                 base::result<metadata::commit_answer> answer) {
-                  // A failure is followed by another try at the next interval.
-                  if (answer && answer.value().applied)
-                    OnRenewed(sent_at);
+                  OnAnswer(attempt, now, settled, answer);
                 }));
+  RecordLater(settings_.renew_interval, attempt);
 }
 
-std::optional<metadata::write> shard_tenure::RenewalDue() const {
-  if (!has_begun_ || loop_.Now() - recorded_at_ < settings_.renew_interval)
-    return std::nullopt;
-  return TenureWrite(shard_, {.fence = fence_, .settled = is_settling_});
+void shard_tenure::RecordLater(std::chrono::milliseconds delay,
+                               std::uint64_t attempt) {
+  guard_.Later(delay, [this, attempt] {
+    if (attempt == attempts_)
+      Record();
+  });
 }
 
-void shard_tenure::Commit(bool settled) {
-  metadata::transaction change;
-  change.conditions.push_back(OwnershipCondition(shard_, fence_));
-  change.writes.push_back(
-      TenureWrite(shard_, {.fence = fence_, .settled = settled}));
-  store_.Commit(std::move(change),
-                guard_.Wrap([this, settled, sent_at = loop_.Now()](
-                                base::result<metadata::commit_answer> answer) {
-                  OnCommit(settled, sent_at, std::move(answer));
-                }));
+void shard_tenure::OnAnswer(
+    std::uint64_t attempt,
+    base::time_point sent_at,
+    bool settled,
+    const base::result<metadata::commit_answer>& answer) {
+  if (!answer) {
+    if (!has_begun_ || is_settling_ != is_settled_)
+      RecordLater(settings_.retry_delay, attempt);
+    return;
+  }
+  if (answer.value().applied)
+    return OnRecorded(answer.value().at, sent_at, settled);
+  const bool is_newest = attempt == attempts_;
+  if (!OnConflict(answer.value())) {
+    // Another owner: the driver learns that from its own commits.
+    ++attempts_;
+    return;
+  }
+  if (is_newest)
+    Record();
 }
 
-void shard_tenure::OnCommit(bool settled,
-                            base::time_point sent_at,
-                            base::result<metadata::commit_answer> answer) {
-  if (!answer)
-    return guard_.Later(settings_.retry_delay,
-                        [this, settled] { Commit(settled); });
-  // Another owner: the driver learns that from its own commits.
-  if (!answer.value().applied)
+bool shard_tenure::OnConflict(const metadata::commit_answer& answer) {
+  const metadata::item* owner = answer.Current(OwnerKey(shard_));
+  if (owner == nullptr || owner->changed_at != fence_)
+    return false;
+  const metadata::item* stored = answer.Current(TenureKey(shard_));
+  if (stored == nullptr) {
+    stored_revision_ = 0;
+    return true;
+  }
+  const auto record = DecodeTenure(stored->value);
+  if (record && record->fence == fence_ && first_sent_at_)
+    // One of the writes since then, whose answer was lost.
+    OnRecorded(stored->changed_at, *first_sent_at_, record->settled);
+  stored_revision_ = std::max(stored_revision_, stored->changed_at);
+  return true;
+}
+
+void shard_tenure::OnRecorded(metadata::revision revision,
+                              base::time_point sent_at,
+                              bool settled) {
+  if (revision <= stored_revision_)
     return;
-  OnRenewed(sent_at);
-  if (!std::exchange(has_begun_, true))
-    RenewIfOverdue();
-  if (settled) {
+  stored_revision_ = revision;
+  first_sent_at_.reset();
+  recorded_at_ = std::max(recorded_at_, sent_at);
+  if (settled && !std::exchange(is_settled_, true))
     log_.Write("tenure_settled", {{"shard", shard_}, {"fence", fence_}});
+  if (std::exchange(has_begun_, true) || is_settling_)
     return;
-  }
   const base::duration left =
       acquired_at_ + settings_.settle_time - loop_.Now();
   guard_.Later(std::max(left, base::duration::zero()), [this] { Settle(); });
--- a/src/runtime/internal/status_publisher.cc
+++ b/src/runtime/internal/status_publisher.cc
@@ -85,18 +85,15 @@
 }
 
 void status_publisher::OnConflict(const metadata::commit_answer& answer) {
-  shard_status found;
-  for (const metadata::item& item : answer.current) {
-    if (item.key != StatusKey(shard_))
-      continue;
-    found = DecodeShardStatus(item).value_or(shard_status{});
-    found.written_revision = item.changed_at;
-  }
-  // A missing key has revision 0, which Adopt takes for older.
-  if (found.written_revision == 0)
-    stored_ = {};
-  Adopt(std::move(found));
   due_at_ = loop_.Now();
+  const metadata::item* found = answer.Current(StatusKey(shard_));
+  if (found == nullptr) {
+    stored_ = {};
+    return;
+  }
+  shard_status status = DecodeShardStatus(*found).value_or(shard_status{});
+  status.written_revision = found->changed_at;
+  Adopt(std::move(status));
 }
 
 void status_publisher::Adopt(shard_status status) {
--- a/tests/emulator/tests/late_writes_test.cc
+++ b/tests/emulator/tests/late_writes_test.cc
@@ -2,6 +2,7 @@
 #include <string_view>
 
 #include "chivecrank/runtime/keys.h"
+#include "chivecrank/runtime/shard_tenure.h"
 #include "day_fixture.h"
 
 namespace chivecrank::emulator {
@@ -58,6 +59,16 @@
       Day().Submit(filler);
   }
 
+  /// The newest tenure of shard 0; unset if there is none.
+  std::optional<runtime::tenure_record> StoredTenure() {
+    const auto& items = Day().Store().Items();
+    const auto found = items.find(
+        runtime::ToString({runtime::key_kind::kTenure, runtime::ShardName(0)}));
+    if (found == items.end())
+      return std::nullopt;
+    return runtime::DecodeTenure(found->second.value);
+  }
+
   queue_load filler;
   std::optional<base::time_point> lost_at;
 };
@@ -87,6 +98,26 @@
   }
 }
 
+/// The same for the record of an owner's tenure: after an old one the next
+/// owner would wait for all leases that earlier owners may have granted.
+BOOST_AUTO_TEST_CASE(ATenureThatIsWrittenLateUnsettlesNone) {
+  Day().KillInstance(Day().OwnerOf(0));
+  LoseNext(runtime::key_kind::kTenure);
+  while (!lost_at)
+    Day().Run(milliseconds(50), false);
+  const std::size_t owner = Day().OwnerOf(0);
+  std::optional<runtime::tenure_record> before;
+  while (Day().Now() < *lost_at + kLateBy + seconds(2)) {
+    Day().Run(milliseconds(20), false);
+    const auto now = StoredTenure();
+    if (before && before->settled && now->fence == before->fence)
+      BOOST_TEST(now->settled);
+    before = now;
+  }
+  BOOST_TEST(before->settled);
+  BOOST_TEST(Day().OwnerOf(0) == owner);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
