Release of a shard: mark the tenure that the store holds

What callers would see: after an owner stopped in order, lasting tasks of workers that don't answer wait for all that earlier owners may have granted.

Cause: a releasing owner wrote its tenure from its copy of the keys, without a condition on it. If the copy was older than the store, it took back that the tenure is settled; if it showed no tenure of this owner yet, nothing was marked.

Evidence: late_writes/AnOwnerThatStopsAsItsTenureSettlesIsKnownToHaveEnded fails at: the record is released and unsettled.

Change: shard_release has the condition of the record that it marks, and is made anew from what a failed condition shows.

--- a/src/runtime/include/chivecrank/runtime/ownership.h
+++ b/src/runtime/include/chivecrank/runtime/ownership.h
@@ -121,10 +121,6 @@
   /// Gives one shard up if a much larger instance has been there for a while.
   void HandOverToLarger();
   void HandOver(std::uint32_t shard);
-  /// The transaction that gives a shard up which this instance has dropped, and
-  /// records that it has.
-  metadata::transaction ReleaseOf(std::uint32_t shard,
-                                  metadata::revision fence) const;
   /// Ends the lease, then calls `done`.
   void EndLease(std::function<void()> done);
   /// Claims a shard with a transaction that succeeds only if the owner key was
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "chivecrank/runtime/shard_release.h"
+
 namespace chivecrank::runtime {
 namespace {
 
@@ -39,12 +41,11 @@
   auto pending = std::make_shared<std::size_t>(released.size());
   auto finished = std::make_shared<std::function<void()>>(std::move(done));
   for (const auto& [shard, fence] : released)
-    store_.Commit(ReleaseOf(shard, fence),
-                  guard_.Wrap([this, pending, finished](
-                                  base::result<metadata::commit_answer>) {
-                    if (--*pending == 0)
-                      EndLease(std::move(*finished));
-                  }));
+    ReleaseShard(store_, {shard, fence, shared_.TenureOf(shard)},
+                 guard_.Wrap([this, pending, finished](bool) {
+                   if (--*pending == 0)
+                     EndLease(std::move(*finished));
+                 }));
 }
 
 void ownership::EndLease(std::function<void()> done) {
@@ -270,28 +271,11 @@
   // Nothing is sent for the shard any more before the key is gone.
   Drop(shard, "a much larger instance is there");
   handed_over_.insert(shard);
-  store_.Commit(
-      ReleaseOf(shard, fence),
-      guard_.Wrap([this, shard](base::result<metadata::commit_answer> answer) {
-        if (!answer || !answer.value().applied)
-          handed_over_.erase(shard);
-      }));
-}
-
-metadata::transaction ownership::ReleaseOf(std::uint32_t shard,
-                                           metadata::revision fence) const {
-  metadata::transaction release;
-  release.conditions.push_back(OwnershipCondition(shard, fence));
-  release.deletes.push_back(OwnerKey(shard));
-  // An owner without a tenure of its own has granted no leases, so the record
-  // of the last one that has stays as it is.
-  const std::optional<known_tenure> tenure = shared_.TenureOf(shard);
-  if (!tenure || tenure->record.fence != fence)
-    return release;
-  tenure_record record = tenure->record;
-  record.released = true;
-  release.writes.push_back(TenureWrite(shard, record));
-  return release;
+  ReleaseShard(store_, {shard, fence, shared_.TenureOf(shard)},
+               guard_.Wrap([this, shard](bool released) {
+                 if (!released)
+                   handed_over_.erase(shard);
+               }));
 }
 
 void ownership::Claim(std::uint32_t shard, metadata::revision expected) {
--- a/tests/emulator/tests/late_writes_test.cc
+++ b/tests/emulator/tests/late_writes_test.cc
@@ -118,6 +118,19 @@
   BOOST_TEST(Day().OwnerOf(0) == owner);
 }
 
+/// An owner that stopped when its copy of the keys was older than the store
+/// recorded that its tenure isn't settled.
+BOOST_AUTO_TEST_CASE(AnOwnerThatStopsAsItsTenureSettlesIsKnownToHaveEnded) {
+  Day().KillInstance(Day().OwnerOf(0));
+  const metadata::revision earlier = StoredTenure()->fence;
+  while (StoredTenure()->fence == earlier || !StoredTenure()->settled)
+    Day().Run(milliseconds(1), false);
+  Day().StopInstance(Day().OwnerOf(0));
+  while (!StoredTenure()->released)
+    Day().Run(milliseconds(1), false);
+  BOOST_TEST(runtime::AllEarlierOwnersEnded(StoredTenure(), 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
