Status of a shard: says up to which submissions its owner knew

What callers would see: a submission shown as running, and not counted as waiting, though none of its tasks has started.

Cause: a reader took a newer revision for a newer fact. All submissions accepted before the status was stored and not named in it counted as started, also those accepted while it was on its way, which its owner didn't know of.

Change: the status has the revision up to which its owner knew the accepted submissions, as_of; readers go by that. A status of an older program without it counts as before.

Regression: replica_suite/ASubmissionThatAStatusDoesNotKnowOfHasNotStarted failed before the change.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -48,6 +48,8 @@
 struct shard_status {
   /// Fence of the owner that wrote it; 0 if that ran an older program.
   metadata::revision fence = 0;
+  /// The owner knew of all submissions accepted up to this revision.
+  metadata::revision as_of = 0;
   std::int64_t capacity_milli = 0;
   std::int64_t reserved_milli = 0;
   /// See shard_room.
--- a/src/runtime/include/chivecrank/runtime/status_publisher.h
+++ b/src/runtime/include/chivecrank/runtime/status_publisher.h
@@ -33,7 +33,8 @@
 class status_publisher {
  public:
   struct hooks {
-    /// The shard's status now, apart from fence and revisions.
+    /// The shard's status now, for all submissions that the replica shows,
+    /// apart from fence and revisions.
     std::function<shard_status()> current;
     /// Whether the ownership is valid; called before every write.
     std::function<bool()> is_valid;
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -51,6 +51,7 @@
   json::writer text;
   text.BeginObject()
       .Field("fence", status.fence)
+      .Field("as_of", status.as_of)
       .Field("capacity", status.capacity_milli)
       .Field("reserved", status.reserved_milli)
       .Field("owner_processors", status.owner_processors_milli)
@@ -75,6 +76,10 @@
   shard_status status;
   status.written_revision = stored.changed_at;
   status.fence = json::IntegerOf(parsed.value(), "fence");
+  status.as_of = json::IntegerOf(parsed.value(), "as_of");
+  // Owners of older programs don't tell.
+  if (status.as_of == 0)
+    status.as_of = stored.changed_at;
   status.capacity_milli = json::IntegerOf(parsed.value(), "capacity");
   status.reserved_milli = json::IntegerOf(parsed.value(), "reserved");
   status.owner_processors_milli =
@@ -146,8 +151,8 @@
   const auto status = statuses_.find(known.shard);
   if (status == statuses_.end())
     return false;
-  // A submission accepted after the status was written counts as not started.
-  return known.accepted_revision < status->second.written_revision &&
+  // A submission that the owner did not know of counts as not started.
+  return known.accepted_revision <= status->second.as_of &&
          !status->second.not_started.contains(id);
 }
 
--- a/src/runtime/internal/status_publisher.cc
+++ b/src/runtime/internal/status_publisher.cc
@@ -45,9 +45,12 @@
   shard_status status = hooks_.current();
   status.fence = fence_;
   // So that they are equal if they tell the same.
+  status.as_of = stored_.as_of;
   status.written_revision = stored_.written_revision;
-  if (status != stored_)
-    Write(std::move(status));
+  if (status == stored_)
+    return;
+  status.as_of = shared_.Revision();
+  Write(std::move(status));
 }
 
 void status_publisher::Write(shard_status status) {
--- a/src/runtime/tests/replica_test.cc
+++ b/src/runtime/tests/replica_test.cc
@@ -117,6 +117,27 @@
   BOOST_TEST(ended.size() == 1u);
 }
 
+/// A status that took long to be stored had a newer revision than submissions
+/// that it didn't know of, which were taken for started.
+BOOST_AUTO_TEST_CASE(ASubmissionThatAStatusDoesNotKnowOfHasNotStarted) {
+  shard_status status;
+  status.as_of = 7;
+  shared.Apply({SubmissionItem("known", 0, 7), false});
+  shared.Apply({SubmissionItem("unknown", 0, 8), false});
+  Put({key_kind::kShardStatus, ShardName(0)}, EncodeShardStatus(status), 9);
+  BOOST_TEST(shared.HasStarted("known", *shared.Find("known")));
+  BOOST_TEST(!shared.HasStarted("unknown", *shared.Find("unknown")));
+}
+
+/// Owners of older programs don't tell what their statuses know of.
+BOOST_AUTO_TEST_CASE(AStatusOfAnOlderProgramKnowsOfAllBeforeIt) {
+  shared.Apply({SubmissionItem("before", 0, 8), false});
+  shared.Apply({SubmissionItem("after", 0, 10), false});
+  Put({key_kind::kShardStatus, ShardName(0)}, R"({"capacity":1})", 9);
+  BOOST_TEST(shared.HasStarted("before", *shared.Find("before")));
+  BOOST_TEST(!shared.HasStarted("after", *shared.Find("after")));
+}
+
 BOOST_AUTO_TEST_CASE(SizesOfWorkersAreKnownOnceEveryShardToldThem) {
   Put({key_kind::kShardCount, "count"}, "2", 1);
   shard_status first;
