--- a/src/runtime/include/chivecrank/runtime/status_publisher.h
+++ b/src/runtime/include/chivecrank/runtime/status_publisher.h
@@ -1,6 +1,7 @@
 #ifndef CHIVECRANK_RUNTIME_STATUS_PUBLISHER_H_
 #define CHIVECRANK_RUNTIME_STATUS_PUBLISHER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -54,8 +55,14 @@
   /// The replica shows another status of the shard, or shows the first one to
   /// this owner.
   void OnStored();
-  /// Writes the status if it differs from the stored one and no write is in
-  /// flight or too recent.
+  /// A submission of the shard was accepted at `revision`. The next status says
+  /// that its owner knows of it, so that readers can tell whether it has
+  /// started.
+  void OnAccepted(metadata::revision revision) {
+    newest_accepted_ = std::max(newest_accepted_, revision);
+  }
+  /// Writes the status if it differs from the stored one or submissions were
+  /// accepted since that, and no write is in flight or too recent.
   void PublishIfDue();
 
  private:
@@ -79,6 +86,8 @@
   /// What the store holds as far as this owner knows; its revision is 0 while
   /// that is nothing.
   shard_status stored_;
+  /// When the newest of the shard's submissions was accepted.
+  metadata::revision newest_accepted_ = 0;
   bool in_flight_ = false;
   base::time_point due_at_;
   reactor::callback_guard guard_;
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -233,6 +233,7 @@
   if (!restored_ || known == nullptr || known->shard != shard_)
     return;
   Accept(id, *known);
+  publisher_.OnAccepted(known->accepted_revision);
   ScheduleDecision();
 }
 
--- a/src/runtime/internal/status_publisher.cc
+++ b/src/runtime/internal/status_publisher.cc
@@ -47,7 +47,7 @@
   // So that they are equal if they tell the same.
   status.as_of = stored_.as_of;
   status.written_revision = stored_.written_revision;
-  if (status == stored_)
+  if (status == stored_ && newest_accepted_ <= stored_.as_of)
     return;
   status.as_of = shared_.Revision();
   Write(std::move(status));
--- a/src/runtime/tests/status_publisher_test.cc
+++ b/src/runtime/tests/status_publisher_test.cc
@@ -85,6 +85,20 @@
   BOOST_TEST(!store.HasSent());
 }
 
+BOOST_AUTO_TEST_CASE(TellsThatItKnowsOfSubmissionsAcceptedSince) {
+  const auto publisher = Publisher(kFence);
+  shared.SetRevision(20);
+  Publish(*publisher, 1);
+  store.AnswerNext();
+  shared.SetRevision(30);
+  Publish(*publisher, 1);
+  BOOST_TEST(!store.HasSent());
+  publisher->OnAccepted(25);
+  Publish(*publisher, 1);
+  store.AnswerNext();
+  BOOST_TEST(Stored().as_of == 30);
+}
+
 /// Case 9 of the review: a status that was written late replaced a newer one.
 BOOST_AUTO_TEST_CASE(AWriteThatIsCarriedOutLateFails) {
   const auto publisher = Publisher(kFence);
--- a/tests/emulator/tests/late_writes_test.cc
+++ b/tests/emulator/tests/late_writes_test.cc
@@ -69,6 +69,12 @@
     return runtime::DecodeTenure(found->second.value);
   }
 
+  runtime::shard_status StoredStatus() {
+    const std::string key = runtime::ToString(
+        {runtime::key_kind::kShardStatus, runtime::ShardName(0)});
+    return *runtime::DecodeShardStatus(Day().Store().Items().at(key));
+  }
+
   queue_load filler;
   std::optional<base::time_point> lost_at;
 };
@@ -118,6 +124,23 @@
   BOOST_TEST(Day().OwnerOf(0) == owner);
 }
 
+/// Its start changed nothing else in the status, which was not written again.
+BOOST_AUTO_TEST_CASE(ASubmissionThatRunsIsShownAsRunning) {
+  queue_load idle = FillingLoad();
+  idle.steps = 1;
+  idle.step.task_count = 1;
+  idle.work = seconds(20);
+  settings.queues = {idle};
+  Day().Submit(idle);
+  while (StoredStatus().not_started.empty())
+    Day().Run(milliseconds(1), false);
+  while (!StoredStatus().not_started.empty())
+    Day().Run(milliseconds(1), false);
+  const std::string second = Day().Submit(idle);
+  Day().Run(seconds(4), false);
+  BOOST_TEST((Day().StateOf(second) == runtime::submission_state::kRunning));
+}
+
 /// An owner that stopped when its copy of the keys was older than the store
 /// recorded that its tenure isn't settled.
 BOOST_AUTO_TEST_CASE(AnOwnerThatStopsAsItsTenureSettlesIsKnownToHaveEnded) {
