Shared keys: a listing that a newer one followed is ignored

What callers would see: submissions unknown or taken for new on one instance, until their keys change again.

If the store's history is gone and the watch begins anew while the keys are listed, two listings are under way. The older one's answer, if it came second, erased what the newer one and the watch had brought.

Change: a listing has a number, and only the newest one's answer counts.

--- a/src/runtime/include/chivecrank/runtime/prefix_watcher.h
+++ b/src/runtime/include/chivecrank/runtime/prefix_watcher.h
@@ -73,7 +73,9 @@
   metadata::revision revision_ = 0;
   bool listed_ = false;
   bool failing_ = false;
-  /// Number of the newest watch request; answers to earlier ones are ignored.
+  /// Numbers of the newest listing and of the newest watch request; answers to
+  /// earlier ones are ignored.
+  std::uint64_t listing_ = 0;
   std::uint64_t watch_ = 0;
   reactor::callback_guard guard_;
 };
--- a/src/runtime/internal/prefix_watcher.cc
+++ b/src/runtime/internal/prefix_watcher.cc
@@ -16,10 +16,11 @@
 
 void prefix_watcher::Start() {
   ListAll(store_, settings_.prefix,
-          guard_.Wrap(
-              [this, sent = loop_.Now()](base::result<prefix_listing> listing) {
-                OnListed(std::move(listing), sent);
-              }));
+          guard_.Wrap([this, number = ++listing_, sent = loop_.Now()](
+                          base::result<prefix_listing> listing) {
+            if (number == listing_)
+              OnListed(std::move(listing), sent);
+          }));
 }
 
 void prefix_watcher::OnListed(base::result<prefix_listing> listing,
--- a/src/runtime/tests/scripted_store.h
+++ b/src/runtime/tests/scripted_store.h
@@ -12,7 +12,8 @@
 namespace chivecrank::runtime {
 
 /// A store that holds items and carries out a transaction when the test says
-/// so: in time, unanswered, or late. All other calls stay unanswered.
+/// so: in time, unanswered, or late. Tests answer listings and watches
+/// themselves; all other calls stay unanswered.
 class scripted_store final : public metadata::store {
  public:
   void Get(const std::string&,
@@ -20,11 +21,15 @@
   void List(const std::string&,
             const std::string&,
             bool,
-            metadata::callback<metadata::page>) override {}
+            metadata::callback<metadata::page> done) override {
+    lists.push_back(std::move(done));
+  }
   void Watch(const std::string&,
              metadata::revision,
              std::chrono::milliseconds,
-             metadata::callback<metadata::change_list>) override {}
+             metadata::callback<metadata::change_list> done) override {
+    watches.push_back(std::move(done));
+  }
   void Commit(metadata::transaction changes,
               metadata::callback<metadata::commit_answer> done) override {
     ++commits;
@@ -78,6 +83,9 @@
     return found == items.end() ? 0 : found->second.changed_at;
   }
 
+  /// In the order of the calls.
+  std::deque<metadata::callback<metadata::page>> lists;
+  std::deque<metadata::callback<metadata::change_list>> watches;
   std::map<std::string, metadata::item> items;
   metadata::revision revision = 100;
   int commits = 0;
