Workers: calls in flight end when a worker is back at another address

Cause: the connections to the old address were dropped with the calls on them, whose callbacks never ran. The driver took the poll for in flight for good; a start in flight kept its run in the phase of starting.

Change: http_caller::Abandon ends calls with a definite outcome. The owner disconnects from a worker as soon as its entry shows another address or start, and ignores answers to other polls than the one in flight.

--- a/src/reactor/include/chivecrank/reactor/http_caller.h
+++ b/src/reactor/include/chivecrank/reactor/http_caller.h
@@ -49,6 +49,11 @@
             base::duration timeout,
             answer_callback done);
 
+  /// Closes all connections and ends the calls in progress: with
+  /// kOutcomeUnknown if they were sent, with kUnavailable otherwise. Their
+  /// callbacks run later, also if the caller has been destroyed by then.
+  void Abandon();
+
   const settings::endpoint& Address() const { return address_; }
   /// Connections opened since construction.
   std::uint64_t Opened() const { return opened_; }
@@ -58,6 +63,8 @@
   struct call;
 
   void Dispatch();
+  /// Ends a call later, if nothing else has ended it by then.
+  void EndLater(std::shared_ptr<call> ended, base::error outcome);
   void Start(std::shared_ptr<pooled_connection> connection,
              std::shared_ptr<call> next);
   std::shared_ptr<pooled_connection> AcquireConnection();
--- a/src/reactor/internal/http_caller.cc
+++ b/src/reactor/internal/http_caller.cc
@@ -86,6 +86,27 @@
   Dispatch();
 }
 
+void http_caller::Abandon() {
+  for (const auto& abandoned : std::exchange(connections_, {})) {
+    const bool sent = abandoned->stream->Connected();
+    if (const auto current = abandoned->current)
+      EndLater(current, sent ? Unknown(address_, "the connection was given up")
+                             : NotSent(address_, "the call was given up"));
+    Discard(abandoned);
+  }
+  for (auto& abandoned : std::exchange(waiting_, {}))
+    EndLater(std::move(abandoned), NotSent(address_, "the call was given up"));
+}
+
+void http_caller::EndLater(std::shared_ptr<call> ended, base::error outcome) {
+  loop_.Cancel(ended->timeout);
+  loop_.After(base::duration::zero(),
+              [ended = std::move(ended), outcome = std::move(outcome)] {
+                if (!std::exchange(ended->completed, true))
+                  ended->done(outcome);
+              });
+}
+
 void http_caller::Dispatch() {
   while (!waiting_.empty()) {
     if (waiting_.front()->completed) {
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -95,7 +95,10 @@
 
  private:
   struct poll_state {
-    bool in_flight = false;
+    /// Number of the poll in flight; 0 for none. Answers to others are ignored.
+    std::uint64_t in_flight = 0;
+    /// Incarnation of the worker that gave the last report; 0 before the first.
+    std::int64_t reported_started_at_ms = 0;
     /// The last poll was answered.
     bool answered = false;
     reactor::timer_id timer = 0;
@@ -112,6 +115,13 @@
   void WaitForReplica();
   /// When runs that earlier owners left are over, if nothing more is learned.
   base::time_point EarlierLeasesEnd() const;
+  /// Ends polls and connections of workers that aren't listed any more and have
+  /// no runs, and of those whose entry is that of another incarnation.
+  void Disconnect(
+      const std::map<std::string, submissions::worker_description>& listed);
+  /// Whether calls to `known` can't reach the worker as it is listed now.
+  bool IsReplaced(const submissions::worker_description& known,
+                  const submissions::worker_description& listed) const;
   void SetWitnesses();
   /// Restricts the leases of earlier owners once most workers follow this one.
   void ConsiderWitnesses();
@@ -137,6 +147,7 @@
   void SchedulePoll(const std::string& worker, std::chrono::milliseconds delay);
   void PollWorker(const std::string& worker);
   void OnPoll(const std::string& worker,
+              std::uint64_t number,
               base::time_point requested_at,
               base::result<submissions::worker_report> report);
 
@@ -178,6 +189,7 @@
   bool was_last_owner_ = false;
   std::map<std::string, submissions::worker_description> workers_;
   std::map<std::string, poll_state> polls_;
+  std::uint64_t last_poll_ = 0;
   shard_wait_log wait_log_;
   bool restored_ = false;
   bool decision_due_ = false;
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -264,18 +264,13 @@
     const std::string id = worker.id;
     now.emplace(id, std::move(worker));
   }
-  // An unlisted worker may still run tasks. It is polled for as long as the
-  // scheduler has runs on it.
-  for (const auto& [id, worker] : workers_)
-    if (!now.contains(id) && !scheduler_.HasRuns(id)) {
-      loop_.Cancel(polls_[id].timer);
-      polls_.erase(id);
-      gateway_.Disconnect(id);
-    }
+  Disconnect(now);
   std::vector<submissions::worker_description> listed;
   listed.reserve(now.size());
   for (const auto& [id, worker] : now)
     listed.push_back(worker);
+  // An unlisted worker may still run tasks. It is polled for as long as the
+  // scheduler has runs on it.
   for (const auto& [id, worker] : workers_)
     if (!now.contains(id) && scheduler_.HasRuns(id))
       now.emplace(id, worker);
@@ -290,6 +285,36 @@
   ScheduleDecision();
 }
 
+void shard_driver::Disconnect(
+    const std::map<std::string, submissions::worker_description>& listed) {
+  for (const auto& [id, worker] : workers_) {
+    const auto now = listed.find(id);
+    if (now != listed.end()) {
+      if (IsReplaced(worker, now->second))
+        gateway_.Disconnect(id);
+      continue;
+    }
+    if (scheduler_.HasRuns(id))
+      continue;
+    loop_.Cancel(polls_[id].timer);
+    polls_.erase(id);
+    gateway_.Disconnect(id);
+  }
+}
+
+bool shard_driver::IsReplaced(
+    const submissions::worker_description& known,
+    const submissions::worker_description& listed) const {
+  if (known.address != listed.address)
+    return true;
+  const auto state = polls_.find(known.id);
+  // Its reports may have told of the incarnation before its entry did.
+  const bool is_polled =
+      state != polls_.end() &&
+      state->second.reported_started_at_ms == listed.started_at_ms;
+  return known.started_at_ms != listed.started_at_ms && !is_polled;
+}
+
 void shard_driver::SetWitnesses() {
   std::set<std::string> ids;
   for (const auto& [id, worker] : workers_)
@@ -432,7 +457,7 @@
 void shard_driver::SchedulePoll(const std::string& worker,
                                 std::chrono::milliseconds delay) {
   poll_state& state = polls_[worker];
-  if (state.in_flight)
+  if (state.in_flight != 0)
     return;
   // Keep a poll that is scheduled earlier, so that consecutive commands do not
   // postpone it.
@@ -471,20 +496,24 @@
     request.header.lease = GrantableLease();
   if (request.header.lease.count() > 0)
     scheduler_.OnLeaseSent(worker, now);
-  state.in_flight = true;
+  state.in_flight = ++last_poll_;
   gateway_.Poll(
       *known, request,
-      guard_.Wrap(
-          [this, worker, now](base::result<submissions::worker_report> report) {
-            OnPoll(worker, now, std::move(report));
-          }));
+      guard_.Wrap([this, worker, number = last_poll_,
+                   now](base::result<submissions::worker_report> report) {
+        OnPoll(worker, number, now, std::move(report));
+      }));
 }
 
 void shard_driver::OnPoll(const std::string& worker,
+                          std::uint64_t number,
                           base::time_point requested_at,
                           base::result<submissions::worker_report> report) {
-  poll_state& state = polls_[worker];
-  state.in_flight = false;
+  const auto polled = polls_.find(worker);
+  if (polled == polls_.end() || polled->second.in_flight != number)
+    return;
+  poll_state& state = polled->second;
+  state.in_flight = 0;
   state.answered = report.has_value();
   metrics_.OnPoll(state.answered, loop_.Now() - requested_at);
   if (!report) {
@@ -502,6 +531,7 @@
     ScheduleDecision();
     return SchedulePoll(worker, settings_.poll_retry_delay);
   }
+  state.reported_started_at_ms = report.value().started_at_ms;
   witnesses_.OnAnswer(worker, requested_at);
   ConsiderWitnesses();
   scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
--- a/src/submissions/include/chivecrank/submissions/worker_gateway.h
+++ b/src/submissions/include/chivecrank/submissions/worker_gateway.h
@@ -53,7 +53,8 @@
                         const throttle_command& command,
                         const command_header& header,
                         std::function<void(bool)> done) = 0;
-  /// Closes the connections to a worker that no longer exists.
+  /// Closes the connections to a worker that no longer exists as it was, and
+  /// ends the calls in progress: as not sent, or with an unknown outcome.
   virtual void Disconnect(const std::string& worker) = 0;
 };
 
