Workers: ends are acknowledged only to the process that listed them

Cause: a poll acknowledged the ends up to a number that the worker's process before had reached, if that was killed and a new one had started between two answered polls. The new one forgot its own end of that number.

Change: acknowledgements, and the leases of polls, go only over a connection that has carried an answer of the incarnation which reported last; a request is made when its connection is known.

--- a/src/reactor/include/chivecrank/reactor/http_caller.h
+++ b/src/reactor/include/chivecrank/reactor/http_caller.h
@@ -19,6 +19,11 @@
 /// not sent, or kOutcomeUnknown when the server may have processed it.
 using answer_callback = std::function<void(base::result<http::response>)>;
 
+/// Makes the request when a connection has been assigned to the call.
+/// `same_server`: the connection has carried an answer before, so that no other
+/// server process than that one can get the request.
+using request_maker = std::function<http::request(bool same_server)>;
+
 /// Limits of the connections to one server. The sizes bound its answers.
 struct caller_bounds {
   std::size_t connections = 2;
@@ -48,6 +53,8 @@
   void Call(http::request message,
             base::duration timeout,
             answer_callback done);
+  /// The same for a request that depends on which server process can get it.
+  void Call(request_maker make, base::duration timeout, answer_callback done);
 
   /// Closes all connections and ends the calls in progress: with
   /// kOutcomeUnknown if they were sent, with kUnavailable otherwise. Their
--- a/src/reactor/internal/http_caller.cc
+++ b/src/reactor/internal/http_caller.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 struct http_caller::call {
-  http::request message;
+  request_maker make;
   answer_callback done;
   timer_id timeout = 0;
   bool completed = false;
@@ -39,6 +39,8 @@
   std::shared_ptr<internal::stream> stream;
   std::shared_ptr<call> current;
   base::time_point idle_since;
+  /// It has carried an answer.
+  bool answered = false;
 };
 
 http_caller::http_caller(event_loop& loop,
@@ -63,8 +65,15 @@
 void http_caller::Call(http::request message,
                        base::duration timeout,
                        answer_callback done) {
+  Call([message = std::move(message)](bool) { return message; }, timeout,
+       std::move(done));
+}
+
+void http_caller::Call(request_maker make,
+                       base::duration timeout,
+                       answer_callback done) {
   auto new_call = std::make_shared<call>();
-  new_call->message = std::move(message);
+  new_call->make = std::move(make);
   new_call->done = std::move(done);
   if (waiting_.size() >= bounds_.waiting) {
     loop_.After(base::duration::zero(), [this, new_call, alive = alive_] {
@@ -126,7 +135,8 @@
                         std::shared_ptr<call> next) {
   next->connection = connection;
   connection->current = next;
-  connection->stream->Send(internal::ToBytes(next->message, host_));
+  connection->stream->Send(
+      internal::ToBytes(next->make(connection->answered), host_));
 }
 
 std::shared_ptr<http_caller::pooled_connection>
@@ -174,6 +184,7 @@
                return;
              self->current.reset();
              self->idle_since = loop_.Now();
+             self->answered = true;
              if (!parsed.value()->keep_alive || !unread.empty())
                Discard(self);
              Finish(finished, std::move(parsed.value()->message));
--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -152,8 +152,10 @@
               base::result<submissions::worker_report> report);
 
   void OnEvent(const submissions::scheduler_event& event);
-  /// The header of a command that carries a lease only if it needs one.
+  /// The header of a command to a worker that carries a lease only if it needs
+  /// one.
   submissions::command_header CommandHeader(
+      const std::string& worker,
       std::chrono::milliseconds lease = std::chrono::milliseconds(0)) const;
   const submissions::worker_description* FindWorker(
       const std::string& id) const;
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -422,7 +422,7 @@
         command, submissions::start_outcome::kNotSent, loop_.Now());
   scheduler_.OnLeaseSent(command.worker, loop_.Now());
   gateway_.Start(
-      *worker, command, CommandHeader(lease),
+      *worker, command, CommandHeader(command.worker, lease),
       guard_.Wrap([this, command](submissions::start_outcome outcome) {
         scheduler_.OnStartOutcome(command, outcome, loop_.Now());
         if (scheduler_.IsFenced())
@@ -437,7 +437,7 @@
   const submissions::worker_description* worker = FindWorker(command.worker);
   if (worker == nullptr)
     return;
-  gateway_.Stop(*worker, command, CommandHeader(),
+  gateway_.Stop(*worker, command, CommandHeader(command.worker),
                 guard_.Wrap([this, command](bool done) {
                   scheduler_.OnStopOutcome(command, done, loop_.Now());
                   SchedulePoll(command.worker, settings_.poll_spacing);
@@ -448,7 +448,7 @@
   const submissions::worker_description* worker = FindWorker(command.worker);
   if (worker == nullptr)
     return;
-  gateway_.Throttle(*worker, command, CommandHeader(),
+  gateway_.Throttle(*worker, command, CommandHeader(command.worker),
                     guard_.Wrap([this, command](bool done) {
                       scheduler_.OnThrottleOutcome(command, done);
                     }));
@@ -480,7 +480,7 @@
   if (hooks_.authority() == protocol::authority::kNone)
     return SchedulePoll(worker, settings_.poll_retry_delay);
   submissions::poll_request request;
-  request.header = CommandHeader();
+  request.header = CommandHeader(worker);
   request.acknowledged_end = scheduler_.AcknowledgedEnd(worker);
   const base::time_point now = loop_.Now();
   poll_state& state = polls_[worker];
@@ -559,8 +559,12 @@
 }
 
 submissions::command_header shard_driver::CommandHeader(
+    const std::string& worker,
     std::chrono::milliseconds lease) const {
-  return {fence_, lease};
+  const auto state = polls_.find(worker);
+  const std::int64_t incarnation =
+      state == polls_.end() ? 0 : state->second.reported_started_at_ms;
+  return {fence_, lease, incarnation};
 }
 
 const submissions::worker_description* shard_driver::FindWorker(
--- a/src/submissions/include/chivecrank/submissions/worker_gateway.h
+++ b/src/submissions/include/chivecrank/submissions/worker_gateway.h
@@ -18,12 +18,16 @@
   /// How long runs on the worker may continue from now; 0 leaves the lease
   /// unchanged.
   std::chrono::milliseconds lease{0};
+  /// Start of the incarnation that gave the last report, in milliseconds since
+  /// 1970; 0 if none has. The lease is reckoned by its clock.
+  std::int64_t incarnation = 0;
 };
 
 /// Renews a worker's lease and asks for a report.
 struct poll_request {
   command_header header;
-  /// Ends up to this number are not reported again.
+  /// Ends up to this number are not reported again. The gateway acknowledges
+  /// them, and gives the lease, only to the incarnation of the header.
   std::int64_t acknowledged_end = 0;
   /// How long the worker may delay the answer until a run ends.
   std::chrono::milliseconds wait{0};
--- a/tests/emulator/internal/emulated_orders.cc
+++ b/tests/emulator/internal/emulated_orders.cc
@@ -44,9 +44,11 @@
       if (request.header.fence < state->fence)
         return Answer(kOneWay,
                       [done] { done(NoAnswer(base::error_kind::kFenced)); });
-      Renew(*state, request.header, lease_end);
+      const bool is_meant = IsMeant(*state, request.header);
+      Renew(*state, request.header, is_meant ? lease_end : base::time_point());
       std::erase_if(state->ended, [&](const submissions::reported_end& end) {
-        const bool forgotten = end.number <= request.acknowledged_end;
+        const bool forgotten =
+            is_meant && end.number <= request.acknowledged_end;
         if (forgotten && end.outcome == submissions::run_outcome::kDone)
           shared_.acknowledged_done_.insert(end.task);
         return forgotten;
@@ -189,6 +191,13 @@
     return shared_.loop_.Now() + terms.lease;
   }
 
+  /// Whether leases and acknowledgements are for the incarnation that gets
+  /// them.
+  static bool IsMeant(const emulated_workers::worker_state& worker,
+                      const submissions::command_header& terms) {
+    return worker.description.started_at_ms == terms.incarnation;
+  }
+
   static void Renew(emulated_workers::worker_state& worker,
                     const submissions::command_header& terms,
                     base::time_point lease_end) {
