Workers of a service that the configuration doesn't name are never called

Cause: owners called every listed worker. Those followed an owner of their own, refused, and that cost the shard its owner, six times a second.

Change: instance_runtime takes the listed workers whose service the configuration names, with a queue or without. The others are logged once (worker_not_used) and don't count for the number of shards.

--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -83,6 +83,9 @@
   void ApplyDrains();
   void ConfirmDrains(base::time_point as_of);
   void OnWorkersListed();
+  /// Takes the listed workers of the configuration's services; the others are
+  /// never called.
+  void SelectWorkers();
   void UpdateDrainMetrics();
   void DecideShardCount();
   void AssignWorkers(std::uint32_t shard, shard_driver& driver);
@@ -112,6 +115,10 @@
   prefix_watcher shared_watcher_;
   prefix_watcher configuration_watcher_;
   worker_directory directory_;
+  /// Listed workers of the configuration's services.
+  std::vector<submissions::worker_description> workers_;
+  /// Identifiers of the other listed workers.
+  std::set<std::string> other_services_workers_;
   ownership ownership_;
   submission_intake intake_;
   std::size_t last_worker_count_ = 0;
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -225,13 +225,32 @@
 }
 
 void instance_runtime::OnWorkersListed() {
+  if (!queues_)
+    return;
+  SelectWorkers();
   DecideShardCount();
   for (const auto& [shard, driver] : drivers_)
     AssignWorkers(shard, *driver);
 }
 
+void instance_runtime::SelectWorkers() {
+  std::set<std::string> others;
+  workers_.clear();
+  for (const auto& [id, worker] : directory_.Workers()) {
+    if (queues_->NamesService(worker.service)) {
+      workers_.push_back(worker);
+      continue;
+    }
+    others.insert(id);
+    if (!other_services_workers_.contains(id))
+      log_.Write("worker_not_used",
+                 {{"worker", id}, {"service", worker.service}});
+  }
+  other_services_workers_ = std::move(others);
+}
+
 void instance_runtime::DecideShardCount() {
-  const std::size_t workers = directory_.Workers().size();
+  const std::size_t workers = workers_.size();
   const bool stable = workers > 0 && workers == last_worker_count_;
   last_worker_count_ = workers;
   if (shared_.ShardCount() != 0 || !shared_watcher_.IsCurrent() || !stable)
@@ -252,8 +271,8 @@
 void instance_runtime::AssignWorkers(std::uint32_t shard,
                                      shard_driver& driver) {
   std::vector<submissions::worker_description> workers;
-  for (const auto& [id, worker] : directory_.Workers())
-    if (ShardOfWorker(id, shared_.ShardCount()) == shard)
+  for (const submissions::worker_description& worker : workers_)
+    if (ShardOfWorker(worker.id, shared_.ShardCount()) == shard)
       workers.push_back(worker);
   driver.SetWorkers(std::move(workers));
 }
--- a/src/submissions/include/chivecrank/submissions/queue_table.h
+++ b/src/submissions/include/chivecrank/submissions/queue_table.h
@@ -2,6 +2,7 @@
 #define CHIVECRANK_SUBMISSIONS_QUEUE_TABLE_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,11 +24,15 @@
 struct queue_table {
   std::int64_t version = 0;
   std::vector<queue_route> routes;
+  /// Names of the services that the configuration declares.
+  std::set<std::string> services;
 
   /// Returns the queue of a request, or null if no queue matches.
   const queue_route* Match(std::string_view host, std::string_view path) const;
   /// Returns null if there is no queue of that name.
   const queue_route* Find(std::string_view name) const;
+  /// Whether the configuration names the service, with a queue or without.
+  bool NamesService(const std::string& service) const;
 };
 
 }  // namespace chivecrank::submissions
--- a/src/submissions/internal/queue_table.cc
+++ b/src/submissions/internal/queue_table.cc
@@ -1,5 +1,7 @@
 #include "chivecrank/submissions/queue_table.h"
 
+#include <algorithm>
+
 namespace chivecrank::submissions {
 
 const queue_route* queue_table::Match(std::string_view host,
@@ -21,4 +23,11 @@
   return nullptr;
 }
 
+bool queue_table::NamesService(const std::string& service) const {
+  return services.contains(service) ||
+         std::ranges::any_of(routes, [&](const queue_route& route) {
+           return route.policy.service == service;
+         });
+}
+
 }  // namespace chivecrank::submissions
--- a/tests/emulator/include/chivecrank/emulator/emulated_workers.h
+++ b/tests/emulator/include/chivecrank/emulator/emulated_workers.h
@@ -122,6 +122,11 @@
   const submissions::worker_description& DescriptionOf(
       const std::string& id) const;
 
+  /// The worker is one of another service, as its entry says from then on.
+  void SetService(const std::string& id, const std::string& service);
+  /// The worker follows an owner with this fence.
+  void Follow(const std::string& id, std::int64_t fence);
+
   bool IsCrashed(const std::string& id) const;
   /// The room of the worker changes; what runs there goes on.
   void SetCapacity(const std::string& id,
--- a/tests/emulator/internal/emulated_workers.cc
+++ b/tests/emulator/internal/emulated_workers.cc
@@ -160,6 +160,15 @@
   return workers_.at(id)->description;
 }
 
+void emulated_workers::SetService(const std::string& id,
+                                  const std::string& service) {
+  workers_.at(id)->description.service = service;
+}
+
+void emulated_workers::Follow(const std::string& id, std::int64_t fence) {
+  workers_.at(id)->fence = fence;
+}
+
 void emulated_workers::Know(const submissions::submission& accepted) {
   known_[accepted.id] = accepted;
 }
