A worker that refuses an owner costs it the shard only if the store agrees

What callers would see: nothing starts on a shard while one of its workers follows an owner of something else.

Cause: one worker's higher fence counted as the word of a newer owner of the shard, though the store named this instance.

Evidence: other_owners/AWorkerThatFollowsAnotherOwnerCostsNoShard failed before the change: the shard was lost 62 times.

Change: the owner reads its key in the store. If that is still its own, the worker counts as silent and is asked again later (worker_follows_other).

--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -151,6 +151,11 @@
               base::time_point requested_at,
               base::result<submissions::worker_report> report);
 
+  /// A worker follows a higher fence: gives the shard up, unless the store says
+  /// that this instance owns it. The worker then follows an owner of something
+  /// else, and is left alone.
+  void CheckOwnership(const std::string& refused_by);
+
   void OnEvent(const submissions::scheduler_event& event);
   /// The header of a command to a worker that carries a lease only if it needs
   /// one.
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -425,8 +425,8 @@
       *worker, command, CommandHeader(command.worker, lease),
       guard_.Wrap([this, command](submissions::start_outcome outcome) {
         scheduler_.OnStartOutcome(command, outcome, loop_.Now());
-        if (scheduler_.IsFenced())
-          return hooks_.on_fenced("a worker follows a newer owner");
+        if (outcome == submissions::start_outcome::kFenced)
+          CheckOwnership(command.worker);
         SchedulePoll(command.worker, settings_.poll_spacing);
         if (outcome != submissions::start_outcome::kStarted)
           ScheduleDecision();
@@ -517,8 +517,11 @@
   state.answered = report.has_value();
   metrics_.OnPoll(state.answered, loop_.Now() - requested_at);
   if (!report) {
-    if (report.error().kind == base::error_kind::kFenced)
-      return hooks_.on_fenced("a worker follows a newer owner");
+    if (report.error().kind == base::error_kind::kFenced) {
+      CheckOwnership(worker);
+      scheduler_.OnPollUnanswered(worker, loop_.Now());
+      return SchedulePoll(worker, settings_.idle_poll_interval);
+    }
     log_.Write("look_failed",
                {{"worker", worker},
                 {"kind", base::ErrorKindName(report.error().kind)},
@@ -541,6 +544,20 @@
   ScheduleDecision();
 }
 
+void shard_driver::CheckOwnership(const std::string& refused_by) {
+  store_.Get(
+      OwnerKey(shard_),
+      guard_.Wrap([this, refused_by](
+                      base::result<std::optional<metadata::item>> found) {
+        const bool is_owner =
+            found && found.value() && found.value()->changed_at == fence_;
+        if (!is_owner)
+          return hooks_.on_fenced("a worker follows a newer owner");
+        log_.Write("worker_follows_other",
+                   {{"shard", shard_}, {"worker", refused_by}});
+      }));
+}
+
 void shard_driver::OnEvent(const submissions::scheduler_event& event) {
   metrics_.OnSchedulerEvent(event);
   if (event.kind == submissions::scheduler_event_kind::kSubmissionEnded)
--- a/src/submissions/include/chivecrank/submissions/shard_scheduler.h
+++ b/src/submissions/include/chivecrank/submissions/shard_scheduler.h
@@ -150,8 +150,6 @@
   /// Workers with runs, listed or not. Port 0 stands for an unknown address.
   std::vector<worker_description> WorkersWithRuns() const;
   awaited_runs AwaitedRuns(base::time_point now) const;
-  /// Whether a worker has reported that it follows a newer owner.
-  bool IsFenced() const;
   /// Returns the complete state as a snapshot entry.
   journal_entry Snapshot() const;
   /// Returns the unfinished submissions that have no recurrence and no run that
--- a/src/submissions/internal/shard_core.h
+++ b/src/submissions/internal/shard_core.h
@@ -73,7 +73,6 @@
   std::vector<start_command> starts_in_commit;
   std::vector<outcome_change> outcomes_in_commit;
   std::vector<start_command> committed_starts;
-  bool fenced = false;
 
  private:
   /// The committed runs that `is_lost` selects.
--- a/src/submissions/internal/shard_scheduler.cc
+++ b/src/submissions/internal/shard_scheduler.cc
@@ -196,8 +196,6 @@
                                      start_outcome outcome,
                                      base::time_point now) {
   shard_core& state = *core_;
-  if (outcome == start_outcome::kFenced)
-    state.fenced = true;
   active_run* run = state.FindRun(command.worker, command.task, command.run);
   if (run == nullptr || run->phase != run_phase::kStarting)
     return;
@@ -368,10 +366,6 @@
   return core_->run_planner.Placer().ScoredWorkers();
 }
 
-bool shard_scheduler::IsFenced() const {
-  return core_->fenced;
-}
-
 journal_entry shard_scheduler::Snapshot() const {
   return {true, core_->tracker.Submissions().AllProgress(),
           core_->interference.Estimates(core_->tracker.Images()),
--- a/tests/emulator/tests/other_owners_test.cc
+++ b/tests/emulator/tests/other_owners_test.cc
@@ -48,6 +48,16 @@
   BOOST_TEST(Day().Total().accepted == Day().Total().completed);
 }
 
+/// The same for a worker of an own service.
+BOOST_AUTO_TEST_CASE(AWorkerThatFollowsAnotherOwnerCostsNoShard) {
+  Day().Run(seconds(4), true);
+  FollowOther("w-003");
+  Day().Run(seconds(10), true);
+  BOOST_TEST(times_lost == 0);
+  CheckPromises();
+  BOOST_TEST(Day().Total().accepted == Day().Total().completed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
