--- a/src/runtime/include/chivecrank/runtime/shard_driver.h
+++ b/src/runtime/include/chivecrank/runtime/shard_driver.h
@@ -24,6 +24,7 @@
 #include "chivecrank/runtime/shard_tenure.h"
 #include "chivecrank/runtime/shard_wait_log.h"
 #include "chivecrank/runtime/status_publisher.h"
+#include "chivecrank/runtime/worker_polls.h"
 #include "chivecrank/runtime/worker_witnesses.h"
 #include "chivecrank/submissions/permit_service.h"
 #include "chivecrank/submissions/queue_table.h"
@@ -94,18 +95,6 @@
   }
 
  private:
-  struct poll_state {
-    /// Number of the poll in flight; 0 for none. Answers to others are ignored.
-    std::uint64_t in_flight = 0;
-    /// Incarnation of the worker that gave the last report; 0 before the first.
-    std::int64_t reported_started_at_ms = 0;
-    /// The last poll was answered.
-    bool answered = false;
-    reactor::timer_id timer = 0;
-    /// When the timer fires; unset while it is not running.
-    std::optional<base::time_point> due;
-  };
-
   bool HasFullAuthority() const {
     return hooks_.authority() == protocol::authority::kFull;
   }
@@ -144,7 +133,6 @@
   void SendPermitRequest(const submissions::permit_request& request);
   void SendThrottle(const submissions::throttle_command& command);
 
-  void SchedulePoll(const std::string& worker, std::chrono::milliseconds delay);
   void PollWorker(const std::string& worker);
   void OnPoll(const std::string& worker,
               std::uint64_t number,
@@ -195,8 +183,7 @@
   /// `earlier_` was the last ownership before this one.
   bool was_last_owner_ = false;
   std::map<std::string, submissions::worker_description> workers_;
-  std::map<std::string, poll_state> polls_;
-  std::uint64_t last_poll_ = 0;
+  worker_polls polls_;
   shard_wait_log wait_log_;
   bool restored_ = false;
   bool decision_due_ = false;
--- a/src/runtime/internal/shard_driver.cc
+++ b/src/runtime/internal/shard_driver.cc
@@ -91,6 +91,7 @@
                  {[this] { return CurrentStatus(); },
                   [this] { return HasFullAuthority(); }, hooks_.on_fenced}),
       horizon_(settings_.LeaseHorizon()),
+      polls_(loop, [this](const std::string& worker) { PollWorker(worker); }),
       wait_log_(log, shard),
       guard_(loop) {}
 
@@ -196,7 +197,7 @@
                                 {"entries", entries.size()},
                                 {"next_entry", journal_.NextEntry()}});
   for (const auto& [id, worker] : workers_)
-    SchedulePoll(id, std::chrono::milliseconds(0));
+    polls_.Schedule(id, std::chrono::milliseconds(0));
   ScheduleDecision();
   guard_.Later(settings_.idle_decision_interval,
                [this] { DecidePeriodically(); });
@@ -280,8 +281,8 @@
   if (!restored_)
     return;
   for (const auto& [id, worker] : workers_)
-    if (!polls_.contains(id))
-      SchedulePoll(id, std::chrono::milliseconds(0));
+    if (!polls_.Contains(id))
+      polls_.Schedule(id, std::chrono::milliseconds(0));
   ScheduleDecision();
 }
 
@@ -296,8 +297,7 @@
     }
     if (scheduler_.HasRuns(id))
       continue;
-    loop_.Cancel(polls_[id].timer);
-    polls_.erase(id);
+    polls_.Forget(id);
     gateway_.Disconnect(id);
   }
 }
@@ -307,11 +307,8 @@
     const submissions::worker_description& listed) const {
   if (known.address != listed.address)
     return true;
-  const auto state = polls_.find(known.id);
   // Its reports may have told of the incarnation before its entry did.
-  const bool is_polled =
-      state != polls_.end() &&
-      state->second.reported_started_at_ms == listed.started_at_ms;
+  const bool is_polled = polls_.Incarnation(known.id) == listed.started_at_ms;
   return known.started_at_ms != listed.started_at_ms && !is_polled;
 }
 
@@ -427,7 +424,7 @@
         scheduler_.OnStartOutcome(command, outcome, loop_.Now());
         if (outcome == submissions::start_outcome::kFenced)
           CheckOwnership(command.worker);
-        SchedulePoll(command.worker, settings_.poll_spacing);
+        polls_.Schedule(command.worker, settings_.poll_spacing);
         if (outcome != submissions::start_outcome::kStarted)
           ScheduleDecision();
       }));
@@ -440,7 +437,7 @@
   gateway_.Stop(*worker, command, CommandHeader(command.worker),
                 guard_.Wrap([this, command](bool done) {
                   scheduler_.OnStopOutcome(command, done, loop_.Now());
-                  SchedulePoll(command.worker, settings_.poll_spacing);
+                  polls_.Schedule(command.worker, settings_.poll_spacing);
                 }));
 }
 
@@ -454,52 +451,32 @@
                     }));
 }
 
-void shard_driver::SchedulePoll(const std::string& worker,
-                                std::chrono::milliseconds delay) {
-  poll_state& state = polls_[worker];
-  if (state.in_flight != 0)
-    return;
-  // Keep a poll that is scheduled earlier, so that consecutive commands do not
-  // postpone it.
-  const base::time_point due = loop_.Now() + delay;
-  if (state.due && *state.due <= due)
-    return;
-  loop_.Cancel(state.timer);
-  state.due = due;
-  state.timer =
-      loop_.After(delay, guard_.Wrap([this, worker] { PollWorker(worker); }));
-}
-
 void shard_driver::PollWorker(const std::string& worker) {
-  polls_[worker].due.reset();
   const submissions::worker_description* known = FindWorker(worker);
-  if (known == nullptr) {
-    polls_.erase(worker);
-    return;
-  }
+  if (known == nullptr)
+    return polls_.Forget(worker);
   if (hooks_.authority() == protocol::authority::kNone)
-    return SchedulePoll(worker, settings_.poll_retry_delay);
+    return polls_.Schedule(worker, settings_.poll_retry_delay);
   submissions::poll_request request;
   request.header = CommandHeader(worker);
   request.acknowledged_end = scheduler_.AcknowledgedEnd(worker);
   const base::time_point now = loop_.Now();
-  poll_state& state = polls_[worker];
+  const bool was_answered = polls_.WasAnswered(worker);
   // The first poll, and each after one without an answer, is answered at once:
   // the worker gets no lease before.
   // Held answers would delay the end of a trial, for which others wait.
-  if (state.answered && scheduler_.HasRuns(worker) &&
+  if (was_answered && scheduler_.HasRuns(worker) &&
       !scheduler_.HasTrial(worker))
     request.wait = settings_.poll_wait;
   // A worker that did not answer the last poll is polled without a lease.
   // Otherwise each retry could renew its lease, which would then never expire.
-  if (state.answered && scheduler_.MayRenewLease(worker))
+  if (was_answered && scheduler_.MayRenewLease(worker))
     request.header.lease = GrantableLease();
   if (request.header.lease.count() > 0)
     scheduler_.OnLeaseSent(worker, now);
-  state.in_flight = ++last_poll_;
   gateway_.Poll(
       *known, request,
-      guard_.Wrap([this, worker, number = last_poll_,
+      guard_.Wrap([this, worker, number = polls_.OnSent(worker),
                    now](base::result<submissions::worker_report> report) {
         OnPoll(worker, number, now, std::move(report));
       }));
@@ -509,18 +486,17 @@
                           std::uint64_t number,
                           base::time_point requested_at,
                           base::result<submissions::worker_report> report) {
-  const auto polled = polls_.find(worker);
-  if (polled == polls_.end() || polled->second.in_flight != number)
+  std::optional<std::int64_t> incarnation;
+  if (report)
+    incarnation = report.value().started_at_ms;
+  if (!polls_.OnEnded(worker, number, incarnation))
     return;
-  poll_state& state = polled->second;
-  state.in_flight = 0;
-  state.answered = report.has_value();
-  metrics_.OnPoll(state.answered, loop_.Now() - requested_at);
+  metrics_.OnPoll(report.has_value(), loop_.Now() - requested_at);
   if (!report) {
     if (report.error().kind == base::error_kind::kFenced) {
       CheckOwnership(worker);
       scheduler_.OnPollUnanswered(worker, loop_.Now());
-      return SchedulePoll(worker, settings_.idle_poll_interval);
+      return polls_.Schedule(worker, settings_.idle_poll_interval);
     }
     log_.Write("look_failed",
                {{"worker", worker},
@@ -532,15 +508,14 @@
       scheduler_.OnPollUnanswered(worker, loop_.Now());
     }
     ScheduleDecision();
-    return SchedulePoll(worker, settings_.poll_retry_delay);
+    return polls_.Schedule(worker, settings_.poll_retry_delay);
   }
-  state.reported_started_at_ms = report.value().started_at_ms;
   witnesses_.OnAnswer(worker, requested_at);
   ConsiderWitnesses();
   scheduler_.OnReport(worker, report.value(), requested_at, loop_.Now());
-  SchedulePoll(worker, scheduler_.HasRuns(worker)
-                           ? settings_.poll_spacing
-                           : settings_.idle_poll_interval);
+  polls_.Schedule(worker, scheduler_.HasRuns(worker)
+                              ? settings_.poll_spacing
+                              : settings_.idle_poll_interval);
   ScheduleDecision();
 }
 
@@ -578,10 +553,7 @@
 submissions::command_header shard_driver::CommandHeader(
     const std::string& worker,
     std::chrono::milliseconds lease) const {
-  const auto state = polls_.find(worker);
-  const std::int64_t incarnation =
-      state == polls_.end() ? 0 : state->second.reported_started_at_ms;
-  return {fence_, lease, incarnation};
+  return {fence_, lease, polls_.Incarnation(worker)};
 }
 
 const submissions::worker_description* shard_driver::FindWorker(
--- a/src/runtime/tests/scripted_store.h
+++ b/src/runtime/tests/scripted_store.h
@@ -56,6 +56,15 @@
                           "no answer in time", "read back what was done"});
     return std::move(next.changes);
   }
+  /// Answers the oldest listing with all items.
+  void AnswerNextList() {
+    const auto done = std::move(lists.front());
+    lists.pop_front();
+    metadata::page page;
+    for (const auto& [key, item] : items)
+      page.items.push_back(item);
+    done(std::move(page));
+  }
   /// Carries out a transaction if its conditions hold.
   metadata::commit_answer Apply(const metadata::transaction& changes) {
     metadata::commit_answer answer;
--- a/src/runtime/tests/worker_directory_test.cc
+++ b/src/runtime/tests/worker_directory_test.cc
@@ -8,51 +8,13 @@
 #include <vector>
 
 #include "chivecrank/base/manual_clock.h"
+#include "tests/scripted_store.h"
 
 namespace chivecrank::runtime {
 namespace {
 
 constexpr std::string_view kRejected = "worker_entry_rejected";
 
-/// A store that only lists.
-class listing_store final : public metadata::store {
- public:
-  void Get(const std::string&,
-           metadata::callback<std::optional<metadata::item>>) override {}
-  void List(const std::string&,
-            const std::string&,
-            bool,
-            metadata::callback<metadata::page> done) override {
-    pending_.push_back(std::move(done));
-  }
-  void Watch(const std::string&,
-             metadata::revision,
-             std::chrono::milliseconds,
-             metadata::callback<metadata::change_list>) override {}
-  void Commit(metadata::transaction,
-              metadata::callback<metadata::commit_answer>) override {}
-  void Grant(std::chrono::milliseconds,
-             metadata::callback<metadata::granted_lease>) override {}
-  void Renew(metadata::lease_id,
-             metadata::callback<metadata::granted_lease>) override {}
-  void End(metadata::lease_id, metadata::callback<bool>) override {}
-
-  std::size_t Pending() const { return pending_.size(); }
-  /// Answers the oldest call.
-  void Answer() {
-    const auto done = std::move(pending_.front());
-    pending_.erase(pending_.begin());
-    metadata::page page;
-    page.items = items;
-    done(std::move(page));
-  }
-
-  std::vector<metadata::item> items;
-
- private:
-  std::vector<metadata::callback<metadata::page>> pending_;
-};
-
 /// A directory whose entries name a worker if they are "good".
 struct fixture {
   fixture() {
@@ -70,7 +32,7 @@
   }
 
   void List() {
-    store.Answer();
+    store.AnswerNextList();
     clock.Advance(std::chrono::seconds(1));
     loop.RunOnce(base::milliseconds(0));
   }
@@ -91,7 +53,7 @@
                              lines += bytes;
                              return bytes.size();
                            }};
-  listing_store store;
+  scripted_store store;
   worker_directory directory{loop, store, log, {"workers/", Decode}, {}};
   int listed = 0;
 };
@@ -102,13 +64,14 @@
 
 /// The review's trial: each odd entry was told of again at every listing.
 BOOST_AUTO_TEST_CASE(AnOddEntryIsToldOfOnceAndHidesNoOther) {
-  store.items = {{"workers/odd", "[[[[", 5, 0}, {"workers/w", "good", 6, 0}};
+  store.items["workers/odd"] = {"workers/odd", "[[[[", 5};
+  store.items["workers/w"] = {"workers/w", "good", 6};
   for (int i = 0; i < 5; ++i)
     List();
   BOOST_TEST(listed == 5);
   BOOST_TEST(directory.Workers().size() == 1u);
   BOOST_TEST(Rejections() == 1u);
-  store.items[0].changed_at = 7;
+  store.items["workers/odd"].changed_at = 7;
   List();
   BOOST_TEST(Rejections() == 2u);
 }
@@ -116,15 +79,15 @@
 /// A listing that was sent before the store went away may be answered after
 /// its return.
 BOOST_AUTO_TEST_CASE(AListingFromBeforeIsNoAnswerToARefresh) {
-  store.items = {{"workers/w", "good", 6, 0}};
+  store.items["workers/w"] = {"workers/w", "good", 6};
   clock.Advance(std::chrono::seconds(3));
   const base::time_point wanted_as_of = clock.Now();
   directory.Refresh(wanted_as_of);
-  BOOST_REQUIRE(store.Pending() == 2u);
-  store.Answer();
+  BOOST_REQUIRE(store.lists.size() == 2u);
+  store.AnswerNextList();
   BOOST_TEST(listed == 0);
   BOOST_TEST((directory.AsOf() < wanted_as_of));
-  store.Answer();
+  store.AnswerNextList();
   BOOST_TEST(listed == 1);
   BOOST_TEST((directory.AsOf() == wanted_as_of));
 }
