--- a/src/runtime/internal/shard_release.cc
+++ b/src/runtime/internal/shard_release.cc
@@ -47,14 +47,14 @@
                   std::function<void(bool released)> done) {
   metadata::transaction release = TransactionOf(released);
   store.Commit(std::move(release),
-               [&store, released = std::move(released), done = std::move(done)](
+               [&store, released, done = std::move(done)](
                    base::result<metadata::commit_answer> answer) mutable {
                  if (!answer || answer.value().applied)
                    return done(answer.has_value());
                  released.tenure = OtherTenure(answer.value(), released);
                  if (!released.tenure)
                    return done(false);
-                 ReleaseShard(store, std::move(released), std::move(done));
+                 ReleaseShard(store, released, std::move(done));
                });
 }
 
