Read once more: one lookup, one place for keys, no copies

The keys of a status and of a tenure stand beside the owner's in keys.h. An instance kept a second copy of the listed workers that it uses; it now asks for each while it assigns them. Each call copied its whole message when it was sent, since requests are made late; it is moved. Behaviour as before.

The integration tests, the sanitizers and the demo were not run on this before the commit.

--- a/src/reactor/include/chivecrank/reactor/http_caller.h
+++ b/src/reactor/include/chivecrank/reactor/http_caller.h
@@ -19,7 +19,8 @@
 /// not sent, or kOutcomeUnknown when the server may have processed it.
 using answer_callback = std::function<void(base::result<http::response>)>;
 
-/// Makes the request when a connection has been assigned to the call.
+/// Makes the request when a connection has been assigned to the call; called at
+/// most once.
 /// `same_server`: the connection has carried an answer before, so that no other
 /// server process than that one can get the request.
 using request_maker = std::function<http::request(bool same_server)>;
--- a/src/reactor/internal/http_caller.cc
+++ b/src/reactor/internal/http_caller.cc
@@ -65,8 +65,9 @@
 void http_caller::Call(http::request message,
                        base::duration timeout,
                        answer_callback done) {
-  Call([message = std::move(message)](bool) { return message; }, timeout,
-       std::move(done));
+  Call([message =
+            std::move(message)](bool) mutable { return std::move(message); },
+       timeout, std::move(done));
 }
 
 void http_caller::Call(request_maker make,
--- a/src/runtime/include/chivecrank/runtime/instance_runtime.h
+++ b/src/runtime/include/chivecrank/runtime/instance_runtime.h
@@ -83,9 +83,11 @@
   void ApplyDrains();
   void ConfirmDrains(base::time_point as_of);
   void OnWorkersListed();
-  /// Takes the listed workers of the configuration's services; the others are
-  /// never called.
-  void SelectWorkers();
+  /// Whether the worker is of a service that the configuration names; others
+  /// are never called.
+  bool IsUsed(const submissions::worker_description& worker) const;
+  /// Logs workers that are listed and not used, each once.
+  void ReportUnusedWorkers();
   void UpdateDrainMetrics();
   void DecideShardCount();
   void AssignWorkers(std::uint32_t shard, shard_driver& driver);
@@ -115,10 +117,8 @@
   prefix_watcher shared_watcher_;
   prefix_watcher configuration_watcher_;
   worker_directory directory_;
-  /// Listed workers of the configuration's services.
-  std::vector<submissions::worker_description> workers_;
-  /// Identifiers of the other listed workers.
-  std::set<std::string> other_services_workers_;
+  /// Identifiers of the listed workers that are not used.
+  std::set<std::string> unused_workers_;
   ownership ownership_;
   submission_intake intake_;
   std::size_t last_worker_count_ = 0;
--- a/src/runtime/include/chivecrank/runtime/keys.h
+++ b/src/runtime/include/chivecrank/runtime/keys.h
@@ -47,6 +47,8 @@
 
 std::string ShardName(std::uint32_t shard);
 std::string OwnerKey(std::uint32_t shard);
+std::string StatusKey(std::uint32_t shard);
+std::string TenureKey(std::uint32_t shard);
 
 /// A condition that holds as long as the shard's owner key was last written at
 /// revision `fence`.
--- a/src/runtime/include/chivecrank/runtime/shard_tenure.h
+++ b/src/runtime/include/chivecrank/runtime/shard_tenure.h
@@ -34,8 +34,6 @@
 std::string EncodeTenure(const tenure_record& record);
 std::optional<tenure_record> DecodeTenure(std::string_view text);
 
-/// The key of the record of the shard's newest tenure.
-std::string TenureKey(std::uint32_t shard);
 /// The write that records a tenure of the shard.
 metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record);
 
--- a/src/runtime/internal/instance_runtime.cc
+++ b/src/runtime/internal/instance_runtime.cc
@@ -227,30 +227,33 @@
 void instance_runtime::OnWorkersListed() {
   if (!queues_)
     return;
-  SelectWorkers();
+  ReportUnusedWorkers();
   DecideShardCount();
   for (const auto& [shard, driver] : drivers_)
     AssignWorkers(shard, *driver);
 }
 
-void instance_runtime::SelectWorkers() {
-  std::set<std::string> others;
-  workers_.clear();
+bool instance_runtime::IsUsed(
+    const submissions::worker_description& worker) const {
+  return queues_->NamesService(worker.service);
+}
+
+void instance_runtime::ReportUnusedWorkers() {
+  std::set<std::string> unused;
   for (const auto& [id, worker] : directory_.Workers()) {
-    if (queues_->NamesService(worker.service)) {
-      workers_.push_back(worker);
+    if (IsUsed(worker))
       continue;
-    }
-    others.insert(id);
-    if (!other_services_workers_.contains(id))
+    unused.insert(id);
+    if (!unused_workers_.contains(id))
       log_.Write("worker_not_used",
                  {{"worker", id}, {"service", worker.service}});
   }
-  other_services_workers_ = std::move(others);
+  unused_workers_ = std::move(unused);
 }
 
 void instance_runtime::DecideShardCount() {
-  const std::size_t workers = workers_.size();
+  const std::size_t workers =
+      directory_.Workers().size() - unused_workers_.size();
   const bool stable = workers > 0 && workers == last_worker_count_;
   last_worker_count_ = workers;
   if (shared_.ShardCount() != 0 || !shared_watcher_.IsCurrent() || !stable)
@@ -271,8 +274,8 @@
 void instance_runtime::AssignWorkers(std::uint32_t shard,
                                      shard_driver& driver) {
   std::vector<submissions::worker_description> workers;
-  for (const submissions::worker_description& worker : workers_)
-    if (ShardOfWorker(worker.id, shared_.ShardCount()) == shard)
+  for (const auto& [id, worker] : directory_.Workers())
+    if (ShardOfWorker(id, shared_.ShardCount()) == shard && IsUsed(worker))
       workers.push_back(worker);
   driver.SetWorkers(std::move(workers));
 }
--- a/src/runtime/internal/keys.cc
+++ b/src/runtime/internal/keys.cc
@@ -46,6 +46,14 @@
   return ToString({key_kind::kOwner, ShardName(shard)});
 }
 
+std::string StatusKey(std::uint32_t shard) {
+  return ToString({key_kind::kShardStatus, ShardName(shard)});
+}
+
+std::string TenureKey(std::uint32_t shard) {
+  return ToString({key_kind::kTenure, ShardName(shard)});
+}
+
 metadata::condition OwnershipCondition(std::uint32_t shard,
                                        metadata::revision fence) {
   return {OwnerKey(shard), fence};
--- a/src/runtime/internal/ownership.cc
+++ b/src/runtime/internal/ownership.cc
@@ -302,9 +302,9 @@
     // instance carries. If the key is attached to another lease, the previous
     // process of this node wrote it and has ended: a node runs one process at a
     // time.
-    for (const metadata::item& item : answer.value().current)
-      if (item.key == OwnerKey(shard) && item.value == settings_.node)
-        return Claim(shard, item.changed_at);
+    const metadata::item* owner = answer.value().Current(OwnerKey(shard));
+    if (owner != nullptr && owner->value == settings_.node)
+      Claim(shard, owner->changed_at);
     return;
   }
   if (!IsValid())
--- a/src/runtime/internal/shard_journal.cc
+++ b/src/runtime/internal/shard_journal.cc
@@ -196,16 +196,13 @@
   }
   if (answer.value().applied)
     return OnCommitted();
-  const std::string owner_key = OwnerKey(shard_);
-  bool still_owner = false;
-  bool applied_before = false;
-  for (const metadata::item& item : answer.value().current) {
-    if (item.key == owner_key && item.changed_at == fence_)
-      still_owner = true;
-    for (const metadata::write& written : changes.writes)
-      if (item.key == written.key && item.value == written.value)
-        applied_before = true;
-  }
+  const metadata::item* owner = answer.value().Current(OwnerKey(shard_));
+  const bool still_owner = owner != nullptr && owner->changed_at == fence_;
+  const bool applied_before =
+      std::ranges::any_of(changes.writes, [&](const metadata::write& written) {
+        const metadata::item* stored = answer.value().Current(written.key);
+        return stored != nullptr && stored->value == written.value;
+      });
   if (!still_owner || !applied_before)
     return hooks_.on_fenced("the store has another owner");
   OnCommitted();
--- a/src/runtime/internal/shard_tenure.cc
+++ b/src/runtime/internal/shard_tenure.cc
@@ -32,10 +32,6 @@
   return record;
 }
 
-std::string TenureKey(std::uint32_t shard) {
-  return ToString({key_kind::kTenure, ShardName(shard)});
-}
-
 metadata::write TenureWrite(std::uint32_t shard, const tenure_record& record) {
   return {TenureKey(shard), EncodeTenure(record)};
 }
--- a/src/runtime/internal/status_publisher.cc
+++ b/src/runtime/internal/status_publisher.cc
@@ -5,14 +5,6 @@
 #include "chivecrank/runtime/keys.h"
 
 namespace chivecrank::runtime {
-namespace {
-
-std::string StatusKey(std::uint32_t shard) {
-  return ToString({key_kind::kShardStatus, ShardName(shard)});
-}
-
-}  // namespace
-
 status_publisher::status_publisher(reactor::event_loop& loop,
                                    metadata::store& store,
                                    const replica& shared,
--- a/src/runtime/tests/status_publisher_test.cc
+++ b/src/runtime/tests/status_publisher_test.cc
@@ -42,7 +42,7 @@
 
   shard_status Stored() { return *DecodeShardStatus(store.items.at(key)); }
 
-  const std::string key = ToString({key_kind::kShardStatus, ShardName(0)});
+  const std::string key = StatusKey(0);
   base::manual_clock clock;
   reactor::event_loop loop{clock};
   event_log::event_log log{clock, "node", {}, [](std::string_view bytes) {
--- a/tests/emulator/tests/late_writes_test.cc
+++ b/tests/emulator/tests/late_writes_test.cc
@@ -62,17 +62,15 @@
   /// The newest tenure of shard 0; unset if there is none.
   std::optional<runtime::tenure_record> StoredTenure() {
     const auto& items = Day().Store().Items();
-    const auto found = items.find(
-        runtime::ToString({runtime::key_kind::kTenure, runtime::ShardName(0)}));
+    const auto found = items.find(runtime::TenureKey(0));
     if (found == items.end())
       return std::nullopt;
     return runtime::DecodeTenure(found->second.value);
   }
 
   runtime::shard_status StoredStatus() {
-    const std::string key = runtime::ToString(
-        {runtime::key_kind::kShardStatus, runtime::ShardName(0)});
-    return *runtime::DecodeShardStatus(Day().Store().Items().at(key));
+    return *runtime::DecodeShardStatus(
+        Day().Store().Items().at(runtime::StatusKey(0)));
   }
 
   queue_load filler;
