--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/standins
 [ -x "$program" ] && [ -x target/bin/chivecrank_instance ] || exit 2
-timeout --kill-after=1 115 "$program" gang-checkpoints review/13/record.txt
+timeout --kill-after=1 115 "$program" cancel-while-in-doubt review/13/record.txt
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standins-3/cases.h
+++ b/review/standins-3/cases.h
@@ -19,6 +19,7 @@
 int CancelWhileInDoubt(const case_input& input);
 int GangAfterCrash(const case_input& input);
 int GangCheckpoints(const case_input& input);
+int GangMemberFails(const case_input& input);
 
 }  // namespace review
 
--- a/review/standins-3/worker.cc
+++ b/review/standins-3/worker.cc
@@ -56,6 +56,8 @@
   std::int64_t work_ms = 0;
   double worked_ms = 0;
   bool saves = false;
+  /// Ends as failed halfway.
+  bool fails = false;
   std::int64_t started_at_ms = 0;
   int pace = kFullPercent;
 };
@@ -187,6 +189,13 @@
            working.worked_ms >= static_cast<double>(working.work_ms);
   }
 
+  /// Whether the text says that the first run of this task fails.
+  static bool FailsFirst(const std::string& spec, const std::string& task) {
+    const std::string mark = "first-fails=";
+    return spec.find(mark) != std::string::npos &&
+           task.ends_with("." + std::to_string(NumberAfter(spec, mark)));
+  }
+
   static void Work(run& working, double for_ms) {
     working.worked_ms += for_ms;
     const auto saved = static_cast<std::int64_t>(working.worked_ms) /
@@ -197,6 +206,9 @@
 
   /// Empty while the run goes on.
   std::string HowEnded(const run& working, std::int64_t now) const {
+    if (working.fails &&
+        2 * working.worked_ms >= static_cast<double>(working.work_ms))
+      return "failed";
     if (working.gang_size == 0)
       return IsWorkDone(working) ? "done" : "";
     switch (working.state) {
@@ -233,6 +245,7 @@
     started.started_at_ms = record::SteadyMs();
     started.work_ms = NumberAfter(spec, "ms=");
     started.gang_size = static_cast<std::size_t>(NumberAfter(spec, "gang="));
+    started.fails = number == 1 && FailsFirst(spec, task);
     started.saves = spec.find("saves") != std::string::npos;
     started.carried = TextOf(body, "LastCheckpoint");
     started.saved = started.carried;
