Intake: conditional writes in batches are a module of their own

A write of which the store said that it had no effect counts as not sent again: given up before its next attempt it is rejected, not in doubt.

runtime_test passes (the module had no test of these paths before).

--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -2,17 +2,15 @@
 #define CHIVECRANK_RUNTIME_SUBMISSION_INTAKE_H_
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
 #include "chivecrank/reactor/callback_guard.h"
 #include "chivecrank/reactor/event_loop.h"
+#include "chivecrank/runtime/conditional_writer.h"
 #include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/submission_service.h"
@@ -20,9 +18,9 @@
 namespace chivecrank::runtime {
 
 struct intake_settings {
-  /// Maximum number of store writes in flight.
-  std::size_t max_writes_in_flight = 2;
-  /// Time before a write with unknown outcome is sent again.
+  conditional_writer_settings writer{.name = "accept"};
+  /// Time after which an instance that has not received a stored submission
+  /// looks again.
   std::chrono::milliseconds retry{120};
   /// Retry delay that a rejected caller is given.
   std::chrono::milliseconds retry_after{1000};
@@ -31,14 +29,11 @@
   /// Submissions with less time than this left until `give_up_at` are rejected
   /// at once.
   std::chrono::milliseconds min_time_left{40};
-  /// How long submissions are rejected at once after a store write has failed.
-  std::chrono::milliseconds store_failure_backoff{300};
 };
 
 /// Accepts submissions and cancellations. Each is stored before it is
-/// acknowledged; one transaction carries several. Writes are conditional on the
-/// key not existing, so a write that is sent or applied twice takes effect
-/// once.
+/// acknowledged, under the condition that its key doesn't exist, so a write
+/// that is sent or applied twice takes effect once.
 class submission_intake final : public submission_service {
  public:
   submission_intake(reactor::event_loop& loop,
@@ -61,37 +56,16 @@
   std::int64_t CountQueued(const std::string& queue) const override;
 
  private:
-  /// A key to be created for a submission or a cancellation.
-  struct pending_write {
-    metadata::write write;
-    std::string submission;
-    base::time_point give_up_at;
-    /// The write was part of a transaction sent to the store.
-    bool sent = false;
-    /// A transaction that contained it may have been applied or may still be.
-    bool may_be_stored = false;
-    /// Called with kAccepted if the key is stored, kRejected if it is certainly
-    /// not stored, and kOutcomeUnknown otherwise.
-    std::function<void(submit_outcome)> done;
-    bool completed = false;
-  };
   /// Submissions assigned to a shard since its owner last wrote its status.
   struct assigned_load {
     metadata::revision status_revision = 0;
     std::int64_t reserved_milli = 0;
   };
-  using pending = std::shared_ptr<pending_write>;
-  using group = std::vector<pending>;
 
-  void Enqueue(pending added);
-  void SendNext();
-  void Send(group sent);
-  void OnCommit(const group& sent,
-                base::result<metadata::commit_answer> answer);
-  void OnFailure(const group& sent, const base::error& failure);
-  void OnConflict(const group& sent, const metadata::commit_answer& answer);
-  void Complete(pending_write& written, submit_outcome outcome);
-  void Expire(pending_write& written);
+  /// Writes a submission that was found acceptable.
+  void Store(submissions::submission accepted,
+             base::time_point give_up_at,
+             std::function<void(submit_answer)> done);
   /// An error if no worker can ever run the submission.
   base::result<void> CheckSize(const submissions::submission& offered) const;
   /// Chooses the submission's shard and counts it there.
@@ -114,9 +88,7 @@
   instance_metrics& metrics_;
   const intake_settings settings_;
   const std::function<bool()> is_store_responding_;
-  std::deque<pending> queued_;
-  std::size_t in_flight_ = 0;
-  base::time_point store_unavailable_until_;
+  conditional_writer writer_;
   std::map<std::uint32_t, assigned_load> assigned_since_status_;
   reactor::callback_guard guard_;
 };
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -8,14 +8,31 @@
 namespace chivecrank::runtime {
 namespace {
 
-/// Each key needs a condition and a write in the transaction.
-constexpr std::size_t kKeysPerTransaction =
-    metadata::kMaxTransactionEntries / 2;
-
+/// Answers in the metrics, by submit_outcome.
+constexpr std::array<std::string_view, 3> kSubmitAnswers = {
+    "accepted", "rejected", "unknown"};
+/// Log events, by submit_outcome.
+constexpr std::array<std::string_view, 3> kSubmitEvents = {
+    "submission_accepted", "submission_rejected", "submission_in_doubt"};
 /// Log events, by cancel_outcome.
 constexpr std::array<std::string_view, 3> kCancelEvents = {
     "cancel_accepted", "cancel_unknown", "cancel_failed"};
 
+/// Whether a key was created that nothing ever changes: one that exists was
+/// created by an earlier attempt.
+submit_outcome OutcomeOf(const write_result& result) {
+  switch (result.outcome) {
+    case write_outcome::kWritten:
+    case write_outcome::kKeyExists:
+      return submit_outcome::kAccepted;
+    case write_outcome::kNotWritten:
+      return submit_outcome::kRejected;
+    case write_outcome::kUnknown:
+      break;
+  }
+  return submit_outcome::kOutcomeUnknown;
+}
+
 }  // namespace
 
 submission_intake::submission_intake(reactor::event_loop& loop,
@@ -34,6 +51,7 @@
       metrics_(metrics),
       settings_(settings),
       is_store_responding_(std::move(is_store_responding)),
+      writer_(loop, store, log, settings.writer, {}),
       guard_(loop) {}
 
 void submission_intake::Submit(submissions::submission offered,
@@ -64,27 +82,27 @@
   offered.accepted_since_epoch =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           clock_.WallNow().time_since_epoch());
-  auto added = std::make_shared<pending_write>();
-  added->submission = offered.id;
-  added->write = {ToString({key_kind::kSubmission, offered.id}),
-                  EncodeAccepted(offered)};
-  added->give_up_at = give_up_at;
-  added->done = [this, since = loop_.Now(), id = offered.id,
-                 queue = offered.queue, shard = offered.shard,
-                 done = std::move(done)](submit_outcome outcome) {
-    const bool accepted = outcome == submit_outcome::kAccepted;
-    const bool rejected = outcome == submit_outcome::kRejected;
-    metrics_.OnSubmitAnswer(accepted   ? "accepted"
-                            : rejected ? "rejected"
-                                       : "unknown",
-                            loop_.Now() - since);
-    log_.Write(accepted   ? "submission_accepted"
-               : rejected ? "submission_rejected"
-                          : "submission_in_doubt",
-               {{"submission", id}, {"queue", queue}, {"shard", shard}});
-    done({outcome, settings_.retry_after});
-  };
-  Enqueue(std::move(added));
+  Store(std::move(offered), give_up_at, std::move(done));
+}
+
+void submission_intake::Store(submissions::submission accepted,
+                              base::time_point give_up_at,
+                              std::function<void(submit_answer)> done) {
+  const std::string key = ToString({key_kind::kSubmission, accepted.id});
+  writer_.Write(
+      {.write = {key, EncodeAccepted(accepted)},
+       .absent_keys = {key},
+       .give_up_at = give_up_at,
+       .done = [this, since = loop_.Now(), id = accepted.id,
+                queue = accepted.queue, shard = accepted.shard,
+                done = std::move(done)](const write_result& result) {
+         const submit_outcome outcome = OutcomeOf(result);
+         const auto index = static_cast<std::size_t>(outcome);
+         metrics_.OnSubmitAnswer(kSubmitAnswers.at(index), loop_.Now() - since);
+         log_.Write(kSubmitEvents.at(index),
+                    {{"submission", id}, {"queue", queue}, {"shard", shard}});
+         done({outcome, settings_.retry_after});
+       }});
 }
 
 void submission_intake::State(const std::string& id,
@@ -117,18 +135,18 @@
   }
   if (known->Ended())
     return AnswerCancel(id, cancel_outcome::kCancelled, done);
-  auto added = std::make_shared<pending_write>();
-  added->submission = id;
-  added->write = {ToString({key_kind::kCancellation, id}), "1"};
-  added->give_up_at = give_up_at;
-  added->done = [this, id, done = std::move(done)](submit_outcome outcome) {
-    const bool accepted = outcome == submit_outcome::kAccepted;
-    AnswerCancel(
-        id,
-        accepted ? cancel_outcome::kCancelled : cancel_outcome::kUnavailable,
-        done);
-  };
-  Enqueue(std::move(added));
+  const std::string key = ToString({key_kind::kCancellation, id});
+  writer_.Write(
+      {.write = {key, "1"},
+       .absent_keys = {key},
+       .give_up_at = give_up_at,
+       .done = [this, id, done = std::move(done)](const write_result& result) {
+         const bool stored = OutcomeOf(result) == submit_outcome::kAccepted;
+         AnswerCancel(
+             id,
+             stored ? cancel_outcome::kCancelled : cancel_outcome::kUnavailable,
+             done);
+       }});
 }
 
 void submission_intake::AnswerCancel(
@@ -145,118 +163,6 @@
   return shared_.CountQueued(queue);
 }
 
-void submission_intake::Enqueue(pending added) {
-  guard_.Later(added->give_up_at - loop_.Now(),
-               [this, added] { Expire(*added); });
-  queued_.push_back(std::move(added));
-  SendNext();
-}
-
-void submission_intake::SendNext() {
-  while (in_flight_ < settings_.max_writes_in_flight) {
-    group sent;
-    while (!queued_.empty() && sent.size() < kKeysPerTransaction) {
-      if (!queued_.front()->completed)
-        sent.push_back(std::move(queued_.front()));
-      queued_.pop_front();
-    }
-    if (sent.empty())
-      return;
-    ++in_flight_;
-    Send(std::move(sent));
-  }
-}
-
-void submission_intake::Send(group sent) {
-  metadata::transaction changes;
-  for (const pending& written : sent) {
-    written->sent = true;
-    changes.conditions.push_back({written->write.key, 0});
-    changes.writes.push_back(written->write);
-  }
-  store_.Commit(std::move(changes),
-                guard_.Wrap([this, sent = std::move(sent)](
-                                base::result<metadata::commit_answer> answer) {
-                  --in_flight_;
-                  OnCommit(sent, std::move(answer));
-                  SendNext();
-                }));
-}
-
-void submission_intake::OnCommit(const group& sent,
-                                 base::result<metadata::commit_answer> answer) {
-  if (!answer)
-    return OnFailure(sent, answer.error());
-  store_unavailable_until_ = {};
-  if (!answer.value().applied)
-    return OnConflict(sent, answer.value());
-  for (const pending& written : sent)
-    Complete(*written, submit_outcome::kAccepted);
-}
-
-void submission_intake::OnFailure(const group& sent,
-                                  const base::error& failure) {
-  log_.Write(
-      "store_write_failed",
-      {{"call", "accept"}, {"keys", sent.size()}, {"error", failure.message}});
-  store_unavailable_until_ = loop_.Now() + settings_.store_failure_backoff;
-  const bool had_no_effect =
-      failure.kind == base::error_kind::kUnavailable ||
-      failure.kind == base::error_kind::kResourceExhausted;
-  group again;
-  for (const pending& written : sent) {
-    if (!had_no_effect)
-      written->may_be_stored = true;
-    if (written->may_be_stored)
-      again.push_back(written);
-    else
-      Complete(*written, submit_outcome::kRejected);
-  }
-  if (again.empty())
-    return;
-  // Send keys that may have been stored again: the condition tells whether they
-  // were, and ensures that each is created only once.
-  guard_.Later(settings_.retry, [this, again] {
-    for (const pending& written : again)
-      if (!written->completed)
-        queued_.push_front(written);
-    SendNext();
-  });
-}
-
-void submission_intake::OnConflict(const group& sent,
-                                   const metadata::commit_answer& answer) {
-  // A key that exists was stored by an earlier attempt; the others are sent
-  // again.
-  for (const pending& written : sent) {
-    const bool stored =
-        std::ranges::any_of(answer.current, [&](const metadata::item& item) {
-          return item.key == written->write.key && item.changed_at > 0;
-        });
-    if (stored)
-      Complete(*written, submit_outcome::kAccepted);
-    else if (!written->completed)
-      queued_.push_front(written);
-  }
-}
-
-void submission_intake::Complete(pending_write& written,
-                                 submit_outcome outcome) {
-  if (written.completed)
-    return;
-  written.completed = true;
-  const auto done = std::move(written.done);
-  done(outcome);
-}
-
-void submission_intake::Expire(pending_write& written) {
-  if (written.completed)
-    return;
-  // A write that was never sent is certainly not stored.
-  Complete(written, written.sent ? submit_outcome::kOutcomeUnknown
-                                 : submit_outcome::kRejected);
-}
-
 base::result<void> submission_intake::CheckSize(
     const submissions::submission& offered) const {
   const auto sizes = shared_.SizesFor(offered.policy.service);
@@ -283,7 +189,7 @@
 }
 
 bool submission_intake::IsStoreUnavailable() const {
-  return loop_.Now() < store_unavailable_until_ || !is_store_responding_();
+  return writer_.FailedRecently() || !is_store_responding_();
 }
 
 submission_state submission_intake::KnownState(
--- a/src/runtime/tests/scripted_store.h
+++ b/src/runtime/tests/scripted_store.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -12,12 +13,18 @@
 namespace chivecrank::runtime {
 
 /// A store that holds items and carries out a transaction when the test says
-/// so: in time, unanswered, or late. Tests answer listings and watches
-/// themselves; all other calls stay unanswered.
+/// so: in time, unanswered, or late. Reads are answered at once, and so are
+/// requests for leases unless `answers_grants` is false. Tests answer listings
+/// and watches themselves; all other calls stay unanswered.
 class scripted_store final : public metadata::store {
  public:
-  void Get(const std::string&,
-           metadata::callback<std::optional<metadata::item>>) override {}
+  void Get(const std::string& key,
+           metadata::callback<std::optional<metadata::item>> done) override {
+    const auto found = items.find(key);
+    if (found == items.end())
+      return done(std::optional<metadata::item>());
+    done(std::optional<metadata::item>(found->second));
+  }
   void List(const std::string&,
             const std::string&,
             bool,
@@ -35,8 +42,14 @@
     ++commits;
     sent_.push_back({std::move(changes), std::move(done)});
   }
-  void Grant(std::chrono::milliseconds,
-             metadata::callback<metadata::granted_lease>) override {}
+  void Grant(std::chrono::milliseconds term,
+             metadata::callback<metadata::granted_lease> done) override {
+    ++grants;
+    if (!answers_grants)
+      return;
+    leases.insert(++last_lease);
+    done(metadata::granted_lease{last_lease, term});
+  }
   void Renew(metadata::lease_id,
              metadata::callback<metadata::granted_lease>) override {}
   void End(metadata::lease_id, metadata::callback<bool>) override {}
@@ -46,8 +59,24 @@
   /// Carries out the oldest such transaction and answers it.
   void AnswerNext() {
     const call next = TakeNext();
+    for (const metadata::write& written : next.changes.writes)
+      if (written.lease != 0 && !leases.contains(written.lease))
+        return next.done(base::error{base::error_kind::kNotFound,
+                                     "no such lease", "grant a new one"});
     next.done(Apply(next.changes));
   }
+  /// Rejects the oldest one.
+  void RejectNext() {
+    TakeNext().done(base::error{base::error_kind::kUnavailable,
+                                "the store rejects calls", "try again later"});
+  }
+  /// Ends a lease, and deletes its keys.
+  void EndLease(metadata::lease_id lease) {
+    leases.erase(lease);
+    std::erase_if(items, [lease](const auto& stored) {
+      return stored.second.lease == lease;
+    });
+  }
   /// Answers the oldest one with an error, and returns it so that it can be
   /// carried out late.
   metadata::transaction LoseNext() {
@@ -98,6 +127,10 @@
   std::map<std::string, metadata::item> items;
   metadata::revision revision = 100;
   int commits = 0;
+  std::set<metadata::lease_id> leases;
+  metadata::lease_id last_lease = 900;
+  int grants = 0;
+  bool answers_grants = true;
 
  private:
   struct call {
