--- a/tests/emulator/tests/load_test.cc
+++ b/tests/emulator/tests/load_test.cc
@@ -30,6 +30,7 @@
 BOOST_AUTO_TEST_CASE(ADayFeedsEveryFigure) {
   settings.failure_domains = 2;
   Day().Run(seconds(10), true);
+  Day().Cancel(Day().Submit(settings.queues[0]));
   Day().DrainDomain(0, true);
   Day().Run(seconds(2), true);
   std::string text;
