Cancellations: what isn't stored is revoked before the 410

Cause: Cancel took the absence of the key at one moment for the absence of the submission. Nothing it stored made a later write of the submission fail. Ruled out by the logs and the store's record: a repeat of the write after the 504 (two writes, both before it), a cancellation that the owner overlooked (none was stored), a read of an old copy (the key wasn't there yet).

Now a DELETE of what isn't stored writes a revocation on the condition that no submission has the identifier, and is answered 410 after that; each POST's write has the absence of the revocation as a second condition. So exactly one of them takes effect, whichever instance sends it and however late it is carried out.

--- a/src/runtime/include/chivecrank/runtime/keys.h
+++ b/src/runtime/include/chivecrank/runtime/keys.h
@@ -45,6 +45,10 @@
 /// Returns nullopt for a key of another form.
 std::optional<shared_key> ParseSharedKey(std::string_view key);
 
+/// The key that keeps any submission with identifier `id` from being stored.
+/// It isn't replicated; whoever stores a submission makes it a condition.
+std::string RevocationKey(std::string_view id);
+
 std::string ShardName(std::uint32_t shard);
 std::string OwnerKey(std::uint32_t shard);
 std::string StatusKey(std::uint32_t shard);
--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "chivecrank/event_log/event_log.h"
 #include "chivecrank/metadata/store.h"
@@ -13,19 +14,21 @@
 #include "chivecrank/runtime/conditional_writer.h"
 #include "chivecrank/runtime/instance_metrics.h"
 #include "chivecrank/runtime/replica.h"
+#include "chivecrank/runtime/submission_revoker.h"
 #include "chivecrank/runtime/submission_service.h"
 
 namespace chivecrank::runtime {
 
 struct intake_settings {
   conditional_writer_settings writer{.name = "accept"};
-  /// Time after which an instance that has not received a stored submission
-  /// looks again.
-  std::chrono::milliseconds retry{120};
+  revoker_settings revoker;
   /// Retry delay that a rejected caller is given.
   std::chrono::milliseconds retry_after{1000};
   /// The same for a submission that is too large for every worker.
   std::chrono::milliseconds retry_too_large_after{60'000};
+  /// The same for a submission that was cancelled before; its identifier isn't
+  /// accepted for about as long.
+  std::chrono::milliseconds retry_revoked_after{240'000};
   /// Submissions with less time than this left until `give_up_at` are rejected
   /// at once.
   std::chrono::milliseconds min_time_left{40};
@@ -33,7 +36,8 @@
 
 /// Accepts submissions and cancellations. Each is stored before it is
 /// acknowledged, under the condition that its key doesn't exist, so a write
-/// that is sent or applied twice takes effect once.
+/// that is sent or applied twice takes effect once. A cancellation of what
+/// isn't stored revokes the identifier, so that it isn't stored later either.
 class submission_intake final : public submission_service {
  public:
   submission_intake(reactor::event_loop& loop,
@@ -66,6 +70,17 @@
   void Store(submissions::submission accepted,
              base::time_point give_up_at,
              std::function<void(submit_answer)> done);
+  /// The answer to a submission that was to be stored under `key`.
+  submit_answer AnswerOf(const write_result& result,
+                         std::string_view key) const;
+  /// Cancels a submission that the replica doesn't know.
+  void Revoke(const std::string& id,
+              base::time_point give_up_at,
+              std::function<void(cancel_outcome)> done);
+  /// Cancels a submission that is stored.
+  void StoreCancellation(const std::string& id,
+                         base::time_point give_up_at,
+                         std::function<void(cancel_outcome)> done);
   /// An error if no worker can ever run the submission.
   base::result<void> CheckSize(const submissions::submission& offered) const;
   /// Chooses the submission's shard and counts it there.
@@ -89,6 +104,7 @@
   const intake_settings settings_;
   const std::function<bool()> is_store_responding_;
   conditional_writer writer_;
+  submission_revoker revoker_;
   std::map<std::uint32_t, assigned_load> assigned_since_status_;
   reactor::callback_guard guard_;
 };
--- a/src/runtime/internal/conditional_writer.cc
+++ b/src/runtime/internal/conditional_writer.cc
@@ -57,7 +57,8 @@
 bool conditional_writer::CanBeSentBefore(base::time_point deadline) const {
   const auto turns = static_cast<std::chrono::milliseconds::rep>(
       queued_.size() / kMaxWritesPerTransaction);
-  return loop_.Now() + turns * settings_.min_interval <= deadline;
+  return std::max(loop_.Now(), next_send_at_) + turns * settings_.min_interval <
+         deadline;
 }
 
 void conditional_writer::SendNext() {
--- a/src/runtime/internal/keys.cc
+++ b/src/runtime/internal/keys.cc
@@ -12,6 +12,9 @@
 
 constexpr std::string_view kJournalPrefix = "chivecrank-journal/";
 
+/// Facts of identifiers that hold whether or not a submission has them.
+constexpr std::string_view kIdentifierPrefix = "chivecrank-identifiers/";
+
 constexpr std::array<std::string_view, 8> kKindNames = {
     "shards",      "members",   "owners", "load",
     "submissions", "cancelled", "ended",  "tenures"};
@@ -38,6 +41,12 @@
   return std::nullopt;
 }
 
+std::string RevocationKey(std::string_view id) {
+  std::string key(kIdentifierPrefix);
+  key += id;
+  return key + "/revoked";
+}
+
 std::string ShardName(std::uint32_t shard) {
   return absl::StrFormat("%04d", shard);
 }
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -14,23 +14,17 @@
 /// Log events, by submit_outcome.
 constexpr std::array<std::string_view, 3> kSubmitEvents = {
     "submission_accepted", "submission_rejected", "submission_in_doubt"};
+/// Reasons in the log, by write_outcome.
+constexpr std::array<std::string_view, 4> kWriteReasons = {
+    "stored", "key_exists", "store_away", "no_answer"};
 /// Log events, by cancel_outcome.
 constexpr std::array<std::string_view, 3> kCancelEvents = {
     "cancel_accepted", "cancel_unknown", "cancel_failed"};
 
-/// Whether a key was created that nothing ever changes: one that exists was
-/// created by an earlier attempt.
-submit_outcome OutcomeOf(const write_result& result) {
-  switch (result.outcome) {
-    case write_outcome::kWritten:
-    case write_outcome::kKeyExists:
-      return submit_outcome::kAccepted;
-    case write_outcome::kNotWritten:
-      return submit_outcome::kRejected;
-    case write_outcome::kUnknown:
-      break;
-  }
-  return submit_outcome::kOutcomeUnknown;
+base::error Revoked() {
+  return {base::error_kind::kConflict,
+          "the submission was cancelled before it was accepted",
+          "submit the work with another identifier"};
 }
 
 }  // namespace
@@ -52,6 +46,7 @@
       settings_(settings),
       is_store_responding_(std::move(is_store_responding)),
       writer_(loop, store, log, settings.writer, {}),
+      revoker_(loop, store, log, settings.revoker),
       guard_(loop) {}
 
 void submission_intake::Submit(submissions::submission offered,
@@ -91,20 +86,44 @@
   const std::string key = ToString({key_kind::kSubmission, accepted.id});
   writer_.Write(
       {.write = {key, EncodeAccepted(accepted)},
-       .absent_keys = {key},
+       .absent_keys = {key, RevocationKey(accepted.id)},
        .give_up_at = give_up_at,
-       .done = [this, since = loop_.Now(), id = accepted.id,
+       .done = [this, key, since = loop_.Now(), id = accepted.id,
                 queue = accepted.queue, shard = accepted.shard,
                 done = std::move(done)](const write_result& result) {
-         const submit_outcome outcome = OutcomeOf(result);
-         const auto index = static_cast<std::size_t>(outcome);
+         const submit_answer answer = AnswerOf(result, key);
+         const auto index = static_cast<std::size_t>(answer.verdict);
          metrics_.OnSubmitAnswer(kSubmitAnswers.at(index), loop_.Now() - since);
-         log_.Write(kSubmitEvents.at(index),
-                    {{"submission", id}, {"queue", queue}, {"shard", shard}});
-         done({outcome, settings_.retry_after});
+         log_.Write(
+             kSubmitEvents.at(index),
+             {{"submission", id},
+              {"queue", queue},
+              {"shard", shard},
+              {"reason",
+               kWriteReasons.at(static_cast<std::size_t>(result.outcome))}});
+         done(answer);
        }});
 }
 
+submit_answer submission_intake::AnswerOf(const write_result& result,
+                                          std::string_view key) const {
+  switch (result.outcome) {
+    case write_outcome::kWritten:
+      return {submit_outcome::kAccepted};
+    case write_outcome::kKeyExists:
+      // A submission that exists was stored by an earlier attempt.
+      if (result.existing_key == key)
+        return {submit_outcome::kAccepted};
+      return {submit_outcome::kRejected, settings_.retry_revoked_after,
+              Revoked()};
+    case write_outcome::kNotWritten:
+      return {submit_outcome::kRejected, settings_.retry_after};
+    case write_outcome::kUnknown:
+      break;
+  }
+  return {submit_outcome::kOutcomeUnknown};
+}
+
 void submission_intake::State(const std::string& id,
                               std::function<void(submission_state)> done) {
   const known_submission* known = shared_.Find(id);
@@ -117,31 +136,44 @@
                                base::time_point give_up_at,
                                std::function<void(cancel_outcome)> done) {
   const known_submission* known = shared_.Find(id);
-  if (known == nullptr) {
-    return LookUp(id, [this, id, give_up_at,
-                       done = std::move(done)](submission_state state) mutable {
-      if (state == submission_state::kUnknown)
-        return AnswerCancel(id, cancel_outcome::kUnknownSubmission, done);
-      if (state == submission_state::kUnavailable)
-        return AnswerCancel(id, cancel_outcome::kUnavailable, done);
-      // Another instance stored the submission and the replica has not received
-      // it yet.
-      guard_.Later(settings_.retry, [this, id, give_up_at, done] {
-        if (loop_.Now() >= give_up_at)
-          return AnswerCancel(id, cancel_outcome::kUnavailable, done);
-        Cancel(id, give_up_at, done);
-      });
-    });
-  }
+  if (known == nullptr)
+    return Revoke(id, give_up_at, std::move(done));
   if (known->Ended())
     return AnswerCancel(id, cancel_outcome::kCancelled, done);
+  StoreCancellation(id, give_up_at, std::move(done));
+}
+
+void submission_intake::Revoke(const std::string& id,
+                               base::time_point give_up_at,
+                               std::function<void(cancel_outcome)> done) {
+  revoker_.Revoke(
+      id, give_up_at,
+      [this, id, give_up_at, done = std::move(done)](revoke_outcome outcome) {
+        switch (outcome) {
+          case revoke_outcome::kRevoked:
+            return AnswerCancel(id, cancel_outcome::kUnknownSubmission, done);
+          case revoke_outcome::kStored:
+            // The replica has not received it yet.
+            return StoreCancellation(id, give_up_at, done);
+          case revoke_outcome::kUnavailable:
+          case revoke_outcome::kOutcomeUnknown:
+            return AnswerCancel(id, cancel_outcome::kUnavailable, done);
+        }
+      });
+}
+
+void submission_intake::StoreCancellation(
+    const std::string& id,
+    base::time_point give_up_at,
+    std::function<void(cancel_outcome)> done) {
   const std::string key = ToString({key_kind::kCancellation, id});
   writer_.Write(
       {.write = {key, "1"},
        .absent_keys = {key},
        .give_up_at = give_up_at,
        .done = [this, id, done = std::move(done)](const write_result& result) {
-         const bool stored = OutcomeOf(result) == submit_outcome::kAccepted;
+         const bool stored = result.outcome == write_outcome::kWritten ||
+                             result.outcome == write_outcome::kKeyExists;
          AnswerCancel(
              id,
              stored ? cancel_outcome::kCancelled : cancel_outcome::kUnavailable,
--- a/tests/emulator/tests/late_writes_test.cc
+++ b/tests/emulator/tests/late_writes_test.cc
@@ -13,6 +13,7 @@
 
 constexpr milliseconds kLateBy{5800};
 constexpr std::int64_t kWaiting = 20;
+constexpr char kId[] = "5c0e7a21d94b36f8";
 
 bool WritesKind(const metadata::transaction& changes, runtime::key_kind kind) {
   for (const metadata::write& written : changes.writes)
@@ -102,6 +103,36 @@
   }
 }
 
+/// Case 13 of the review: the write of a submission was in doubt when its
+/// cancellation was answered, and was carried out after that.
+BOOST_AUTO_TEST_CASE(ASubmissionCancelledWhileItsWriteIsInDoubtNeverRuns) {
+  submissions::submission offered;
+  offered.id = kId;
+  offered.queue = settings.queues[0].name;
+  offered.policy = settings.queues[0].policy;
+  offered.steps = {settings.queues[0].step};
+  LoseNext(runtime::key_kind::kSubmission);
+  auto& intake = Day().InstanceAt(0).Intake();
+  std::optional<runtime::submit_outcome> submitted;
+  intake.Submit(
+      offered, Day().Now() + milliseconds(700),
+      [&](runtime::submit_answer answer) { submitted = answer.verdict; });
+  Day().Run(seconds(1), false);
+  BOOST_REQUIRE(lost_at.has_value());
+  BOOST_TEST((submitted == runtime::submit_outcome::kOutcomeUnknown));
+  std::optional<runtime::cancel_outcome> cancelled;
+  intake.Cancel(kId, Day().Now() + seconds(3),
+                [&](runtime::cancel_outcome outcome) { cancelled = outcome; });
+  Day().Run(seconds(1), false);
+  BOOST_TEST((cancelled == runtime::cancel_outcome::kUnknownSubmission));
+  const std::string key =
+      runtime::ToString({runtime::key_kind::kSubmission, kId});
+  while (Day().Now() < *lost_at + kLateBy + seconds(4)) {
+    Day().Run(milliseconds(100), false);
+    BOOST_TEST(!Day().Store().Items().contains(key));
+  }
+}
+
 /// The same for the record of an owner's tenure: after an old one the next
 /// owner would wait for all leases that earlier owners may have granted.
 BOOST_AUTO_TEST_CASE(ATenureThatIsWrittenLateUnsettlesNone) {
