Cancellations: one whose write is in doubt gets a 504, not a 503

Cause: cancel_outcome had no value for an unknown outcome. It has kOutcomeUnknown now: 504, cancel_in_doubt in the log, in_doubt in the metric, as for submissions.

--- a/src/runtime/include/chivecrank/runtime/submission_service.h
+++ b/src/runtime/include/chivecrank/runtime/submission_service.h
@@ -46,7 +46,16 @@
 };
 
 /// The outcome of a Cancel call.
-enum class cancel_outcome { kCancelled, kUnknownSubmission, kUnavailable };
+enum class cancel_outcome {
+  kCancelled,
+  /// No such submission is stored, nor will a request that was sent so far
+  /// store it.
+  kUnknownSubmission,
+  /// Nothing was cancelled.
+  kUnavailable,
+  /// It may have been cancelled, or may be later.
+  kOutcomeUnknown,
+};
 
 /// A cancel_outcome as shown in metrics.
 std::string_view CancelOutcomeName(cancel_outcome outcome);
--- a/src/runtime/internal/instance_metrics.cc
+++ b/src/runtime/internal/instance_metrics.cc
@@ -48,7 +48,8 @@
       {"chivecrank_submission_answer_seconds", "answer",
        "Time from a submission to its answer."},
       {"chivecrank_cancel_answers_total", "answer",
-       "Answers to cancellations: cancelled, unknown or unavailable."},
+       "Answers to cancellations: cancelled, unknown, unavailable or "
+       "in_doubt."},
       {"chivecrank_submission_seconds", "outcome",
        "Time from a submission's acceptance to its end, at its owner."},
       {"chivecrank_commit_seconds", "done",
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -18,8 +18,21 @@
 constexpr std::array<std::string_view, 4> kWriteReasons = {
     "stored", "key_exists", "store_away", "no_answer"};
 /// Log events, by cancel_outcome.
-constexpr std::array<std::string_view, 3> kCancelEvents = {
-    "cancel_accepted", "cancel_unknown", "cancel_failed"};
+constexpr std::array<std::string_view, 4> kCancelEvents = {
+    "cancel_accepted", "cancel_unknown", "cancel_failed", "cancel_in_doubt"};
+
+cancel_outcome CancelOutcomeOf(write_outcome written) {
+  switch (written) {
+    case write_outcome::kWritten:
+    case write_outcome::kKeyExists:
+      return cancel_outcome::kCancelled;
+    case write_outcome::kNotWritten:
+      return cancel_outcome::kUnavailable;
+    case write_outcome::kUnknown:
+      break;
+  }
+  return cancel_outcome::kOutcomeUnknown;
+}
 
 base::error Revoked() {
   return {base::error_kind::kConflict,
@@ -156,8 +169,9 @@
             // The replica has not received it yet.
             return StoreCancellation(id, give_up_at, done);
           case revoke_outcome::kUnavailable:
-          case revoke_outcome::kOutcomeUnknown:
             return AnswerCancel(id, cancel_outcome::kUnavailable, done);
+          case revoke_outcome::kOutcomeUnknown:
+            return AnswerCancel(id, cancel_outcome::kOutcomeUnknown, done);
         }
       });
 }
@@ -172,12 +186,7 @@
        .absent_keys = {key},
        .give_up_at = give_up_at,
        .done = [this, id, done = std::move(done)](const write_result& result) {
-         const bool stored = result.outcome == write_outcome::kWritten ||
-                             result.outcome == write_outcome::kKeyExists;
-         AnswerCancel(
-             id,
-             stored ? cancel_outcome::kCancelled : cancel_outcome::kUnavailable,
-             done);
+         AnswerCancel(id, CancelOutcomeOf(result.outcome), done);
        }});
 }
 
--- a/src/runtime/internal/submission_service.cc
+++ b/src/runtime/internal/submission_service.cc
@@ -5,8 +5,8 @@
 namespace chivecrank::runtime {
 namespace {
 
-constexpr std::array<std::string_view, 3> kCancelOutcomeNames = {
-    "cancelled", "unknown", "unavailable"};
+constexpr std::array<std::string_view, 4> kCancelOutcomeNames = {
+    "cancelled", "unknown", "unavailable", "in_doubt"};
 
 }  // namespace
 
--- a/src/runtime/tests/submission_intake_test.cc
+++ b/src/runtime/tests/submission_intake_test.cc
@@ -92,6 +92,19 @@
     return lost;
   }
 
+  /// Cancels the submission; no write of this gets an answer.
+  metadata::transaction CancelInDoubt(intake_instance& at) {
+    Cancel(at);
+    store.AnswerCalls();
+    metadata::transaction lost = store.LoseNext();
+    while (!cancelled) {
+      Pass(kLongerThanARetry);
+      while (store.HasSent())
+        store.LoseNext();
+    }
+    return lost;
+  }
+
   void AnswerAll() {
     store.AnswerCalls();
     while (store.HasSent())
@@ -229,18 +242,32 @@
   BOOST_TEST(IsSubmitted(submit_outcome::kAccepted));
 }
 
-/// The DELETE's own write is in doubt, so nothing is acknowledged.
-BOOST_AUTO_TEST_CASE(ACancellationInDoubtIsNotAcknowledged) {
+/// The DELETE's own write is in doubt: neither acknowledged nor rejected.
+BOOST_AUTO_TEST_CASE(TheOutcomeOfACancellationInDoubtIsUnknown) {
+  CancelInDoubt(here);
+  BOOST_TEST(IsCancelled(cancel_outcome::kOutcomeUnknown));
+}
+
+/// The same for a submission that is stored. A caller that was told that
+/// nothing was cancelled would not expect it to end.
+BOOST_AUTO_TEST_CASE(ACancellationThatMayTakeEffectLaterIsNotRejected) {
+  Submit(here);
+  AnswerAll();
+  Replicate(here);
+  const metadata::transaction late = CancelInDoubt(here);
+  BOOST_TEST(IsCancelled(cancel_outcome::kOutcomeUnknown));
+  BOOST_TEST(store.Apply(late).applied);
+  Replicate(here);
+  BOOST_TEST((StateAt(here) == submission_state::kCancelled));
+}
+
+BOOST_AUTO_TEST_CASE(ACancellationThatTheStoreRejectsIsRejected) {
+  Submit(here);
+  AnswerAll();
+  Replicate(here);
   Cancel(here);
-  store.AnswerCalls();
-  BOOST_REQUIRE(store.HasSent());
-  while (!cancelled) {
-    while (store.HasSent())
-      store.LoseNext();
-    Pass(kLongerThanARetry);
-  }
-  BOOST_TEST(!IsCancelled(cancel_outcome::kUnknownSubmission));
-  BOOST_TEST(!IsCancelled(cancel_outcome::kCancelled));
+  store.RejectNext();
+  BOOST_TEST(IsCancelled(cancel_outcome::kUnavailable));
 }
 
 /// Its late write does nothing to a submission that was accepted meanwhile.
