States: what the instance may still be storing is not told as gone

Cause: State took the absence of the key at one moment for the absence of the submission. unsettled_writes keeps the instance's writes that are under way or, for 10 s, ended without an answer; a GET of these gets a 503. A revocation or a certain outcome settles them.

Before: TheStateOfASubmissionInDoubtIsNotTold and TheStateOfASubmissionThatIsBeingStoredIsNotTold (submission_intake_suite) failed.

--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -16,6 +16,7 @@
 #include "chivecrank/runtime/replica.h"
 #include "chivecrank/runtime/submission_revoker.h"
 #include "chivecrank/runtime/submission_service.h"
+#include "chivecrank/runtime/unsettled_writes.h"
 
 namespace chivecrank::runtime {
 
@@ -32,6 +33,9 @@
   /// Submissions with less time than this left until `give_up_at` are rejected
   /// at once.
   std::chrono::milliseconds min_time_left{40};
+  /// How long the state of a submission is not told as unknown after a write
+  /// for it ended without an answer; the store may carry it out seconds later.
+  std::chrono::milliseconds late_write_horizon{10'000};
 };
 
 /// Accepts submissions and cancellations. Each is stored before it is
@@ -105,6 +109,7 @@
   const std::function<bool()> is_store_responding_;
   conditional_writer writer_;
   submission_revoker revoker_;
+  unsettled_writes unsettled_;
   std::map<std::uint32_t, assigned_load> assigned_since_status_;
   reactor::callback_guard guard_;
 };
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -60,6 +60,7 @@
       is_store_responding_(std::move(is_store_responding)),
       writer_(loop, store, log, settings.writer, {}),
       revoker_(loop, store, log, settings.revoker),
+      unsettled_(settings.late_write_horizon),
       guard_(loop) {}
 
 void submission_intake::Submit(submissions::submission offered,
@@ -97,6 +98,7 @@
                               base::time_point give_up_at,
                               std::function<void(submit_answer)> done) {
   const std::string key = ToString({key_kind::kSubmission, accepted.id});
+  unsettled_.Begin(accepted.id);
   writer_.Write(
       {.write = {key, EncodeAccepted(accepted)},
        .absent_keys = {key, RevocationKey(accepted.id)},
@@ -104,6 +106,7 @@
        .done = [this, key, since = loop_.Now(), id = accepted.id,
                 queue = accepted.queue, shard = accepted.shard,
                 done = std::move(done)](const write_result& result) {
+         unsettled_.End(id, result.outcome, loop_.Now());
          const submit_answer answer = AnswerOf(result, key);
          const auto index = static_cast<std::size_t>(answer.verdict);
          metrics_.OnSubmitAnswer(kSubmitAnswers.at(index), loop_.Now() - since);
@@ -164,6 +167,7 @@
       [this, id, give_up_at, done = std::move(done)](revoke_outcome outcome) {
         switch (outcome) {
           case revoke_outcome::kRevoked:
+            unsettled_.Settle(id);
             return AnswerCancel(id, cancel_outcome::kUnknownSubmission, done);
           case revoke_outcome::kStored:
             // The replica has not received it yet.
@@ -254,14 +258,21 @@
 
 void submission_intake::LookUp(const std::string& id,
                                std::function<void(submission_state)> done) {
-  store_.Get(ToString({key_kind::kSubmission, id}),
-             [done = std::move(done)](
-                 base::result<std::optional<metadata::item>> found) {
-               if (!found)
-                 return done(submission_state::kUnavailable);
-               done(found.value() ? submission_state::kQueued
-                                  : submission_state::kUnknown);
-             });
+  store_.Get(
+      ToString({key_kind::kSubmission, id}),
+      guard_.Wrap([this, id,
+                   was_unsettled = unsettled_.Contains(id, loop_.Now()),
+                   done = std::move(done)](
+                      base::result<std::optional<metadata::item>> found) {
+        if (!found)
+          return done(submission_state::kUnavailable);
+        if (found.value())
+          return done(submission_state::kQueued);
+        const bool may_be_stored =
+            was_unsettled || unsettled_.Contains(id, loop_.Now());
+        done(may_be_stored ? submission_state::kUnavailable
+                           : submission_state::kUnknown);
+      }));
 }
 
 }  // namespace chivecrank::runtime
--- a/src/runtime/tests/submission_intake_test.cc
+++ b/src/runtime/tests/submission_intake_test.cc
@@ -156,6 +156,42 @@
   BOOST_TEST(!store.Apply(late).applied);
 }
 
+/// A caller who is told 410 may hand the work in under another identifier.
+BOOST_AUTO_TEST_CASE(TheStateOfASubmissionInDoubtIsNotTold) {
+  const metadata::transaction late = SubmitInDoubt(here);
+  BOOST_TEST((StateAt(here) == submission_state::kUnavailable));
+  BOOST_TEST(store.Apply(late).applied);
+  BOOST_TEST((StateAt(here) == submission_state::kQueued));
+}
+
+BOOST_AUTO_TEST_CASE(TheStateOfASubmissionThatIsBeingStoredIsNotTold) {
+  Submit(here);
+  BOOST_TEST((StateAt(here) == submission_state::kUnavailable));
+  AnswerAll();
+  BOOST_TEST((StateAt(here) == submission_state::kQueued));
+}
+
+BOOST_AUTO_TEST_CASE(ASubmissionInDoubtIsGoneOnceItIsCancelled) {
+  SubmitInDoubt(here);
+  Cancel(here);
+  AnswerAll();
+  BOOST_TEST((StateAt(here) == submission_state::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(ASubmissionInDoubtIsGoneWhenItIsTooLateForItsWrite) {
+  SubmitInDoubt(here);
+  Pass(intake_settings{}.late_write_horizon);
+  BOOST_TEST((StateAt(here) == submission_state::kUnknown));
+}
+
+/// Another instance can't know of the write; what it tells is of the moment.
+BOOST_AUTO_TEST_CASE(TheStateElsewhereIsOfTheMoment) {
+  const metadata::transaction late = SubmitInDoubt(here);
+  BOOST_TEST((StateAt(elsewhere) == submission_state::kUnknown));
+  BOOST_TEST(store.Apply(late).applied);
+  BOOST_TEST((StateAt(elsewhere) == submission_state::kQueued));
+}
+
 /// review/more/cancelled-while-frozen: the request is read by an instance that
 /// stood still while another one answered the DELETE.
 BOOST_AUTO_TEST_CASE(ASubmissionThatIsReadAfterItsCancellationIsRejected) {
