Replica: ends that a listing tells before their submission reach its owner

Found by reading: a listing has cancelled/ and ended/ before submissions/. The end was reported while the submission's shard wasn't known, and not again when it was, so an owner that listed the shared keys anew never deleted the records of what was accepted and cancelled meanwhile; the same for what was moved and cancelled between two listings. The replica now reports the end when the submission, or its new shard, is known.

Before: replica_suite/AnEndIsReportedOnceTheSubmissionIsKnown and AnEndIsReportedToTheShardThatTheSubmissionWasMovedTo failed.

--- a/src/runtime/include/chivecrank/runtime/replica.h
+++ b/src/runtime/include/chivecrank/runtime/replica.h
@@ -83,6 +83,8 @@
  public:
   struct hooks {
     std::function<void(const std::string& id)> on_accepted;
+    /// The submission is cancelled or has an outcome. Called again when it gets
+    /// the other one, or another shard.
     std::function<void(const std::string& id)> on_ended;
     /// The submission was moved from shard `from` to another one.
     std::function<void(const std::string& id, std::uint32_t from)> on_moved;
@@ -138,6 +140,7 @@
                       std::uint32_t shard);
   void ApplySubmission(const std::string& id, const metadata::item& item);
   void MarkEnded(const std::string& id, known_submission& known);
+  void ReportEnd(const std::string& id, const known_submission& known);
 
   const std::function<base::time_point()> now_;
   hooks hooks_;
--- a/src/runtime/internal/replica.cc
+++ b/src/runtime/internal/replica.cc
@@ -280,7 +280,7 @@
   known.accepted_revision = item.changed_at;
   known.queue = item.value.substr(space + 1, line_end - space - 1);
   if (known.Ended())
-    return;
+    return ReportEnd(id, known);
   known.record = item.value.substr(line_end + 1);
   if (hooks_.on_accepted)
     hooks_.on_accepted(id);
@@ -292,14 +292,21 @@
   if (known.shard == shard)
     return;
   const std::uint32_t from = std::exchange(known.shard, shard);
-  if (!known.Ended() && hooks_.on_moved)
+  if (known.Ended())
+    return ReportEnd(id, known);
+  if (hooks_.on_moved)
     hooks_.on_moved(id, from);
 }
 
 void replica::MarkEnded(const std::string& id, known_submission& known) {
   known.record.clear();
   known.record.shrink_to_fit();
-  if (hooks_.on_ended)
+  ReportEnd(id, known);
+}
+
+void replica::ReportEnd(const std::string& id, const known_submission& known) {
+  // The shard of a submission that isn't known yet is reported with it.
+  if (known.accepted && hooks_.on_ended)
     hooks_.on_ended(id);
 }
 
--- a/src/runtime/tests/replica_test.cc
+++ b/src/runtime/tests/replica_test.cc
@@ -94,6 +94,27 @@
   BOOST_TEST(moved.size() == 1u);
 }
 
+/// A listing has the cancellations before the submissions, whose shard tells
+/// the owner which keys it has to delete later.
+BOOST_AUTO_TEST_CASE(AnEndIsReportedOnceTheSubmissionIsKnown) {
+  Put({key_kind::kCancellation, "a"}, "1", 8);
+  BOOST_TEST(ended.empty());
+  shared.Apply({SubmissionItem("a", 1, 6), false});
+  BOOST_TEST(ended == std::vector<std::string>{"a"});
+  BOOST_TEST(accepted.empty());
+}
+
+/// The same for a submission that was moved and cancelled between two listings.
+BOOST_AUTO_TEST_CASE(AnEndIsReportedToTheShardThatTheSubmissionWasMovedTo) {
+  shared.Apply({SubmissionItem("a", 1, 5), false});
+  Put({key_kind::kCancellation, "a"}, "1", 8);
+  BOOST_TEST(ended.size() == 1u);
+  shared.Apply({SubmissionItem("a", 3, 7), false});
+  BOOST_TEST(ended.size() == 2u);
+  BOOST_TEST(shared.Find("a")->shard == 3u);
+  BOOST_TEST(moved.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ResetRemovesKeysMissingFromListing) {
   Put({key_kind::kOwner, ShardName(0)}, "node", 5);
   shared.Apply({SubmissionItem("a", 0, 6), false});
--- a/tests/emulator/tests/shard_balance_test.cc
+++ b/tests/emulator/tests/shard_balance_test.cc
@@ -42,6 +42,13 @@
 /// Time between two looks at whether a submission was moved.
 constexpr milliseconds kMoveCheckInterval{5};
 
+/// The submission that a line of the log names.
+std::string SubmissionIn(std::string_view line) {
+  constexpr std::string_view field = "\"submission\":\"";
+  const std::size_t begin = line.find(field) + field.size();
+  return std::string(line.substr(begin, line.find('"', begin) - begin));
+}
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(shard_balance, two_shards)
@@ -84,6 +91,29 @@
   CheckPromises();
 }
 
+/// The cancellation meets the move in flight, before or after it is stored.
+BOOST_AUTO_TEST_CASE(ASubmissionCancelledWhileItMovesNeverRuns) {
+  std::vector<std::string> moving;
+  settings.seed = 2;
+  settings.instances = 4;
+  settings.queues[0].per_second = 4;
+  settings.on_log_line = [&](std::string_view line) {
+    if (line.find("submission_moved") != std::string_view::npos)
+      moving.push_back(SubmissionIn(line));
+  };
+  BeginWithServices();
+  std::size_t cancelled = 0;
+  const base::time_point end = day->Now() + seconds(30);
+  while (day->Now() < end) {
+    day->Run(kMoveCheckInterval, true);
+    for (; cancelled < moving.size(); ++cancelled)
+      day->Cancel(moving[cancelled]);
+  }
+  BOOST_REQUIRE(cancelled > 0u);
+  CheckPromises();
+  BOOST_TEST(day->Callers().at("urgent").cancelled > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace chivecrank::emulator
