Intake: the Retry-After of a revoked identifier is the term of its lease

intake_settings::retry_revoked_after repeated revoker_settings::lease_term (both 240 s), so one could be changed without the other. The answer now takes the term itself; what callers get is the same. runtime_test passes.

--- a/src/runtime/include/chivecrank/runtime/submission_intake.h
+++ b/src/runtime/include/chivecrank/runtime/submission_intake.h
@@ -27,9 +27,6 @@
   std::chrono::milliseconds retry_after{1000};
   /// The same for a submission that is too large for every worker.
   std::chrono::milliseconds retry_too_large_after{60'000};
-  /// The same for a submission that was cancelled before; its identifier isn't
-  /// accepted for about as long.
-  std::chrono::milliseconds retry_revoked_after{240'000};
   /// Submissions with less time than this left until `give_up_at` are rejected
   /// at once.
   std::chrono::milliseconds min_time_left{40};
--- a/src/runtime/internal/submission_intake.cc
+++ b/src/runtime/internal/submission_intake.cc
@@ -130,7 +130,8 @@
       // A submission that exists was stored by an earlier attempt.
       if (result.existing_key == key)
         return {submit_outcome::kAccepted};
-      return {submit_outcome::kRejected, settings_.retry_revoked_after,
+      // A revocation ends with its lease at the latest.
+      return {submit_outcome::kRejected, settings_.revoker.lease_term,
               Revoked()};
     case write_outcome::kNotWritten:
       return {submit_outcome::kRejected, settings_.retry_after};
