Runtime tests: one fixture for clock, loop, log and scripted store

Five test files built the same four members, three of them the same Pass() and two the same AnswerAll(). scripted_store_fixture.h has them once; shard_tenure_test's RunUnanswered() was Pass() by another name.

--- a/src/runtime/tests/conditional_writer_test.cc
+++ b/src/runtime/tests/conditional_writer_test.cc
@@ -4,9 +4,8 @@
 #include <memory>
 #include <string>
 
-#include "chivecrank/base/manual_clock.h"
 #include "chivecrank/runtime/conditional_writer.h"
-#include "tests/scripted_store.h"
+#include "tests/scripted_store_fixture.h"
 
 namespace chivecrank::runtime {
 namespace {
@@ -14,7 +13,7 @@
 constexpr std::chrono::seconds kPatience{3};
 constexpr std::chrono::milliseconds kInterval{100};
 
-struct fixture {
+struct fixture : scripted_store_fixture {
   std::unique_ptr<conditional_writer> Writer(
       conditional_writer_settings settings = {},
       conditional_writer::hooks hooks = {}) {
@@ -38,17 +37,6 @@
     return found != results.end() && found->second.outcome == outcome;
   }
 
-  void Pass(std::chrono::milliseconds time) {
-    clock.Advance(time);
-    loop.RunOnce(std::chrono::milliseconds(0));
-  }
-
-  base::manual_clock clock;
-  reactor::event_loop loop{clock};
-  event_log::event_log log{clock, "node", {}, [](std::string_view bytes) {
-                             return bytes.size();
-                           }};
-  scripted_store store;
   std::map<std::string, write_result> results;
 };
 
--- a/src/runtime/tests/shard_tenure_test.cc
+++ b/src/runtime/tests/shard_tenure_test.cc
@@ -1,9 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
-#include "chivecrank/base/manual_clock.h"
 #include "chivecrank/runtime/keys.h"
 #include "chivecrank/runtime/shard_tenure.h"
-#include "tests/scripted_store.h"
+#include "tests/scripted_store_fixture.h"
 
 namespace chivecrank::runtime {
 namespace {
@@ -14,34 +13,22 @@
 constexpr std::chrono::milliseconds kStep{50};
 
 /// The tenure of an owner, with the store that it writes to.
-struct fixture {
+struct fixture : scripted_store_fixture {
   fixture() { store.items[OwnerKey(kShard)] = {OwnerKey(kShard), "", kFence}; }
 
   /// Lets time pass; the store answers each transaction at once.
   void RunAnswered(std::chrono::milliseconds time) {
     for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
-      RunUnanswered(kStep);
+      Pass(kStep);
       while (store.HasSent())
         store.AnswerNext();
     }
   }
 
-  /// Lets time pass without an answer of the store.
-  void RunUnanswered(std::chrono::milliseconds time) {
-    clock.Advance(time);
-    loop.RunOnce(base::milliseconds(0));
-  }
-
   tenure_record Stored() {
     return *DecodeTenure(store.items.at(TenureKey(kShard)).value);
   }
 
-  base::manual_clock clock;
-  reactor::event_loop loop{clock};
-  event_log::event_log log{clock, "node", {}, [](std::string_view bytes) {
-                             return bytes.size();
-                           }};
-  scripted_store store;
   shard_tenure tenure{loop,   store,  log,
                       kShard, kFence, {.settle_time = std::chrono::hours(1)}};
 };
@@ -106,7 +93,7 @@
   const base::time_point first_sent_at = clock.Now();
   tenure.Begin(false, 0);
   BOOST_TEST(store.Apply(store.LoseNext()).applied);
-  RunUnanswered(std::chrono::milliseconds(1200));
+  Pass(std::chrono::milliseconds(1200));
   store.AnswerNext();
   BOOST_TEST(tenure.HasBegun());
   BOOST_TEST((tenure.RecordedAt() == first_sent_at));
@@ -114,7 +101,7 @@
 
 BOOST_AUTO_TEST_CASE(AnUnansweredRecordIsWrittenAgainAtTheNextRenewal) {
   tenure.Begin(true, 0);
-  RunUnanswered(std::chrono::milliseconds(1100));
+  Pass(std::chrono::milliseconds(1100));
   BOOST_TEST(store.commits == 2);
   store.AnswerNext();
   store.AnswerNext();
--- a/src/runtime/tests/status_publisher_test.cc
+++ b/src/runtime/tests/status_publisher_test.cc
@@ -3,9 +3,8 @@
 #include <memory>
 #include <string>
 
-#include "chivecrank/base/manual_clock.h"
 #include "chivecrank/runtime/status_publisher.h"
-#include "tests/scripted_store.h"
+#include "tests/scripted_store_fixture.h"
 
 namespace chivecrank::runtime {
 namespace {
@@ -21,7 +20,7 @@
 }
 
 /// Publishers of one shard, and the store that they share.
-struct fixture {
+struct fixture : scripted_store_fixture {
   std::unique_ptr<status_publisher> Publisher(metadata::revision fence) {
     return std::make_unique<status_publisher>(
         loop, store, shared, log, 0, fence, status_publisher_settings{},
@@ -43,12 +42,6 @@
   shard_status Stored() { return *DecodeShardStatus(store.items.at(key)); }
 
   const std::string key = StatusKey(0);
-  base::manual_clock clock;
-  reactor::event_loop loop{clock};
-  event_log::event_log log{clock, "node", {}, [](std::string_view bytes) {
-                             return bytes.size();
-                           }};
-  scripted_store store;
   replica shared{[this] { return loop.Now(); }};
   shard_status current;
   bool is_valid = true;
--- a/src/runtime/tests/submission_intake_test.cc
+++ b/src/runtime/tests/submission_intake_test.cc
@@ -4,9 +4,8 @@
 #include <optional>
 #include <string>
 
-#include "chivecrank/base/manual_clock.h"
 #include "chivecrank/runtime/submission_intake.h"
-#include "tests/scripted_store.h"
+#include "tests/scripted_store_fixture.h"
 
 namespace chivecrank::runtime {
 namespace {
@@ -36,7 +35,7 @@
 };
 
 /// Two instances and the store that they share.
-struct fixture {
+struct fixture : scripted_store_fixture {
   static submissions::submission Submission(const std::string& id) {
     submissions::submission offered;
     offered.id = id;
@@ -105,27 +104,10 @@
     return lost;
   }
 
-  void AnswerAll() {
-    store.AnswerCalls();
-    while (store.HasSent())
-      store.AnswerNext();
-  }
-
-  void Pass(std::chrono::milliseconds time) {
-    clock.Advance(time);
-    loop.RunOnce(std::chrono::milliseconds(0));
-  }
-
   bool IsStored() const {
     return store.items.contains(ToString({key_kind::kSubmission, kId}));
   }
 
-  base::manual_clock clock;
-  reactor::event_loop loop{clock};
-  event_log::event_log log{clock, "node", {}, [](std::string_view bytes) {
-                             return bytes.size();
-                           }};
-  scripted_store store;
   intake_instance here{loop, clock, store, log};
   intake_instance elsewhere{loop, clock, store, log};
   std::optional<submit_answer> submitted;
--- a/src/runtime/tests/submission_revoker_test.cc
+++ b/src/runtime/tests/submission_revoker_test.cc
@@ -3,10 +3,9 @@
 #include <map>
 #include <string>
 
-#include "chivecrank/base/manual_clock.h"
 #include "chivecrank/runtime/keys.h"
 #include "chivecrank/runtime/submission_revoker.h"
-#include "tests/scripted_store.h"
+#include "tests/scripted_store_fixture.h"
 
 namespace chivecrank::runtime {
 namespace {
@@ -20,7 +19,7 @@
 constexpr char kId[] = "5c0e7a21d94b36f8";
 constexpr int kFlood = 5000;
 
-struct fixture {
+struct fixture : scripted_store_fixture {
   void Revoke(const std::string& id) {
     revoker.Revoke(
         id, loop.Now() + kPatience,
@@ -39,24 +38,7 @@
     return found != outcomes.end() && found->second == outcome;
   }
 
-  void AnswerAll() {
-    store.AnswerCalls();
-    while (store.HasSent())
-      store.AnswerNext();
-  }
-
-  void Pass(milliseconds time) {
-    clock.Advance(time);
-    loop.RunOnce(milliseconds(0));
-  }
-
   revoker_settings settings;
-  base::manual_clock clock;
-  reactor::event_loop loop{clock};
-  event_log::event_log log{clock, "node", {}, [](std::string_view bytes) {
-                             return bytes.size();
-                           }};
-  scripted_store store;
   submission_revoker revoker{loop, store, log, settings};
   std::map<std::string, revoke_outcome> outcomes;
 };
